--- /dev/null
+++ b/packages/core/src/config/types.ts
@@ -0,0 +1,4 @@
+/** One client account. */
+export interface Sample {
+  a: number;
+}
--- /dev/null
+++ b/packages/core/test/sample.test.ts
@@ -0,0 +1,6 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+test('sample', () => {
+  assert.equal(1, 1);
+});
