--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,7 @@
     files: ['**/*.ts'],
     languageOptions: {
       parserOptions: {
+        projectService: false,
         project: ['./packages/*/tsconfig.json', './tsconfig.tests.json'],
         tsconfigRootDir: fileURLToPath(new URL('.', import.meta.url)),
       },
