--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,6 +45,10 @@
       'no-param-reassign': ['error', { props: false }],
       'n/no-process-exit': 'off',
       'n/hashbang': 'off',
+      'n/no-unsupported-features/node-builtins': [
+        'error',
+        { version: '>=20.20.0', allowExperimental: true },
+      ],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       'max-lines-per-function': ['error', { max: 80, skipBlankLines: true, skipComments: true }],
     },
