--- a/packages/core/src/config/types.ts
+++ b/packages/core/src/config/types.ts
@@ -1,4 +1,92 @@
-/** One client account. */
-export interface Sample {
-  a: number;
+/** The numbered configuration of the fleet, kept in the object service under `config/current`. */
+
+/** What kind of backend server a service is made of. */
+export const ServiceKind = {
+  Model: 'model',
+  Plain: 'plain',
+} as const;
+export type ServiceKind = (typeof ServiceKind)[keyof typeof ServiceKind];
+
+/** A client account: who may call which services, and its share of the pools. */
+export interface ClientAccount {
+  /** Weight of the account in each pool; service is divided by it. Greater than 0. */
+  share: number;
+  /** Ids of services the account may reach. */
+  services: string[];
+  /** Lower-case hex SHA-256 digests of the account's API keys. */
+  keyHashes: string[];
+  /** Requests that one router queues for the account per pool before it answers 429. @default 1000 */
+  maxQueued?: number;
 }
+
+/** A rule for requests of a plain service. The first rule that matches applies. */
+export interface RouteRule {
+  /** Upper-case HTTP method, or `*`. */
+  method: string;
+  /** Path prefix below `/services/{name}`, starting with `/`. */
+  pathPrefix: string;
+  /** Whether a request may run more than once. */
+  idempotent: boolean;
+}
+
+/** A service that callers name: a model, or a plain HTTP service. */
+export interface Service {
+  kind: ServiceKind;
+  /** Pool of interchangeable backend servers that serves it. */
+  pool: string;
+  /** Rules for plain services. Without a match GET, HEAD, OPTIONS, PUT and DELETE are idempotent. */
+  routes?: RouteRule[];
+  /** Longest time a request waits in a queue, in milliseconds. @default 60000 */
+  queueTimeoutMs?: number;
+}
+
+/** A backend server and the slots in which it runs requests. */
+export interface BackendServer {
+  pool: string;
+  zone: string;
+  region: string;
+  /** Requests it runs at once. */
+  slots: number;
+  /** Models that the sidecar keeps loaded on it. */
+  models?: string[];
+  /** Whether the engine refuses orders with an old fencing number. @default false */
+  checksFencing?: boolean;
+  /** Set by operators: takes no new work and finishes what runs. @default false */
+  draining?: boolean;
+}
+
+/** An operator who may change the configuration. */
+export interface Operator {
+  /** Lower-case hex SHA-256 digests of the operator's keys. */
+  keyHashes: string[];
+  /** Top-level parts the operator may change, or `*`. */
+  mayChange: string[];
+}
+
+/** A patch that took effect; kept so that a repeat after a lost answer is recognised. */
+export interface AppliedPatch {
+  id: string;
+  version: number;
+}
+
+/** The whole configuration at one version. */
+export interface FleetConfig {
+  /** Grows by one with each accepted patch; 0 is the empty configuration. */
+  version: number;
+  accounts: Record<string, ClientAccount>;
+  services: Record<string, Service>;
+  backends: Record<string, BackendServer>;
+  operators: Record<string, Operator>;
+  /** The latest patches, oldest first. */
+  appliedPatches: AppliedPatch[];
+}
+
+/** The configuration before the first patch. */
+export const EMPTY_CONFIG: FleetConfig = {
+  version: 0,
+  accounts: {},
+  services: {},
+  backends: {},
+  operators: {},
+  appliedPatches: [],
+};
--- /dev/null
+++ b/packages/core/src/loop/index.ts
@@ -0,0 +1,1 @@
+export * from './types.js';
--- /dev/null
+++ b/packages/core/src/protocol/index.ts
@@ -0,0 +1,1 @@
+export * from './messages.js';
--- /dev/null
+++ b/packages/core/src/protocol/messages.ts
@@ -0,0 +1,212 @@
+/**
+ * Messages on links between the fleet's processes. Each has a `kind`; times are milliseconds; service is slot time in
+ * milliseconds. A sidecar's peer is a router; a router's peers are sidecars and routers.
+ */
+import { z } from 'zod';
+
+/** Version of this protocol; peers with another one are refused. */
+export const PROTOCOL_VERSION = 1;
+
+/** Role of a process on a link. */
+export const Role = {
+  Router: 'router',
+  Sidecar: 'sidecar',
+} as const;
+export type Role = (typeof Role)[keyof typeof Role];
+
+const id = z.string().min(1).max(200);
+const finite = z.number();
+const count = z.number().int().nonnegative();
+
+/** First message in both directions: who the peer is. */
+export const helloSchema = z.object({
+  kind: z.literal('hello'),
+  protocol: z.number().int(),
+  role: z.enum(['router', 'sidecar']),
+  /** Instance id, stable over restarts. */
+  id,
+  /** Random id of this run of the process. */
+  incarnation: id,
+  zone: id,
+  region: id,
+  configVersion: count,
+  /** Sidecars only: base URL of the attempts interface, backend server and pool. */
+  dataUrl: z.string().optional(),
+  backend: z.string().optional(),
+  pool: z.string().optional(),
+  /** Routers only: `host:port` of the link listener. */
+  address: z.string().optional(),
+});
+
+/** One client account that waits at a router. */
+export const demandEntrySchema = z.object({
+  account: id,
+  /** Start tag of the account at the router. */
+  virtualTimeMs: finite,
+  /** Requests waiting; 0 removes the account. */
+  waiting: count,
+  /** How long the oldest has waited. */
+  oldestMs: finite,
+  /** Expected slot time of the head request. */
+  estimateMs: finite,
+  share: z.number().positive(),
+});
+
+/** Router to sidecar: who waits at the router for this sidecar's pool. */
+export const demandSchema = z.object({
+  kind: z.literal('demand'),
+  /** True when the entries are the whole demand, false when they change it. */
+  full: z.boolean(),
+  /** Pool's virtual time as the router knows it. */
+  poolVirtualTimeMs: finite,
+  entries: z.array(demandEntrySchema),
+});
+
+/** Sidecar to router: a slot for the named account. */
+export const grantSchema = z.object({
+  kind: z.literal('grant'),
+  grant: count,
+  account: id,
+  /** The grant lapses this long after it was sent. */
+  ttlMs: count,
+  poolVirtualTimeMs: finite,
+});
+
+/** Router to sidecar: the grant is not used. */
+export const declineSchema = z.object({
+  kind: z.literal('decline'),
+  grant: count,
+});
+
+/** Sidecar to router: how many requests the router may send unasked; replaces the former number. */
+export const creditsSchema = z.object({
+  kind: z.literal('credits'),
+  credits: count,
+  poolVirtualTimeMs: finite,
+});
+
+/** Sidecar to router: settles an attempt whose router has gone. */
+export const settleSchema = z.object({
+  kind: z.literal('settle'),
+  attempt: id,
+  pool: id,
+  account: id,
+  chargeMs: finite,
+  refundMs: finite,
+});
+
+/** Either to its peers: takes no new work from now on. */
+export const leavingSchema = z.object({
+  kind: z.literal('leaving'),
+});
+
+/** Router to its peers: routers it knows. */
+export const routersSchema = z.object({
+  kind: z.literal('routers'),
+  routers: z.array(z.object({ id, address: z.string(), zone: id, region: id })),
+});
+
+/** Grow-only totals of one (pool, account). */
+export const accountTotalSchema = z.object({
+  pool: id,
+  account: id,
+  chargedMs: finite,
+  refundedMs: finite,
+  /** Lift of the account's virtual time; merges by maximum. */
+  liftMs: finite,
+  /** Whether requests of the account wait. */
+  waiting: z.boolean(),
+});
+
+/** Virtual time of one pool; merges by maximum. */
+export const poolTimeSchema = z.object({ pool: id, virtualTimeMs: finite });
+
+/**
+ * Router to the home router of the accounts in its zone: its own totals of accounts that changed. Grow-only per router incarnation.
+ */
+export const totalsReportSchema = z.object({
+  kind: z.literal('totals-report'),
+  incarnation: id,
+  totals: z.array(accountTotalSchema),
+  pools: z.array(poolTimeSchema),
+});
+
+/** Home router to the homes of other zones: sums over the routers of its zone. */
+export const zoneTotalsSchema = z.object({
+  kind: z.literal('zone-totals'),
+  zone: id,
+  totals: z.array(accountTotalSchema),
+  pools: z.array(poolTimeSchema),
+});
+
+/** Home router to the routers of its zone: its zone's sums and the fleet's. */
+export const spreadTotalsSchema = z.object({
+  kind: z.literal('spread-totals'),
+  zoneTotals: z.array(accountTotalSchema),
+  fleetTotals: z.array(accountTotalSchema),
+  pools: z.array(poolTimeSchema),
+});
+
+/** The configuration version in force at the sender. */
+export const configVersionSchema = z.object({
+  kind: z.literal('config-version'),
+  version: count,
+});
+
+/** One accepted patch: a JSON merge patch that leads from `version - 1` to `version`. */
+export const configPatchSchema = z.object({
+  kind: z.literal('config-patch'),
+  version: count,
+  patch: z.unknown(),
+});
+
+/** The whole configuration, to a peer that is behind by more than the patches at hand. */
+export const configFullSchema = z.object({
+  kind: z.literal('config-full'),
+  config: z.unknown(),
+});
+
+/** Asks the peer for everything after `version`. */
+export const configRequestSchema = z.object({
+  kind: z.literal('config-request'),
+  version: count,
+});
+
+/** Any message on a link. */
+export const messageSchema = z.discriminatedUnion('kind', [
+  helloSchema,
+  demandSchema,
+  grantSchema,
+  declineSchema,
+  creditsSchema,
+  settleSchema,
+  leavingSchema,
+  routersSchema,
+  totalsReportSchema,
+  zoneTotalsSchema,
+  spreadTotalsSchema,
+  configVersionSchema,
+  configPatchSchema,
+  configFullSchema,
+  configRequestSchema,
+]);
+
+export type Hello = z.infer<typeof helloSchema>;
+export type DemandEntry = z.infer<typeof demandEntrySchema>;
+export type Demand = z.infer<typeof demandSchema>;
+export type Grant = z.infer<typeof grantSchema>;
+export type Decline = z.infer<typeof declineSchema>;
+export type Credits = z.infer<typeof creditsSchema>;
+export type Settle = z.infer<typeof settleSchema>;
+export type Leaving = z.infer<typeof leavingSchema>;
+export type Routers = z.infer<typeof routersSchema>;
+export type AccountTotal = z.infer<typeof accountTotalSchema>;
+export type PoolTime = z.infer<typeof poolTimeSchema>;
+export type TotalsReport = z.infer<typeof totalsReportSchema>;
+export type ZoneTotals = z.infer<typeof zoneTotalsSchema>;
+export type SpreadTotals = z.infer<typeof spreadTotalsSchema>;
+export type ConfigVersion = z.infer<typeof configVersionSchema>;
+export type ConfigPatch = z.infer<typeof configPatchSchema>;
+export type ConfigFull = z.infer<typeof configFullSchema>;
+export type ConfigRequest = z.infer<typeof configRequestSchema>;
+export type LinkMessage = z.infer<typeof messageSchema>;
