Add authenticated links between processes

Cause: routers and sidecars need links whose peers prove the fleet key. Change: a server and a dialer over ws, handshake with fresh nonces of both sides, messages packed by msgpackr records whose key lists the handshake exchanges, heartbeats, counters, back pressure, reconnects with jittered backoff.

--- /dev/null
+++ b/packages/link/src/auth/read-tls-files.ts
@@ -0,0 +1,29 @@
+/** Reads the PEM files that settings name. */
+import { readFile } from 'node:fs/promises';
+import VError from 'verror';
+import type { LinkTls } from '../types.js';
+
+/** File names of `[link]` settings. */
+export interface TlsFiles {
+  tlsKeyFile?: string;
+  tlsCertFile?: string;
+  tlsCaFile?: string;
+}
+
+async function readPem(file: string): Promise<string> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch (err) {
+    throw new VError({ cause: err as Error }, "can't read TLS file %s", file);
+  }
+}
+
+/** Reads the files; undefined when none is named. Rejects when one can't be read. */
+export async function readTlsFiles(files: TlsFiles): Promise<LinkTls | undefined> {
+  const { tlsKeyFile, tlsCertFile, tlsCaFile } = files;
+  if (tlsKeyFile === undefined || tlsCertFile === undefined || tlsCaFile === undefined) {
+    return undefined;
+  }
+  const [key, cert, ca] = await Promise.all([tlsKeyFile, tlsCertFile, tlsCaFile].map(readPem));
+  return { key: key!, cert: cert!, ca: ca! };
+}
--- /dev/null
+++ b/packages/link/src/connection/create-sender.ts
@@ -0,0 +1,49 @@
+/** Collects messages and sends those of one tick as one frame. */
+import type { LinkMessage } from '@kingcupsill/core';
+
+/** Messages of one tick share a frame up to this size. */
+const MAX_SHARED_FRAME_BYTES = 16 * 1024;
+
+/** Options of a sender. */
+export interface SenderOptions {
+  encode: (message: LinkMessage) => Buffer;
+  /** Largest frame in bytes. */
+  maxMessageBytes: number;
+  sendFrame: (frame: Buffer) => void;
+}
+
+/** Sends messages in order. */
+export interface Sender {
+  /** Adds a message to the frame of this tick; false when it is above the limit. */
+  add(message: LinkMessage): boolean;
+  /** Sends what was added, without waiting for the end of the tick. */
+  flush(): void;
+}
+
+/** Creates a sender. */
+export function createSender(options: SenderOptions): Sender {
+  const { encode, maxMessageBytes, sendFrame } = options;
+  const maxSharedBytes = Math.min(MAX_SHARED_FRAME_BYTES, maxMessageBytes);
+  let parts: Buffer[] = [];
+  let bytes = 0;
+
+  function flush(): void {
+    if (parts.length === 0) return;
+    const frame = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+    parts = [];
+    bytes = 0;
+    sendFrame(frame);
+  }
+
+  function add(message: LinkMessage): boolean {
+    const encoded = encode(message);
+    if (encoded.length > maxMessageBytes) return false;
+    if (bytes + encoded.length > maxSharedBytes) flush();
+    if (parts.length === 0) queueMicrotask(flush);
+    parts.push(encoded);
+    bytes += encoded.length;
+    return true;
+  }
+
+  return { add, flush };
+}
--- /dev/null
+++ b/packages/link/src/connection/options.ts
@@ -0,0 +1,25 @@
+/** Defaults of link options. */
+import { performance } from 'node:perf_hooks';
+import type { LinkOptions } from '../types.js';
+
+const DEFAULTS = {
+  allowPlainTcp: false,
+  maxMessageBytes: 4 * 1024 * 1024,
+  maxBufferedBytes: 16 * 1024 * 1024,
+  heartbeatMs: 1000,
+  deadAfterMs: 3000,
+  handshakeTimeoutMs: 5000,
+  clock: () => performance.now(),
+};
+
+/** Options with all defaults filled in. */
+export type ResolvedOptions<TOptions extends LinkOptions = LinkOptions> = TOptions &
+  Required<Pick<LinkOptions, keyof typeof DEFAULTS>>;
+
+/** Fills in defaults; an option that is undefined counts as absent. */
+export function resolveOptions<TOptions extends LinkOptions>(
+  options: TOptions,
+): ResolvedOptions<TOptions> {
+  const given = Object.entries(options).filter(([, value]) => value !== undefined);
+  return { ...DEFAULTS, ...Object.fromEntries(given) } as unknown as ResolvedOptions<TOptions>;
+}
--- /dev/null
+++ b/packages/link/src/connection/receive-frames.ts
@@ -0,0 +1,35 @@
+/** Reads frames of messages from a WebSocket. */
+import type { LinkMessage } from '@kingcupsill/core';
+import type { RawData, WebSocket } from 'ws';
+import type { Codec, DecodedFrame } from '../codec/create-codec.js';
+
+/** Options of a reader. */
+export interface ReceiveOptions {
+  ws: WebSocket;
+  codec: Codec;
+  /** Called first, for each frame. */
+  onFrame: (payloadBytes: number) => void;
+  onMessage: (message: LinkMessage) => void;
+  onMalformed: (detail: string) => void;
+}
+
+function toBuffer(data: RawData): Buffer {
+  if (Buffer.isBuffer(data)) return data;
+  return Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data);
+}
+
+function decode(codec: Codec, frame: Buffer, isBinary: boolean): DecodedFrame {
+  if (isBinary) return codec.decode(frame);
+  return { ok: false, detail: 'text frame after the handshake' };
+}
+
+/** Starts to read. No message of a malformed frame is delivered. */
+export function receiveFrames(options: ReceiveOptions): void {
+  options.ws.on('message', (data, isBinary) => {
+    const frame = toBuffer(data);
+    options.onFrame(frame.length);
+    const decoded = decode(options.codec, frame, isBinary);
+    if (decoded.ok) decoded.messages.forEach(options.onMessage);
+    else options.onMalformed(decoded.detail);
+  });
+}
--- /dev/null
+++ b/packages/link/src/dialer/connect.ts
@@ -0,0 +1,127 @@
+/** One attempt to open a link: connection, handshake, outcome. */
+import type { IncomingMessage } from 'node:http';
+import { PROTOCOL_VERSION } from '@kingcupsill/core';
+import { WebSocket } from 'ws';
+import {
+  createNonce,
+  HandshakeHeader,
+  parseServerFrame,
+  readChallenge,
+} from '../auth/handshake.js';
+import type { HandshakeStep, ServerChallenge } from '../auth/handshake.js';
+import { Prover, proveKey } from '../auth/keyring.js';
+import type { Keyring, ProofContext } from '../auth/keyring.js';
+import { receiveFirstFrame, refuse } from '../auth/receive-first-frame.js';
+import { ownStructures } from '../codec/create-codec.js';
+import type { OpenedConnection } from '../connection/create-link.js';
+import type { ResolvedOptions } from '../connection/options.js';
+import { RefusalCode } from '../types.js';
+
+const REFUSAL_CODES: ReadonlySet<string> = new Set(Object.values(RefusalCode));
+
+/** Outcome of one attempt. */
+export type ConnectOutcome = HandshakeStep<OpenedConnection>;
+
+/** An attempt that runs. */
+export interface Connecting {
+  /** Cuts the connection; the outcome is still reported. */
+  abort(): void;
+}
+
+function openSocket(address: string, nonce: string, options: ResolvedOptions): WebSocket {
+  const { tls } = options;
+  const scheme = tls === undefined ? 'ws' : 'wss';
+  return new WebSocket(`${scheme}://${address}/`, {
+    headers: {
+      [HandshakeHeader.Protocol]: String(PROTOCOL_VERSION),
+      [HandshakeHeader.Nonce]: nonce,
+    },
+    handshakeTimeout: options.handshakeTimeoutMs,
+    maxPayload: options.maxMessageBytes,
+    perMessageDeflate: false,
+    ...tls,
+    // Instances are dialled by IP number; the fleet's own authority vouches for the peer.
+    ...(tls && { checkServerIdentity: () => undefined }),
+  });
+}
+
+function refusalOfResponse(res: IncomingMessage): HandshakeStep<never> {
+  const said = String(res.headers[HandshakeHeader.Refused] ?? '');
+  const code = REFUSAL_CODES.has(said) ? (said as RefusalCode) : RefusalCode.MalformedHello;
+  return { ok: false, code, detail: `status ${res.statusCode}` };
+}
+
+/** Finds the key that the server proved, and the dialer's proof with the same key. */
+function answerChallenge(
+  keyring: Keyring,
+  dialerNonce: string,
+  challenge: ServerChallenge,
+): HandshakeStep<string> {
+  const context: ProofContext = {
+    prover: Prover.Server,
+    protocol: PROTOCOL_VERSION,
+    dialerNonce,
+    serverNonce: challenge.nonce,
+  };
+  const key = keyring.findKey(context, challenge.proofs);
+  if (key !== undefined) {
+    return { ok: true, value: proveKey(key, { ...context, prover: Prover.Dialer }) };
+  }
+  return { ok: false, code: RefusalCode.WrongKey, detail: "the server's proof doesn't match" };
+}
+
+/** Starts an attempt; the outcome is reported once. */
+export function connect(
+  address: string,
+  keyring: Keyring,
+  options: ResolvedOptions,
+  onOutcome: (outcome: ConnectOutcome) => void,
+): Connecting {
+  const { clock, logger } = options;
+  const nonce = createNonce();
+  const ws = openSocket(address, nonce, options);
+  let challenge: HandshakeStep<ServerChallenge> | undefined;
+  let done = false;
+
+  function finish(outcome: ConnectOutcome): void {
+    if (done) return;
+    done = true;
+    if (!outcome.ok) refuse(ws, outcome.code);
+    onOutcome(outcome);
+  }
+
+  function introduce(): void {
+    const proof = challenge?.ok ? answerChallenge(keyring, nonce, challenge.value) : challenge;
+    if (proof === undefined || !proof.ok) {
+      finish(proof ?? { ok: false, code: RefusalCode.MalformedHello, detail: 'no challenge' });
+      return;
+    }
+    const startedMs = clock();
+    const introduction = { hello: options.hello(), structures: ownStructures };
+    ws.send(JSON.stringify({ ...introduction, proof: proof.value }));
+    receiveFirstFrame(ws, options.handshakeTimeoutMs, (received) => {
+      const frame = received.ok ? parseServerFrame(received.value) : received;
+      if (!frame.ok) {
+        finish(frame);
+        return;
+      }
+      const { hello, structures } = frame.value;
+      const rttMs = clock() - startedMs;
+      finish({
+        ok: true,
+        value: { ws, peer: hello, peerStructures: structures, dialedAddress: address, rttMs },
+      });
+    });
+  }
+
+  ws.on('upgrade', (res) => {
+    challenge = readChallenge(res.headers);
+  });
+  ws.on('unexpected-response', (_req, res) => finish(refusalOfResponse(res)));
+  ws.on('open', introduce);
+  ws.on('error', (err) => {
+    logger.debug('link-error', { address, err });
+    finish({ ok: false, code: RefusalCode.ConnectionLost, detail: err.message });
+  });
+  return { abort: () => ws.terminate() };
+}
--- /dev/null
+++ b/packages/link/test/server/links.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { LinkMessage } from '@kingcupsill/core';
+import { createLinkDialer, createLinkServer } from '../../src/index.js';
+import { optionsOf, record, until } from '../support/fixtures.js';
+
+const grant: LinkMessage = {
+  kind: 'grant',
+  grant: 7,
+  account: 'opticians',
+  ttlMs: 250,
+  poolVirtualTimeMs: 12.5,
+};
+
+test('messages pass both ways in order, and the traffic is counted on both sides', async () => {
+  const serverSide = record();
+  const dialerSide = record();
+  const server = await createLinkServer(optionsOf('server', serverSide));
+  const dialer = createLinkDialer({ ...optionsOf('dialer', dialerSide), random: () => 0 });
+  try {
+    assert.deepEqual(dialer.dial(`127.0.0.1:${server.port}`), { ok: true });
+    await until(() => serverSide.opened.length === 1 && dialerSide.opened.length === 1);
+    const [accepted] = serverSide.opened;
+    const [dialed] = dialerSide.opened;
+    assert.equal(accepted!.peer.id, 'dialer');
+    assert.equal(dialed!.peer.id, 'server');
+
+    const sent = [1, 2, 3].map((id): LinkMessage => ({ ...grant, grant: id }));
+    sent.forEach((message) => accepted!.send(message));
+    dialed!.send({ kind: 'decline', grant: 7 });
+    await until(() => dialerSide.messages.length === 3 && serverSide.messages.length === 1);
+    assert.deepEqual(dialerSide.messages, sent);
+    assert.deepEqual(serverSide.messages, [{ kind: 'decline', grant: 7 }]);
+    assert.equal(accepted!.counters().messagesSent, 3);
+    assert.equal(dialed!.counters().bytesReceived, accepted!.counters().bytesSent);
+    assert.equal(accepted!.counters().bytesReceived, dialed!.counters().bytesSent);
+  } finally {
+    await dialer.close();
+    await server.close();
+  }
+  assert.deepEqual(dialerSide.closed, ['closed']);
+  assert.equal(serverSide.closed.length, 1);
+});
