Add the frame of a process: settings, logs, loop, admin server, shutdown

Cause: all binaries need the same settings, logs, metrics, state dump and shutdown. Change: settings from INI and environment checked by zod, JSON-line log, single loop, admin server with redacted dump, runBinary with exit codes, composition through awilix with close in reverse order.

--- /dev/null
+++ b/packages/runtime/src/admin/create-admin-server.ts
@@ -0,0 +1,128 @@
+/** HTTP server for operators: metrics, health, state dump and log level. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { promisify } from 'node:util';
+import Koa from 'koa';
+import type { Context, Middleware } from 'koa';
+import Router from '@koa/router';
+import VError from 'verror';
+import { z } from 'zod';
+import { LogLevel } from '../logs/types.js';
+import { isLoopbackHost } from '../settings/sections.js';
+import { dumpState } from './dump-state.js';
+import type { AdminServer, AdminServerOptions } from './types.js';
+
+const MAX_LEVEL_BODY_BYTES = 1024;
+
+const levelBodySchema = z.strictObject({ level: z.enum(LogLevel) });
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
+
+function requireToken(token: string): Middleware {
+  const expected = digest(`Bearer ${token}`);
+  return async (ctx, next) => {
+    if (timingSafeEqual(digest(ctx.get('authorization')), expected)) {
+      await next();
+      return;
+    }
+    ctx.status = 401;
+    ctx.set('www-authenticate', 'Bearer');
+    ctx.body = { code: 'wrong_token' };
+  };
+}
+
+async function readBody(req: IncomingMessage, maxBytes: number): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > maxBytes) return undefined;
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function parseLevel(text: string | undefined): LogLevel | undefined {
+  try {
+    return levelBodySchema.parse(JSON.parse(text ?? '')).level;
+  } catch {
+    return undefined;
+  }
+}
+
+async function changeLevel(ctx: Context, options: AdminServerOptions): Promise<void> {
+  const level = parseLevel(await readBody(ctx.req, MAX_LEVEL_BODY_BYTES));
+  if (level === undefined) {
+    ctx.status = 400;
+    ctx.body = { code: 'bad_level', levels: Object.values(LogLevel) };
+    return;
+  }
+  const { onLevel = options.logger.setLevel } = options;
+  onLevel(level);
+  ctx.body = { level };
+}
+
+function createRoutes(options: AdminServerOptions): Router {
+  const router = new Router();
+  router.get('/metrics', async (ctx) => {
+    ctx.type = options.registry.contentType;
+    ctx.body = await options.registry.metrics();
+  });
+  router.get('/healthz', (ctx) => {
+    ctx.body = { ok: true };
+  });
+  router.get('/readyz', (ctx) => {
+    const readiness = options.ready();
+    ctx.status = readiness.ok ? 200 : 503;
+    ctx.body = readiness;
+  });
+  router.get('/debug/state', (ctx) => {
+    ctx.type = 'application/json';
+    ctx.body = JSON.stringify(dumpState(options.dump()));
+  });
+  router.put('/debug/log-level', (ctx) => changeLevel(ctx as Context, options));
+  options.routes?.(router);
+  return router;
+}
+
+function createApp(options: AdminServerOptions): Koa {
+  const app = new Koa();
+  const router = createRoutes(options);
+  if (options.token !== undefined) app.use(requireToken(options.token));
+  app.use(router.routes());
+  app.use(router.allowedMethods());
+  app.on('error', (err: Error) => options.logger.error('admin-call-failed', { err }));
+  return app;
+}
+
+async function listen(server: Server, port: number, host: string): Promise<number> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+async function closeServer(server: Server): Promise<void> {
+  const closed = promisify(server.close.bind(server))();
+  server.closeAllConnections();
+  await closed;
+}
+
+/** Starts the admin server. Rejects when the address can't be listened on, or isn't loopback and no token is set. */
+export async function createAdminServer(options: AdminServerOptions): Promise<AdminServer> {
+  const { host = '127.0.0.1', port = 0, token } = options;
+  if (token === undefined && !isLoopbackHost(host)) {
+    throw new VError("admin host %s isn't loopback and no token is set", host);
+  }
+  const handle = createApp(options).callback();
+  const server = createServer((req, res) => {
+    void handle(req, res);
+  });
+  const boundPort = await listen(server, port, host);
+  return { port: boundPort, close: () => closeServer(server) };
+}
--- /dev/null
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -0,0 +1,105 @@
+/** Runs a binary: arguments, settings, logs, start, and shutdown on signals. */
+import { randomBytes } from 'node:crypto';
+import { collectDefaultMetrics, Registry } from 'prom-client';
+import { createMonotonicClock } from '../clock/index.js';
+import { createLogger } from '../logs/index.js';
+import type { Logger, LogLevel } from '../logs/index.js';
+import { describeSettings, loadSettings } from '../settings/index.js';
+import type { Settings, SettingsSchema } from '../settings/index.js';
+import { parseArguments } from './parse-arguments.js';
+import { shutDownOnSignals } from './shut-down.js';
+import { ExitCode } from './types.js';
+import type { BinaryContext, BinaryOptions } from './types.js';
+
+const INCARNATION_BYTES = 8;
+
+function helpText<TSchema extends SettingsSchema>(options: BinaryOptions<TSchema>): string {
+  return [
+    options.description,
+    '',
+    `Usage: ${options.name} [--config FILE.ini] [--help] [--version]`,
+    '',
+    'Each key can be overridden by the environment variable KINGCUPSILL_{SECTION}_{KEY}.',
+    '',
+    describeSettings(options.schema),
+    '',
+  ].join('\n');
+}
+
+function failUsage(name: string, message: string): never {
+  process.stderr.write(`${name}: ${message}\n`);
+  process.exit(ExitCode.Usage);
+}
+
+/** A broken invariant may have left any state behind, so the process ends at once. */
+function exitOnBrokenInvariant(logger: Logger): void {
+  const fail = (event: string) => (err: unknown) => {
+    logger.error(event, { err });
+    process.exit(ExitCode.Internal);
+  };
+  process.on('uncaughtException', fail('uncaught-exception'));
+  process.on('unhandledRejection', fail('unhandled-rejection'));
+}
+
+function createContext<TSchema extends SettingsSchema>(
+  name: string,
+  settings: Settings<TSchema>,
+): BinaryContext<TSchema> {
+  const own = (settings as { process?: { id: string; logLevel: LogLevel } }).process;
+  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  return {
+    settings,
+    logger: createLogger({ process: name, id: own?.id ?? name, incarnation, level: own?.logLevel }),
+    incarnation,
+    registry,
+    clock: createMonotonicClock(),
+    env: process.env,
+  };
+}
+
+async function start<TSchema extends SettingsSchema>(
+  options: BinaryOptions<TSchema>,
+  configFile: string | undefined,
+): Promise<void> {
+  const { name, version, schema } = options;
+  const loaded = loadSettings({ schema, file: configFile, env: process.env });
+  if (!loaded.ok) failUsage(name, loaded.message);
+  const ctx = createContext<TSchema>(name, loaded.settings);
+  exitOnBrokenInvariant(ctx.logger);
+  // A reader of the log that has gone is no reason to end.
+  process.stdout.on('error', () => {});
+  ctx.logger.info('starting', { version });
+  const starting = options.start(ctx);
+  shutDownOnSignals(starting, ctx.logger);
+  try {
+    await starting;
+  } catch (err) {
+    ctx.logger.error('start-failed', { err });
+    process.exit(ExitCode.Failed);
+  }
+}
+
+/**
+ * Runs a binary to its end. `--help` and `--version` print and exit; wrong arguments or settings give one line on standard
+ * error and exit code 2; SIGTERM or SIGINT drains, closes and exits 0, a second one closes at once and exits 1.
+ */
+export async function runBinary<TSchema extends SettingsSchema>(
+  options: BinaryOptions<TSchema>,
+): Promise<void> {
+  const args = parseArguments(process.argv.slice(2));
+  switch (args.kind) {
+    case 'help':
+      process.stdout.write(helpText(options));
+      break;
+    case 'version':
+      process.stdout.write(`${options.name} ${options.version}\n`);
+      break;
+    case 'error':
+      failUsage(options.name, args.message);
+      break;
+    default:
+      await start(options, args.configFile);
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/clock/index.ts
@@ -0,0 +1,2 @@
+export { createMonotonicClock } from './create-monotonic-clock.js';
+export type { Clock } from './create-monotonic-clock.js';
--- /dev/null
+++ b/packages/runtime/src/composition/index.ts
@@ -0,0 +1,2 @@
+export { composeProcess } from './compose-process.js';
+export type * from './types.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+/** Frame of a process: settings, logs, loop, admin server, start and shutdown. */
+export * from './admin/index.js';
+export * from './binary/index.js';
+export * from './clock/index.js';
+export * from './composition/index.js';
+export * from './logs/index.js';
+export * from './loop/index.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/packages/runtime/src/loop/index.ts
@@ -0,0 +1,2 @@
+export { createLoop } from './create-loop.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/runtime/test/binary/run-binary.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+
+const SAMPLE = fileURLToPath(new URL('./sample-process.ts', import.meta.url));
+
+const identity = {
+  KINGCUPSILL_PROCESS_ID: 'sample-1',
+  KINGCUPSILL_PROCESS_ZONE: 'kingston-a',
+  KINGCUPSILL_PROCESS_REGION: 'kingston',
+};
+
+interface Ended {
+  code: number | null;
+  stdout: string;
+  stderr: string;
+  /** Events of the log lines. */
+  events: string[];
+}
+
+function startSample(args: string[], env: Record<string, string>) {
+  const child = spawn(process.execPath, ['--import', 'tsx', SAMPLE, ...args], {
+    env: { PATH: process.env.PATH, ...env },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  let stdout = '';
+  let stderr = '';
+  const waiting = new Map<string, () => void>();
+  child.stdout.on('data', (chunk: Buffer) => {
+    stdout += chunk.toString();
+    waiting.forEach((resolve, text) => stdout.includes(text) && resolve());
+  });
+  child.stderr.on('data', (chunk: Buffer) => {
+    stderr += chunk.toString();
+  });
+  const ended = once(child, 'close').then(([code]): Ended => {
+    const lines = stdout.split('\n').filter((line) => line.startsWith('{'));
+    const events = lines.map((line) => (JSON.parse(line) as { event: string }).event);
+    return { code: code as number | null, stdout, stderr, events };
+  });
+  const printed = (text: string) => {
+    const seen = new Promise<void>((resolve) => {
+      waiting.set(text, resolve);
+    });
+    return Promise.race([ended, seen]);
+  };
+  return { child, ended, printed };
+}
+
+function runSample(args: string[], env: Record<string, string> = {}): Promise<Ended> {
+  return startSample(args, env).ended;
+}
+
+test('--help and --version print and exit 0', async () => {
+  const [help, version] = await Promise.all([runSample(['--help']), runSample(['--version'])]);
+  assert.equal(help.code, 0);
+  assert.match(help.stdout, /\[sample\]\n {2}drain_ms = number \(default 0\): time to drain/);
+  assert.match(help.stdout, /zone = string \(required\): availability zone/);
+  assert.equal(version.code, 0);
+  assert.match(version.stdout, /^sample \d+\.\d+\.\d+\n$/);
+});
+
+test('wrong arguments and settings give one line on standard error and exit code 2', async () => {
+  const runs = await Promise.all([
+    runSample(['--nonsense']),
+    runSample([]),
+    runSample(['--config', '/none.ini'], identity),
+  ]);
+  for (const { code, stderr, stdout } of runs) {
+    assert.equal(code, 2);
+    assert.match(stderr, /^sample: [^\n]+\n$/);
+    assert.equal(stdout, '');
+  }
+  assert.match(runs[1].stderr, /\[process\] id: missing key/);
+});
+
+test('SIGTERM drains, closes and exits 0', async () => {
+  const sample = startSample([], identity);
+  await sample.printed('"listening"');
+  sample.child.kill('SIGTERM');
+  const { code, events } = await sample.ended;
+  assert.equal(code, 0);
+  const expected = ['starting', 'listening', 'draining', 'drained', 'sample-closed', 'closed'];
+  assert.deepEqual(events, expected);
+});
+
+test('a second SIGTERM closes at once and exits 1', async () => {
+  const sample = startSample([], { ...identity, KINGCUPSILL_SAMPLE_DRAIN_MS: '60000' });
+  await sample.printed('"listening"');
+  sample.child.kill('SIGTERM');
+  await sample.printed('"draining"');
+  sample.child.kill('SIGTERM');
+  const { code, events } = await sample.ended;
+  assert.equal(code, 1);
+  const expected = ['starting', 'listening', 'draining', 'forced-close', 'sample-closed'];
+  assert.deepEqual(events, expected);
+});
+
+const faults: [string, number, string][] = [
+  ['start', 1, 'start-failed'],
+  ['throw', 70, 'uncaught-exception'],
+  ['reject', 70, 'unhandled-rejection'],
+];
+
+faults.forEach(([fault, expectedCode, expectedEvent]) => {
+  test(`fault ${fault} is logged and exits ${expectedCode}`, async () => {
+    const { code, events } = await runSample([], { ...identity, KINGCUPSILL_SAMPLE_FAULT: fault });
+    assert.equal(code, expectedCode);
+    assert.equal(events.at(-1), expectedEvent);
+  });
+});
