--- /dev/null
+++ b/packages/bench/src/fleet/process.ts
@@ -0,0 +1,163 @@
+/** Starts one process, waits until it listens, and controls it by signals. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import { fixPorts, settingsToEnvironment } from './environment.js';
+import { ProcessRole } from './types.js';
+import type { FleetProcess, ProcessExit, ProcessSpec } from './types.js';
+
+const START_TIMEOUT_MS = 15_000;
+const DRAIN_TIMEOUT_MS = 60_000;
+const STDERR_TAIL_CHARS = 2000;
+
+/** Main port of each role in the `listening` line. */
+const MAIN_PORT: Record<ProcessRole, string> = {
+  [ProcessRole.Router]: 'callersPort',
+  [ProcessRole.Sidecar]: 'dataPort',
+  [ProcessRole.Standin]: 'port',
+};
+
+/** Admin port of each role in the `listening` line. */
+const ADMIN_PORT: Record<ProcessRole, string> = {
+  [ProcessRole.Router]: 'adminPort',
+  [ProcessRole.Sidecar]: 'adminPort',
+  [ProcessRole.Standin]: 'port',
+};
+
+/** Children that run, over all fleets of this process; ended when it exits. */
+const children = new Set<ChildProcess>();
+let exitHookSet = false;
+
+function trackChild(child: ChildProcess): void {
+  children.add(child);
+  child.once('exit', () => children.delete(child));
+  if (exitHookSet) return;
+  exitHookSet = true;
+  process.once('exit', () => children.forEach((running) => running.kill('SIGKILL')));
+}
+
+/** Environment of children without settings meant for this process. */
+function inheritedEnvironment(): NodeJS.ProcessEnv {
+  return Object.fromEntries(
+    Object.entries(process.env).filter(([name]) => !name.startsWith('KINGCUPSILL_')),
+  );
+}
+
+/** Ports of a `listening` log line, or undefined for any other line. */
+function parseListening(line: string): Record<string, number> | undefined {
+  if (!line.includes('"listening"')) return undefined;
+  try {
+    const fields = JSON.parse(line) as Record<string, unknown>;
+    if (fields.event !== 'listening') return undefined;
+    const ports = Object.entries(fields).filter(
+      ([name, value]) => /port$/i.test(name) && typeof value === 'number',
+    );
+    return Object.fromEntries(ports) as Record<string, number>;
+  } catch {
+    return undefined;
+  }
+}
+
+function waitForExit(child: ChildProcess): Promise<ProcessExit> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve({ code: child.exitCode, signal: child.signalCode });
+  }
+  return new Promise((resolve) => {
+    child.once('exit', (code, signal) => resolve({ code, signal }));
+  });
+}
+
+/** Resolves with the ports once the child listens; rejects when it exits first or takes too long. */
+function waitUntilListening(
+  child: ChildProcess,
+  spec: ProcessSpec,
+): Promise<Record<string, number>> {
+  return new Promise((resolve, reject) => {
+    let stderrTail = '';
+    const timer = setTimeout(() => {
+      child.kill('SIGKILL');
+      reject(new Error(`${spec.name} did not listen within ${START_TIMEOUT_MS} ms`));
+    }, START_TIMEOUT_MS);
+    child.stderr?.on('data', (chunk: Buffer) => {
+      stderrTail = (stderrTail + chunk.toString()).slice(-STDERR_TAIL_CHARS);
+    });
+    child.once('exit', (code, signal) => {
+      clearTimeout(timer);
+      reject(new Error(`${spec.name} ended at start (${code ?? signal}): ${stderrTail}`));
+    });
+    createInterface({ input: child.stdout! }).on('line', (line) => {
+      const ports = parseListening(line);
+      if (ports === undefined) return;
+      clearTimeout(timer);
+      resolve(ports);
+    });
+  });
+}
+
+function spawnChild(spec: ProcessSpec, ports: Record<string, number>): ChildProcess {
+  const settings = fixPorts(spec.settings, spec.portSettings, ports);
+  const child = spawn(process.execPath, [spec.script], {
+    env: { ...inheritedEnvironment(), ...settingsToEnvironment(settings) },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  trackChild(child);
+  if (spec.logFile !== undefined) {
+    const log = createWriteStream(spec.logFile, { flags: 'a' });
+    child.stdout?.pipe(log, { end: false });
+    child.stderr?.pipe(log, { end: false });
+    child.once('close', () => log.end());
+  }
+  return child;
+}
+
+async function drainChild(child: ChildProcess): Promise<ProcessExit> {
+  const timer = setTimeout(() => child.kill('SIGKILL'), DRAIN_TIMEOUT_MS);
+  child.kill('SIGTERM');
+  const exit = await waitForExit(child);
+  clearTimeout(timer);
+  return exit;
+}
+
+/** Starts a process and waits until it listens. Rejects when it ends before that. */
+export async function startProcess(spec: ProcessSpec): Promise<FleetProcess> {
+  let child = spawnChild(spec, {});
+  let ports = await waitUntilListening(child, spec);
+  const isRunning = () => child.exitCode === null && child.signalCode === null;
+  const baseUrl = (field: string) => `http://127.0.0.1:${ports[field]}`;
+  const kill = () => {
+    child.kill('SIGKILL');
+    return waitForExit(child);
+  };
+  return {
+    name: spec.name,
+    role: spec.role,
+    zone: spec.zone,
+    region: spec.region,
+    get pid() {
+      return isRunning() ? child.pid : undefined;
+    },
+    get ports() {
+      return ports;
+    },
+    get url() {
+      return baseUrl(MAIN_PORT[spec.role]);
+    },
+    get adminUrl() {
+      return baseUrl(ADMIN_PORT[spec.role]);
+    },
+    kill,
+    pause: () => {
+      child.kill('SIGSTOP');
+    },
+    resume: () => {
+      child.kill('SIGCONT');
+    },
+    drain: () => drainChild(child),
+    restart: async () => {
+      await kill();
+      child = spawnChild(spec, ports);
+      ports = await waitUntilListening(child, spec);
+    },
+  };
+}
--- /dev/null
+++ b/packages/bench/src/measure/slope.ts
@@ -0,0 +1,24 @@
+/** Least-squares line through points. */
+
+/** A point of a sweep. */
+export interface Point {
+  x: number;
+  y: number;
+}
+
+/** A straight line. */
+export interface Line {
+  slope: number;
+  intercept: number;
+}
+
+/** Line of least squared error; flat when all points share one x. Of no points it is zero. */
+export function fitLine(points: readonly Point[]): Line {
+  if (points.length === 0) return { slope: 0, intercept: 0 };
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / points.length;
+  const covariance = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0);
+  const variance = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0);
+  const slope = variance === 0 ? 0 : covariance / variance;
+  return { slope, intercept: meanY - slope * meanX };
+}
