--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,10 +1,13 @@
 /** Starts a whole fleet of real processes on loopback and ends it. */
+import { mkdir, mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { createConfigDocument } from './config-document.js';
 import { registerRouter, writeConfig } from './platform-admin.js';
 import { startProcess } from './process.js';
 import { backendSpec, platformSpec, routerSpec, sidecarSpec } from './specs.js';
 import type { SpecContext } from './specs.js';
-import type { Fleet, FleetProcess, ProcessSpec } from './types.js';
+import type { Fleet, FleetProcess, ProcessSpec, Topology } from './types.js';
 
 /** Processes that start at the same time. */
 const START_BATCH = 6;
@@ -50,11 +53,24 @@
   return { platform, backends, routers, sidecars };
 }
 
+/** What a fleet is started with. */
+export interface FleetOptions {
+  topology: Topology;
+  seed: number;
+  /** Directory for the processes' output, kept afterwards. @default a temporary one, removed */
+  directory?: string;
+}
+
 /** Starts every process of a topology. Ends what it started when one of them fails. */
-export async function startFleet(context: SpecContext): Promise<Fleet> {
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const { topology, seed } = options;
+  const directory = options.directory ?? (await mkdtemp(join(tmpdir(), 'kingcupsill-')));
+  await mkdir(directory, { recursive: true });
+  const context = { topology, seed, directory };
   const started = new Map<string, FleetProcess>();
   const close = async () => {
     await Promise.all([...started.values()].map((running) => running.kill()));
+    if (options.directory === undefined) await rm(directory, { recursive: true, force: true });
   };
   try {
     const roles = await startRoles(context, started);
@@ -63,7 +79,7 @@
       if (found === undefined) throw new Error(`no process named ${name} in the fleet`);
       return found;
     };
-    return { topology: context.topology, ...roles, get, close };
+    return { topology, directory, ...roles, get, close };
   } catch (err) {
     await close();
     throw err;
--- a/packages/bench/src/fleet/index.ts
+++ b/packages/bench/src/fleet/index.ts
@@ -1,6 +1,7 @@
 export { OPERATOR_KEY } from './config-document.js';
-export { mergeSettings, settingsToEnvironment } from './environment.js';
+export { formatIni, mergeSettings } from './settings.js';
 export { startFleet } from './fleet.js';
+export type { FleetOptions } from './fleet.js';
 export { startProcess } from './process.js';
-export type { SpecContext } from './specs.js';
+
 export * from './types.js';
--- a/packages/bench/src/fleet/process.ts
+++ b/packages/bench/src/fleet/process.ts
@@ -2,8 +2,9 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
 import { createInterface } from 'node:readline';
-import { fixPorts, settingsToEnvironment } from './environment.js';
+import { fixPorts, formatIni } from './settings.js';
 import { ProcessRole } from './types.js';
 import type { FleetProcess, ProcessExit, ProcessSpec } from './types.js';
 
@@ -95,19 +96,18 @@
   });
 }
 
-function spawnChild(spec: ProcessSpec, ports: Record<string, number>): ChildProcess {
+async function spawnChild(spec: ProcessSpec, ports: Record<string, number>): Promise<ChildProcess> {
   const settings = fixPorts(spec.settings, spec.portSettings, ports);
-  const child = spawn(process.execPath, [spec.script], {
-    env: { ...inheritedEnvironment(), ...settingsToEnvironment(settings) },
+  await writeFile(spec.settingsFile, formatIni(settings));
+  const child = spawn(process.execPath, [spec.script, '--config', spec.settingsFile], {
+    env: inheritedEnvironment(),
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   trackChild(child);
-  if (spec.logFile !== undefined) {
-    const log = createWriteStream(spec.logFile, { flags: 'a' });
-    child.stdout?.pipe(log, { end: false });
-    child.stderr?.pipe(log, { end: false });
-    child.once('close', () => log.end());
-  }
+  const log = createWriteStream(spec.logFile, { flags: 'a' });
+  child.stdout?.pipe(log, { end: false });
+  child.stderr?.pipe(log, { end: false });
+  child.once('close', () => log.end());
   return child;
 }
 
@@ -121,7 +121,7 @@
 
 /** Starts a process and waits until it listens. Rejects when it ends before that. */
 export async function startProcess(spec: ProcessSpec): Promise<FleetProcess> {
-  let child = spawnChild(spec, {});
+  let child = await spawnChild(spec, {});
   let ports = await waitUntilListening(child, spec);
   const isRunning = () => child.exitCode === null && child.signalCode === null;
   const baseUrl = (field: string) => `http://127.0.0.1:${ports[field]}`;
@@ -156,7 +156,7 @@
     drain: () => drainChild(child),
     restart: async () => {
       await kill();
-      child = spawnChild(spec, ports);
+      child = await spawnChild(spec, ports);
       ports = await waitUntilListening(child, spec);
     },
   };
--- a/packages/bench/src/fleet/environment.ts
+++ b/packages/bench/src/fleet/settings.ts
@@ -1,17 +1,13 @@
-/** Settings as environment variables. */
+/** Settings of processes as INI text. */
 import type { Settings } from './types.js';
 
-/** Name of the variable that overrides one setting. */
-function variableName(section: string, key: string): string {
-  return `KINGCUPSILL_${section}_${key}`.toUpperCase();
-}
-
-/** Variables that carry all the settings given. */
-export function settingsToEnvironment(settings: Settings): Record<string, string> {
-  const entries = Object.entries(settings).flatMap(([section, keys]) =>
-    Object.entries(keys).map(([key, value]) => [variableName(section, key), String(value)]),
-  );
-  return Object.fromEntries(entries) as Record<string, string>;
+/** INI text that carries all the settings given. */
+export function formatIni(settings: Settings): string {
+  const sections = Object.entries(settings).map(([section, keys]) => {
+    const lines = Object.entries(keys).map(([key, value]) => `${key} = ${value}\n`);
+    return `[${section}]\n${lines.join('')}`;
+  });
+  return sections.join('\n');
 }
 
 /** Settings of `extra` laid over those of `base`, key by key. */
--- a/packages/bench/src/fleet/specs.ts
+++ b/packages/bench/src/fleet/specs.ts
@@ -1,7 +1,7 @@
 /** Process specifications of each role, from a topology. */
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { mergeSettings } from './environment.js';
+import { mergeSettings } from './settings.js';
 import { BackendKind, ProcessRole } from './types.js';
 import type {
   BackendTopology,
@@ -24,8 +24,8 @@
 export interface SpecContext {
   topology: Topology;
   seed: number;
-  /** Directory for the processes' output; none when absent. */
-  logDir?: string;
+  /** Directory for the processes' settings and output. */
+  directory: string;
 }
 
 /** Compiled program of another package. */
@@ -33,8 +33,11 @@
   return fileURLToPath(new URL(`../../../${packageName}/dist/bin/${file}`, import.meta.url));
 }
 
-function logFile({ logDir }: SpecContext, name: string): string | undefined {
-  return logDir === undefined ? undefined : join(logDir, `${name}.log`);
+function filesOf({ directory }: SpecContext, name: string) {
+  return {
+    settingsFile: join(directory, `${name}.ini`),
+    logFile: join(directory, `${name}.log`),
+  };
 }
 
 /** The platform stand-in. */
@@ -49,7 +52,7 @@
     script: program('standins', 'standin.js'),
     settings: mergeSettings(base, context.topology.platformSettings),
     portSettings: { port: 'standin.port' },
-    logFile: logFile(context, 'platform'),
+    ...filesOf(context, 'platform'),
   };
 }
 
@@ -66,7 +69,7 @@
     script: program('standins', 'standin.js'),
     settings: mergeSettings(base, backend.settings),
     portSettings: { port: 'standin.port' },
-    logFile: logFile(context, backend.id),
+    ...filesOf(context, backend.id),
   };
 }
 
@@ -94,7 +97,7 @@
     script: program('sidecar', 'sidecar.js'),
     settings: mergeSettings(base, context.topology.sidecarSettings),
     portSettings: { dataPort: 'data.port', adminPort: 'admin.port' },
-    logFile: logFile(context, name),
+    ...filesOf(context, name),
   };
 }
 
@@ -121,6 +124,6 @@
     script: program('router', 'router.js'),
     settings: mergeSettings(base, context.topology.routerSettings),
     portSettings: { callersPort: 'callers.port', linkPort: 'link.port', adminPort: 'admin.port' },
-    logFile: logFile(context, name),
+    ...filesOf(context, name),
   };
 }
--- a/packages/bench/src/fleet/types.ts
+++ b/packages/bench/src/fleet/types.ts
@@ -70,10 +70,12 @@
   region: string;
   script: string;
   settings: Settings;
+  /** INI file that is written at each start. */
+  settingsFile: string;
   /** Setting that fixes each port of the `listening` line, as `section.key`. */
   portSettings: Record<string, string>;
-  /** File that receives the process's output; none when absent. */
-  logFile?: string;
+  /** File that receives the process's output. */
+  logFile: string;
 }
 
 /** How a process ended. */
@@ -111,12 +113,14 @@
 /** A running fleet. */
 export interface Fleet {
   readonly topology: Topology;
+  /** Directory of the processes' settings and output. */
+  readonly directory: string;
   readonly platform: FleetProcess;
   readonly routers: readonly FleetProcess[];
   readonly sidecars: readonly FleetProcess[];
   readonly backends: readonly FleetProcess[];
   /** Looks a process up by name; throws when the fleet has none of that name. */
   get: (name: string) => FleetProcess;
-  /** Ends every process of the fleet. */
+  /** Ends every process of the fleet and removes its directory. */
   close: () => Promise<void>;
 }
--- /dev/null
+++ b/packages/bench/src/observe/index.ts
@@ -0,0 +1,2 @@
+export * from './journals.js';
+export * from './nodes.js';
--- /dev/null
+++ b/packages/bench/src/scenarios/types.ts
@@ -0,0 +1,43 @@
+/** Types of scenarios. */
+import type { Fleet, Topology } from '../fleet/index.js';
+import type { AccountLoad } from '../load/index.js';
+import type { Random } from '../load/random.js';
+
+/** Scheduling policy of the fleet under test. */
+export const Policy = {
+  Fair: 'fair',
+  Naive: 'naive',
+  Single: 'single',
+} as const;
+export type Policy = (typeof Policy)[keyof typeof Policy];
+
+/** What a fault script may use. */
+export interface FaultContext {
+  fleet: Fleet;
+  random: Random;
+  /** Length of the run, in seconds. */
+  seconds: number;
+  /** Resolves at a part of the run, 0 to 1. */
+  waitForPart: (part: number) => Promise<void>;
+  /** Takes a router out of the callers' choice, or puts it back. */
+  setRouterInUse: (name: string, isInUse: boolean) => void;
+  /** Notes what was done, for the result. */
+  note: (text: string) => void;
+}
+
+/** What to start and offer, and what to break meanwhile. */
+export interface Scenario {
+  name: string;
+  /** One line for the help text. */
+  description: string;
+  defaultRouters: number;
+  defaultSeconds: number;
+  topology: (routers: number) => Topology;
+  loads: readonly AccountLoad[];
+  /** Accounts whose first-token times are reported; all when absent. */
+  reportedAccounts?: readonly string[];
+  /** Load of the run that the reported accounts are compared with. */
+  baselineLoads?: readonly AccountLoad[];
+  /** Does its damage while the load runs. */
+  breakThings?: (context: FaultContext) => Promise<void>;
+}
--- /dev/null
+++ b/packages/bench/test/load/schedule.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { chooseRouter, createSchedule } from '../../src/load/index.js';
+import type { AccountLoad } from '../../src/load/index.js';
+
+const size = { median: 40, sigma: 0.8, max: 400 };
+
+const load = (account: string, extra: Partial<AccountLoad> = {}): AccountLoad => ({
+  account,
+  ratePerSecond: 20,
+  phases: [{ from: 0.5, to: 1, factor: 3 }],
+  mix: [
+    { kind: 'chat-stream', service: 'm', weight: 3, promptChars: size, answerTokens: size },
+    {
+      kind: 'record',
+      service: 's',
+      weight: 1,
+      promptChars: size,
+      answerTokens: { ...size, max: 0 },
+    },
+  ],
+  ...extra,
+});
+
+test('the same seed gives the same schedule, in order of time', () => {
+  fc.assert(
+    fc.property(fc.nat(10_000), (seed) => {
+      const options = { seed, seconds: 4, loads: [load('a'), load('b', { keyedPart: 0.5 })] };
+      const schedule = createSchedule(options);
+      assert.deepEqual(createSchedule(options), schedule);
+      const times = schedule.map(({ atMs }) => atMs);
+      assert.deepEqual(
+        [...times].sort((x, y) => x - y),
+        times,
+      );
+    }),
+    { seed: 21, numRuns: 30 },
+  );
+});
+
+test("another account's load does not change an account's requests", () => {
+  const ofA = (loads: AccountLoad[]) =>
+    createSchedule({ seed: 5, seconds: 10, loads }).filter(({ account }) => account === 'a');
+  assert.deepEqual(ofA([load('a'), load('b', { ratePerSecond: 200 })]), ofA([load('a')]));
+});
+
+test('rates follow the phases and sizes stay in their bounds', () => {
+  const schedule = createSchedule({ seed: 7, seconds: 200, loads: [load('a')] });
+  const early = schedule.filter(({ atMs }) => atMs < 100_000).length;
+  // Five deviations of a Poisson count around 2,000 and 6,000.
+  assert.ok(Math.abs(early - 2000) < 5 * Math.sqrt(2000));
+  assert.ok(Math.abs(schedule.length - early - 6000) < 5 * Math.sqrt(6000));
+  schedule.forEach(({ call }) => {
+    assert.ok(call.promptChars >= 1 && call.promptChars <= 400);
+    assert.equal(call.answerTokens === 0, call.kind === 'record');
+  });
+});
+
+test('a repeat carries the key of its first request and goes elsewhere', () => {
+  const repeating = load('a', { keyedPart: 1, repeatPart: 0.5, repeatWithinMs: 100 });
+  const schedule = createSchedule({ seed: 9, seconds: 60, loads: [repeating] });
+  const repeats = schedule.filter(({ id, logicalId }) => id !== logicalId);
+  assert.ok(repeats.length > 50);
+  repeats.forEach((repeat) => {
+    const first = schedule.find(({ id }) => id === repeat.logicalId);
+    assert.equal(repeat.idempotencyKey, first?.idempotencyKey);
+    assert.ok(first !== undefined && repeat.atMs - first.atMs < 100);
+    assert.notEqual(chooseRouter(3, repeat.spread, 3), chooseRouter(3, first.spread, 3));
+  });
+});
+
+test('every router gets requests, the first in the order the most', () => {
+  const counts = [0, 0, 0, 0];
+  createSchedule({ seed: 3, seconds: 100, loads: [load('a')] }).forEach(({ spread }) => {
+    counts[chooseRouter(2, spread, 4)]! += 1;
+  });
+  assert.ok(counts.every((count) => count > 0));
+  assert.equal(Math.max(...counts), counts[chooseRouter(2, 0, 4)]);
+});
