Hash client accounts to buckets; ledger of service; estimate of cost

The routers need virtual times that merge. The ledger keeps a router's own grow-only totals apart from the fleet's totals as heard, with the part of its own that these contain; lifts carry the share they were computed for, so that a change of share keeps the virtual time continuous.

--- /dev/null
+++ b/packages/core/src/hash/index.ts
@@ -0,0 +1,3 @@
+export * from './hasher.js';
+export * from './rendezvous.js';
+export type * from './types.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,6 @@
 /** Coordination library of the router fleet: pure reducers and data types, no I/O. */
 export * from './config/index.js';
+export * from './fairness/index.js';
+export * from './hash/index.js';
 export * from './loop/index.js';
 export * from './protocol/index.js';
