--- a/packages/core/src/config/types.ts
+++ b/packages/core/src/config/types.ts
@@ -1,4 +1,7 @@
-/** The numbered configuration of the fleet, kept in the object service under `config/current`. */
+/**
+ * The numbered configuration of the fleet. The object service keeps its accepted patches under `config/history/{version}` and
+ * from time to time the whole document under `config/current`.
+ */
 
 /** What kind of backend server a service is made of. */
 export const ServiceKind = {
@@ -90,3 +93,65 @@
   operators: {},
   appliedPatches: [],
 };
+
+/** A fault or a remark about a configuration, at the place it concerns. */
+export interface ConfigProblem {
+  /** Such as `accounts.kingston.share`; empty for the whole document. */
+  path: string;
+  message: string;
+}
+
+/** Outcome of checking a candidate configuration. */
+export type ValidationOutcome =
+  | { ok: true; config: FleetConfig; warnings: ConfigProblem[] }
+  | { ok: false; problems: ConfigProblem[] };
+
+/** A patch that an operator offers. */
+export interface PatchRequest {
+  /** Chosen by the operator's side; the same id never takes effect twice. */
+  id: string;
+  /** Version that the patch was made against. */
+  baseVersion: number;
+  /** JSON merge patch (RFC 7396) of the document. */
+  patch: unknown;
+  /** Id of the operator. */
+  author: string;
+  reason: string;
+}
+
+/** A patch that was accepted and leads from `version - 1` to `version`. */
+export interface AcceptedPatch {
+  version: number;
+  /** Absent where it is not known; the document's list of applied patches then stays as it was. */
+  id?: string;
+  patch: unknown;
+}
+
+/** Outcome of applying an operator's patch. */
+export type PatchOutcome =
+  | { ok: true; config: FleetConfig; warnings: ConfigProblem[] }
+  | { ok: false; code: 'stale'; currentVersion: number }
+  | { ok: false; code: 'invalid'; problems: ConfigProblem[] }
+  | { ok: false; code: 'forbidden'; message: string }
+  | { ok: false; code: 'already-applied'; version: number };
+
+/** One value that differs between two configurations; undefined where it is absent. */
+export interface ConfigDifference {
+  path: string;
+  before: unknown;
+  after: unknown;
+}
+
+/** An accepted patch with its circumstances, kept under `config/history/{version}`. */
+export interface HistoryEntry {
+  /** Version that the patch led to. */
+  version: number;
+  id: string;
+  patch: unknown;
+  /** Merge patch that leads back to `version - 1`. */
+  undo: unknown;
+  author: string;
+  reason: string;
+  /** ISO 8601 time of acceptance, by the clock of the process that committed it. */
+  time: string;
+}
