Add clients of the platform and the configuration store

The configuration is kept as a log: creating config/history/{version} is what accepts a patch, so that one small conditional write decides between racing operators, a lost answer is resolved by repeating the same write, and watchers read only the new entry.

--- /dev/null
+++ b/packages/platform/src/config-store.ts
@@ -0,0 +1,27 @@
+/** The fleet's configuration in the object service: loading, committing patches, watching for new versions. */
+import { createCommitter } from './config-committer.js';
+import { createConfigReader } from './config-reader.js';
+import type { ConfigStore, ConfigStoreOptions } from './config-types.js';
+import { createConfigWatcher } from './config-watcher.js';
+
+const DEFAULT_RETRY_DELAY_MS = 200;
+const DEFAULT_WRITE_ATTEMPTS = 5;
+
+/** Creates the store. */
+export const createConfigStore = (options: ConfigStoreOptions): ConfigStore => {
+  const {
+    objects,
+    now = () => new Date(),
+    retryDelayMs = DEFAULT_RETRY_DELAY_MS,
+    writeAttempts = DEFAULT_WRITE_ATTEMPTS,
+  } = options;
+  const reader = createConfigReader(objects);
+  return {
+    load: reader.load,
+    readSince: reader.readSince,
+    history: reader.history,
+    loadVersion: reader.loadVersion,
+    commit: createCommitter({ objects, reader, now, retryDelayMs, writeAttempts }),
+    watch: createConfigWatcher(objects, reader),
+  };
+};
