Emulate the platform service

Cause: routers and sidecars need the object service, the instance list and the weight store to be built and tested against. Change: createPlatformStandin with versions, conditional writes, watches, rate limits, a lagging list and faults that an admin call, a plan or the factory's options switch on.

--- /dev/null
+++ b/packages/standins/src/common/http-host.ts
@@ -0,0 +1,47 @@
+import { createServer } from 'node:http';
+import type { RequestListener } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Where a stand-in listens. */
+export interface ListenOptions {
+  /** @default '127.0.0.1' */
+  host?: string;
+  /** 0 takes a free port. @default 0 */
+  port?: number;
+}
+
+/** A listening HTTP server. */
+export interface HttpHost {
+  port: number;
+  url: string;
+  /** Destroys every open connection; the server goes on listening. */
+  dropConnections(): void;
+  /** Stops listening and destroys every open connection. */
+  close(): Promise<void>;
+}
+
+const KEEP_ALIVE_TIMEOUT_MS = 60_000;
+
+/** Starts an HTTP server and resolves when it listens; rejects when the address is taken. */
+export const createHttpHost = async (
+  listener: RequestListener,
+  { host = '127.0.0.1', port = 0 }: ListenOptions,
+): Promise<HttpHost> => {
+  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true }, listener);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = (server.address() as AddressInfo).port;
+
+  return {
+    port: bound,
+    url: `http://${host}:${bound}`,
+    dropConnections: () => server.closeAllConnections(),
+    close: () =>
+      new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+};
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Emulated outside systems for development and tests. */
+export type { Fault, FaultRole, FaultTable, PlannedFault } from './common/faults.js';
+export * from './platform/index.js';
--- /dev/null
+++ b/packages/standins/src/platform/gate.ts
@@ -0,0 +1,60 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Middleware } from 'koa';
+import { FaultRole } from '../common/faults.js';
+import type { FaultTable } from '../common/faults.js';
+import { dropConnection, sendError } from '../common/koa-host.js';
+import { createTokenBucket } from './token-bucket.js';
+import { PlatformFaultKind } from './types.js';
+
+export interface GateOptions {
+  faults: FaultTable<PlatformFaultKind>;
+  readsPerSecond: number;
+  writesPerSecond: number;
+  /** Counts one call of a kind. */
+  count: (kind: string) => void;
+}
+
+const SLOW_DELAY_MS = 1000;
+
+const callKind = (method: string, path: string): string => {
+  if (method !== 'GET') return method.toLowerCase();
+  if (path === '/v1/objects') return 'list';
+  return path.startsWith('/v1/objects/') ? 'get' : (path.split('/')[2] ?? 'other');
+};
+
+/** Middleware before every service call: counts it, shows faults, and limits the rates. */
+export const createGate = ({
+  faults,
+  readsPerSecond,
+  writesPerSecond,
+  count,
+}: GateOptions): Middleware => {
+  const startMs = performance.now();
+  const buckets = {
+    [FaultRole.Reads]: createTokenBucket(readsPerSecond, startMs),
+    [FaultRole.Writes]: createTokenBucket(writesPerSecond, startMs),
+  };
+
+  return async (ctx, next) => {
+    const role = ctx.method === 'GET' ? FaultRole.Reads : FaultRole.Writes;
+    count(callKind(ctx.method, ctx.path));
+
+    const outage = faults.hit(PlatformFaultKind.Outage, role);
+    if (outage !== undefined) {
+      count('unavailable');
+      if (outage.manner === 'reset') dropConnection(ctx);
+      else sendError(ctx, 503, 'unavailable');
+      return;
+    }
+    const waitMs = buckets[role].take(performance.now());
+    if (waitMs > 0) {
+      count('limited');
+      ctx.set('Retry-After', String(Math.ceil(waitMs / 1000)));
+      sendError(ctx, 429, 'rate_limited');
+      return;
+    }
+    const slow = faults.hit(PlatformFaultKind.Slow, role);
+    if (slow !== undefined) await delay(slow.delayMs ?? SLOW_DELAY_MS);
+    await next();
+  };
+};
--- /dev/null
+++ b/packages/standins/src/platform/index.ts
@@ -0,0 +1,2 @@
+export { createPlatformStandin } from './platform-standin.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/standins/src/platform/instance-routes.ts
@@ -0,0 +1,36 @@
+import type Router from '@koa/router';
+import { z } from 'zod';
+import { readJson } from '../common/admin-routes.js';
+import type { InstanceList } from './instance-list.js';
+import type { PlatformInstance } from './types.js';
+
+/** Schema of an instance on the platform's list. */
+export const instanceSchema: z.ZodType<PlatformInstance> = z.strictObject({
+  id: z.string().min(1),
+  role: z.enum(['router', 'sidecar']),
+  zone: z.string(),
+  region: z.string(),
+  state: z.enum(['live', 'leaving']),
+  address: z.string(),
+});
+
+/** Adds the call that reads the lagging list. */
+export const addInstanceRoutes = (router: Router, instances: InstanceList): void => {
+  router.get('/v1/instances', (ctx) => {
+    ctx.body = instances.view(performance.now());
+  });
+};
+
+/** Adds the admin calls that change the list. */
+export const addInstanceAdminRoutes = (router: Router, instances: InstanceList): void => {
+  router.put('/admin/instances/:id', async (ctx) => {
+    const instance = await readJson(ctx, instanceSchema);
+    if (instance === undefined) return;
+    instances.put({ ...instance, id: ctx.params.id ?? instance.id }, performance.now());
+    ctx.status = 204;
+  });
+  router.delete('/admin/instances/:id', (ctx) => {
+    instances.remove(ctx.params.id ?? '', performance.now());
+    ctx.status = 204;
+  });
+};
--- /dev/null
+++ b/packages/standins/src/platform/object-routes.ts
@@ -0,0 +1,138 @@
+import type Router from '@koa/router';
+import type { Context } from 'koa';
+import { queryNumber } from '../common/admin-routes.js';
+import { readBody } from '../common/body.js';
+import { closeSignal } from '../common/close-signal.js';
+import { sha256 } from '../common/digest.js';
+import { FaultRole } from '../common/faults.js';
+import type { FaultTable } from '../common/faults.js';
+import type { Journal } from '../common/journal.js';
+import { dropConnection, sendError } from '../common/koa-host.js';
+import { parseCondition } from './conditions.js';
+import type { ObjectStore, WriteOutcome } from './object-store.js';
+import { PlatformFaultKind } from './types.js';
+import type { WriteCondition, WriteEntry } from './types.js';
+import type { Watchers } from './watchers.js';
+
+export interface ObjectRoutesOptions {
+  router: Router;
+  store: ObjectStore;
+  watchers: Watchers;
+  faults: FaultTable<PlatformFaultKind>;
+  journal: Journal<WriteEntry>;
+}
+
+const BODY_LIMIT_BYTES = 1_048_576;
+const WATCH_TIMEOUT_MS = 30_000;
+const WATCH_TIMEOUT_LIMIT_MS = 300_000;
+const OBJECT_PATH = /^\/v1\/objects\/(.+)$/;
+
+const etag = (version: number): string => `"${version}"`;
+
+const keyOf = (ctx: Context): string | undefined => {
+  try {
+    return decodeURIComponent(OBJECT_PATH.exec(ctx.path)?.[1] ?? '');
+  } catch {
+    return undefined;
+  }
+};
+
+const prefixOf = (ctx: Context): string =>
+  typeof ctx.query.prefix === 'string' ? ctx.query.prefix : '';
+
+const sendRefusal = (ctx: Context, outcome: Exclude<WriteOutcome, { ok: true }>): void => {
+  if (outcome.code === 'not-found') {
+    sendError(ctx, 404, 'not_found');
+    return;
+  }
+  if (outcome.currentVersion !== undefined) ctx.set('ETag', etag(outcome.currentVersion));
+  sendError(ctx, 412, 'version_conflict');
+};
+
+/** Adds the object service's calls. */
+export const addObjectRoutes = (options: ObjectRoutesOptions): void => {
+  const { router, store, watchers, faults, journal } = options;
+
+  const finishWrite = (
+    ctx: Context,
+    entry: Omit<WriteEntry, 'version' | 'atMs' | 'answerLost'>,
+    outcome: WriteOutcome,
+  ) => {
+    if (!outcome.ok) {
+      sendRefusal(ctx, outcome);
+      return;
+    }
+    const { version } = outcome;
+    const lost = faults.hit(PlatformFaultKind.LoseAnswers, FaultRole.Writes) !== undefined;
+    journal.add({ ...entry, version, atMs: Date.now(), answerLost: lost });
+    watchers.notify();
+    if (lost) {
+      dropConnection(ctx);
+      return;
+    }
+    ctx.set('ETag', etag(version));
+    ctx.status = outcome.created ? 201 : 200;
+    if (entry.kind === 'delete') ctx.status = 204;
+    else ctx.body = '';
+  };
+
+  /** The key and condition of a write; answers 400 itself when they are malformed. */
+  const parseWrite = (ctx: Context): { key: string; condition: WriteCondition } | undefined => {
+    const key = keyOf(ctx);
+    const parsed = parseCondition(ctx.headers);
+    if (key !== undefined && parsed.ok) return { key, condition: parsed.condition };
+    sendError(ctx, 400, 'bad_request', parsed.ok ? 'key is not percent-encoded' : parsed.message);
+    return undefined;
+  };
+  const announced = () => faults.hit(PlatformFaultKind.MissedWatch) === undefined;
+
+  router.get('/v1/objects', (ctx) => {
+    ctx.body = { version: store.version(), objects: store.list(prefixOf(ctx)) };
+  });
+
+  router.get(OBJECT_PATH, (ctx) => {
+    const key = keyOf(ctx);
+    const object = key === undefined ? undefined : store.get(key);
+    if (object === undefined) {
+      sendError(ctx, 404, 'not_found');
+      return;
+    }
+    ctx.set('ETag', etag(object.version));
+    ctx.type = 'application/octet-stream';
+    ctx.body = object.body;
+  });
+
+  router.put(OBJECT_PATH, async (ctx) => {
+    const read = await readBody(ctx.req, BODY_LIMIT_BYTES);
+    if (!read.ok) {
+      sendError(ctx, read.code === 'too-large' ? 413 : 400, read.code);
+      return;
+    }
+    const write = parseWrite(ctx);
+    if (write === undefined) return;
+    const { key, condition } = write;
+    const outcome = store.put(key, read.body, condition, announced());
+    finishWrite(ctx, { kind: 'put', key, condition, digest: sha256(read.body) }, outcome);
+  });
+
+  router.delete(OBJECT_PATH, (ctx) => {
+    const write = parseWrite(ctx);
+    if (write === undefined) return;
+    const { key, condition } = write;
+    const outcome = store.remove(key, condition, announced());
+    finishWrite(ctx, { kind: 'delete', key, condition, digest: '' }, outcome);
+  });
+
+  router.get('/v1/watch', async (ctx) => {
+    const prefix = prefixOf(ctx);
+    const after = queryNumber(ctx, 'after', store.version());
+    const timeoutMs = queryNumber(ctx, 'timeoutMs', WATCH_TIMEOUT_MS);
+    const changes = await watchers.wait(
+      () => store.changes(prefix, after),
+      Math.min(timeoutMs, WATCH_TIMEOUT_LIMIT_MS),
+      closeSignal(ctx),
+    );
+    if (changes.ok) ctx.body = { version: changes.version, events: changes.events };
+    else sendError(ctx, 410, 'too_old', `version ${after} is outside the history`);
+  });
+};
--- /dev/null
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -0,0 +1,82 @@
+import { Readable } from 'node:stream';
+import Router from '@koa/router';
+import { addAdminRoutes } from '../common/admin-routes.js';
+import { createFaultTable } from '../common/faults.js';
+import { createJournal } from '../common/journal.js';
+import { routesOf, startKoa } from '../common/koa-host.js';
+import { createRandom } from '../common/random.js';
+import { createGate } from './gate.js';
+import { createInstanceList } from './instance-list.js';
+import { addInstanceAdminRoutes, addInstanceRoutes } from './instance-routes.js';
+import { addObjectRoutes } from './object-routes.js';
+import { createObjectStore } from './object-store.js';
+import { PlatformFaultKind } from './types.js';
+import type { PlatformOptions, PlatformStandin, WriteEntry } from './types.js';
+import { createWatchers } from './watchers.js';
+import { createWeightStore } from './weight-store.js';
+import type { WeightStore } from './weight-store.js';
+
+const DEFAULTS = {
+  seed: 1,
+  writesPerSecond: 300,
+  readsPerSecond: 2000,
+  instanceLagMs: 1000,
+  watchHistory: 10_000,
+  weightBytes: 1_048_576,
+  weightBytesPerSecond: 8_388_608,
+} as const;
+
+const addWeightRoutes = (router: Router, weights: WeightStore): void => {
+  router.get('/v1/weights/:model', (ctx) => {
+    ctx.type = 'application/octet-stream';
+    ctx.length = weights.sizeBytes;
+    ctx.body = Readable.from(weights.read(ctx.params.model ?? ''), { objectMode: false });
+  });
+};
+
+/** Starts an emulated platform service: objects, instance list and weight store. */
+export const createPlatformStandin = async (
+  options: PlatformOptions = {},
+): Promise<PlatformStandin> => {
+  const cfg = { ...DEFAULTS, ...options };
+  const faults = createFaultTable<PlatformFaultKind>({ random: createRandom(cfg.seed) });
+  const journal = createJournal<WriteEntry>();
+  const store = createObjectStore({ historyLength: cfg.watchHistory });
+  const watchers = createWatchers();
+  const instances = createInstanceList(cfg.instanceLagMs, options.instances ?? []);
+  const calls: Record<string, number> = {};
+  const count = (kind: string) => {
+    calls[kind] = (calls[kind] ?? 0) + 1;
+  };
+
+  const admin = new Router();
+  addAdminRoutes({ router: admin, kinds: Object.values(PlatformFaultKind), faults, journal });
+  addInstanceAdminRoutes(admin, instances);
+  admin.get('/admin/stats', (ctx) => {
+    ctx.body = { calls };
+  });
+
+  const service = new Router();
+  addObjectRoutes({ router: service, store, watchers, faults, journal });
+  addInstanceRoutes(service, instances);
+  addWeightRoutes(service, createWeightStore(cfg.weightBytes, cfg.weightBytesPerSecond));
+
+  const gate = createGate({ ...cfg, faults, count });
+  const host = await startKoa([routesOf(admin), gate, routesOf(service)], options);
+  faults.plan(options.plan ?? []);
+
+  return {
+    port: host.port,
+    url: host.url,
+    faults,
+    journal: () => journal.after(0),
+    stats: () => ({ ...calls }),
+    putInstance: (instance) => instances.put(instance, performance.now()),
+    deleteInstance: (id) => instances.remove(id, performance.now()),
+    close: async () => {
+      faults.close();
+      watchers.close();
+      await host.close();
+    },
+  };
+};
