Emulate a model engine with continuous batching

Cause: the path from callers to engines needs an engine that queues, batches, caches prefixes, resumes and cancels. Conclusion: the openai client reads whole and streamed answers from it (3 tests).

--- /dev/null
+++ b/packages/standins/src/engine/batch-reducer.ts
@@ -0,0 +1,135 @@
+import type {
+  BatchEffect,
+  BatchEvent,
+  BatchResult,
+  BatchState,
+  RunningSequence,
+  Sequence,
+} from './batch-types.js';
+import { countCachedBlocks, createPrefixCache, storeBlocks } from './prefix-cache.js';
+import type { BatchSettings } from './types.js';
+
+/** A step that ends this late is not made up for by shorter ones. */
+const CATCH_UP_LIMIT_MS = 100;
+
+/** Creates an idle batch with an empty cache. */
+export const createBatchState = (settings: BatchSettings): BatchState => ({
+  settings,
+  running: [],
+  queued: [],
+  kvTokensUsed: 0,
+  cache: createPrefixCache(settings.cacheBlocks),
+  stepEndsAtMs: null,
+  frozenUntilMs: 0,
+});
+
+const kvTokensOf = ({ promptTokens, answerTokens }: Sequence): number =>
+  promptTokens + answerTokens;
+
+const fits = (state: BatchState, sequence: Sequence): boolean =>
+  state.running.length < state.settings.maxBatch &&
+  state.kvTokensUsed + kvTokensOf(sequence) <= state.settings.kvTokensTotal;
+
+/** Moves one sequence into the batch; returns its prefill time. */
+const admit = (state: BatchState, sequence: Sequence, effects: BatchEffect[]): number => {
+  const { settings, cache } = state;
+  const cachedBlocks = countCachedBlocks(cache, sequence.fingerprints);
+  const cachedTokens = Math.min(cachedBlocks * settings.blockTokens, sequence.promptTokens);
+  state.kvTokensUsed += kvTokensOf(sequence);
+  state.running.push({ ...sequence, produced: 0 });
+  effects.push({ kind: 'started', runId: sequence.runId, cachedTokens });
+  storeBlocks(cache, sequence.fingerprints).forEach((change) =>
+    effects.push({ kind: 'cache-change', change }),
+  );
+  return (sequence.promptTokens - cachedTokens) * settings.prefillTokenMs;
+};
+
+/** Admits what fits, first come first, and starts a step if the batch isn't empty. */
+const startStep = (state: BatchState, startMs: number, effects: BatchEffect[]): void => {
+  let prefillMs = 0;
+  while (state.queued[0] !== undefined && fits(state, state.queued[0])) {
+    prefillMs += admit(state, state.queued.shift() as Sequence, effects);
+  }
+  if (state.running.length === 0) return;
+
+  const { baseTokenMs, perSequenceMs } = state.settings;
+  const durationMs = baseTokenMs + perSequenceMs * state.running.length + prefillMs;
+  state.stepEndsAtMs = Math.max(startMs + durationMs, state.frozenUntilMs);
+  effects.push({ kind: 'schedule-step', atMs: state.stepEndsAtMs });
+};
+
+const release = (state: BatchState, sequence: RunningSequence): void => {
+  state.running = state.running.filter((one) => one !== sequence);
+  state.kvTokensUsed -= kvTokensOf(sequence);
+};
+
+type EventOf<Kind extends BatchEvent['kind']> = Extract<BatchEvent, { kind: Kind }>;
+
+const onArrive = (state: BatchState, event: EventOf<'arrive'>): BatchEffect[] => {
+  const { sequence, nowMs } = event;
+  if (kvTokensOf(sequence) > state.settings.kvTokensTotal) {
+    return [{ kind: 'rejected', runId: sequence.runId }];
+  }
+  const effects: BatchEffect[] = [];
+  state.queued.push(sequence);
+  if (state.stepEndsAtMs === null) startStep(state, nowMs, effects);
+  return effects;
+};
+
+const onStepEnd = (state: BatchState, { nowMs }: EventOf<'step-end'>): BatchEffect[] => {
+  const endsAtMs = state.stepEndsAtMs;
+  if (endsAtMs === null) return [];
+  if (nowMs < endsAtMs) return [{ kind: 'schedule-step', atMs: endsAtMs }];
+
+  const effects: BatchEffect[] = [];
+  state.running.forEach((sequence) => {
+    effects.push({ kind: 'token', runId: sequence.runId, index: sequence.produced });
+    sequence.produced += 1;
+  });
+  state.running
+    .filter(({ produced, answerTokens }) => produced >= answerTokens)
+    .forEach((sequence) => {
+      release(state, sequence);
+      effects.push({ kind: 'finished', runId: sequence.runId });
+    });
+  state.stepEndsAtMs = null;
+  startStep(state, nowMs - endsAtMs < CATCH_UP_LIMIT_MS ? endsAtMs : nowMs, effects);
+  return effects;
+};
+
+const onCancel = (state: BatchState, { runId }: EventOf<'cancel'>): BatchEffect[] => {
+  const running = state.running.find((one) => one.runId === runId);
+  const isQueued = state.queued.some((one) => one.runId === runId);
+  if (running === undefined && !isQueued) return [];
+  if (running !== undefined) release(state, running);
+  state.queued = state.queued.filter((one) => one.runId !== runId);
+  return [{ kind: 'cancelled', runId }];
+};
+
+const onFreeze = (state: BatchState, event: EventOf<'freeze'>): BatchEffect[] => {
+  state.frozenUntilMs = Math.max(state.frozenUntilMs, event.nowMs + event.durationMs);
+  if (state.stepEndsAtMs === null) return [];
+  state.stepEndsAtMs = Math.max(state.stepEndsAtMs, state.frozenUntilMs);
+  return [{ kind: 'schedule-step', atMs: state.stepEndsAtMs }];
+};
+
+const onCrash = (state: BatchState): BatchEffect[] => {
+  Object.assign(state, createBatchState(state.settings));
+  return [];
+};
+
+/** Applies one event to the batch. Times are milliseconds of one monotonic clock, given by the events. */
+export const reduceBatch = (state: BatchState, event: BatchEvent): BatchResult => {
+  switch (event.kind) {
+    case 'arrive':
+      return { state, effects: onArrive(state, event) };
+    case 'step-end':
+      return { state, effects: onStepEnd(state, event) };
+    case 'cancel':
+      return { state, effects: onCancel(state, event) };
+    case 'freeze':
+      return { state, effects: onFreeze(state, event) };
+    default:
+      return { state, effects: onCrash(state) };
+  }
+};
--- /dev/null
+++ b/packages/standins/src/engine/index.ts
@@ -0,0 +1,4 @@
+export { expectedAnswer, prefixFingerprints, promptOf } from './answer.js';
+export type { ChatMessage, ContentPart } from './answer.js';
+export { createEngineStandin } from './engine-standin.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/standins/test/engine/openai-client.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import OpenAI from 'openai';
+import { createEngineStandin, expectedAnswer } from '../../src/index.js';
+
+const PROMPT = 'polish the prism [[tokens=5]]';
+
+const start = async () => {
+  const engine = await createEngineStandin({ timeScale: 20, cacheEventLoss: 0 });
+  const client = new OpenAI({ baseURL: `${engine.url}/v1`, apiKey: 'none', maxRetries: 0 });
+  return { engine, client };
+};
+
+test('the openai client gets a whole answer with usage', async () => {
+  const { engine, client } = await start();
+  try {
+    const answer = await client.chat.completions.create({
+      model: 'standin-model',
+      messages: [{ role: 'user', content: PROMPT }],
+    });
+    assert.equal(answer.choices[0]?.message.content, expectedAnswer(PROMPT, 5));
+    assert.equal(answer.choices[0]?.finish_reason, 'stop');
+    assert.equal(answer.usage?.completion_tokens, 5);
+    assert.equal(answer.usage?.prompt_tokens, 8);
+    assert.equal(answer.usage?.prompt_tokens_details?.cached_tokens, 0);
+  } finally {
+    await engine.close();
+  }
+});
+
+test('the openai client gets a streamed answer, capped by max_tokens', async () => {
+  const { engine, client } = await start();
+  try {
+    const stream = await client.chat.completions.create({
+      model: 'standin-model',
+      messages: [{ role: 'user', content: PROMPT }],
+      max_tokens: 3,
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    let text = '';
+    let finishReason: string | null = null;
+    let completionTokens: number | undefined;
+    const roles: string[] = [];
+    for await (const chunk of stream) {
+      const choice = chunk.choices[0];
+      if (choice?.delta.role !== undefined) roles.push(choice.delta.role);
+      text += choice?.delta.content ?? '';
+      finishReason = choice?.finish_reason ?? finishReason;
+      completionTokens = chunk.usage?.completion_tokens ?? completionTokens;
+    }
+    assert.equal(text, expectedAnswer(PROMPT, 3));
+    assert.equal(finishReason, 'length');
+    assert.equal(completionTokens, 3);
+    assert.deepEqual(roles, ['assistant']);
+  } finally {
+    await engine.close();
+  }
+});
+
+test('the openai client lists models and sees an unknown model refused', async () => {
+  const { engine, client } = await start();
+  try {
+    const models = await client.models.list();
+    assert.deepEqual(
+      models.data.map(({ id }) => id),
+      ['standin-model'],
+    );
+    await assert.rejects(
+      client.chat.completions.create({
+        model: 'other',
+        messages: [{ role: 'user', content: 'x' }],
+      }),
+      OpenAI.NotFoundError,
+    );
+    assert.equal(engine.journal().length, 0);
+  } finally {
+    await engine.close();
+  }
+});
