--- /dev/null
+++ b/packages/standins/src/app/index.ts
@@ -0,0 +1,3 @@
+export { createAppStandin } from './app-standin.js';
+export * from './types.js';
+export { expectedResult } from './work.js';
--- /dev/null
+++ b/packages/standins/test/app/app-standin.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { request } from 'undici';
+import { createAppStandin, expectedResult } from '../../src/index.js';
+import type { AppAnswer } from '../../src/index.js';
+
+test('the journal counts every request that ran, and the answer is its own', async () => {
+  const app = await createAppStandin({ workers: 2 });
+  try {
+    const send = async (index: number) => {
+      const res = await request(`${app.url}/batches/${index}?x=1`, {
+        method: 'POST',
+        body: `batch ${index}`,
+        headers: {
+          'x-request-id': `r${index}`,
+          'x-bench-request': `b${index}`,
+          'x-standin-work-ms': '1',
+        },
+      });
+      assert.equal(res.headers['x-request-id'], `r${index}`);
+      return (await res.body.json()) as AppAnswer;
+    };
+    const answers = await Promise.all([0, 1, 2, 3, 4, 5].map(send));
+    answers.forEach((answer, index) => {
+      const { method, path, digest, result, requestId } = answer;
+      assert.equal(requestId, `r${index}`);
+      assert.equal(path, `/batches/${index}?x=1`);
+      assert.equal(result, expectedResult(method, path, digest));
+    });
+    const ran = app.journal().map(({ benchRequest, outcome }) => `${benchRequest} ${outcome}`);
+    assert.deepEqual(
+      ran.sort(),
+      [0, 1, 2, 3, 4, 5].map((index) => `b${index} finished`),
+    );
+  } finally {
+    await app.close();
+  }
+});
+
+test('a large body is echoed as it comes', async () => {
+  const app = await createAppStandin({ meanWorkMs: 0 });
+  try {
+    const body = Buffer.alloc(5_000_000, 'kingcupsill');
+    const headers = { 'x-standin-echo': '1' };
+    const res = await request(`${app.url}/echo`, { method: 'PUT', body, headers });
+    assert.deepEqual(Buffer.from(await res.body.arrayBuffer()), body);
+  } finally {
+    await app.close();
+  }
+});
+
+test('a refused request did not run', async () => {
+  const app = await createAppStandin();
+  try {
+    app.faults.add({ kind: 'refuse', durationMs: 60_000 });
+    assert.equal((await request(`${app.url}/x`)).statusCode, 503);
+    assert.equal(app.journal().length, 0);
+  } finally {
+    await app.close();
+  }
+});
