--- /dev/null
+++ b/packages/bench/src/cli/index.ts
@@ -0,0 +1,1 @@
+export { main } from './main.js';
--- /dev/null
+++ b/packages/bench/src/demo/demo.ts
@@ -0,0 +1,82 @@
+/** Sends both users' kinds of request through each router of the demo and checks the answers. */
+import type { Fleet } from '../fleet/index.js';
+import { startFleet } from '../fleet/index.js';
+import { CallKind, createLoadClient } from '../load/index.js';
+import type { Call, ScheduledRequest } from '../load/index.js';
+import { AnswerCheck, judge } from '../measure/index.js';
+import type { RequestRecord } from '../measure/index.js';
+import { readJournals } from '../observe/index.js';
+import { waitUntilServing } from '../run/readiness.js';
+import { DEMO_ACCOUNT, DEMO_API_KEY, DEMO_MODEL, DEMO_SERVICE, DEMO_TOPOLOGY } from './topology.js';
+
+const DEMO_SEED = 1;
+const PROMPT_CHARS = 80;
+const ANSWER_TOKENS = 12;
+const SHOWN_CHARS = 48;
+
+const CALLS: Call[] = [
+  { kind: CallKind.ChatStream, service: DEMO_MODEL, answerTokens: ANSWER_TOKENS },
+  { kind: CallKind.ChatWhole, service: DEMO_MODEL, answerTokens: ANSWER_TOKENS },
+  { kind: CallKind.Lookup, service: DEMO_SERVICE, answerTokens: 0 },
+  { kind: CallKind.Record, service: DEMO_SERVICE, answerTokens: 0 },
+].map((call) => ({ ...call, promptChars: PROMPT_CHARS }));
+
+function demoRequest(router: string, call: Call): ScheduledRequest {
+  const id = `${router}-${call.kind}`;
+  return { id, logicalId: id, atMs: 0, account: DEMO_ACCOUNT, spread: 0, call };
+}
+
+/** Starts the demo's fleet and waits until it serves. */
+export async function startDemoFleet(): Promise<Fleet> {
+  const fleet = await startFleet({ topology: DEMO_TOPOLOGY, seed: DEMO_SEED });
+  try {
+    await waitUntilServing(fleet, DEMO_TOPOLOGY.backends.length);
+    return fleet;
+  } catch (err) {
+    await fleet.close();
+    throw err;
+  }
+}
+
+function describe(record: RequestRecord, text: string): string {
+  const tookMs = Math.round(record.endMs - record.sentMs);
+  const verdict = record.answer ?? `${record.outcome} (${record.code ?? record.status})`;
+  return `${record.id.padEnd(34)} ${verdict.padEnd(10)} ${tookMs} ms  ${text.slice(0, SHOWN_CHARS)}`;
+}
+
+/** Sends every kind of request through each router; prints each answer and returns whether all were right. */
+export async function askFleet(fleet: Fleet, print: (line: string) => void): Promise<boolean> {
+  const answers = new Map<string, string>();
+  const client = createLoadClient({ onAnswer: (id, text) => answers.set(id, text) });
+  const requests = fleet.routers.flatMap(({ name, url }) =>
+    CALLS.map((call) => ({
+      req: demoRequest(name, call),
+      to: { router: name, url, apiKey: DEMO_API_KEY, pool: '' },
+    })),
+  );
+  const records = await Promise.all(requests.map(({ req, to }) => client.send(req, to)));
+  await client.close();
+  records.forEach((record) => print(describe(record, answers.get(record.id) ?? '')));
+  const runs = await readJournals(fleet);
+  const right = records.filter(({ answer }) => answer === AnswerCheck.Right).length;
+  const { ranTwice, falseRefusals } = judge(records, runs);
+  print(`${right} of ${records.length} answers right, ${runs.length} runs at backend servers`);
+  return right === records.length && ranTwice === 0 && falseRefusals === 0;
+}
+
+/** Addresses, the API key and an example call. */
+export function describeFleet({ routers, platform }: Fleet): string[] {
+  const [router] = routers;
+  const body = JSON.stringify({
+    model: DEMO_MODEL,
+    stream: true,
+    messages: [{ role: 'user', content: 'How long does the lap pitch cool?' }],
+  });
+  return [
+    ...routers.map(({ name, url, adminUrl }) => `${name}: callers ${url}, admin ${adminUrl}`),
+    `platform: ${platform.url}`,
+    `API key: ${DEMO_API_KEY}`,
+    `curl -N ${router?.url ?? ''}/v1/chat/completions -H 'authorization: Bearer ${DEMO_API_KEY}' ` +
+      `-H 'content-type: application/json' -d '${body}'`,
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/demo/index.ts
@@ -0,0 +1,1 @@
+export * from './demo.js';
--- a/packages/bench/src/fleet/specs.ts
+++ b/packages/bench/src/fleet/specs.ts
@@ -12,7 +12,7 @@
 } from './types.js';
 
 const HOST = '127.0.0.1';
-const FLEET_KEY = 'bench-fleet-key';
+const FLEET_KEY = 'bench-fleet-key-for-loopback';
 
 /** Kind of stand-in that emulates each kind of backend server. */
 const STANDIN_KIND: Record<BackendKind, string> = {
--- a/packages/bench/src/load/client.ts
+++ b/packages/bench/src/load/client.ts
@@ -29,10 +29,18 @@
 export interface LoadClientOptions {
   /** Time after which a caller gives up, in milliseconds. @default 120000 */
   timeoutMs?: number;
+  /** Told the text of each answer that was passed as complete. */
+  onAnswer?: (id: string, text: string) => void;
 }
 
 /** How an answer ended, as far as the record needs it. */
-type Reading = Pick<RequestRecord, 'outcome' | 'code' | 'ran' | 'answer' | 'firstTokenMs'>;
+interface Reading extends Pick<
+  RequestRecord,
+  'outcome' | 'code' | 'ran' | 'answer' | 'firstTokenMs'
+> {
+  /** The answer's text without its envelope. */
+  text?: string;
+}
 
 const CALLER_TIMEOUT_MS = 120_000;
 const KEEP_ALIVE_MS = 30_000;
@@ -52,10 +60,10 @@
   }
 }
 
-function readWhole(http: HttpCall, text: string): Reading {
+function readWhole(http: HttpCall, body: string): Reading {
   try {
-    const answer = checkAnswer(http.readAnswer(text), http.expected);
-    return { outcome: Outcome.Completed, answer };
+    const text = http.readAnswer(body);
+    return { outcome: Outcome.Completed, answer: checkAnswer(text, http.expected), text };
   } catch {
     return { outcome: Outcome.Completed, answer: AnswerCheck.Incomplete };
   }
@@ -74,7 +82,7 @@
   // A stream that ends without its end mark looks complete to common clients.
   const check = checkAnswer(content, http.expected);
   const answer = check === AnswerCheck.Right && !isDone ? AnswerCheck.Incomplete : check;
-  return { outcome: Outcome.Completed, answer, firstTokenMs };
+  return { outcome: Outcome.Completed, answer, firstTokenMs, text: content };
 }
 
 async function readAnswer(http: HttpCall, res: Dispatcher.ResponseData): Promise<Reading> {
@@ -95,7 +103,7 @@
 
 /** Creates a client with its own connections. */
 export function createLoadClient(options: LoadClientOptions = {}): LoadClient {
-  const { timeoutMs = CALLER_TIMEOUT_MS } = options;
+  const { timeoutMs = CALLER_TIMEOUT_MS, onAnswer } = options;
   const dispatcher = new Agent({
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
@@ -125,11 +133,14 @@
   const send = async (req: ScheduledRequest, to: Destination): Promise<RequestRecord> => {
     const http = toHttpCall(req);
     const sentMs = wallClockMs();
-    const seen = await exchange(http, req, to).catch((err: unknown) => ({
-      status: 0,
-      outcome: Outcome.Failed,
-      code: errorCode(err),
-    }));
+    const { text, ...seen } = await exchange(http, req, to).catch(
+      (err: unknown): Reading & { status: number } => ({
+        status: 0,
+        outcome: Outcome.Failed,
+        code: errorCode(err),
+      }),
+    );
+    if (text !== undefined) onAnswer?.(req.id, text);
     return {
       id: req.id,
       logicalId: req.logicalId,
--- a/packages/bench/src/load/closed-loop.ts
+++ b/packages/bench/src/load/closed-loop.ts
@@ -12,7 +12,7 @@
 
 /** Sends requests in the order of the schedule until it or the time ends. */
 export async function runClosedLoop(options: ClosedLoopOptions): Promise<RequestRecord[]> {
-  const { client, schedule, route, concurrency, durationMs = Infinity } = options;
+  const { schedule, send, concurrency, durationMs = Infinity } = options;
   const endMs = performance.now() + durationMs;
   const records: RequestRecord[] = [];
   let next = 0;
@@ -20,7 +20,7 @@
     while (next < schedule.length && performance.now() < endMs) {
       const req = schedule[next] as (typeof schedule)[number];
       next += 1;
-      records.push(await client.send(req, route(req)));
+      records.push(await send(req));
     }
   };
   await Promise.all(Array.from({ length: concurrency }, work));
--- a/packages/bench/src/load/index.ts
+++ b/packages/bench/src/load/index.ts
@@ -1,4 +1,5 @@
 export * from './answers.js';
+export * from './balancer.js';
 export * from './calls.js';
 export * from './client.js';
 export * from './closed-loop.js';
--- a/packages/bench/src/load/open-loop.ts
+++ b/packages/bench/src/load/open-loop.ts
@@ -1,14 +1,12 @@
 /** Offers a schedule at its own times, whatever the answers do. */
 import type { RequestRecord } from '../measure/types.js';
-import type { Destination, LoadClient } from './client.js';
 import type { ScheduledRequest } from './types.js';
 
 /** What a run of a schedule needs. */
 export interface OpenLoopOptions {
-  client: LoadClient;
   schedule: readonly ScheduledRequest[];
-  /** Destination of a request at the time it is sent. */
-  route: (req: ScheduledRequest) => Destination;
+  /** Sends one request; never rejects. */
+  send: (req: ScheduledRequest) => Promise<RequestRecord>;
   /** Told the count of requests sent and answered, about once a second. */
   onProgress?: (sent: number, answered: number) => void;
 }
@@ -25,7 +23,7 @@
 
 /** Sends the whole schedule and waits for every answer. */
 export async function runOpenLoop(options: OpenLoopOptions): Promise<RequestRecord[]> {
-  const { client, schedule, route, onProgress } = options;
+  const { schedule, send, onProgress } = options;
   const startMs = performance.now();
   const records: RequestRecord[] = [];
   const pending: Promise<void>[] = [];
@@ -33,7 +31,7 @@
   for (const req of schedule) {
     await waitUntil(startMs + req.atMs);
     pending.push(
-      client.send(req, route(req)).then((record) => {
+      send(req).then((record) => {
         records.push(record);
       }),
     );
--- /dev/null
+++ b/packages/bench/src/report/describe.ts
@@ -0,0 +1,55 @@
+/** A run's figures as text. */
+import type { RunResult, RunSummary } from '../run/index.js';
+
+/** A figure to three significant digits; a dash for none. */
+export function formatFigure(value: number | null): string {
+  return value === null ? '-' : String(Number(value.toPrecision(3)));
+}
+
+/** Figures of a summary as rows of name and value. */
+export function summaryRows(summary: RunSummary): [string, string][] {
+  const { requests, firstTokenMs, addedFirstTokenMs, configInForceMs } = summary;
+  const counts = Object.entries(requests).map(([name, value]): [string, string] => [
+    name,
+    String(value),
+  ]);
+  return [
+    ...counts,
+    ['fairnessGapSlotSeconds', formatFigure(summary.fairnessGapSlotSeconds)],
+    ['largestRequestSlotSeconds', formatFigure(summary.largestRequestSlotSeconds)],
+    ['utilisation', formatFigure(summary.utilisation)],
+    ['controlBytesPerNodePerSecond', formatFigure(summary.controlBytesPerNodePerSecond)],
+    ['crossRegionBytes', formatFigure(summary.crossRegionBytes)],
+    ['controlCpuPercentOfCore', formatFigure(summary.controlCpuPercentOfCore)],
+    ['peakRssMb', formatFigure(summary.peakRssMb)],
+    ['firstTokenMs p50', formatFigure(firstTokenMs.p50)],
+    ['firstTokenMs p95', formatFigure(firstTokenMs.p95)],
+    ['firstTokenMs p99', formatFigure(firstTokenMs.p99)],
+    ['addedFirstTokenMs p50', formatFigure(addedFirstTokenMs.p50)],
+    ['addedFirstTokenMs p99', formatFigure(addedFirstTokenMs.p99)],
+    ['configInForceMs max', formatFigure(configInForceMs.max)],
+  ];
+}
+
+/** Name of a run: scenario, policy and seed. */
+export function runName({ scenario, policy, seed, routers }: RunSummary): string {
+  return `${scenario}-${policy}-${routers}r-${seed}`;
+}
+
+/** Lines that describe a result to a reader. */
+export function describeResult({ summary, details }: RunResult): string[] {
+  const baseline = details.baselineFirstTokenMs;
+  return [
+    `${summary.scenario}, ${summary.policy}, seed ${summary.seed}, ${summary.routers} routers`,
+    ...summaryRows(summary).map(([name, value]) => `  ${name.padEnd(30)} ${value}`),
+    ...details.pools.map(
+      (pool) =>
+        `  pool ${pool.pool}: ${pool.slots} slots, gap ${formatFigure(pool.fairnessGapSlotSeconds)} ` +
+        `(${pool.gapAccounts.join(', ')}; bound ${formatFigure(pool.gapBoundSlotSeconds)}), utilisation ` +
+        `${formatFigure(pool.utilisation)}, without allowance ${formatFigure(pool.strictUtilisation)}`,
+    ),
+    ...details.outcomes.map(({ outcome, code, count }) => `  ${outcome} ${code}: ${count}`),
+    ...(baseline === null ? [] : [`  without the flood: p95 ${formatFigure(baseline.p95)} ms`]),
+    ...details.notes.map((note) => `  ${note}`),
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/report/index.ts
@@ -0,0 +1,3 @@
+export * from './charts.js';
+export * from './describe.js';
+export * from './page.js';
--- /dev/null
+++ b/packages/bench/src/run/index.ts
@@ -0,0 +1,2 @@
+export * from './run-scenario.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/bench/src/run/offer-load.ts
@@ -0,0 +1,66 @@
+/** Offers a load to a running fleet, breaks things meanwhile, and gathers what happened. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Fleet } from '../fleet/index.js';
+import { createBalancer, createRandom, createSchedule, runOpenLoop } from '../load/index.js';
+import type { AccountLoad, Balancer, LoadClient } from '../load/index.js';
+import { readJournals, startNodeSampler } from '../observe/index.js';
+import type { Scenario } from '../scenarios/index.js';
+import type { RunRecords } from './summarise.js';
+
+/** What one load needs. */
+export interface LoadOptions {
+  fleet: Fleet;
+  client: LoadClient;
+  balancer: Balancer;
+  seed: number;
+  seconds: number;
+  loads: readonly AccountLoad[];
+  breakThings?: Scenario['breakThings'];
+  note: (text: string) => void;
+  onProgress: (sent: number, answered: number) => void;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Balancer over the routers of a fleet. */
+export function createFleetBalancer(fleet: Fleet): Balancer {
+  const { services, accounts } = fleet.topology;
+  return createBalancer({
+    routers: fleet.routers,
+    accounts,
+    pools: Object.fromEntries(Object.entries(services).map(([id, { pool }]) => [id, pool])),
+  });
+}
+
+function runFaults(options: LoadOptions): Promise<void> {
+  const { fleet, seed, seconds, breakThings, balancer, note } = options;
+  if (breakThings === undefined) return Promise.resolve();
+  const startMs = performance.now();
+  return breakThings({
+    fleet,
+    seconds,
+    random: createRandom(seed, 'faults'),
+    setRouterInUse: balancer.setInUse,
+    waitForPart: async (part) => {
+      await sleep(Math.max(0, startMs + part * seconds * MS_PER_SECOND - performance.now()));
+    },
+    note: (text) =>
+      note(`${((performance.now() - startMs) / MS_PER_SECOND).toFixed(1)} s: ${text}`),
+  });
+}
+
+/** Offers the load and waits for every answer. */
+export async function offerLoad(options: LoadOptions): Promise<RunRecords> {
+  const { fleet, client, balancer, seed, seconds, loads, onProgress } = options;
+  const schedule = createSchedule({ seed, seconds, loads });
+  const sampler = await startNodeSampler([...fleet.routers, ...fleet.sidecars]);
+  const startMs = performance.timeOrigin + performance.now();
+  const [records] = await Promise.all([
+    runOpenLoop({ schedule, send: (req) => balancer.send(client, req), onProgress }),
+    runFaults(options),
+  ]);
+  const endMs = performance.timeOrigin + performance.now();
+  const usage = await sampler.stop();
+  const runs = await readJournals(fleet);
+  return { topology: fleet.topology, records, runs, usage, load: { startMs, endMs } };
+}
--- /dev/null
+++ b/packages/bench/src/run/summarise.ts
@@ -0,0 +1,137 @@
+/** Computes a run's figures from its records, journals and samples. */
+import {
+  collectActivity,
+  judge,
+  measureFairnessGap,
+  measurePercentiles,
+  measureUtilisation,
+} from '../measure/index.js';
+import type { BackendRun, Interval, RequestRecord } from '../measure/index.js';
+import type { FleetUsage } from '../observe/index.js';
+import type { Topology } from '../fleet/index.js';
+import type { OutcomeCount, PoolFigures, RunSummary } from './types.js';
+
+/** Everything that was recorded of one run. */
+export interface RunRecords {
+  topology: Topology;
+  records: RequestRecord[];
+  runs: BackendRun[];
+  usage: FleetUsage;
+  /** Time of the load, wall clock. */
+  load: Interval;
+}
+
+const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1024 * 1024;
+const DEFAULT_EXCHANGE_PERIOD_MS = 250;
+
+/** Added first-token time that the target allows; a request this long on its way does not wait. */
+const TRANSIT_ALLOWANCE_MS = 5;
+
+function slotsOf(topology: Topology, pool: string): number {
+  return topology.backends
+    .filter((backend) => backend.pool === pool)
+    .reduce((sum, { slots }) => sum + slots, 0);
+}
+
+function poolsOf(topology: Topology): string[] {
+  return [...new Set(topology.backends.map(({ pool }) => pool))];
+}
+
+/** Shares of all accounts. */
+export function sharesOf(topology: Topology): Record<string, number> {
+  return Object.fromEntries(topology.accounts.map(({ id, share }) => [id, share]));
+}
+
+/** Figures of one pool. */
+export function measurePool(pool: string, input: RunRecords): PoolFigures {
+  const { topology, records, load } = input;
+  const { runs, waits } = collectActivity(pool, records, input.runs);
+  const slots = slotsOf(topology, pool);
+  const lastEndMs = waits.reduce((latest, { endMs }) => Math.max(latest, endMs), load.endMs);
+  const capacity = [{ startMs: load.startMs, endMs: lastEndMs, slots }];
+  const busyPart = (transitMs: number) => {
+    const used = measureUtilisation({ runs, waits, capacity, transitMs });
+    return used.slotSeconds === 0 ? null : used.busySlotSeconds / used.slotSeconds;
+  };
+  const gap = measureFairnessGap({ runs, waits, shares: sharesOf(topology) });
+  const largest =
+    runs.reduce((most, { startMs, endMs }) => Math.max(most, endMs - startMs), 0) / MS_PER_SECOND;
+  const exchangePeriodMs = Number(
+    topology.routerSettings?.fairness?.exchange_period_ms ?? DEFAULT_EXCHANGE_PERIOD_MS,
+  );
+  return {
+    pool,
+    slots,
+    fairnessGapSlotSeconds: gap.slotSeconds,
+    gapAccounts: gap.accounts ?? [],
+    gapBoundSlotSeconds: 2 * (largest + (slots * exchangePeriodMs) / MS_PER_SECOND),
+    largestRequestSlotSeconds: largest,
+    utilisation: busyPart(TRANSIT_ALLOWANCE_MS),
+    strictUtilisation: busyPart(0),
+  };
+}
+
+/** Figures of every pool. */
+export function measurePools(input: RunRecords): PoolFigures[] {
+  return poolsOf(input.topology).map((pool) => measurePool(pool, input));
+}
+
+/** Utilisation of all pools together, each by its slots; null when nothing waited. */
+function overallUtilisation(pools: readonly PoolFigures[]): number | null {
+  const known = pools.filter(({ utilisation }) => utilisation !== null);
+  const slots = known.reduce((sum, pool) => sum + pool.slots, 0);
+  const busy = known.reduce((sum, pool) => sum + pool.slots * (pool.utilisation ?? 0), 0);
+  return slots === 0 ? null : busy / slots;
+}
+
+/** First-token times of the streamed answers of some accounts, or of all. */
+export function firstTokenPercentiles(
+  records: readonly RequestRecord[],
+  accounts?: readonly string[],
+): RunSummary['firstTokenMs'] {
+  const times = records
+    .filter(({ account }) => accounts === undefined || accounts.includes(account))
+    .flatMap(({ sentMs, firstTokenMs }) =>
+      firstTokenMs === undefined ? [] : [firstTokenMs - sentMs],
+    );
+  const { p50, p95, p99 } = measurePercentiles(times) ?? { p50: null, p95: null, p99: null };
+  return { p50, p95, p99 };
+}
+
+/** Use of the network, processor and memory by routers and sidecars. */
+export function measureNodes({ nodes, seconds }: FleetUsage) {
+  const sum = (pick: (node: FleetUsage['nodes'][number]) => number) =>
+    nodes.reduce((total, node) => total + pick(node), 0);
+  const tellsRegions = nodes.some(({ crossRegionBytes }) => crossRegionBytes !== undefined);
+  return {
+    controlBytesPerNodePerSecond: sum(({ controlBytes }) => controlBytes) / nodes.length / seconds,
+    crossRegionBytes: tellsRegions ? sum(({ crossRegionBytes }) => crossRegionBytes ?? 0) : null,
+    controlCpuPercentOfCore: (100 * sum(({ cpuSeconds }) => cpuSeconds)) / nodes.length / seconds,
+    peakRssMb: Math.max(...nodes.map(({ peakRssBytes }) => peakRssBytes)) / BYTES_PER_MB,
+  };
+}
+
+/** Counts requests by how they ended, the most frequent first. */
+export function countOutcomes(records: readonly RequestRecord[]): OutcomeCount[] {
+  const counts = new Map<string, OutcomeCount>();
+  records.forEach(({ outcome, status, code, answer }) => {
+    const ending = code ?? answer ?? String(status);
+    const key = `${outcome} ${ending}`;
+    const entry = counts.get(key) ?? { outcome, code: ending, count: 0 };
+    entry.count += 1;
+    counts.set(key, entry);
+  });
+  return [...counts.values()].sort((a, b) => b.count - a.count);
+}
+
+/** Figures that every scenario has. */
+export function summarise(input: RunRecords, pools: readonly PoolFigures[]) {
+  return {
+    requests: judge(input.records, input.runs),
+    fairnessGapSlotSeconds: Math.max(...pools.map((pool) => pool.fairnessGapSlotSeconds)),
+    largestRequestSlotSeconds: Math.max(...pools.map((pool) => pool.largestRequestSlotSeconds)),
+    utilisation: overallUtilisation(pools),
+    ...measureNodes(input.usage),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/run/types.ts
@@ -0,0 +1,85 @@
+/** Results of a run, as `bench run --json` prints them and as result files keep them. */
+import type { Policy } from '../scenarios/index.js';
+
+/** The bench's figures of one run. A figure that the scenario does not measure is null. */
+export interface RunSummary {
+  scenario: string;
+  seed: number;
+  policy: Policy;
+  seconds: number;
+  routers: number;
+  backendServers: number;
+  accounts: number;
+  requests: {
+    sent: number;
+    completed: number;
+    refused: number;
+    failed: number;
+    wrongAnswers: number;
+    incompleteAnswers: number;
+    ranTwice: number;
+    falseRefusals: number;
+  };
+  fairnessGapSlotSeconds: number | null;
+  largestRequestSlotSeconds: number | null;
+  utilisation: number | null;
+  controlBytesPerNodePerSecond: number | null;
+  crossRegionBytes: number | null;
+  controlCpuPercentOfCore: number | null;
+  peakRssMb: number | null;
+  firstTokenMs: { p50: number | null; p95: number | null; p99: number | null };
+  addedFirstTokenMs: { p50: number | null; p99: number | null };
+  configInForceMs: { p50: number | null; max: number | null };
+}
+
+/** Requests that ended in one way. */
+export interface OutcomeCount {
+  outcome: string;
+  code: string;
+  count: number;
+}
+
+/** Figures of one pool. */
+export interface PoolFigures {
+  pool: string;
+  slots: number;
+  fairnessGapSlotSeconds: number;
+  /** Pair of accounts that shows the gap. */
+  gapAccounts: string[];
+  /** Twice (largest request + slots x exchange period), the bound on the gap. */
+  gapBoundSlotSeconds: number;
+  largestRequestSlotSeconds: number;
+  /** While work waits, with the transit allowance. */
+  utilisation: number | null;
+  /** While work waits, without any allowance. */
+  strictUtilisation: number | null;
+}
+
+/** Values of each second of the run. */
+export interface RunSeries {
+  /** Slot seconds per account in each second. */
+  servicePerAccount: { account: string; slotSeconds: number[] }[];
+  /** Largest gap of any pair within a window that ends at each second. */
+  gapSlotSeconds: number[];
+  /** Busy part of the slots while work waits, in each second; null where nothing waits. */
+  utilisation: (number | null)[];
+  /** Control bytes per node in each sampling period. */
+  controlBytesPerNodePerSecond: { atSecond: number; value: number }[];
+}
+
+/** What a result file holds beside the summary. */
+export interface RunDetails {
+  outcomes: OutcomeCount[];
+  pools: PoolFigures[];
+  /** First-token times of the reported accounts without the flood, where the scenario has one. */
+  baselineFirstTokenMs: RunSummary['firstTokenMs'] | null;
+  /** Faults that were caused, in order. */
+  notes: string[];
+}
+
+/** One result file. */
+export interface RunResult {
+  summary: RunSummary;
+  details: RunDetails;
+  series: RunSeries;
+}
