--- a/packages/bench/src/cli/main.ts
+++ b/packages/bench/src/cli/main.ts
@@ -25,6 +25,7 @@
 
 Scenarios:
 ${scenarios.join('\n')}
+  ${'scale'.padEnd(14)} sweeps of routers and accounts; --routers N is the largest number
 `;
 }
 
--- a/packages/bench/src/cli/run-command.ts
+++ b/packages/bench/src/cli/run-command.ts
@@ -2,17 +2,21 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { z } from 'zod';
-import { runScenario } from '../run/index.js';
+import { runScale, runScenario } from '../run/index.js';
+import type { RunResult, ScaleOptions } from '../run/index.js';
 import { Policy, SCENARIOS } from '../scenarios/index.js';
 import { describeResult, runName } from '../report/index.js';
 import { createProgress, writeOutput } from './output.js';
 
 const RESULTS_DIRECTORY = 'results';
 
+/** Name of the sweep, which is several runs. */
+const SCALE = 'scale';
+
 const count = z.coerce.number().int().positive();
 
 const optionsSchema = z.object({
-  scenario: z.string().refine((name) => SCENARIOS.has(name), 'unknown scenario'),
+  scenario: z.string().refine((name) => name === SCALE || SCENARIOS.has(name), 'unknown scenario'),
   seed: z.coerce.number().int().nonnegative().default(1),
   policy: z.enum(Policy).default(Policy.Fair),
   routers: count.optional(),
@@ -37,6 +41,11 @@
   return optionsSchema.safeParse({ ...values, scenario: positionals[0] });
 }
 
+function runByName(name: string, options: ScaleOptions): Promise<RunResult> {
+  const scenario = SCENARIOS.get(name);
+  return scenario === undefined ? runScale(options) : runScenario({ ...options, scenario });
+}
+
 /** Runs the command; returns the exit code. */
 export async function runCommand(args: string[]): Promise<number> {
   const options = readOptions(args);
@@ -47,8 +56,7 @@
   }
   const { scenario: name, seed, policy, routers, seconds, logs, json } = options.data;
   const progress = createProgress(`${name} ${policy}`);
-  const result = await runScenario({
-    scenario: SCENARIOS.get(name) as NonNullable<ReturnType<typeof SCENARIOS.get>>,
+  const result = await runByName(name, {
     seed,
     policy,
     routers,
--- a/packages/bench/src/report/describe.ts
+++ b/packages/bench/src/report/describe.ts
@@ -1,5 +1,5 @@
 /** A run's figures as text. */
-import type { RunResult, RunSummary } from '../run/index.js';
+import type { RunResult, RunSummary, ScaleFigures, ScalePoint, ScaleSlopes } from '../run/index.js';
 
 /** A figure to three significant digits; a dash for none. */
 export function formatFigure(value: number | null): string {
@@ -36,6 +36,31 @@
   return `${scenario}-${policy}-${routers}r-${seed}`;
 }
 
+function describePoint(point: ScalePoint): string {
+  return (
+    `  ${point.routers} routers, ${point.accounts} accounts: ` +
+    `${formatFigure(point.bytesPerNodePerSecond)} B/s a node, ` +
+    `${formatFigure(point.bytesPerRouterPerSecond)} B/s a router, ` +
+    `${formatFigure(point.cpuPercentOfCore)}% of a core, ${formatFigure(point.peakRssMb)} MB`
+  );
+}
+
+function describeSlopes(name: string, slopes: ScaleSlopes): string {
+  const figures = Object.entries(slopes).map(
+    ([field, value]) => `${field} ${formatFigure(value as number)}`,
+  );
+  return `  slopes ${name}: ${figures.join(', ')}`;
+}
+
+function describeScale(scale: ScaleFigures | undefined): string[] {
+  if (scale === undefined) return [];
+  return [
+    ...[...scale.byRouters, ...scale.byAccounts].map(describePoint),
+    describeSlopes('per router', scale.perRouter),
+    describeSlopes('per account', scale.perAccount),
+  ];
+}
+
 /** Lines that describe a result to a reader. */
 export function describeResult({ summary, details }: RunResult): string[] {
   const baseline = details.baselineFirstTokenMs;
@@ -51,5 +76,6 @@
     ...details.outcomes.map(({ outcome, code, count }) => `  ${outcome} ${code}: ${count}`),
     ...(baseline === null ? [] : [`  without the flood: p95 ${formatFigure(baseline.p95)} ms`]),
     ...details.notes.map((note) => `  ${note}`),
+    ...describeScale(details.scale),
   ];
 }
--- a/packages/bench/src/run/index.ts
+++ b/packages/bench/src/run/index.ts
@@ -1,2 +1,3 @@
 export * from './run-scenario.js';
 export * from './types.js';
+export * from './run-scale.js';
--- a/packages/bench/src/run/run-scenario.ts
+++ b/packages/bench/src/run/run-scenario.ts
@@ -9,7 +9,13 @@
 import { probeAddedFirstToken } from './probe.js';
 import { waitUntilServing } from './readiness.js';
 import { measureSeries } from './series.js';
-import { countOutcomes, firstTokenPercentiles, measurePools, summarise } from './summarise.js';
+import {
+  bytesPerRouter,
+  countOutcomes,
+  firstTokenPercentiles,
+  measurePools,
+  summarise,
+} from './summarise.js';
 import type { RunRecords } from './summarise.js';
 import type { RunResult, RunSummary } from './types.js';
 
@@ -137,7 +143,13 @@
       addedFirstTokenMs: added,
       configInForceMs: { p50: null, max: null },
     },
-    details: { outcomes: countOutcomes(records), pools, baselineFirstTokenMs, notes },
+    details: {
+      controlBytesPerRouterPerSecond: bytesPerRouter(recorded.usage),
+      outcomes: countOutcomes(records),
+      pools,
+      baselineFirstTokenMs,
+      notes,
+    },
     series: measureSeries(pools[0]?.pool ?? '', recorded),
   };
 }
--- a/packages/bench/src/run/summarise.ts
+++ b/packages/bench/src/run/summarise.ts
@@ -112,6 +112,13 @@
   };
 }
 
+/** Control bytes that a router sends on average, per second. */
+export function bytesPerRouter({ nodes, seconds }: FleetUsage): number {
+  const routers = nodes.filter(({ role }) => role === 'router');
+  const bytes = routers.reduce((total, { controlBytes }) => total + controlBytes, 0);
+  return bytes / routers.length / seconds;
+}
+
 /** Counts requests by how they ended, the most frequent first. */
 export function countOutcomes(records: readonly RequestRecord[]): OutcomeCount[] {
   const counts = new Map<string, OutcomeCount>();
--- a/packages/bench/src/run/types.ts
+++ b/packages/bench/src/run/types.ts
@@ -67,14 +67,44 @@
   controlBytesPerNodePerSecond: { atSecond: number; value: number }[];
 }
 
+/** Use of one node, on average, at one size of the fleet. */
+export interface ScalePoint {
+  routers: number;
+  accounts: number;
+  bytesPerNodePerSecond: number;
+  bytesPerRouterPerSecond: number;
+  cpuPercentOfCore: number;
+  peakRssMb: number;
+}
+
+/** Growth of a node's use with the size of the fleet. */
+export interface ScaleSlopes {
+  bytesPerNodePerSecond: number;
+  bytesPerRouterPerSecond: number;
+  cpuPercentOfCore: number;
+  peakRssMb: number;
+}
+
+/** Points of the sweeps and slopes per router and per account. */
+export interface ScaleFigures {
+  byRouters: ScalePoint[];
+  byAccounts: ScalePoint[];
+  perRouter: ScaleSlopes;
+  perAccount: ScaleSlopes;
+}
+
 /** What a result file holds beside the summary. */
 export interface RunDetails {
+  /** Control bytes that a router sends on average, per second. */
+  controlBytesPerRouterPerSecond: number;
   outcomes: OutcomeCount[];
   pools: PoolFigures[];
   /** First-token times of the reported accounts without the flood, where the scenario has one. */
   baselineFirstTokenMs: RunSummary['firstTokenMs'] | null;
   /** Faults that were caused, in order. */
   notes: string[];
+  /** Sweeps, of the scenario `scale` only. */
+  scale?: ScaleFigures;
 }
 
 /** One result file. */
--- a/packages/bench/src/scenarios/index.ts
+++ b/packages/bench/src/scenarios/index.ts
@@ -20,3 +20,4 @@
 );
 
 export * from './types.js';
+export { backlogScenario, lightScenario } from './scale-scenario.js';
--- a/packages/bench/src/scenarios/mixes.ts
+++ b/packages/bench/src/scenarios/mixes.ts
@@ -47,6 +47,11 @@
   ];
 }
 
+/** Chats of middle length alone. */
+export function adviceMix({ model }: Deployment): CallTemplate[] {
+  return [chat(CallKind.ChatStream, model, 1, ADVICE)];
+}
+
 /** Short chats alone. */
 export function noteMix({ model }: Deployment): CallTemplate[] {
   return [chat(CallKind.ChatStream, model, 2, NOTE), chat(CallKind.ChatWhole, model, 1, NOTE)];
