--- a/packages/bench/src/observe/nodes.ts
+++ b/packages/bench/src/observe/nodes.ts
@@ -1,6 +1,6 @@
 /** Samples the metrics of routers and sidecars while a run goes on. */
 import { request } from 'undici';
-import type { FleetProcess } from '../fleet/index.js';
+import type { FleetProcess, ProcessRole } from '../fleet/index.js';
 import { parseMetrics, sumMetric } from '../measure/index.js';
 import type { MetricSample } from '../measure/index.js';
 
@@ -13,7 +13,7 @@
 /** What one node used since sampling began. */
 export interface NodeUsage {
   name: string;
-  role: string;
+  role: ProcessRole;
   controlBytes: number;
   /** Control bytes to other regions; undefined when the node doesn't tell them apart. */
   crossRegionBytes?: number;
--- a/packages/bench/src/report/describe.ts
+++ b/packages/bench/src/report/describe.ts
@@ -41,6 +41,7 @@
     `  ${point.routers} routers, ${point.accounts} accounts: ` +
     `${formatFigure(point.bytesPerNodePerSecond)} B/s a node, ` +
     `${formatFigure(point.bytesPerRouterPerSecond)} B/s a router, ` +
+    `${formatFigure(point.bytesPerSidecarPerSecond)} B/s a sidecar, ` +
     `${formatFigure(point.cpuPercentOfCore)}% of a core, ${formatFigure(point.peakRssMb)} MB`
   );
 }
--- a/packages/bench/src/run/run-scale.ts
+++ b/packages/bench/src/run/run-scale.ts
@@ -18,6 +18,7 @@
     accounts: summary.accounts,
     bytesPerNodePerSecond: summary.controlBytesPerNodePerSecond ?? 0,
     bytesPerRouterPerSecond: details.controlBytesPerRouterPerSecond,
+    bytesPerSidecarPerSecond: details.controlBytesPerSidecarPerSecond,
     cpuPercentOfCore: summary.controlCpuPercentOfCore ?? 0,
     peakRssMb: summary.peakRssMb ?? 0,
   };
@@ -29,6 +30,7 @@
   return {
     bytesPerNodePerSecond: slopeOf('bytesPerNodePerSecond'),
     bytesPerRouterPerSecond: slopeOf('bytesPerRouterPerSecond'),
+    bytesPerSidecarPerSecond: slopeOf('bytesPerSidecarPerSecond'),
     cpuPercentOfCore: slopeOf('cpuPercentOfCore'),
     peakRssMb: slopeOf('peakRssMb'),
   };
@@ -36,7 +38,7 @@
 
 /** Runs both sweeps; the summary is that of the largest number of routers. */
 export async function runScale(options: ScaleOptions): Promise<RunResult> {
-  const { routers: largest = ROUTER_COUNTS.at(-1), onProgress } = options;
+  const { routers: largest = Infinity, onProgress } = options;
   const counts = ROUTER_COUNTS.filter((count) => count <= largest);
   const results: RunResult[] = [];
   for (const routers of counts) {
--- a/packages/bench/src/run/run-scenario.ts
+++ b/packages/bench/src/run/run-scenario.ts
@@ -1,16 +1,17 @@
 /** Runs one scenario on a fleet of its own. */
-import { mergeSettings, startFleet } from '../fleet/index.js';
+import { ProcessRole, mergeSettings, startFleet } from '../fleet/index.js';
 import type { Fleet, Settings, Topology } from '../fleet/index.js';
 import { createLoadClient } from '../load/index.js';
 import type { AccountLoad, LoadClient } from '../load/index.js';
 import { Policy } from '../scenarios/index.js';
 import type { Scenario } from '../scenarios/index.js';
+import { measureConfigSpread } from './config-spread.js';
 import { createFleetBalancer, offerLoad } from './offer-load.js';
 import { probeAddedFirstToken } from './probe.js';
 import { waitUntilServing } from './readiness.js';
 import { measureSeries } from './series.js';
 import {
-  bytesPerRouter,
+  bytesPerNode,
   countOutcomes,
   firstTokenPercentiles,
   measurePools,
@@ -122,11 +123,14 @@
   const run = plan(options);
   const { scenario, seed, policy, routers, seconds } = run;
   const baselineFirstTokenMs = await measureBaseline(run);
-  const { added, recorded, notes } = await withFleet(run, async (fleet, client) => {
+  const measured = await withFleet(run, async (fleet, client) => {
     run.onProgress('asking the idle fleet');
-    const probed = await probeAddedFirstToken(fleet, client, createFleetBalancer(fleet));
-    return { added: probed, ...(await measureLoad(run, fleet, client, scenario.loads)) };
+    const addedFirstTokenMs = await probeAddedFirstToken(fleet, client, createFleetBalancer(fleet));
+    const configInForceMs = await measureConfigSpread(fleet);
+    const offered = await measureLoad(run, fleet, client, scenario.loads);
+    return { addedFirstTokenMs, configInForceMs, ...offered };
   });
+  const { addedFirstTokenMs, configInForceMs, recorded, notes } = measured;
   const pools = measurePools(recorded);
   const { topology, records } = recorded;
   return {
@@ -140,11 +144,12 @@
       accounts: topology.accounts.length,
       ...summarise(recorded, pools),
       firstTokenMs: firstTokenPercentiles(records, scenario.reportedAccounts),
-      addedFirstTokenMs: added,
-      configInForceMs: { p50: null, max: null },
+      addedFirstTokenMs,
+      configInForceMs,
     },
     details: {
-      controlBytesPerRouterPerSecond: bytesPerRouter(recorded.usage),
+      controlBytesPerRouterPerSecond: bytesPerNode(recorded.usage, ProcessRole.Router),
+      controlBytesPerSidecarPerSecond: bytesPerNode(recorded.usage, ProcessRole.Sidecar),
       outcomes: countOutcomes(records),
       pools,
       baselineFirstTokenMs,
--- a/packages/bench/src/run/summarise.ts
+++ b/packages/bench/src/run/summarise.ts
@@ -8,7 +8,7 @@
 } from '../measure/index.js';
 import type { BackendRun, Interval, RequestRecord } from '../measure/index.js';
 import type { FleetUsage } from '../observe/index.js';
-import type { Topology } from '../fleet/index.js';
+import type { ProcessRole, Topology } from '../fleet/index.js';
 import type { OutcomeCount, PoolFigures, RunSummary } from './types.js';
 
 /** Everything that was recorded of one run. */
@@ -112,11 +112,11 @@
   };
 }
 
-/** Control bytes that a router sends on average, per second. */
-export function bytesPerRouter({ nodes, seconds }: FleetUsage): number {
-  const routers = nodes.filter(({ role }) => role === 'router');
-  const bytes = routers.reduce((total, { controlBytes }) => total + controlBytes, 0);
-  return bytes / routers.length / seconds;
+/** Control bytes that a node of one role sends on average, per second. */
+export function bytesPerNode({ nodes, seconds }: FleetUsage, role: ProcessRole): number {
+  const ofRole = nodes.filter((node) => node.role === role);
+  const bytes = ofRole.reduce((total, { controlBytes }) => total + controlBytes, 0);
+  return bytes / ofRole.length / seconds;
 }
 
 /** Counts requests by how they ended, the most frequent first. */
--- a/packages/bench/src/run/types.ts
+++ b/packages/bench/src/run/types.ts
@@ -73,6 +73,7 @@
   accounts: number;
   bytesPerNodePerSecond: number;
   bytesPerRouterPerSecond: number;
+  bytesPerSidecarPerSecond: number;
   cpuPercentOfCore: number;
   peakRssMb: number;
 }
@@ -81,6 +82,7 @@
 export interface ScaleSlopes {
   bytesPerNodePerSecond: number;
   bytesPerRouterPerSecond: number;
+  bytesPerSidecarPerSecond: number;
   cpuPercentOfCore: number;
   peakRssMb: number;
 }
@@ -97,6 +99,8 @@
 export interface RunDetails {
   /** Control bytes that a router sends on average, per second. */
   controlBytesPerRouterPerSecond: number;
+  /** Control bytes that a sidecar sends on average, per second. */
+  controlBytesPerSidecarPerSecond: number;
   outcomes: OutcomeCount[];
   pools: PoolFigures[];
   /** First-token times of the reported accounts without the flood, where the scenario has one. */
--- a/packages/bench/src/scenarios/scale-scenario.ts
+++ b/packages/bench/src/scenarios/scale-scenario.ts
@@ -11,6 +11,9 @@
 const LARGE_ACCOUNTS = 3;
 const SECONDS = 12;
 
+/** Links of a sidecar: enough for every router, since there are few sidecars. */
+const MAX_LINKS = 64;
+
 /** Requests per second of the whole fleet in the sweep of routers. */
 const LIGHT_RATE_PER_SECOND = 40;
 
@@ -35,7 +38,10 @@
     description: 'sweeps of routers and of accounts, for slopes',
     defaultRouters: 6,
     defaultSeconds: SECONDS,
-    topology: (routers) => createTopology(deployment, routers),
+    topology: (routers) => ({
+      ...createTopology(deployment, routers),
+      sidecarSettings: { fairness: { max_links: MAX_LINKS } },
+    }),
     loads: loads(deployment.accounts.map(({ id }) => id)),
   };
 }
--- a/packages/bench/test/run/summarise.test.ts
+++ b/packages/bench/test/run/summarise.test.ts
@@ -96,6 +96,7 @@
       },
       details: {
         controlBytesPerRouterPerSecond: 200,
+        controlBytesPerSidecarPerSecond: 0,
         outcomes: [],
         pools,
         baselineFirstTokenMs: null,
