--- a/packages/bench/src/observe/journals.ts
+++ b/packages/bench/src/observe/journals.ts
@@ -24,6 +24,6 @@
 }
 
 /** Runs of every backend server so far. */
-export async function readJournals(fleet: Fleet): Promise<BackendRun[]> {
+export async function readJournals(fleet: Pick<Fleet, 'backends'>): Promise<BackendRun[]> {
   return (await Promise.all(fleet.backends.map(readJournal))).flat();
 }
--- a/packages/bench/src/report/describe.ts
+++ b/packages/bench/src/report/describe.ts
@@ -76,6 +76,7 @@
     ),
     ...details.outcomes.map(({ outcome, code, count }) => `  ${outcome} ${code}: ${count}`),
     ...(baseline === null ? [] : [`  without the flood: p95 ${formatFigure(baseline.p95)} ms`]),
+    `  runs that started on a draining server after 2 s: ${details.lateStarts}`,
     ...details.notes.map((note) => `  ${note}`),
     ...describeScale(details.scale),
   ];
--- a/packages/bench/src/run/offer-load.ts
+++ b/packages/bench/src/run/offer-load.ts
@@ -4,7 +4,7 @@
 import { createBalancer, createRandom, createSchedule, runOpenLoop } from '../load/index.js';
 import type { AccountLoad, Balancer, LoadClient } from '../load/index.js';
 import { readJournals, startNodeSampler } from '../observe/index.js';
-import type { Scenario } from '../scenarios/index.js';
+import type { DrainWindow, Scenario } from '../scenarios/index.js';
 import type { RunRecords } from './summarise.js';
 
 /** What one load needs. */
@@ -17,6 +17,7 @@
   loads: readonly AccountLoad[];
   breakThings?: Scenario['breakThings'];
   note: (text: string) => void;
+  recordDrain: (window: DrainWindow) => void;
   onProgress: (sent: number, answered: number) => void;
 }
 
@@ -33,7 +34,7 @@
 }
 
 function runFaults(options: LoadOptions): Promise<void> {
-  const { fleet, seed, seconds, breakThings, balancer, note } = options;
+  const { fleet, seed, seconds, breakThings, balancer, recordDrain, note } = options;
   if (breakThings === undefined) return Promise.resolve();
   const startMs = performance.now();
   return breakThings({
@@ -41,6 +42,7 @@
     seconds,
     random: createRandom(seed, 'faults'),
     setRouterInUse: balancer.setInUse,
+    recordDrain,
     waitForPart: async (part) => {
       await sleep(Math.max(0, startMs + part * seconds * MS_PER_SECOND - performance.now()));
     },
--- a/packages/bench/src/run/run-scenario.ts
+++ b/packages/bench/src/run/run-scenario.ts
@@ -4,7 +4,7 @@
 import { createLoadClient } from '../load/index.js';
 import type { AccountLoad, LoadClient } from '../load/index.js';
 import { Policy } from '../scenarios/index.js';
-import type { Scenario } from '../scenarios/index.js';
+import type { DrainWindow, Scenario } from '../scenarios/index.js';
 import { measureConfigSpread } from './config-spread.js';
 import { createFleetBalancer, offerLoad } from './offer-load.js';
 import { probeAddedFirstToken } from './probe.js';
@@ -12,6 +12,7 @@
 import { measureSeries } from './series.js';
 import {
   bytesPerNode,
+  countLateStarts,
   countOutcomes,
   firstTokenPercentiles,
   measurePools,
@@ -92,8 +93,9 @@
   fleet: Fleet,
   client: LoadClient,
   loads: readonly AccountLoad[],
-): Promise<{ recorded: RunRecords; notes: string[] }> {
+): Promise<{ recorded: RunRecords; notes: string[]; drains: DrainWindow[] }> {
   const notes: string[] = [];
+  const drains: DrainWindow[] = [];
   const recorded = await offerLoad({
     fleet,
     client,
@@ -103,9 +105,10 @@
     loads,
     breakThings: run.scenario.breakThings,
     note: (text) => notes.push(text),
+    recordDrain: (window) => drains.push(window),
     onProgress: (sent, answered) => run.onProgress(`sent ${sent}, answered ${answered}`),
   });
-  return { recorded, notes };
+  return { recorded, notes, drains };
 }
 
 /** First-token times of the reported accounts on the load without the flood. */
@@ -130,7 +133,7 @@
     const offered = await measureLoad(run, fleet, client, scenario.loads);
     return { addedFirstTokenMs, configInForceMs, ...offered };
   });
-  const { addedFirstTokenMs, configInForceMs, recorded, notes } = measured;
+  const { addedFirstTokenMs, configInForceMs, recorded, notes, drains } = measured;
   const pools = measurePools(recorded);
   const { topology, records } = recorded;
   return {
@@ -153,6 +156,7 @@
       outcomes: countOutcomes(records),
       pools,
       baselineFirstTokenMs,
+      lateStarts: countLateStarts(recorded.runs, drains),
       notes,
     },
     series: measureSeries(pools[0]?.pool ?? '', recorded),
--- a/packages/bench/src/run/summarise.ts
+++ b/packages/bench/src/run/summarise.ts
@@ -9,6 +9,7 @@
 import type { BackendRun, Interval, RequestRecord } from '../measure/index.js';
 import type { FleetUsage } from '../observe/index.js';
 import type { ProcessRole, Topology } from '../fleet/index.js';
+import type { DrainWindow } from '../scenarios/index.js';
 import type { OutcomeCount, PoolFigures, RunSummary } from './types.js';
 
 /** Everything that was recorded of one run. */
@@ -23,6 +24,9 @@
 
 const MS_PER_SECOND = 1000;
 const BYTES_PER_MB = 1024 * 1024;
+/** Time after which a draining backend server must get no new work. */
+const DRAIN_NEWS_MS = 2000;
+
 const DEFAULT_EXCHANGE_PERIOD_MS = 250;
 
 /** Added first-token time that the target allows; a request this long on its way does not wait. */
@@ -119,6 +123,21 @@
   return bytes / ofRole.length / seconds;
 }
 
+/** Runs that started on a draining backend server later than the order allows. */
+export function countLateStarts(
+  runs: readonly BackendRun[],
+  drains: readonly DrainWindow[],
+): number {
+  const isLate = ({ backend, startMs }: BackendRun) =>
+    drains.some(
+      (drain) =>
+        drain.backend === backend &&
+        startMs > drain.startMs + DRAIN_NEWS_MS &&
+        startMs < drain.endMs,
+    );
+  return runs.filter(isLate).length;
+}
+
 /** Counts requests by how they ended, the most frequent first. */
 export function countOutcomes(records: readonly RequestRecord[]): OutcomeCount[] {
   const counts = new Map<string, OutcomeCount>();
--- a/packages/bench/src/run/types.ts
+++ b/packages/bench/src/run/types.ts
@@ -105,6 +105,8 @@
   pools: PoolFigures[];
   /** First-token times of the reported accounts without the flood, where the scenario has one. */
   baselineFirstTokenMs: RunSummary['firstTokenMs'] | null;
+  /** Runs that started on a draining backend server more than 2 s after the order. */
+  lateStarts: number;
   /** Faults that were caused, in order. */
   notes: string[];
   /** Sweeps, of the scenario `scale` only. */
--- a/packages/bench/src/scenarios/fault-scripts.ts
+++ b/packages/bench/src/scenarios/fault-scripts.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { patchBackend, setPlatformFault } from '../fleet/index.js';
 import type { FleetProcess } from '../fleet/index.js';
+import { wallClockMs } from '../load/index.js';
 import type { Random } from '../load/index.js';
 import type { FaultContext } from './types.js';
 
@@ -20,7 +21,7 @@
 
 /** Drains one engine by the configuration, then a router and a sidecar by signal, and brings all back. */
 export async function drainOneOfEach(context: FaultContext): Promise<void> {
-  const { fleet, random, waitForPart, setRouterInUse, note } = context;
+  const { fleet, random, waitForPart, setRouterInUse, recordDrain, note } = context;
   const engine = pick(
     random,
     fleet.topology.backends.filter(({ kind }) => kind === 'engine'),
@@ -33,12 +34,14 @@
 
   await waitForPart(0.2);
   await patchBackend(fleet.platform, engine.id, { draining: true });
+  const startMs = wallClockMs();
   note(`draining ${engine.id} by configuration`);
   await waitForPart(0.4);
   setRouterInUse(router.name, false);
   const routerExit = await router.drain();
   note(`${router.name} drained, exit ${routerExit.code ?? routerExit.signal}`);
   await waitForPart(0.55);
+  recordDrain({ backend: engine.id, startMs, endMs: wallClockMs() });
   await patchBackend(fleet.platform, engine.id, { draining: false });
   note(`${engine.id} takes work again`);
   await router.restart();
--- a/packages/bench/src/scenarios/types.ts
+++ b/packages/bench/src/scenarios/types.ts
@@ -11,6 +11,13 @@
 } as const;
 export type Policy = (typeof Policy)[keyof typeof Policy];
 
+/** Time in which a backend server should take no new work. */
+export interface DrainWindow {
+  backend: string;
+  startMs: number;
+  endMs: number;
+}
+
 /** What a fault script may use. */
 export interface FaultContext {
   fleet: Fleet;
@@ -21,6 +28,8 @@
   waitForPart: (part: number) => Promise<void>;
   /** Takes a router out of the callers' choice, or puts it back. */
   setRouterInUse: (name: string, isInUse: boolean) => void;
+  /** Tells that a backend server was asked to drain at a time, and was let in again at another; wall clock. */
+  recordDrain: (window: DrainWindow) => void;
   /** Notes what was done, for the result. */
   note: (text: string) => void;
 }
--- a/packages/bench/test/run/summarise.test.ts
+++ b/packages/bench/test/run/summarise.test.ts
@@ -4,7 +4,7 @@
 import { createTopology } from '../../src/scenarios/topologies.js';
 import { renderReport } from '../../src/report/index.js';
 import { measureSeries } from '../../src/run/series.js';
-import { measureNodes, measurePool, summarise } from '../../src/run/summarise.js';
+import { countLateStarts, measureNodes, measurePool, summarise } from '../../src/run/summarise.js';
 import type { RunRecords } from '../../src/run/summarise.js';
 import type { RequestRecord } from '../../src/measure/index.js';
 
@@ -62,6 +62,18 @@
   assert.equal(figures.strictUtilisation, 3.5 / 256);
 });
 
+test('a start is late from 2 s after the order until the server may work again', () => {
+  const startedAt = (startMs: number, backend = 'engine-1') => ({
+    id: 'x',
+    backend,
+    startMs,
+    endMs: startMs + 1,
+  });
+  const drains = [{ backend: 'engine-1', startMs: 1000, endMs: 9000 }];
+  const runs = [500, 2900, 3100, 8900, 9100].map((at) => startedAt(at));
+  assert.equal(countLateStarts([...runs, startedAt(4000, 'engine-2')], drains), 2);
+});
+
 test('use of nodes is per node and second', () => {
   assert.deepEqual(measureNodes(recorded.usage), {
     controlBytesPerNodePerSecond: 100,
@@ -100,6 +112,7 @@
         outcomes: [],
         pools,
         baselineFirstTokenMs: null,
+        lateStarts: 0,
         notes: [],
       },
       series,
