--- /dev/null
+++ b/packages/core/src/journal/index.ts
@@ -0,0 +1,2 @@
+export * from './attempt-journal.js';
+export * from './types.js';
--- a/packages/core/src/protocol/messages.ts
+++ b/packages/core/src/protocol/messages.ts
@@ -95,9 +95,10 @@
   refundMs: finite,
 });
 
-/** Either to its peers: takes no new work from now on. */
+/** Either to its peers: whether it takes no new work from now on. */
 export const leavingSchema = z.object({
   kind: z.literal('leaving'),
+  leaving: z.boolean(),
 });
 
 /** Router to its peers: routers it knows. */
--- /dev/null
+++ b/packages/core/src/router/demand.ts
@@ -0,0 +1,111 @@
+/** Tells sidecars who waits at this router, with few messages. */
+import { poolVirtualTimeMs, virtualTimeMs } from '../fairness/index.js';
+import type { DemandEntry } from '../protocol/index.js';
+import { headRequest, poolQueue } from './queues.js';
+import type { RouterEffect, RouterState, SidecarView } from './types.js';
+
+/** Virtual times that differ by less than this part of the head's cost are not worth a message. */
+const WORTHWHILE_PART = 0.25;
+
+/** Sends to the sidecars of a pool which accounts began to wait, or wait unknown to the sidecar. */
+export function sendUrgentDemand(state: RouterState, pool: string, nowMs: number): RouterEffect[] {
+  const effects: RouterEffect[] = [];
+  state.sidecars.forEach((sidecar) => {
+    if (sidecar.pool !== pool || sidecar.leaving) return;
+    if (isUrgent(state, sidecar)) effects.push(...sendDemand(state, sidecar, nowMs));
+  });
+  return effects;
+}
+
+/** Sends what has changed to each sidecar whose last demand message is a period old. */
+export function refreshDemand(state: RouterState, nowMs: number): RouterEffect[] {
+  const effects: RouterEffect[] = [];
+  state.sidecars.forEach((sidecar) => {
+    if (sidecar.leaving || nowMs - sidecar.lastDemandMs < state.options.demandPeriodMs) return;
+    effects.push(...sendDemand(state, sidecar, nowMs));
+  });
+  return effects;
+}
+
+/** Updates the sidecar after one of its grants was used, when its picture has become wrong. */
+export function demandAfterGrant(
+  state: RouterState,
+  sidecar: SidecarView,
+  nowMs: number,
+): RouterEffect[] {
+  return isUrgent(state, sidecar) ? sendDemand(state, sidecar, nowMs) : [];
+}
+
+/** Keeps the picture of what the sidecar believes in step with its own grants. */
+export function noteGrant(sidecar: SidecarView, account: string, addedMs: number): void {
+  const sent = sidecar.sent.get(account);
+  if (!sent) return;
+  sent.waiting -= 1;
+  sent.virtualTimeMs += addedMs;
+}
+
+function isUrgent(state: RouterState, sidecar: SidecarView): boolean {
+  const accounts = [...poolQueue(state, sidecar.pool).accounts.keys()];
+  return accounts.some((account) => (sidecar.sent.get(account)?.waiting ?? 0) <= 0);
+}
+
+function sendDemand(state: RouterState, sidecar: SidecarView, nowMs: number): RouterEffect[] {
+  const entries = changedEntries(state, sidecar, nowMs);
+  if (entries.length === 0) return [];
+  sidecar.lastDemandMs = nowMs;
+  entries.forEach((entry) => {
+    if (entry.waiting === 0) sidecar.sent.delete(entry.account);
+    else sidecar.sent.set(entry.account, entry);
+  });
+  const message = {
+    kind: 'demand' as const,
+    full: false,
+    poolVirtualTimeMs: Math.round(poolVirtualTimeMs(state.ledger, sidecar.pool)),
+    entries: entries.map((entry) => ({ ...entry })),
+  };
+  return [{ kind: 'send', link: sidecar.link, message }];
+}
+
+function changedEntries(state: RouterState, sidecar: SidecarView, nowMs: number): DemandEntry[] {
+  const { accounts } = poolQueue(state, sidecar.pool);
+  const entries: DemandEntry[] = [];
+  accounts.forEach((queue, account) => {
+    const entry = demandEntry(state, sidecar.pool, account, queue.length, nowMs);
+    if (entry && isWorthSending(sidecar, entry)) entries.push(entry);
+  });
+  sidecar.sent.forEach((_sent, account) => {
+    if (!accounts.has(account)) entries.push(goneEntry(account));
+  });
+  return entries;
+}
+
+function isWorthSending(sidecar: SidecarView, entry: DemandEntry): boolean {
+  const sent = sidecar.sent.get(entry.account);
+  if (!sent || sent.waiting <= 0) return true;
+  if (entry.waiting >= 2 * sent.waiting || sent.waiting >= 2 * entry.waiting) return true;
+  const driftMs = Math.abs(entry.virtualTimeMs - sent.virtualTimeMs);
+  return driftMs > (WORTHWHILE_PART * entry.estimateMs) / entry.share;
+}
+
+function demandEntry(
+  state: RouterState,
+  pool: string,
+  account: string,
+  waiting: number,
+  nowMs: number,
+): DemandEntry | null {
+  const head = headRequest(state, pool, account);
+  if (!head) return null;
+  return {
+    account,
+    virtualTimeMs: Math.round(virtualTimeMs(state.ledger, pool, account, head.share)),
+    waiting,
+    oldestMs: Math.round(nowMs - head.arrivedAtMs),
+    estimateMs: Math.round(head.estimateMs),
+    share: head.share,
+  };
+}
+
+function goneEntry(account: string): DemandEntry {
+  return { account, virtualTimeMs: 0, waiting: 0, oldestMs: 0, estimateMs: 0, share: 1 };
+}
--- /dev/null
+++ b/packages/core/src/router/dispatching.ts
@@ -0,0 +1,131 @@
+/** Sends waiting requests to sidecars: into granted slots, on standing credits, or pushed under the naive policy. */
+import { advancePoolTime, chargeService, virtualTimeMs } from '../fairness/index.js';
+import { demandAfterGrant, noteGrant } from './demand.js';
+import { dequeue, leastServedHead } from './queues.js';
+import { RequestState } from './types.js';
+import type {
+  RouterAttempt,
+  RouterEffect,
+  RouterRequest,
+  RouterState,
+  SidecarView,
+} from './types.js';
+
+const DISTANCE_RANK = { 'same-zone': 0, 'same-region': 1, 'other-region': 2 } as const;
+
+/** Uses a grant for the least served waiting account, or declines it. */
+export function useGrant(
+  state: RouterState,
+  sidecar: SidecarView,
+  grant: number,
+  granted: string,
+  nowMs: number,
+): RouterEffect[] {
+  const req = leastServedHead(state, sidecar.pool);
+  if (!req) {
+    sidecar.sent.delete(granted);
+    return [{ kind: 'send', link: sidecar.link, message: { kind: 'decline', grant } }];
+  }
+  noteGrant(sidecar, granted, req.estimateMs / req.share);
+  const dispatched = dispatch(state, sidecar, req, grant, nowMs);
+  return [dispatched, ...demandAfterGrant(state, sidecar, nowMs)];
+}
+
+/** Dispatches waiting requests of a pool on credits, least served first, while credits last. */
+export function useCredits(state: RouterState, pool: string, nowMs: number): RouterEffect[] {
+  const effects: RouterEffect[] = [];
+  for (;;) {
+    const req = leastServedHead(state, pool);
+    const sidecar = req && creditedSidecar(state, pool);
+    if (!req || !sidecar) return effects;
+    sidecar.creditsUsed += 1;
+    effects.push(dispatch(state, sidecar, req, 'credit', nowMs));
+  }
+}
+
+/** Pushes a request to a sidecar chosen at random, the naive policy. */
+export function pushAtRandom(
+  state: RouterState,
+  req: RouterRequest,
+  seed: number,
+  nowMs: number,
+): RouterEffect[] {
+  const candidates = poolSidecars(state, req.pool);
+  const sidecar = candidates[Math.floor(seed * candidates.length)];
+  return sidecar ? [dispatch(state, sidecar, req, 'push', nowMs)] : [];
+}
+
+function poolSidecars(state: RouterState, pool: string): SidecarView[] {
+  return [...state.sidecars.values()].filter((s) => s.pool === pool && !s.leaving);
+}
+
+/** The nearest sidecar with credits left; among equals the one with the most. */
+function creditedSidecar(state: RouterState, pool: string): SidecarView | null {
+  let best: SidecarView | null = null;
+  poolSidecars(state, pool).forEach((sidecar) => {
+    if (creditsLeft(sidecar) <= 0) return;
+    if (!best || isBetter(sidecar, best)) best = sidecar;
+  });
+  return best;
+}
+
+function creditsLeft(sidecar: SidecarView): number {
+  return sidecar.credits - sidecar.creditsUsed;
+}
+
+function isBetter(a: SidecarView, b: SidecarView): boolean {
+  const byDistance = DISTANCE_RANK[a.distance] - DISTANCE_RANK[b.distance];
+  return byDistance === 0 ? creditsLeft(a) > creditsLeft(b) : byDistance < 0;
+}
+
+function dispatch(
+  state: RouterState,
+  sidecar: SidecarView,
+  req: RouterRequest,
+  grant: number | 'credit' | 'push',
+  nowMs: number,
+): RouterEffect {
+  const startTagMs = virtualTimeMs(state.ledger, req.pool, req.account, req.share);
+  advancePoolTime(state.ledger, req.pool, startTagMs);
+  dequeue(state, req);
+  const attempt = `${state.options.incarnation}.${state.nextAttempt}`;
+  state.nextAttempt += 1;
+  const creditEpoch = grant === 'credit' ? sidecar.creditEpoch : null;
+  state.attempts.set(attempt, newAttempt(attempt, req, sidecar, creditEpoch, nowMs));
+  chargeService(state.ledger, req.pool, req.account, req.estimateMs);
+  req.state = RequestState.Dispatched;
+  req.attempt = attempt;
+  return {
+    kind: 'dispatch',
+    request: req.request,
+    attempt,
+    dataUrl: sidecar.dataUrl,
+    backend: sidecar.backend,
+    sidecarIncarnation: sidecar.incarnation,
+    grant,
+    estimateMs: req.estimateMs,
+  };
+}
+
+function newAttempt(
+  attempt: string,
+  req: RouterRequest,
+  sidecar: SidecarView,
+  creditEpoch: number | null,
+  nowMs: number,
+): RouterAttempt {
+  return {
+    attempt,
+    request: req.request,
+    link: sidecar.link,
+    dataUrl: sidecar.dataUrl,
+    sidecarIncarnation: sidecar.incarnation,
+    dispatchedAtMs: nowMs,
+    chargedMs: req.estimateMs,
+    creditEpoch,
+    relayedBytes: 0,
+    headRelayed: false,
+    askUntilMs: 0,
+    askAgainAtMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/core/src/router/index.ts
@@ -0,0 +1,2 @@
+export * from './router-reducer.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/core/src/router/types.ts
@@ -0,0 +1,192 @@
+/** State, events and effects of the router's reducer. */
+import type { CostEstimator, Ledger } from '../fairness/index.js';
+import type { AttemptOutcome } from '../journal/index.js';
+import type { Distance, LinkMessage } from '../protocol/index.js';
+import type { Policy } from '../sidecar/index.js';
+
+/** Fixed properties of one router. */
+export interface RouterOptions {
+  incarnation: string;
+  /** @default 'fair' */
+  policy: Policy;
+  /** Period of demand refreshes to each sidecar, in milliseconds. @default 1000 */
+  demandPeriodMs: number;
+  /** How long the router asks for the outcome of a lost attempt, in milliseconds. @default 5000 */
+  outcomeTimeoutMs: number;
+  /** Attempts that may have run, per request, before the router gives up. @default 3 */
+  maxTries: number;
+  /** No account lags its pool's virtual time by more than this, in milliseconds of slot time per share. @default 60000 */
+  lagBoundMs: number;
+}
+
+/** Where a request stands. */
+export const RequestState = {
+  Waiting: 'waiting',
+  /** An attempt is on its way or running. */
+  Dispatched: 'dispatched',
+  /** The attempt's connection broke; the router asks the sidecar's journal. */
+  Asking: 'asking',
+} as const;
+export type RequestState = (typeof RequestState)[keyof typeof RequestState];
+
+/** What the router knows of a caller's request on arrival. */
+export interface RequestInfo {
+  /** Unique in this router incarnation. */
+  request: string;
+  account: string;
+  service: string;
+  pool: string;
+  /** Share of the account. */
+  share: number;
+  /** Whether it may run more than once. */
+  idempotent: boolean;
+  /** Hints for the cost. */
+  promptTokens?: number;
+  maxTokens?: number;
+  bodyBytes?: number;
+  /** Longest wait in the queue, in milliseconds. */
+  queueTimeoutMs: number;
+  /** Requests of the account that may wait in this pool. */
+  maxQueued: number;
+}
+
+/** A request inside the router. */
+export interface RouterRequest extends RequestInfo {
+  state: RequestState;
+  arrivedAtMs: number;
+  estimateMs: number;
+  /** Current attempt, or null while waiting for the first. */
+  attempt: string | null;
+  /** Attempts that may have run. */
+  tries: number;
+}
+
+/** An attempt that the router dispatched. */
+export interface RouterAttempt {
+  attempt: string;
+  request: string;
+  link: string;
+  dataUrl: string;
+  sidecarIncarnation: string;
+  dispatchedAtMs: number;
+  /** What the account has been charged for it so far, in milliseconds of slot time. */
+  chargedMs: number;
+  /** Whether a standing credit paid for it, and which credits message it belongs to. */
+  creditEpoch: number | null;
+  /** Bytes of the answer that the caller has got. */
+  relayedBytes: number;
+  /** Whether the answer's head has reached the caller. */
+  headRelayed: boolean;
+  /** While asking: when to stop and when to ask next. */
+  askUntilMs: number;
+  askAgainAtMs: number;
+}
+
+/** What a sidecar was last told of one account, changed by its own grants since. */
+export interface SentDemand {
+  waiting: number;
+  virtualTimeMs: number;
+}
+
+/** A sidecar as the router sees it. */
+export interface SidecarView {
+  link: string;
+  backend: string;
+  pool: string;
+  dataUrl: string;
+  incarnation: string;
+  distance: Distance;
+  leaving: boolean;
+  credits: number;
+  creditsUsed: number;
+  creditEpoch: number;
+  sent: Map<string, SentDemand>;
+  lastDemandMs: number;
+}
+
+/** Requests of one pool that wait, by account, oldest first. */
+export interface PoolQueue {
+  accounts: Map<string, string[]>;
+}
+
+/** State of the router's reducer. */
+export interface RouterState {
+  options: RouterOptions;
+  sidecars: Map<string, SidecarView>;
+  pools: Map<string, PoolQueue>;
+  requests: Map<string, RouterRequest>;
+  attempts: Map<string, RouterAttempt>;
+  ledger: Ledger;
+  estimator: CostEstimator;
+  nextAttempt: number;
+  /** Retries that the router may still make; grows with requests. */
+  retryBudget: number;
+  stopping: boolean;
+}
+
+/** Why a request was refused; also the `code` of the JSON answer. */
+export const RefusalCode = {
+  QueueFull: 'queue_full',
+  QueueTimeout: 'queue_timeout',
+  ShuttingDown: 'shutting_down',
+  RetriesExhausted: 'retries_exhausted',
+  OutcomeUnknown: 'outcome_unknown',
+} as const;
+export type RefusalCode = (typeof RefusalCode)[keyof typeof RefusalCode];
+
+/** What the router learned about a lost attempt; `unreachable` when the sidecar did not answer. */
+export type LearnedOutcome = AttemptOutcome | 'unreachable';
+
+/** Events of the router. `nowMs` is a monotonic clock. */
+export type RouterEvent =
+  | { kind: 'request-arrived'; nowMs: number; info: RequestInfo; seed: number }
+  | { kind: 'request-gone'; nowMs: number; request: string }
+  | {
+      kind: 'sidecar-linked';
+      nowMs: number;
+      link: string;
+      backend: string;
+      pool: string;
+      dataUrl: string;
+      incarnation: string;
+      distance: Distance;
+    }
+  | { kind: 'sidecar-unlinked'; nowMs: number; link: string }
+  | { kind: 'message'; nowMs: number; link: string; message: LinkMessage }
+  | { kind: 'attempt-refused'; nowMs: number; attempt: string; reason: string }
+  | { kind: 'attempt-ended'; nowMs: number; attempt: string; slotMs: number }
+  | {
+      kind: 'attempt-lost';
+      nowMs: number;
+      attempt: string;
+      relayedBytes: number;
+      headRelayed: boolean;
+    }
+  | { kind: 'outcome-learned'; nowMs: number; attempt: string; outcome: LearnedOutcome }
+  | { kind: 'stop'; nowMs: number }
+  | { kind: 'tick'; nowMs: number };
+
+/** Effects of the router. */
+export type RouterEffect =
+  | { kind: 'send'; link: string; message: LinkMessage }
+  | {
+      kind: 'dispatch';
+      request: string;
+      attempt: string;
+      dataUrl: string;
+      backend: string;
+      sidecarIncarnation: string;
+      grant: number | 'credit' | 'push';
+      estimateMs: number;
+    }
+  | {
+      kind: 'refuse';
+      request: string;
+      code: RefusalCode;
+      ran: 'no' | 'unknown';
+      retryAfterMs: number | null;
+    }
+  | { kind: 'cancel'; attempt: string; dataUrl: string }
+  | { kind: 'ask-outcome'; attempt: string; dataUrl: string; sidecarIncarnation: string }
+  | { kind: 'resume'; request: string; attempt: string; dataUrl: string; offset: number }
+  | { kind: 'stopped' };
--- /dev/null
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -0,0 +1,305 @@
+/**
+ * Reducer of the sidecar: sole way to one backend server. It admits attempts into slots, grants free slots to the client
+ * account of least virtual time, and keeps the attempt journal.
+ */
+import {
+  AttemptState,
+  askOutcome,
+  createAttemptJournal,
+  expireAttempts,
+  isNewAttempt,
+  recordAttempt,
+} from '../journal/index.js';
+import type { Reducer } from '../loop/index.js';
+import type { LinkMessage } from '../protocol/index.js';
+import { handOutSlots } from './granting.js';
+import { freeSlots, hasDemand, isDraining, observeSlotTime } from './slots.js';
+import { settleOrphan } from './settlement.js';
+import { NotRunReason, Policy } from './types.js';
+import type {
+  ActiveAttempt,
+  AttemptOffer,
+  SidecarEffect,
+  SidecarEvent,
+  SidecarOptions,
+  SidecarState,
+} from './types.js';
+
+type EventOf<K extends SidecarEvent['kind']> = Extract<SidecarEvent, { kind: K }>;
+type MessageOf<K extends LinkMessage['kind']> = Extract<LinkMessage, { kind: K }>;
+type Handlers = {
+  [K in SidecarEvent['kind']]: (state: SidecarState, event: EventOf<K>) => SidecarEffect[];
+};
+
+/** Creates the state of a sidecar that has heard of nobody yet. */
+export function createSidecarState(
+  options: Partial<SidecarOptions> & Pick<SidecarOptions, 'backend' | 'pool' | 'slots'>,
+): SidecarState {
+  return {
+    options: {
+      policy: Policy.Fair,
+      grantTtlMs: 1000,
+      orphanGraceMs: 3000,
+      journalKeepMs: 120_000,
+      ...options,
+    },
+    routers: new Map(),
+    grants: new Map(),
+    staged: [],
+    active: new Map(),
+    running: 0,
+    journal: createAttemptJournal(),
+    poolVirtualTimeMs: 0,
+    meanSlotMs: 0,
+    nextGrant: 1,
+    stopping: false,
+    drained: false,
+    synced: false,
+  };
+}
+
+const messageHandlers: {
+  [K in LinkMessage['kind']]?: (state: SidecarState, link: string, message: MessageOf<K>) => void;
+} = {
+  demand: (state, link, message) => {
+    const router = state.routers.get(link);
+    if (!router) return;
+    if (message.full) router.demand.clear();
+    message.entries.forEach((entry) => {
+      if (entry.waiting > 0) router.demand.set(entry.account, { ...entry });
+      else router.demand.delete(entry.account);
+    });
+    state.poolVirtualTimeMs = Math.max(state.poolVirtualTimeMs, message.poolVirtualTimeMs);
+  },
+
+  decline: (state, link, message) => {
+    const granted = state.grants.get(message.grant);
+    if (!granted || granted.link !== link) return;
+    state.grants.delete(message.grant);
+    state.routers.get(link)?.demand.delete(granted.account);
+  },
+
+  leaving: (state, link, message) => {
+    const router = state.routers.get(link);
+    if (!router) return;
+    router.leaving = message.leaving;
+    if (router.leaving) router.demand.clear();
+  },
+};
+
+const handlers: Handlers = {
+  'link-opened': (state, { link, router, incarnation, distance }) => {
+    state.routers.set(link, {
+      link,
+      router,
+      incarnation,
+      distance,
+      rttMs: 0,
+      leaving: false,
+      demand: new Map(),
+      credits: 0,
+    });
+    return isDraining(state) ? [leavingTo(link, true)] : [];
+  },
+
+  'link-closed': (state, { link }) => {
+    state.routers.delete(link);
+    releaseGrants(state, (granted) => granted.link === link);
+    return [];
+  },
+
+  message: (state, { link, message }) => {
+    const router = state.routers.get(link);
+    const handle = messageHandlers[message.kind] as
+      ((s: SidecarState, l: string, m: LinkMessage) => void) | undefined;
+    if (router && handle) handle(state, link, message);
+    return [];
+  },
+
+  'attempt-offered': (state, { offer, nowMs }) => {
+    const reason = refusalReason(state, offer);
+    if (reason) {
+      if (isNewAttempt(state.journal, offer.attempt)) {
+        recordAttempt(state.journal, offer.attempt, AttemptState.Barred, nowMs);
+      }
+      return [{ kind: 'refuse', attempt: offer.attempt, reason }];
+    }
+    if (typeof offer.grant === 'number') state.grants.delete(offer.grant);
+    admit(state, offer, nowMs);
+    return [];
+  },
+
+  'attempt-ended': (state, { attempt, ran, nowMs }) => {
+    const active = state.active.get(attempt);
+    if (!active) return [];
+    const effects = settleOrphan(state, active, nowMs);
+    endAttempt(state, active, ran ? AttemptState.Finished : AttemptState.Barred, nowMs);
+    return effects;
+  },
+
+  'attempt-orphaned': (state, { attempt, nowMs }) => {
+    const active = state.active.get(attempt);
+    if (active) active.orphanedAtMs = nowMs;
+    return [];
+  },
+
+  'attempt-resumed': (state, { attempt }) => {
+    const active = state.active.get(attempt);
+    if (active) active.orphanedAtMs = null;
+    return [];
+  },
+
+  'attempt-cancelled': (state, { attempt, nowMs }) => {
+    const active = state.active.get(attempt);
+    return active ? cancelAttempt(state, active, nowMs) : [];
+  },
+
+  'outcome-asked': (state, { attempt, ask, sameIncarnation, nowMs }) => {
+    const outcome = askOutcome(state.journal, attempt, sameIncarnation, nowMs);
+    return [{ kind: 'tell-outcome', ask, outcome }];
+  },
+
+  'round-trips': (state, { roundTrips }) => {
+    roundTrips.forEach(({ link, rttMs }) => {
+      const router = state.routers.get(link);
+      if (router) router.rttMs = rttMs;
+    });
+    return [];
+  },
+
+  configured: (state, { pool, slots, draining }) => {
+    state.options.pool = pool;
+    state.options.slots = slots;
+    return changeDraining(state, () => {
+      state.drained = draining;
+    });
+  },
+
+  'backend-synced': (state) => {
+    state.synced = true;
+    return [];
+  },
+
+  'backend-lost': (state) => {
+    state.synced = false;
+    return [];
+  },
+
+  stop: (state) =>
+    changeDraining(state, () => {
+      state.stopping = true;
+    }),
+
+  tick: (state, { nowMs }) => {
+    releaseGrants(state, (granted) => granted.expiresAtMs <= nowMs);
+    const forgotten = expireAttempts(state.journal, nowMs, state.options.journalKeepMs);
+    const effects: SidecarEffect[] = forgotten.map((attempt) => ({
+      kind: 'forget-answer',
+      attempt,
+    }));
+    [...state.active.values()].forEach((active) => {
+      if (active.orphanedAtMs === null) return;
+      if (nowMs - active.orphanedAtMs < state.options.orphanGraceMs) return;
+      effects.push(...cancelAttempt(state, active, nowMs));
+    });
+    return effects;
+  },
+};
+
+/** Applies one event. */
+export const sidecarReducer: Reducer<SidecarState, SidecarEvent, SidecarEffect> = (
+  state,
+  event,
+) => {
+  const handle = handlers[event.kind] as (s: SidecarState, e: SidecarEvent) => SidecarEffect[];
+  const effects = handle(state, event);
+  effects.push(...startStaged(state, event.nowMs));
+  effects.push(...handOutSlots(state, event.nowMs));
+  if (state.stopping && state.active.size === 0) effects.push({ kind: 'stopped' });
+  return { state, effects };
+};
+
+function refusalReason(state: SidecarState, offer: AttemptOffer): NotRunReason | null {
+  if (!isNewAttempt(state.journal, offer.attempt)) return NotRunReason.Barred;
+  if (!state.synced) return NotRunReason.NotReady;
+  if (typeof offer.grant === 'number') {
+    return state.grants.has(offer.grant) ? null : NotRunReason.LateGrant;
+  }
+  if (isDraining(state)) return NotRunReason.Draining;
+  if (offer.grant === 'push')
+    return state.options.policy === Policy.Naive ? null : NotRunReason.Full;
+  return freeSlots(state) > 0 && !hasDemand(state) ? null : NotRunReason.Full;
+}
+
+function admit(state: SidecarState, offer: AttemptOffer, nowMs: number): void {
+  recordAttempt(state.journal, offer.attempt, AttemptState.Staged, nowMs);
+  state.staged.push(offer.attempt);
+  state.active.set(offer.attempt, {
+    attempt: offer.attempt,
+    account: offer.account,
+    incarnation: offer.incarnation,
+    estimateMs: offer.estimateMs,
+    startedAtMs: null,
+    orphanedAtMs: null,
+  });
+}
+
+function startStaged(state: SidecarState, nowMs: number): SidecarEffect[] {
+  const effects: SidecarEffect[] = [];
+  while (state.running < state.options.slots && state.staged.length > 0) {
+    const attempt = state.staged.shift() as string;
+    const active = state.active.get(attempt) as ActiveAttempt;
+    active.startedAtMs = nowMs;
+    state.running += 1;
+    recordAttempt(state.journal, attempt, AttemptState.Running, nowMs);
+    effects.push({ kind: 'run', attempt });
+  }
+  return effects;
+}
+
+function endAttempt(
+  state: SidecarState,
+  active: ActiveAttempt,
+  finalState: AttemptState,
+  nowMs: number,
+): void {
+  state.active.delete(active.attempt);
+  recordAttempt(state.journal, active.attempt, finalState, nowMs);
+  if (active.startedAtMs === null) {
+    state.staged = state.staged.filter((attempt) => attempt !== active.attempt);
+    return;
+  }
+  state.running -= 1;
+  observeSlotTime(state, nowMs - active.startedAtMs);
+}
+
+/** A staged attempt ends at once; a running one keeps its slot until the backend server has let go of it. */
+function cancelAttempt(state: SidecarState, active: ActiveAttempt, nowMs: number): SidecarEffect[] {
+  if (active.startedAtMs !== null) return [{ kind: 'cancel', attempt: active.attempt }];
+  const effects = settleOrphan(state, active, nowMs);
+  endAttempt(state, active, AttemptState.Barred, nowMs);
+  effects.push({ kind: 'refuse', attempt: active.attempt, reason: NotRunReason.Cancelled });
+  return effects;
+}
+
+function releaseGrants(
+  state: SidecarState,
+  isOver: (granted: { link: string; expiresAtMs: number }) => boolean,
+): void {
+  state.grants.forEach((granted, grant) => {
+    if (isOver(granted)) state.grants.delete(grant);
+  });
+}
+
+function leavingTo(link: string, leaving: boolean): SidecarEffect {
+  return { kind: 'send', link, message: { kind: 'leaving', leaving } };
+}
+
+/** Applies a change of the drain flags and tells all routers when the outcome differs. */
+function changeDraining(state: SidecarState, change: () => void): SidecarEffect[] {
+  const before = isDraining(state);
+  change();
+  const after = isDraining(state);
+  if (before === after) return [];
+  return [...state.routers.keys()].map((link) => leavingTo(link, after));
+}
--- /dev/null
+++ b/packages/fleet/src/repeat.ts
@@ -0,0 +1,34 @@
+/** Repeats a task until closed. */
+
+/** A running repetition. */
+export interface Repetition {
+  close(): void;
+}
+
+/** Runs the task now and again `periodMs` after each end. The task must not reject. */
+export function repeatTask(task: () => Promise<void>, periodMs: number): Repetition {
+  let closed = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  async function run(): Promise<void> {
+    await task();
+    if (!closed) timer = setTimeout(start, periodMs);
+  }
+
+  function start(): void {
+    run().catch((err: unknown) => {
+      // A rejection is a broken invariant: it must end the process.
+      queueMicrotask(() => {
+        throw err;
+      });
+    });
+  }
+
+  start();
+  return {
+    close() {
+      closed = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/callers/authenticate.ts
@@ -0,0 +1,28 @@
+/** Finds the client account that calls, by its API key. */
+import type { Context, Middleware } from 'koa';
+
+import type { AccountRecord, Directory } from '../directory/types.js';
+import { fail } from './errors.js';
+
+/** Sets `ctx.state.caller`, or answers 401. */
+export function authenticate(directory: () => Directory): Middleware {
+  return async (ctx, next) => {
+    const caller = directory().accountOfKey(apiKeyOf(ctx));
+    if (!caller) {
+      fail(ctx, 'unknown_key');
+      return;
+    }
+    ctx.state.caller = caller;
+    await next();
+  };
+}
+
+/** The account that `authenticate` found. */
+export function callerOf(ctx: Context): AccountRecord {
+  return ctx.state.caller as AccountRecord;
+}
+
+function apiKeyOf(ctx: Context): string {
+  const [scheme = '', key = ''] = ctx.get('authorization').split(' ');
+  return scheme.toLowerCase() === 'bearer' ? key : '';
+}
--- /dev/null
+++ b/packages/router/src/callers/caller-app.ts
@@ -0,0 +1,99 @@
+/** Callers' HTTP interface: chat completions, models, plain services. */
+import Router from '@koa/router';
+import { ServiceKind } from '@kingcupsill/core';
+import Koa from 'koa';
+import type { Context } from 'koa';
+
+import type { Directory, ServiceRecord } from '../directory/types.js';
+import { authenticate, callerOf } from './authenticate.js';
+import { parseChatRequest } from './chat-request.js';
+import { fail } from './errors.js';
+import { isIdempotent } from './idempotency.js';
+import { readBody } from './read-body.js';
+import { parseServicePath } from './service-path.js';
+import { createSubmit } from './submit.js';
+import type { SubmitOptions } from './submit.js';
+
+/** What the callers' interface needs. */
+export interface CallerAppOptions extends SubmitOptions {
+  /** Index of the configuration in force. */
+  directory(): Directory;
+  /** Largest request body in bytes. */
+  maxBodyBytes: number;
+}
+
+/** Creates the HTTP application. */
+export function createCallerApp(options: CallerAppOptions): Koa {
+  const { directory, maxBodyBytes } = options;
+  const submit = createSubmit(options);
+
+  /** Reads the body, or answers why not. */
+  async function bodyOf(ctx: Context): Promise<Buffer | null> {
+    const outcome = await readBody(ctx.req, maxBodyBytes);
+    if (outcome.ok) return outcome.body;
+    ctx.res.setHeader('connection', 'close');
+    fail(ctx, outcome.code);
+    return null;
+  }
+
+  /** Finds a service that the caller may reach, or answers why not. */
+  function reachable(ctx: Context, id: string, kind: ServiceKind): ServiceRecord | null {
+    const target = directory().service(id);
+    if (!target || target.service.kind !== kind) {
+      fail(ctx, 'unknown_service');
+      return null;
+    }
+    if (!callerOf(ctx).account.services.includes(id)) {
+      fail(ctx, 'service_not_allowed');
+      return null;
+    }
+    return target;
+  }
+
+  function listModels(ctx: Context): void {
+    const models = directory().servicesOf(callerOf(ctx).account, ServiceKind.Model);
+    const data = models.map(({ id }) => ({ id, object: 'model', owned_by: 'kingcupsill' }));
+    ctx.body = { object: 'list', data };
+  }
+
+  async function completeChat(ctx: Context): Promise<void> {
+    const body = await bodyOf(ctx);
+    if (!body) return;
+    const chat = parseChatRequest(body);
+    if (!chat) {
+      fail(ctx, 'invalid_body');
+      return;
+    }
+    const target = reachable(ctx, chat.model, ServiceKind.Model);
+    if (!target) return;
+    const { promptTokens, maxTokens } = chat;
+    const hints = { promptTokens, maxTokens };
+    submit(ctx, { target, path: ctx.path, body, idempotent: true, hints });
+  }
+
+  async function callService(ctx: Context): Promise<void> {
+    const { service, path } = parseServicePath(ctx.url);
+    const target = reachable(ctx, service, ServiceKind.Plain);
+    if (!target) return;
+    const body = await bodyOf(ctx);
+    if (!body) return;
+    const idempotent = isIdempotent(target.service, ctx.method, path);
+    submit(ctx, { target, path, body, idempotent, hints: { bodyBytes: body.length } });
+  }
+
+  const open = new Router();
+  open.get('/healthz', (ctx) => {
+    ctx.body = 'ok';
+  });
+  const router = new Router();
+  router.get('/v1/models', listModels);
+  router.post('/v1/chat/completions', completeChat);
+  router.all('/services/{*rest}', callService);
+
+  const app = new Koa();
+  app.use(open.routes());
+  app.use(authenticate(directory));
+  app.use(router.routes());
+  app.use((ctx) => fail(ctx, 'not_found'));
+  return app;
+}
--- /dev/null
+++ b/packages/router/src/callers/types.ts
@@ -0,0 +1,31 @@
+/** Callers' requests while the router holds them. */
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+
+/** A caller's request and the answer under way to it. */
+export interface HeldRequest {
+  request: string;
+  account: string;
+  service: string;
+  /** Method and path for the backend server. */
+  method: string;
+  path: string;
+  headers: IncomingHttpHeaders;
+  body: Buffer;
+  res: ServerResponse;
+  /** Head of the answer, while it is held back. */
+  head: AnswerHead | null;
+  /** Bytes received but held back, so that a failure can still be retried. */
+  heldBack: Buffer[];
+  /** Bytes of the answer received from the current attempt. */
+  receivedBytes: number;
+  /** Backend server that answers. */
+  backend: string;
+  /** Whether the caller has got the head. */
+  headRelayed: boolean;
+}
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+}
--- /dev/null
+++ b/packages/router/src/metrics.ts
@@ -0,0 +1,49 @@
+/** Metrics of the router. */
+import type { RouterState } from '@kingcupsill/core';
+import { Counter, Gauge } from 'prom-client';
+import type { Registry } from 'prom-client';
+
+/** Metrics that the router counts as things happen. */
+export interface RouterMetrics {
+  /** Answers to callers by HTTP status. */
+  answered(status: number): void;
+}
+
+/** Registers the router's metrics; gauges read the reducer's state when scraped. */
+export function registerRouterMetrics(registry: Registry, state: () => RouterState): RouterMetrics {
+  const gauges: { name: string; help: string; read(now: RouterState): number }[] = [
+    {
+      name: 'kingcupsill_requests_held',
+      help: 'Requests between arrival and the end of their answer.',
+      read: (now) => now.requests.size,
+    },
+    {
+      name: 'kingcupsill_attempts_open',
+      help: 'Attempts dispatched and not ended.',
+      read: (now) => now.attempts.size,
+    },
+    {
+      name: 'kingcupsill_sidecars_linked',
+      help: 'Sidecars with an open link.',
+      read: (now) => now.sidecars.size,
+    },
+  ];
+  gauges.forEach(({ name, help, read }) => {
+    const gauge = new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read(state()));
+      },
+    });
+    void gauge;
+  });
+  const answers = new Counter({
+    name: 'kingcupsill_answers_total',
+    help: 'Answers to callers, by HTTP status.',
+    labelNames: ['status'],
+    registers: [registry],
+  });
+  return { answered: (status) => answers.inc({ status: String(status) }) };
+}
--- /dev/null
+++ b/packages/router/src/relay/relay.ts
@@ -0,0 +1,137 @@
+/** Sends attempts to sidecars and relays their answers to callers. */
+import type { LearnedOutcome } from '@kingcupsill/core';
+import { AttemptHeader, AttemptOutcome } from '@kingcupsill/core';
+import type { Dispatcher } from 'undici';
+
+import type { HeldRequest } from '../callers/types.js';
+import { finishAnswer, relayChunk, resetAnswer, takeHead } from './answer-writer.js';
+import { createSidecarClient } from './sidecar-client.js';
+import type { Relay, RelayOptions } from './types.js';
+
+/** Errors that come before a byte of the request has left this process. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+
+type SidecarResponse = Dispatcher.ResponseData;
+
+/** Creates the relay. */
+export function createRelay(options: RelayOptions): Relay {
+  const { clock, dispatch, held: findHeld } = options;
+  const client = createSidecarClient(options);
+  const running = new Map<string, AbortController>();
+  const report = createReports(options);
+
+  function begin(attempt: string): AbortSignal {
+    const controller = new AbortController();
+    running.set(attempt, controller);
+    return controller.signal;
+  }
+
+  /** Relays one HTTP answer to its end and reports how it ended. */
+  async function follow(attempt: string, res: SidecarResponse, held: HeldRequest): Promise<void> {
+    const isRead = await relayBody(res, held);
+    const trailers = res.trailers as Record<string, string | undefined>;
+    if (!isRead || trailers[AttemptHeader.Complete] !== '1') {
+      report.lost(attempt, held);
+      return;
+    }
+    report.ended(attempt, Number(trailers[AttemptHeader.SlotMs]));
+    await finishAnswer(held);
+  }
+
+  return {
+    async dispatch(effect) {
+      const { attempt } = effect;
+      const held = findHeld(effect.request);
+      if (!held) {
+        report.refused(attempt, 'caller-gone');
+        return;
+      }
+      resetAnswer(held);
+      const outcome = await client.run(effect, held, begin(attempt)).catch(toError);
+      if (outcome instanceof Error) {
+        if (isNotSent(outcome)) report.refused(attempt, 'unreachable');
+        else report.lost(attempt, held);
+      } else if (outcome.headers[AttemptHeader.NotRun] !== undefined) {
+        await discard(outcome);
+        report.refused(attempt, String(outcome.headers[AttemptHeader.NotRun]));
+      } else if (outcome.statusCode !== 200) {
+        await discard(outcome);
+        report.lost(attempt, held);
+      } else {
+        takeHead(held, outcome, effect);
+        await follow(attempt, outcome, held);
+      }
+      running.delete(attempt);
+    },
+
+    async resume(effect) {
+      const { attempt } = effect;
+      const held = findHeld(effect.request);
+      if (!held) return;
+      const res = await client.readAnswer(effect, begin(attempt));
+      if (res?.statusCode === 200) {
+        if (!held.head) takeHead(held, res, { attempt, backend: held.backend });
+        await follow(attempt, res, held);
+      } else {
+        if (res) await discard(res);
+        if (res?.statusCode === 410) report.learned(attempt, AttemptOutcome.Unknown);
+        else report.lost(attempt, held);
+      }
+      running.delete(attempt);
+    },
+
+    async askOutcome(effect) {
+      report.learned(effect.attempt, await client.askOutcome(effect));
+    },
+
+    async cancel(effect) {
+      const { attempt } = effect;
+      const askedAtMs = clock();
+      running.get(attempt)?.abort();
+      const slotMs = await client.cancel(effect);
+      const nowMs = clock();
+      dispatch({ kind: 'attempt-ended', nowMs, attempt, slotMs: slotMs ?? nowMs - askedAtMs });
+    },
+
+    close: () => client.close(),
+  };
+}
+
+function createReports({ clock, dispatch }: RelayOptions) {
+  return {
+    lost(attempt: string, { receivedBytes, headRelayed }: HeldRequest): void {
+      const nowMs = clock();
+      dispatch({ kind: 'attempt-lost', nowMs, attempt, relayedBytes: receivedBytes, headRelayed });
+    },
+    refused(attempt: string, reason: string): void {
+      dispatch({ kind: 'attempt-refused', nowMs: clock(), attempt, reason });
+    },
+    ended(attempt: string, slotMs: number): void {
+      dispatch({ kind: 'attempt-ended', nowMs: clock(), attempt, slotMs });
+    },
+    learned(attempt: string, outcome: LearnedOutcome): void {
+      dispatch({ kind: 'outcome-learned', nowMs: clock(), attempt, outcome });
+    },
+  };
+}
+
+async function relayBody(res: SidecarResponse, held: HeldRequest): Promise<boolean> {
+  try {
+    for await (const chunk of res.body) await relayChunk(held, chunk as Buffer);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+async function discard(res: SidecarResponse): Promise<void> {
+  await res.body.dump().catch(() => undefined);
+}
+
+function toError(err: unknown): Error {
+  return err instanceof Error ? err : new Error(String(err));
+}
+
+function isNotSent(err: Error): boolean {
+  return NOT_SENT_CODES.has(String((err as { code?: string }).code));
+}
--- /dev/null
+++ b/packages/sidecar/src/attempts/attempt-routes.ts
@@ -0,0 +1,173 @@
+/** HTTP interface between routers and the sidecar: run, resume, ask about and cancel attempts. */
+import type { ServerResponse } from 'node:http';
+import { pipeline } from 'node:stream/promises';
+
+import Router from '@koa/router';
+import type { AttemptOffer, SidecarEvent } from '@kingcupsill/core';
+import { AttemptHeader } from '@kingcupsill/core';
+import Koa from 'koa';
+import type { Context } from 'koa';
+
+import { AnswerEnd } from '../answer/types.js';
+import { readBody } from './read-body.js';
+import type { AttemptRegistry, HeldAttempt } from './types.js';
+
+/** What the routes need. */
+export interface AttemptRoutesOptions {
+  registry: AttemptRegistry;
+  dispatch(event: SidecarEvent): void;
+  clock(): number;
+  /** Token that routers must show. */
+  token: string;
+  /** Incarnation of this sidecar. */
+  incarnation: string;
+  /** Largest request body in bytes. */
+  maxBodyBytes: number;
+}
+
+const TRAILERS = `${AttemptHeader.Complete}, ${AttemptHeader.SlotMs}`;
+
+/** Creates the HTTP application. */
+export function createAttemptApp(options: AttemptRoutesOptions): Koa {
+  const { registry, dispatch, clock, token, incarnation, maxBodyBytes } = options;
+  const router = new Router();
+
+  router.post('/attempts/:id', async (ctx) => {
+    const attempt = String(ctx.params.id);
+    const body = await readBody(ctx.req, maxBodyBytes);
+    if (body === null || registry.get(attempt)) {
+      refuse(ctx, 'barred');
+      return;
+    }
+    const held = registry.add(backendRequest(ctx, attempt, body));
+    dispatch({ kind: 'attempt-offered', nowMs: clock(), offer: offerOf(ctx, attempt) });
+    await held.decided;
+    if (held.refused) {
+      registry.remove(attempt);
+      refuse(ctx, held.refused);
+      return;
+    }
+    await relay(ctx, attempt, held, 0);
+  });
+
+  router.get('/attempts/:id/answer', async (ctx) => {
+    const attempt = String(ctx.params.id);
+    const held = registry.get(attempt);
+    const offset = Number(ctx.query.offset ?? 0);
+    if (!held || held.refused || !canReadFrom(held, offset)) {
+      ctx.status = 410;
+      return;
+    }
+    dispatch({ kind: 'attempt-resumed', nowMs: clock(), attempt });
+    await held.decided;
+    await relay(ctx, attempt, held, offset);
+  });
+
+  router.post('/attempts/:id/outcome', async (ctx) => {
+    const attempt = String(ctx.params.id);
+    const sameIncarnation = ctx.get(AttemptHeader.SidecarIncarnation) === incarnation;
+    const { ask, outcome } = registry.ask();
+    dispatch({ kind: 'outcome-asked', nowMs: clock(), attempt, ask, sameIncarnation });
+    ctx.body = { state: await outcome };
+  });
+
+  router.delete('/attempts/:id', async (ctx) => {
+    const attempt = String(ctx.params.id);
+    const held = registry.get(attempt);
+    dispatch({ kind: 'attempt-cancelled', nowMs: clock(), attempt });
+    if (held) await ended(held);
+    ctx.body = { slotMs: held?.slotMs ?? 0 };
+  });
+
+  async function relay(ctx: Context, attempt: string, held: HeldAttempt, offset: number) {
+    const head = await held.answer.head();
+    ctx.respond = false;
+    const { res } = ctx;
+    if (!head) {
+      res.destroy();
+      return;
+    }
+    writeHead(res, head.status, head.headers);
+    const isRead = await sendAnswer(res, held, offset);
+    if (!isRead) dispatch({ kind: 'attempt-orphaned', nowMs: clock(), attempt });
+  }
+
+  const app = new Koa();
+  app.use(async (ctx, next) => {
+    if (ctx.get(AttemptHeader.Token) !== token) ctx.throw(401);
+    await next();
+  });
+  app.use(router.routes());
+  return app;
+}
+
+function backendRequest(ctx: Context, attempt: string, body: Buffer) {
+  return {
+    attempt,
+    method: ctx.get(AttemptHeader.Method),
+    path: ctx.get(AttemptHeader.Path),
+    headers: ctx.headers as Record<string, string | string[]>,
+    body,
+  };
+}
+
+function offerOf(ctx: Context, attempt: string): AttemptOffer {
+  const grant = ctx.get(AttemptHeader.Grant);
+  return {
+    attempt,
+    incarnation: ctx.get(AttemptHeader.RouterIncarnation),
+    grant: grant === 'credit' || grant === 'push' ? grant : Number(grant),
+    account: decodeURIComponent(ctx.get(AttemptHeader.Account)),
+    estimateMs: Number(ctx.get(AttemptHeader.Estimate)),
+  };
+}
+
+function refuse(ctx: Context, reason: string): void {
+  ctx.status = 409;
+  ctx.set(AttemptHeader.NotRun, reason);
+  ctx.body = { notRun: reason };
+}
+
+function canReadFrom(held: HeldAttempt, offset: number): boolean {
+  if (held.answer.end() === AnswerEnd.Broken) return false;
+  return Number.isInteger(offset) && offset >= held.answer.start();
+}
+
+function writeHead(
+  res: ServerResponse,
+  status: number,
+  headers: Record<string, string | string[]>,
+): void {
+  res.writeHead(200, { ...headers, [AttemptHeader.Status]: String(status), trailer: TRAILERS });
+  res.flushHeaders();
+}
+
+/** Sends the answer from an offset; false when the connection broke. A broken answer gets no trailers and a cut connection. */
+async function sendAnswer(
+  res: ServerResponse,
+  held: HeldAttempt,
+  offset: number,
+): Promise<boolean> {
+  try {
+    await pipeline(held.answer.read(offset), res, { end: false });
+  } catch {
+    return false;
+  }
+  if (held.answer.end() !== AnswerEnd.Whole) {
+    res.destroy();
+    return true;
+  }
+  await ended(held);
+  res.addTrailers({
+    [AttemptHeader.Complete]: '1',
+    [AttemptHeader.SlotMs]: String(Math.round(held.slotMs)),
+  });
+  res.end();
+  return true;
+}
+
+/** Resolves when the attempt's slot is free again. */
+async function ended(held: HeldAttempt): Promise<void> {
+  await held.decided;
+  await held.released;
+}
--- /dev/null
+++ b/packages/sidecar/src/backend/probe.ts
@@ -0,0 +1,18 @@
+/** Looks whether a server accepts connections. */
+import { connect } from 'node:net';
+
+const DEFAULT_HTTP_PORT = 80;
+
+/** Connects and closes at once. */
+export function acceptsConnections(url: string): Promise<boolean> {
+  const { hostname, port } = new URL(url);
+  return new Promise((resolve) => {
+    const socket = connect({ host: hostname, port: Number(port) || DEFAULT_HTTP_PORT });
+    const finish = (accepted: boolean) => {
+      socket.destroy();
+      resolve(accepted);
+    };
+    socket.once('connect', () => finish(true));
+    socket.once('error', () => finish(false));
+  });
+}
