Install signal handlers before a binary starts

Cause: a SIGTERM that came right after the first log line killed the process undrained; the test of the second signal failed 4 of 4 times when run beside the others. Change: start runs one step after the handlers are installed; log lines begin with time and level.

--- a/packages/runtime/src/binary/run-binary.ts
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -71,7 +71,8 @@
   // A reader of the log that has gone is no reason to end.
   process.stdout.on('error', () => {});
   ctx.logger.info('starting', { version });
-  const starting = options.start(ctx);
+  // Started in a later step, so that the signal handlers stand before the first log line of `start`.
+  const starting = Promise.resolve().then(() => options.start(ctx));
   shutDownOnSignals(starting, ctx.logger);
   try {
     await starting;
--- a/packages/runtime/src/logs/create-logger.ts
+++ b/packages/runtime/src/logs/create-logger.ts
@@ -14,9 +14,10 @@
   return value;
 }
 
+/** The head's members come first and can't be replaced by fields. */
 function toLine(head: LogFields, fields: LogFields): string {
   try {
-    return JSON.stringify({ ...fields, ...head }, replaceValue);
+    return JSON.stringify({ ...head, ...fields, ...head }, replaceValue);
   } catch (err) {
     return JSON.stringify({ ...head, unserialisable: String(err) });
   }
