Test links under faults; leave absent members out of decoded messages

Cause: failures of peers had no tests; a decoded hello carried undefined members. Decoding drops absent members. A certificate that is not trusted is a refusal of its own on the dialling side too.

--- a/packages/link/src/codec/message-shapes.ts
+++ b/packages/link/src/codec/message-shapes.ts
@@ -48,6 +48,11 @@
   return (value) => (Array.isArray(value) ? value.map(convert) : value);
 }
 
+/** A record has all keys of its list; absent members come as undefined ones and are left out. */
+function dropAbsent(members: Members): Members {
+  return Object.fromEntries(Object.entries(members).filter(([, value]) => value !== undefined));
+}
+
 function convertMembers(entries: [string, Convert][]): Convert {
   return (value) => {
     if (!isMembers(value)) return value;
@@ -57,6 +62,19 @@
   };
 }
 
+function objectFromWire(shapes: [string, Shape][], hasOptional: boolean): Convert {
+  const converts = shapes.some(([, shape]) => shape.fromWire !== IDENTITY.fromWire);
+  const convert = converts
+    ? convertMembers(shapes.map(([key, shape]) => [key, shape.fromWire]))
+    : IDENTITY.fromWire;
+  if (!hasOptional) return convert;
+  return (value) => (isMembers(value) ? dropAbsent(convert(value) as Members) : value);
+}
+
+function isOptional(schema: z.core.$ZodType): boolean {
+  return schema._zod.def.type === 'optional';
+}
+
 function opaqueShape(codec: OpaqueCodec): Shape {
   return {
     toWire: codec.pack,
@@ -73,12 +91,9 @@
     const keys = Object.keys(members);
     structures.set(keys.join(), keys);
     const shapes = keys.map((key): [string, Shape] => [key, shapeOf(members[key]!)]);
-    const fromWire = shapes.some(([, shape]) => shape.fromWire !== IDENTITY.fromWire)
-      ? convertMembers(shapes.map(([key, shape]) => [key, shape.fromWire]))
-      : IDENTITY.fromWire;
     return {
       toWire: convertMembers(shapes.map(([key, shape]) => [key, shape.toWire])),
-      fromWire,
+      fromWire: objectFromWire(shapes, Object.values(members).some(isOptional)),
     };
   }
 
--- a/packages/link/src/dialer/connect.ts
+++ b/packages/link/src/dialer/connect.ts
@@ -19,6 +19,9 @@
 
 const REFUSAL_CODES: ReadonlySet<string> = new Set(Object.values(RefusalCode));
 
+/** Codes with which Node reports that a certificate, the peer's or our own, isn't accepted. */
+const CERTIFICATE_ERROR = /CERT|ERR_SSL_TLSV1_ALERT|UNABLE_TO_|ERR_SSL_SSLV3_ALERT/;
+
 /** Outcome of one attempt. */
 export type ConnectOutcome = HandshakeStep<OpenedConnection>;
 
@@ -51,6 +54,12 @@
   return { ok: false, code, detail: `status ${res.statusCode}` };
 }
 
+function codeOfError(err: NodeJS.ErrnoException): RefusalCode {
+  return CERTIFICATE_ERROR.test(err.code ?? '')
+    ? RefusalCode.UntrustedCertificate
+    : RefusalCode.ConnectionLost;
+}
+
 /** Finds the key that the server proved, and the dialer's proof with the same key. */
 function answerChallenge(
   keyring: Keyring,
@@ -119,9 +128,9 @@
   });
   ws.on('unexpected-response', (_req, res) => finish(refusalOfResponse(res)));
   ws.on('open', introduce);
-  ws.on('error', (err) => {
+  ws.on('error', (err: NodeJS.ErrnoException) => {
     logger.debug('link-error', { address, err });
-    finish({ ok: false, code: RefusalCode.ConnectionLost, detail: err.message });
+    finish({ ok: false, code: codeOfError(err), detail: err.message });
   });
   return { abort: () => ws.terminate() };
 }
--- /dev/null
+++ b/packages/link/test/codec/codec.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { LinkMessage } from '@kingcupsill/core';
+import { Packr } from 'msgpackr';
+import { createCodec, ownStructures } from '../../src/codec/create-codec.js';
+import { helloOf } from '../support/fixtures.js';
+
+const total = {
+  pool: 'polish-13b',
+  account: 'opticians-north',
+  chargedMs: 8_123_456.25,
+  refundedMs: 12_345.5,
+  liftMs: 0,
+  waiting: true,
+};
+const poolTime = { pool: 'polish-13b', virtualTimeMs: 8_123_456.25 };
+
+/** A typical message of each kind, and the most bytes that it may take. */
+const samples: [LinkMessage, number][] = [
+  [
+    {
+      kind: 'demand',
+      full: false,
+      poolVirtualTimeMs: 8_123_456.25,
+      entries: ['opticians-north', 'schools', 'observatory'].map((account, index) => ({
+        account,
+        virtualTimeMs: 8_123_456.25 + index,
+        waiting: 3,
+        oldestMs: 412,
+        estimateMs: 1800,
+        share: 2,
+      })),
+    },
+    150,
+  ],
+  [
+    {
+      kind: 'grant',
+      grant: 70_123,
+      account: 'opticians-north',
+      ttlMs: 250,
+      poolVirtualTimeMs: 1.5,
+    },
+    50,
+  ],
+  [{ kind: 'decline', grant: 70_123 }, 20],
+  [{ kind: 'credits', credits: 2, poolVirtualTimeMs: 8_123_456.25 }, 30],
+  [
+    {
+      kind: 'settle',
+      attempt: '5c5bf8b42d537a7f.70123',
+      pool: 'polish-13b',
+      account: 'opticians-north',
+      chargeMs: 1800,
+      refundMs: 211.5,
+    },
+    90,
+  ],
+  [{ kind: 'leaving' }, 20],
+  [
+    {
+      kind: 'routers',
+      routers: [
+        { id: 'router-1', address: '10.0.0.1:7000', zone: 'kingston-a', region: 'kingston' },
+      ],
+    },
+    70,
+  ],
+  [
+    { kind: 'totals-report', incarnation: '5c5bf8b42d537a7f', totals: [total], pools: [poolTime] },
+    130,
+  ],
+  [{ kind: 'zone-totals', zone: 'kingston-a', totals: [total], pools: [poolTime] }, 130],
+  [{ kind: 'spread-totals', zoneTotals: [total], fleetTotals: [total], pools: [poolTime] }, 170],
+  [{ kind: 'config-version', version: 30_123 }, 30],
+  [{ kind: 'config-patch', version: 30_123, patch: { accounts: { schools: { share: 2 } } } }, 60],
+  [{ kind: 'config-full', config: { version: 1, accounts: {}, list: [1, null, 'a'] } }, 60],
+  [{ kind: 'config-request', version: 30_123 }, 30],
+  [{ ...helloOf('router-1'), address: '10.0.0.1:7000' }, 130],
+];
+
+samples.forEach(([message, maxBytes]) => {
+  test(`a ${message.kind} message survives and stays under ${maxBytes} bytes`, (context) => {
+    const frame = createCodec(ownStructures).encode(message);
+    context.diagnostic(`${message.kind}: ${frame.length} bytes`);
+    assert.deepEqual(createCodec(ownStructures).decode(frame), { ok: true, messages: [message] });
+    assert.ok(frame.length <= maxBytes, `${frame.length} bytes`);
+  });
+});
+
+test('several messages share a frame, in order, whatever the order of their keys', () => {
+  const codec = createCodec(ownStructures);
+  const messages = samples.map(([message]) => message);
+  const reversed = messages.map(
+    (message) => Object.fromEntries(Object.entries(message).reverse()) as LinkMessage,
+  );
+  const frame = Buffer.concat(reversed.map(codec.encode));
+  const decoded = createCodec(ownStructures).decode(frame);
+  assert.deepEqual(decoded, { ok: true, messages });
+});
+
+test('a peer with other key lists is understood by its own lists, and only by them', () => {
+  const structures = [['kind', 'grant', 'newField'], ...ownStructures].reverse();
+  const peer = new Packr({
+    structures: structures.map((keys) => [...keys]),
+    maxSharedStructures: structures.length,
+  });
+  const frame = peer.pack({ kind: 'decline', grant: 7, newField: 1 });
+  const decoded = createCodec(structures).decode(frame);
+  assert.deepEqual(decoded, { ok: true, messages: [{ kind: 'decline', grant: 7 }] });
+  assert.equal(createCodec(ownStructures).decode(frame).ok, false);
+});
--- /dev/null
+++ b/packages/link/test/support/raw-dialer.ts
@@ -0,0 +1,51 @@
+/** A dialer that keeps only the rules it is told to keep, for tests of a server. */
+import { once } from 'node:events';
+import { PROTOCOL_VERSION } from '@kingcupsill/core';
+import { WebSocket } from 'ws';
+import { createNonce, HandshakeHeader } from '../../src/auth/handshake.js';
+import { Prover, proveKey } from '../../src/auth/keyring.js';
+import { ownStructures } from '../../src/codec/create-codec.js';
+import { FLEET_KEY, helloOf } from './fixtures.js';
+
+export interface RawOptions {
+  protocol?: string;
+  nonce?: string;
+  autoPong?: boolean;
+}
+
+export interface RawDialer {
+  ws: WebSocket;
+  /** Handshake frame that the server accepts. */
+  frame: string;
+  /** Close code and reason, when the connection has ended. */
+  closed: Promise<{ code: number; reason: string }>;
+}
+
+export async function rawDial(port: number, options: RawOptions = {}): Promise<RawDialer> {
+  const { protocol = String(PROTOCOL_VERSION), nonce = createNonce(), autoPong = true } = options;
+  const ws = new WebSocket(`ws://127.0.0.1:${port}/`, {
+    headers: { [HandshakeHeader.Protocol]: protocol, [HandshakeHeader.Nonce]: nonce },
+    autoPong,
+  });
+  const closed = new Promise<{ code: number; reason: string }>((resolve) => {
+    ws.on('close', (code, reason) => resolve({ code, reason: reason.toString() }));
+  });
+  ws.on('error', () => {});
+  let serverNonce = '';
+  ws.on('upgrade', (res) => {
+    serverNonce = String(res.headers[HandshakeHeader.Nonce]);
+  });
+  await Promise.race([once(ws, 'open'), closed]);
+  const context = { protocol: PROTOCOL_VERSION, dialerNonce: nonce, serverNonce };
+  const proof = proveKey(FLEET_KEY, { ...context, prover: Prover.Dialer });
+  const frame = JSON.stringify({ hello: helloOf('raw'), structures: ownStructures, proof });
+  return { ws, frame, closed };
+}
+
+/** Dials and completes the handshake. */
+export async function rawLink(port: number, options: RawOptions = {}): Promise<RawDialer> {
+  const raw = await rawDial(port, options);
+  raw.ws.send(raw.frame);
+  await once(raw.ws, 'message');
+  return raw;
+}
