--- /dev/null
+++ b/packages/runtime/test/loop/loop.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createLoop } from '../../src/index.js';
+
+type Event = { kind: 'add'; name: string } | { kind: 'break' };
+type Effect = { kind: 'note'; name: string } | { kind: 'echo'; name: string } | { kind: 'fail' };
+
+function reduce(state: string[], event: Event) {
+  if (event.kind === 'break') throw new Error('broken');
+  const { name } = event;
+  const effects: Effect[] = [{ kind: 'note', name: `${name}1` }];
+  if (name.length === 1) effects.push({ kind: 'echo', name }, { kind: 'fail' });
+  effects.push({ kind: 'note', name: `${name}2` });
+  return { state: [...state, name], effects };
+}
+
+function createSample() {
+  const notes: string[] = [];
+  const errors: Error[] = [];
+  const loop = createLoop<string[], Event, Effect>({
+    initialState: [],
+    reduce,
+    handlers: {
+      note: ({ name }) => {
+        notes.push(name);
+      },
+      echo: ({ name }, dispatch) => dispatch({ kind: 'add', name: `${name}${name}` }),
+      fail: () => Promise.reject(new Error('no')),
+    },
+    onError: (err) => errors.push(err),
+  });
+  return { loop, notes, errors };
+}
+
+test('effects run in order, and an event dispatched by one waits for the end of the step', async () => {
+  const { loop, notes, errors } = createSample();
+  loop.dispatch({ kind: 'add', name: 'a' });
+  assert.deepEqual(notes, ['a1', 'a2', 'aa1', 'aa2']);
+  assert.deepEqual(loop.state(), ['a', 'aa']);
+  await new Promise(setImmediate);
+  assert.deepEqual(errors.map(String), ['EffectError: effect fail failed: no']);
+});
+
+test('an error of the reducer closes the loop', () => {
+  const { loop, errors } = createSample();
+  loop.dispatch({ kind: 'break' });
+  loop.dispatch({ kind: 'add', name: 'a' });
+  assert.deepEqual(errors.map(String), ['ReducerError: reducer failed: broken']);
+  assert.deepEqual(loop.state(), []);
+});
+
+test('a closed loop drops events', () => {
+  const { loop, notes } = createSample();
+  loop.close();
+  loop.dispatch({ kind: 'add', name: 'a' });
+  assert.deepEqual(notes, []);
+});
