--- a/packages/standins/src/engine/answer-buffer.ts
+++ b/packages/standins/src/engine/answer-buffer.ts
@@ -14,6 +14,8 @@
   /** Bytes so far. */
   length(): number;
   isEnded(): boolean;
+  /** Whether the answer ended before it was whole. */
+  isAborted(): boolean;
 }
 
 /** Creates an empty answer. With `flushHeaders` a reader gets its headers before the first byte. */
@@ -62,5 +64,6 @@
     },
     length: () => length,
     isEnded: () => state !== 'open',
+    isAborted: () => state === 'aborted',
   };
 };
--- a/packages/standins/src/engine/engine-routes.ts
+++ b/packages/standins/src/engine/engine-routes.ts
@@ -92,6 +92,10 @@
       sendError(ctx, 404, 'not_found');
       return;
     }
+    if (run.buffer.isAborted()) {
+      sendError(ctx, 410, 'cancelled', 'the request ended before its answer was whole');
+      return;
+    }
     const offset = queryNumber(ctx, 'offset', 0);
     if (offset > run.buffer.length()) {
       sendError(ctx, 416, 'offset_too_large', `the answer has ${run.buffer.length()} bytes`);
--- a/packages/standins/src/platform/gate.ts
+++ b/packages/standins/src/platform/gate.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Middleware } from 'koa';
+import type { Context, Middleware } from 'koa';
 import { FaultRole } from '../common/faults.js';
 import type { FaultTable } from '../common/faults.js';
 import { dropConnection, sendError } from '../common/koa-host.js';
@@ -22,6 +22,19 @@
   return path.startsWith('/v1/objects/') ? 'get' : (path.split('/')[2] ?? 'other');
 };
 
+/** Answers as in an outage if one hits this call; returns whether it does. */
+export const showOutage = (
+  ctx: Context,
+  faults: FaultTable<PlatformFaultKind>,
+  role: FaultRole,
+): boolean => {
+  const outage = faults.hit(PlatformFaultKind.Outage, role);
+  if (outage === undefined) return false;
+  if (outage.manner === 'reset') dropConnection(ctx);
+  else sendError(ctx, 503, 'unavailable');
+  return true;
+};
+
 /** Middleware before every service call: counts it, shows faults, and limits the rates. */
 export const createGate = ({
   faults,
@@ -39,11 +52,8 @@
     const role = ctx.method === 'GET' ? FaultRole.Reads : FaultRole.Writes;
     count(callKind(ctx.method, ctx.path));
 
-    const outage = faults.hit(PlatformFaultKind.Outage, role);
-    if (outage !== undefined) {
+    if (showOutage(ctx, faults, role)) {
       count('unavailable');
-      if (outage.manner === 'reset') dropConnection(ctx);
-      else sendError(ctx, 503, 'unavailable');
       return;
     }
     const waitMs = buckets[role].take(performance.now());
--- a/packages/standins/src/platform/instance-routes.ts
+++ b/packages/standins/src/platform/instance-routes.ts
@@ -2,10 +2,9 @@
 import { z } from 'zod';
 import { readJson } from '../common/admin-routes.js';
 import type { InstanceList } from './instance-list.js';
-import type { PlatformInstance } from './types.js';
 
 /** Schema of an instance on the platform's list. */
-export const instanceSchema: z.ZodType<PlatformInstance> = z.strictObject({
+export const instanceSchema = z.strictObject({
   id: z.string().min(1),
   role: z.enum(['router', 'sidecar']),
   zone: z.string(),
@@ -14,6 +13,9 @@
   address: z.string(),
 });
 
+/** The id of the path goes before one in the body. */
+const namedByPathSchema = instanceSchema.partial({ id: true });
+
 /** Adds the call that reads the lagging list. */
 export const addInstanceRoutes = (router: Router, instances: InstanceList): void => {
   router.get('/v1/instances', (ctx) => {
@@ -24,9 +26,9 @@
 /** Adds the admin calls that change the list. */
 export const addInstanceAdminRoutes = (router: Router, instances: InstanceList): void => {
   router.put('/admin/instances/:id', async (ctx) => {
-    const instance = await readJson(ctx, instanceSchema);
+    const instance = await readJson(ctx, namedByPathSchema);
     if (instance === undefined) return;
-    instances.put({ ...instance, id: ctx.params.id ?? instance.id }, performance.now());
+    instances.put({ ...instance, id: ctx.params.id ?? '' }, performance.now());
     ctx.status = 204;
   });
   router.delete('/admin/instances/:id', (ctx) => {
--- a/packages/standins/src/platform/object-routes.ts
+++ b/packages/standins/src/platform/object-routes.ts
@@ -9,6 +9,7 @@
 import type { Journal } from '../common/journal.js';
 import { dropConnection, sendError } from '../common/koa-host.js';
 import { parseCondition } from './conditions.js';
+import { showOutage } from './gate.js';
 import type { ObjectStore, WriteOutcome } from './object-store.js';
 import { PlatformFaultKind } from './types.js';
 import type { WriteCondition, WriteEntry } from './types.js';
@@ -132,6 +133,7 @@
       Math.min(timeoutMs, WATCH_TIMEOUT_LIMIT_MS),
       closeSignal(ctx),
     );
+    if (showOutage(ctx, faults, FaultRole.Reads)) return;
     if (changes.ok) ctx.body = { version: changes.version, events: changes.events };
     else sendError(ctx, 410, 'too_old', `version ${after} is outside the history`);
   });
--- a/packages/standins/src/platform/platform-standin.ts
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -39,10 +39,15 @@
   options: PlatformOptions = {},
 ): Promise<PlatformStandin> => {
   const cfg = { ...DEFAULTS, ...options };
-  const faults = createFaultTable<PlatformFaultKind>({ random: createRandom(cfg.seed) });
   const journal = createJournal<WriteEntry>();
   const store = createObjectStore({ historyLength: cfg.watchHistory });
   const watchers = createWatchers();
+  const faults = createFaultTable<PlatformFaultKind>({
+    random: createRandom(cfg.seed),
+    onStart: ({ kind }) => {
+      if (kind === PlatformFaultKind.Outage) watchers.endAll();
+    },
+  });
   const instances = createInstanceList(cfg.instanceLagMs, options.instances ?? []);
   const calls: Record<string, number> = {};
   const count = (kind: string) => {
@@ -75,7 +80,7 @@
     deleteInstance: (id) => instances.remove(id, performance.now()),
     close: async () => {
       faults.close();
-      watchers.close();
+      watchers.endAll();
       await host.close();
     },
   };
--- a/packages/standins/src/platform/watchers.ts
+++ b/packages/standins/src/platform/watchers.ts
@@ -7,7 +7,7 @@
   /** Lets waiting watches look again. */
   notify(): void;
   /** Ends all waiting watches with what they see now. */
-  close(): void;
+  endAll(): void;
 }
 
 const isNews = (outcome: ChangesOutcome): boolean => !outcome.ok || outcome.events.length > 0;
@@ -33,6 +33,6 @@
         wake(signal.aborted);
       }),
     notify: () => [...waiting].forEach((wake) => wake(false)),
-    close: () => [...waiting].forEach((wake) => wake(true)),
+    endAll: () => [...waiting].forEach((wake) => wake(true)),
   };
 };
--- a/packages/standins/test/app/app-standin.test.ts
+++ b/packages/standins/test/app/app-standin.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { request } from 'undici';
 import { createAppStandin, expectedResult } from '../../src/index.js';
-import type { AppAnswer } from '../../src/index.js';
+import type { AppAnswer, AppFaultKind, AppStandin } from '../../src/index.js';
 
 test('the journal counts every request that ran, and the answer is its own', async () => {
   const app = await createAppStandin({ workers: 2 });
@@ -59,3 +59,50 @@
     await app.close();
   }
 });
+
+const HOUR_MS = 3_600_000;
+
+const withFault = async (
+  kind: AppFaultKind,
+  run: (app: AppStandin, send: (id: string) => ReturnType<typeof request>) => Promise<void>,
+) => {
+  const app = await createAppStandin({ meanWorkMs: 0 });
+  const send = (id: string) => request(`${app.url}/${id}`, { headers: { 'x-request-id': id } });
+  try {
+    await (await send('before')).body.dump();
+    app.faults.add({ kind, durationMs: HOUR_MS, delayMs: 5 });
+    await run(app, send);
+  } finally {
+    await app.close();
+  }
+};
+
+test('a crossed answer is another request’s, under its id', () =>
+  withFault('crossed-answers', async (app, send) => {
+    const res = await send('own');
+    assert.equal(res.headers['x-request-id'], 'before');
+    assert.equal(((await res.body.json()) as AppAnswer).path, '/before');
+    assert.equal(app.journal().at(-1)?.requestId, 'own');
+  }));
+
+test('a cut answer ends in an error though the request ran', () =>
+  withFault('cut-answer', async (app, send) => {
+    await assert.rejects(async () => (await send('own')).body.text());
+    assert.equal(app.journal().at(-1)?.outcome, 'cut');
+  }));
+
+test('a late answer is whole', () =>
+  withFault('late-answer', async (_app, send) => {
+    const res = await send('own');
+    assert.equal(((await res.body.json()) as AppAnswer).requestId, 'own');
+  }));
+
+test('a frozen server starts nothing', () =>
+  withFault('freeze', async (app, send) => {
+    const pending = assert.rejects(send('own'));
+    const state = async () => (await request(`${app.url}/admin/state`)).body.json();
+    while (((await state()) as { waiting: number }).waiting !== 1);
+    assert.equal(app.journal().length, 1);
+    await app.close();
+    await pending;
+  }));
--- /dev/null
+++ b/packages/standins/test/engine/engine-standin.test.ts
@@ -0,0 +1,227 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { test } from 'node:test';
+import { request } from 'undici';
+import { createEngineStandin, createPlatformStandin, expectedAnswer } from '../../src/index.js';
+import type { EngineFault, EngineOptions, EngineStandin } from '../../src/index.js';
+
+const withEngine = async (
+  options: EngineOptions,
+  run: (engine: EngineStandin) => Promise<void>,
+) => {
+  const engine = await createEngineStandin({ timeScale: 10, cacheEventLoss: 0, ...options });
+  try {
+    await run(engine);
+  } finally {
+    await engine.close();
+  }
+};
+
+const send = (engine: EngineStandin, id: string, content: string, fields = {}) =>
+  request(`${engine.url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'x-request-id': id, 'x-bench-request': `bench-${id}` },
+    body: JSON.stringify({
+      model: 'standin-model',
+      messages: [{ role: 'user', content }],
+      ...fields,
+    }),
+  });
+
+const call = async (engine: EngineStandin, method: 'GET' | 'POST', path: string, body?: object) => {
+  const res = await request(`${engine.url}${path}`, { method, body: JSON.stringify(body) });
+  return { status: res.statusCode, text: await res.body.text(), headers: res.headers };
+};
+
+const contentOf = (stream: string): string =>
+  stream
+    .split('\n\n')
+    .filter((line) => line.startsWith('data: {'))
+    .map((line) => JSON.parse(line.slice('data: '.length)) as OpenAiChunk)
+    .map(({ choices }) => choices[0]?.delta.content ?? '')
+    .join('');
+
+interface OpenAiChunk {
+  choices: { delta: { content?: string } }[];
+}
+
+/** Polls until the condition holds; a test that never gets there hits the runner's timeout. */
+const until = async (holds: () => boolean | Promise<boolean>): Promise<void> => {
+  while (!(await holds())) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+};
+
+const HOUR_MS = 3_600_000;
+const always = (kind: EngineFault['kind'], fields: Partial<EngineFault> = {}): EngineFault => ({
+  kind,
+  durationMs: HOUR_MS,
+  ...fields,
+});
+
+test('a cut stream goes on in the engine and resumes with identical bytes', () =>
+  withEngine({ tokensPerChunk: 3 }, async (engine) => {
+    const prompt = '[[tokens=20]] review';
+    engine.faults.add(always('cut-stream', { after: 7 }));
+    const res = await send(engine, 'r1', prompt, { stream: true });
+    const received: Buffer[] = [];
+    await assert.rejects(async () => {
+      for await (const chunk of res.body) received.push(chunk as Buffer);
+    });
+    const head = Buffer.concat(received);
+    assert.ok(head.length > 0);
+
+    const whole = await call(engine, 'GET', '/v1/requests/r1/stream?offset=0');
+    assert.equal(contentOf(whole.text), expectedAnswer(prompt, 20));
+    assert.ok(whole.text.endsWith('data: [DONE]\n\n'));
+    assert.equal(whole.headers['x-request-id'], 'r1');
+    assert.equal(whole.text.slice(0, head.length), head.toString());
+    const rest = await call(engine, 'GET', `/v1/requests/r1/stream?offset=${head.length}`);
+    assert.equal(head.toString() + rest.text, whole.text);
+    const past = whole.text.length + 1;
+    assert.equal((await call(engine, 'GET', `/v1/requests/r1/stream?offset=${past}`)).status, 416);
+
+    const [entry] = engine.journal();
+    assert.equal(engine.journal().length, 1);
+    assert.deepEqual(
+      [entry?.requestId, entry?.benchRequest, entry?.outcome, entry?.tokens],
+      ['r1', 'bench-r1', 'cut', 20],
+    );
+  }));
+
+test('a dropped connection cancels only where the engine is set so', async () => {
+  const leave = async (engine: EngineStandin) => {
+    const res = await send(engine, 'r1', '[[tokens=5000]]', { stream: true });
+    await once(res.body, 'readable');
+    res.body.once('error', () => {});
+    res.body.destroy();
+  };
+  await withEngine({ cancelOnDisconnect: true }, async (engine) => {
+    await leave(engine);
+    await until(() => engine.journal()[0]?.outcome === 'cancelled');
+    assert.equal((await call(engine, 'GET', '/v1/requests/r1/stream')).status, 410);
+  });
+  await withEngine({}, async (engine) => {
+    await leave(engine);
+    const before = engine.journal()[0]?.tokens ?? 0;
+    await until(() => (engine.journal()[0]?.tokens ?? 0) > before + 5);
+    assert.equal(engine.journal()[0]?.outcome, 'running');
+  });
+});
+
+test('a cancel ends the run and frees its place', () =>
+  withEngine({ maxBatch: 1 }, async (engine) => {
+    const first = await send(engine, 'r1', '[[tokens=100000]]', { stream: true, max_tokens: 9000 });
+    const second = send(engine, 'r2', '[[tokens=2]]');
+    await until(async () => {
+      const { text } = await call(engine, 'GET', '/v1/requests');
+      return text === JSON.stringify({ running: [{ id: 'r1' }, { id: 'r2' }] });
+    });
+    const cancel = await call(engine, 'POST', '/v1/requests/r1/cancel');
+    assert.deepEqual(JSON.parse(cancel.text), { id: 'r1', cancelled: true });
+    await assert.rejects(first.body.text());
+    assert.equal((await second).statusCode, 200);
+    const again = await call(engine, 'POST', '/v1/requests/r1/cancel');
+    assert.deepEqual(JSON.parse(again.text), { id: 'r1', cancelled: false });
+    assert.equal((await call(engine, 'POST', '/v1/requests/other/cancel')).status, 404);
+  }));
+
+test('a crossed answer is another request’s, under its id', () =>
+  withEngine({}, async (engine) => {
+    await (await send(engine, 'r1', 'one')).body.dump();
+    engine.faults.add(always('crossed-answers'));
+    const res = await send(engine, 'r2', 'two');
+    assert.equal(res.headers['x-request-id'], 'r1');
+    const answer = (await res.body.json()) as { choices: { message: { content: string } }[] };
+    assert.equal(answer.choices[0]?.message.content, expectedAnswer('one', 16));
+    assert.equal(engine.journal().length, 2);
+  }));
+
+test('a refused request does not run, a late one does', () =>
+  withEngine({}, async (engine) => {
+    engine.faults.add(always('refuse'));
+    const refused = await send(engine, 'r1', 'x');
+    await refused.body.dump();
+    assert.equal(refused.statusCode, 503);
+    assert.equal(engine.journal().length, 0);
+    engine.faults.clear();
+    engine.faults.add(always('late-answer', { delayMs: 30 }));
+    const late = await send(engine, 'r2', 'x');
+    await late.body.dump();
+    assert.equal(late.statusCode, 200);
+    // The answer was sent when the run had long ended.
+    assert.equal(engine.journal()[0]?.outcome, 'finished');
+  }));
+
+test('a crash loses runs and kept answers, and the engine serves again', () =>
+  withEngine({}, async (engine) => {
+    const res = await send(engine, 'r1', '[[tokens=5000]]', { stream: true });
+    engine.faults.add({ kind: 'crash-lose-all', durationMs: 0 });
+    await assert.rejects(res.body.text());
+    assert.equal(engine.journal()[0]?.outcome, 'lost');
+    assert.equal((await call(engine, 'GET', '/v1/requests/r1/stream')).status, 404);
+    const next = await send(engine, 'r2', 'x');
+    assert.equal(next.statusCode, 200);
+    await next.body.dump();
+  }));
+
+test('orders with an old fencing number are refused where the engine checks', async () => {
+  const order = (engine: EngineStandin, fencing: number) =>
+    call(engine, 'POST', '/v1/orders', { kind: 'change-role', role: 'prefill', fencing });
+  await withEngine({ checksFencing: true }, async (engine) => {
+    assert.equal((await order(engine, 5)).status, 202);
+    assert.equal((await order(engine, 4)).status, 409);
+    assert.equal((await order(engine, 5)).status, 202);
+    assert.deepEqual(
+      engine.orders().map(({ accepted }) => accepted),
+      [true, false, true],
+    );
+  });
+  await withEngine({ checksFencing: false }, async (engine) => {
+    assert.equal((await order(engine, 5)).status, 202);
+    assert.equal((await order(engine, 4)).status, 202);
+  });
+});
+
+test('a model is served once its weights are fetched, and no more after its unload', async () => {
+  const platform = await createPlatformStandin({ weightBytes: 100_000 });
+  try {
+    await withEngine({ weightStoreUrl: platform.url, modelLoadMs: 10 }, async (engine) => {
+      const models = async () => (await call(engine, 'GET', '/v1/models')).text;
+      await call(engine, 'POST', '/v1/orders', { kind: 'load-model', model: 'm2', fencing: 1 });
+      await until(async () => (await models()).includes('"m2"'));
+      assert.equal(platform.stats().weights, 1);
+      assert.equal((await send(engine, 'r1', 'x', { model: 'm2' })).statusCode, 200);
+      await call(engine, 'POST', '/v1/orders', { kind: 'unload-model', model: 'm2', fencing: 1 });
+      assert.equal((await send(engine, 'r2', 'x', { model: 'm2' })).statusCode, 404);
+    });
+  } finally {
+    await platform.close();
+  }
+});
+
+test('cache events come late, by number, and load reports age', () =>
+  withEngine({ blockTokens: 4, cacheEventLagMs: 100 }, async (engine) => {
+    await (await send(engine, 'r1', 'a prompt of more than two blocks')).body.dump();
+    await until(async () =>
+      (await call(engine, 'GET', '/v1/cache-events')).text.includes('stored'),
+    );
+    const { next, events } = JSON.parse(
+      (await call(engine, 'GET', '/v1/cache-events?after=1')).text,
+    ) as { next: number; events: { seq: number }[] };
+    assert.deepEqual(
+      events.map(({ seq }) => seq),
+      [2],
+    );
+    assert.equal(next, 2);
+    const load = JSON.parse((await call(engine, 'GET', '/v1/load')).text) as { ageMs: number };
+    assert.ok(load.ageMs >= 0);
+  }));
+
+test('a plan switches faults on at its times', () =>
+  withEngine({ plan: [{ atMs: 0, fault: always('refuse') }] }, async (engine) => {
+    await until(() => engine.faults.list().length === 1);
+    assert.equal((await send(engine, 'r1', 'x')).statusCode, 503);
+  }));
--- a/packages/standins/test/platform/object-service.test.ts
+++ b/packages/standins/test/platform/object-service.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setImmediate } from 'node:timers/promises';
 import { request } from 'undici';
 import { createPlatformStandin } from '../../src/index.js';
 import type { PlatformOptions, PlatformStandin } from '../../src/index.js';
@@ -104,6 +105,32 @@
     assert.equal(platform.journal().length, 0);
   }));
 
+test('an outage ends the watches that wait', () =>
+  withPlatform({}, async (platform) => {
+    const watch = get(platform, '/v1/watch?after=0&timeoutMs=300000');
+    while (platform.stats().watch !== 1) await setImmediate();
+    platform.faults.add({ kind: 'outage', durationMs: 60_000 });
+    assert.equal((await watch).status, 503);
+  }));
+
+test('a slow service takes the write and answers late', () =>
+  withPlatform({}, async (platform) => {
+    platform.faults.add({ kind: 'slow', durationMs: 60_000, delayMs: 20, role: 'writes' });
+    assert.equal((await put(platform, 'k', 'x')).status, 201);
+  }));
+
+test('a plan starts by an admin call and ends with all faults', () =>
+  withPlatform({}, async (platform) => {
+    const admin = (method: 'POST' | 'DELETE', path: string, body?: unknown) =>
+      request(`${platform.url}/admin/${path}`, { method, body: JSON.stringify(body) });
+    const fault = { kind: 'outage', durationMs: 60_000 };
+    assert.equal((await admin('POST', 'plan', [{ atMs: 0, fault }])).statusCode, 204);
+    while ((await get(platform, '/v1/objects')).status !== 503);
+    assert.equal((await admin('DELETE', 'faults')).statusCode, 204);
+    assert.equal((await get(platform, '/v1/objects')).status, 200);
+    assert.equal((await admin('POST', 'faults', { ...fault, kind: 'fire' })).statusCode, 400);
+  }));
+
 test('a body over a megabyte is refused and a delete is conditional', () =>
   withPlatform({}, async (platform) => {
     assert.equal((await put(platform, 'big', 'x'.repeat(1_048_577))).status, 413);
