--- a/packages/standins/src/engine/engine-standin.ts
+++ b/packages/standins/src/engine/engine-standin.ts
@@ -89,7 +89,8 @@
     if (fault.kind === EngineFaultKind.Freeze) runner.loop.freeze(fault.durationMs * timeScale);
     if (fault.kind !== EngineFaultKind.CrashLoseAll) return;
     runner.crash();
-    host.dropConnections();
+    // Later than now, so that an admin call that asks for the crash is answered.
+    setImmediate(() => host.dropConnections());
   };
   faults.plan(options.plan ?? []);
 
--- a/packages/standins/src/engine/runs.ts
+++ b/packages/standins/src/engine/runs.ts
@@ -52,7 +52,9 @@
     byRunId: (runId) => runs.get(runId),
     byRequestId: (requestId) => latest.get(requestId),
     otherThan: (run) =>
-      [...runs.values()].findLast((one) => one.requestId !== run.requestId && !one.rejected),
+      [...runs.values()].findLast(
+        (one) => one.requestId !== run.requestId && !one.buffer.isAborted(),
+      ),
     active: () => [...runs.values()].filter((run) => !run.buffer.isEnded()),
     retire: (run, nowMs) => {
       retired.push({ run, dropAtMs: nowMs + keepMs });
