Distribute the configuration between processes

A reducer keeps one process up to date from the object service and its peers: two routers of a zone (by rendezvous rank) watch, the others read slowly at a rate bounded for the whole fleet, and patches travel over links once. Versions are compared on connect and every few seconds; who is behind asks. The version in force never goes back; a patch that does not apply leads to a full load.

--- a/packages/core/src/config/index.ts
+++ b/packages/core/src/config/index.ts
@@ -1,4 +1,6 @@
 export * from './diff.js';
+export * from './distribution-types.js';
+export * from './distribution.js';
 export * from './merge-patch.js';
 export * from './patch.js';
 export * from './path.js';
@@ -6,3 +8,4 @@
 export * from './schema.js';
 export * from './types.js';
 export * from './validate.js';
+export * from './watchers.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 /** Clients of the platform: object service, instance list, weight store, and the configuration kept there. */
 export { digestKey } from './config-committer.js';
 export { encodeSnapshot } from './config-log.js';
+export * from './config-poll.js';
 export * from './config-store.js';
 export * from './config-types.js';
 export * from './instance-client.js';
--- /dev/null
+++ b/packages/platform/test/config/config-poll.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+
+import { createConfigReducer, createConfigState, createHasher } from '@kingcupsill/core';
+import type { ConfigEffect, ConfigEvent } from '@kingcupsill/core';
+
+import { createConfigStore, createObjectClient, runConfigPoll } from '../../src/index.js';
+import { startFakeObjectService } from '../support/fake-object-service.js';
+import type { FakeObjectService } from '../support/fake-object-service.js';
+
+let service: FakeObjectService;
+before(async () => {
+  service = await startFakeObjectService();
+});
+after(() => service.close());
+
+test('a watcher follows commits through the store', { timeout: 10_000 }, async () => {
+  const open = () =>
+    createConfigStore({ objects: createObjectClient({ url: service.url, timeoutMs: 500 }) });
+  const operatorStore = open();
+  const ownStore = open();
+  const reduce = createConfigReducer(await createHasher());
+  const state = createConfigState({ id: 'r1', role: 'router', seed: 1 }, 0);
+  const aborter = new AbortController();
+  const seen: number[] = [];
+
+  const run = async (effect: ConfigEffect): Promise<ConfigEvent[]> => {
+    if (effect.kind === 'config-in-force') seen.push(effect.config.version);
+    if (effect.kind !== 'poll-store' || aborter.signal.aborted) return [];
+    const answer = await runConfigPoll(ownStore, effect, aborter.signal);
+    return [{ ...answer, nowMs: 1 }];
+  };
+  const follow = async (events: ConfigEvent[]): Promise<void> => {
+    for (const event of events) {
+      const { effects } = reduce(state, event);
+      for (const effect of effects) events.push(...(await run(effect)));
+    }
+  };
+
+  const following = follow([
+    { kind: 'routers-changed', nowMs: 0, routersOfZone: ['r1'], routersInFleet: 1 },
+  ]);
+  for (let version = 0; version < 3; version += 1) {
+    const account = { share: 1, services: [], keyHashes: [] };
+    const patch = { accounts: { [`a${version}`]: account } };
+    const request = { id: `p${version}`, baseVersion: version, patch, reason: 'test' };
+    assert.ok((await operatorStore.commit(request)).ok);
+    while (state.config.version < version + 1) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 2);
+      });
+    }
+  }
+  aborter.abort();
+  await following;
+  assert.deepEqual(seen, [1, 2, 3]);
+});
