--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,5 @@
 /** Clients of the platform: object service, instance list, weight store, and the configuration kept there. */
+export * from './claim-store.js';
 export { digestKey } from './config-committer.js';
 export { encodeSnapshot } from './config-log.js';
 export * from './config-poll.js';
