Exchange service totals between routers through homes

Routers in a zone report what they counted to the home of the account's bucket, homes tell each other their cells, and spread the sums. A cell belongs to one run of one home and only grows, so a home that moves or restarts needs no hand-over of a sum: the fleet's total is the sum over all cells. What a router counted itself is left out of what its home tells it, so nothing counts twice.

--- /dev/null
+++ b/packages/core/src/fairness/exchange-topology.ts
@@ -0,0 +1,111 @@
+/** Homes of the account buckets over the live routers, by rendezvous hashing in each availability zone. */
+import { rendezvousWeight } from '../hash/index.js';
+import type { ExchangeOptions, ExchangeRouter, Topology } from './exchange-types.js';
+
+function weightsOf(options: ExchangeOptions, id: string): Uint32Array {
+  const { buckets, hasher } = options;
+  return Uint32Array.from({ length: buckets }, (_, bucket) =>
+    rendezvousWeight(hasher, String(bucket), id),
+  );
+}
+
+interface Best {
+  first: string | undefined;
+  second: string | undefined;
+}
+
+/** The two routers of highest weight for the bucket. `ids` is sorted, so ties go to the lower id. */
+function bestTwo(ids: string[], weights: Map<string, Uint32Array>, bucket: number): Best {
+  const best: Best = { first: undefined, second: undefined };
+  let firstWeight = -1;
+  let secondWeight = -1;
+  ids.forEach((id) => {
+    const weight = weights.get(id)?.[bucket] ?? 0;
+    if (weight > firstWeight) {
+      best.second = best.first;
+      secondWeight = firstWeight;
+      best.first = id;
+      firstWeight = weight;
+    } else if (weight > secondWeight) {
+      best.second = id;
+      secondWeight = weight;
+    }
+  });
+  return best;
+}
+
+function byZone(routers: Iterable<ExchangeRouter>): Map<string, string[]> {
+  const zones = new Map<string, string[]>();
+  [...routers].forEach(({ id, zone }) => {
+    const ids = zones.get(zone) ?? [];
+    ids.push(id);
+    zones.set(zone, ids);
+  });
+  zones.forEach((ids) => ids.sort());
+  return zones;
+}
+
+function peersOf(
+  self: string,
+  homes: Map<string, string[]>,
+  second: string | undefined,
+  bucket: number,
+): string[] {
+  const peers = new Set([...homes.values()].map((ids) => ids[bucket] as string));
+  if (second !== undefined) peers.add(second);
+  peers.delete(self);
+  return [...peers];
+}
+
+/** Works out the homes. Weights of routers that were known before are kept. */
+export function createTopology(
+  options: ExchangeOptions,
+  routers: ExchangeRouter[],
+  former?: Topology,
+): Topology {
+  const { self, buckets } = options;
+  const live = new Map(routers.map((router) => [router.id, router]));
+  live.set(self.id, { id: self.id, zone: self.zone, address: '' });
+  const weights = new Map(
+    [...live.keys()].map((id) => [id, former?.weights.get(id) ?? weightsOf(options, id)]),
+  );
+  const homes = new Map<string, string[]>();
+  let runnersUp: (string | undefined)[] = [];
+  byZone(live.values()).forEach((ids, zone) => {
+    const best = Array.from({ length: buckets }, (_, bucket) => bestTwo(ids, weights, bucket));
+    homes.set(
+      zone,
+      best.map(({ first }) => first as string),
+    );
+    if (zone === self.zone) runnersUp = best.map(({ second }) => second);
+  });
+  const peers = Array.from({ length: buckets }, (_, bucket) =>
+    peersOf(self.id, homes, runnersUp[bucket], bucket),
+  );
+  return { routers: live, homes, runnersUp, peers, weights };
+}
+
+/** Home of the bucket in this router's zone. */
+export function homeOf(topology: Topology, options: ExchangeOptions, bucket: number): string {
+  return topology.homes.get(options.self.zone)?.[bucket] ?? options.self.id;
+}
+
+const HELPERS = 2;
+
+/**
+ * Whether this router tells `peer`, new to the bucket, what former homes counted: every router of the peer's own zone that
+ * knows does, and of the other homes the two of highest weight.
+ */
+export function helpsNewPeer(
+  topology: Topology,
+  options: ExchangeOptions,
+  bucket: number,
+  peer: string,
+): boolean {
+  const { self } = options;
+  if (topology.routers.get(peer)?.zone === self.zone) return true;
+  const weightOf = (id: string): number => topology.weights.get(id)?.[bucket] ?? 0;
+  const homes = [...topology.homes.values()].map((ids) => ids[bucket] as string);
+  const heavier = homes.filter((id) => id !== peer && weightOf(id) > weightOf(self.id));
+  return heavier.length < HELPERS;
+}
--- /dev/null
+++ b/packages/core/src/fairness/exchange.ts
@@ -0,0 +1,394 @@
+/**
+ * Exchange of service totals between routers, hosted in each of them: a pure reducer over ticks, changes of the live routers
+ * and messages. Every account bucket has a home router in each availability zone. Routers report what they counted to the
+ * homes of their zone, homes tell each other what their zones counted, and spread the sums to the routers of their zone that
+ * use the account. Only changes are sent, at most one message of a kind per peer and period; nothing is sent while nothing
+ * changes. Lost messages go out again, and all that is merged merges by maximum, so order and duplicates do not matter.
+ */
+import { bucketOf } from '../hash/index.js';
+import type { Step } from '../loop/index.js';
+import type { AccountTotal } from '../protocol/index.js';
+import {
+  EXCHANGE_KINDS,
+  PAIRED_KIND,
+  clearOutboxes,
+  createPeer,
+  expireInFlight,
+  isDue,
+  receive,
+  resetPeer,
+  seal,
+  takeItems,
+} from './exchange-channel.js';
+import {
+  acceptReport,
+  applyAtHome,
+  homeRecord,
+  isLiveWriter,
+  markCell,
+  markSpread,
+  ownCell,
+  raiseCell,
+  setCellWaiting,
+  writerName,
+  refreshLiveness,
+} from './exchange-home.js';
+import { encodeItem, isPool } from './exchange-items.js';
+import { ownRecord, reportChange, retarget } from './exchange-own.js';
+import { createTopology, helpsNewPeer, homeOf } from './exchange-topology.js';
+import type {
+  ExchangeEvent,
+  ExchangeKind,
+  ExchangeMessage,
+  ExchangeOptions,
+  ExchangePeer,
+  ExchangeRouter,
+  ExchangeSend,
+  ExchangeState,
+  HomeRecord,
+  OutboxItem,
+  OwnSession,
+  Topology,
+} from './exchange-types.js';
+import { decodeTotal, encodePool } from './exchange-wire.js';
+import { applyFleetTotals, ledgerEntry, ledgerPool, mergeLift } from './service-ledger.js';
+import { maxTotals, subtractTotals } from './service-totals.js';
+import type { LedgerPool } from './types.js';
+
+/** Most entries in one message; the rest follows in the next periods. */
+const MAX_ENTRIES = 256;
+
+/** Creates the exchange of one router, alone until it hears of others. */
+export function createExchange(options: ExchangeOptions): ExchangeState {
+  return {
+    options,
+    run: options.hasher.hash32(options.self.incarnation),
+    tick: 0,
+    nextTickMs: undefined,
+    topology: createTopology(options, []),
+    peers: new Map(),
+    own: new Map(),
+    home: new Map(),
+  };
+}
+
+// --- pools
+
+function poolBucket(state: ExchangeState, pool: string): number {
+  return bucketOf(state.options.hasher, `pool\u0000${pool}`, state.options.buckets);
+}
+
+/** Queues a pool's virtual time on its way: router, home of the pool, homes of other zones, routers of their zones. */
+function markPool(state: ExchangeState, pool: LedgerPool, from?: string): void {
+  const { topology, options, peers } = state;
+  const bucket = poolBucket(state, pool.pool);
+  const home = homeOf(topology, options, bucket);
+  if (home !== options.self.id) {
+    if (from !== home) peers.get(home)?.outboxes['totals-report'].dirty.add(pool);
+    return;
+  }
+  topology.peers[bucket]?.forEach((id) => {
+    if (id !== from) peers.get(id)?.outboxes['zone-totals'].dirty.add(pool);
+  });
+  topology.routers.forEach(({ id, zone }) => {
+    if (zone !== options.self.zone || id === from) return;
+    peers.get(id)?.outboxes['spread-totals'].dirty.add(pool);
+  });
+}
+
+function mergePools(state: ExchangeState, from: string, message: ExchangeMessage): void {
+  message.pools?.forEach(({ pool, virtualTimeMs }) => {
+    const record = ledgerPool(state.options.ledger, pool);
+    if (virtualTimeMs <= record.virtualTimeMs) return;
+    record.virtualTimeMs = virtualTimeMs;
+    markPool(state, record, from);
+  });
+}
+
+// --- changes of routers
+
+/** Queues all that a router new to some buckets, or restarted, has to learn from this one. */
+function bringUpToDate(state: ExchangeState, record: HomeRecord, id: string): void {
+  const { topology, options, peers } = state;
+  const outbox = peers.get(id)?.outboxes['zone-totals'];
+  if (outbox === undefined) return;
+  const own = writerName(options.self.id, state.run);
+  const helps = helpsNewPeer(topology, options, record.bucket, id);
+  record.cells.forEach((cell) => {
+    const retired = !isLiveWriter(state, cell.writer);
+    if (cell.writer === own || (helps && retired)) outbox.dirty.add(cell);
+  });
+}
+
+/** Greets the homes that this router reports to and the routers it shares buckets with, until they answer. */
+function updateGreetings(state: ExchangeState): void {
+  const { topology, options, peers } = state;
+  const homes = new Set<string>(topology.homes.get(options.self.zone) ?? []);
+  const shared = new Set<string>();
+  for (let bucket = 0; bucket < options.buckets; bucket++) {
+    const isHome = homeOf(topology, options, bucket) === options.self.id;
+    const isSecond = topology.runnersUp[bucket] === options.self.id;
+    if (isHome || isSecond) {
+      topology.peers[bucket]?.forEach((id) => shared.add(id));
+    }
+  }
+  peers.forEach((peer, id) => {
+    if (peer.run !== undefined) return;
+    peer.outboxes['totals-report'].greet = homes.has(id);
+    peer.outboxes['zone-totals'].greet = shared.has(id);
+  });
+}
+
+/** What changed among the routers. */
+interface RouterChange {
+  /** Runs that ended. */
+  retired: Set<string>;
+  /** Routers that came, or came back. */
+  arrived: Set<string>;
+  /** Routers that a bucket is new to. */
+  newTo: (bucket: number) => string[];
+}
+
+function refreshHome(state: ExchangeState, record: HomeRecord, change: RouterChange): void {
+  if (refreshLiveness(state, record)) {
+    markCell(state, ownCell(state, record));
+    markSpread(state, record);
+  }
+  change.newTo(record.bucket).forEach((id) => bringUpToDate(state, record, id));
+  // This router alone may have heard the last of what a home counted that is gone.
+  change.retired.forEach((name) => {
+    const cell = record.cells.get(name);
+    if (cell !== undefined) markCell(state, cell);
+  });
+  if ([...record.reporters.values()].some(({ id }) => change.arrived.has(id))) {
+    markSpread(state, record);
+  }
+  applyAtHome(state, record);
+}
+
+function markPools(state: ExchangeState): void {
+  state.options.ledger.pools.forEach((pool) => {
+    if (pool.virtualTimeMs > 0) markPool(state, pool);
+  });
+}
+
+function updatePeers(state: ExchangeState, former: Topology): Set<string> {
+  const { peers, topology, options } = state;
+  const retired = new Set<string>();
+  former.routers.forEach(({ id }) => {
+    const peer = peers.get(id);
+    if (peer === undefined || topology.routers.has(id)) return;
+    clearOutboxes(peer);
+    if (peer.run !== undefined) retired.add(writerName(id, peer.run));
+  });
+  topology.routers.forEach(({ id }) => {
+    if (id !== options.self.id && !peers.has(id)) peers.set(id, createPeer(id));
+  });
+  return retired;
+}
+
+function onRoutersChanged(state: ExchangeState, routers: ExchangeRouter[]): void {
+  const former = state.topology;
+  const topology = createTopology(state.options, routers, former);
+  state.topology = topology;
+  const change: RouterChange = {
+    retired: updatePeers(state, former),
+    arrived: new Set([...topology.routers.keys()].filter((id) => !former.routers.has(id))),
+    newTo: (bucket) =>
+      (topology.peers[bucket] ?? []).filter((id) => former.peers[bucket]?.includes(id) !== true),
+  };
+  state.home.forEach((record) => refreshHome(state, record, change));
+  state.own.forEach((record) => retarget(state, record));
+  markPools(state);
+  updateGreetings(state);
+}
+
+/** Starts over with a peer whose incarnation is new. */
+function onNewRun(state: ExchangeState, peer: ExchangePeer, run: number): void {
+  const { id, run: formerRun } = peer;
+  resetPeer(peer, run);
+  const change: RouterChange = {
+    retired: new Set(formerRun === undefined ? [] : [writerName(id, formerRun)]),
+    arrived: new Set([id]),
+    newTo: (bucket) => (state.topology.peers[bucket]?.includes(id) === true ? [id] : []),
+  };
+  state.home.forEach((record) => refreshHome(state, record, change));
+  state.own.forEach((record) => {
+    if (record.current === undefined || record.current.home === id) retarget(state, record);
+  });
+  markPools(state);
+}
+
+// --- messages
+
+type TotalHandler = (
+  state: ExchangeState,
+  peer: ExchangePeer,
+  total: AccountTotal,
+  fresh: boolean,
+) => void;
+
+const onReported: TotalHandler = (state, peer, total, fresh) => {
+  const { totals, lift, waiting } = decodeTotal(total);
+  const entry = ledgerEntry(state.options.ledger, total.pool, total.account);
+  const record = homeRecord(state, entry);
+  const lifted = mergeLift(entry, lift);
+  const { changed, newlyInterested } = acceptReport(state, record, {
+    id: peer.id,
+    run: peer.run as number,
+    totals,
+    waiting: fresh ? waiting : undefined,
+  });
+  if (changed || lifted) markCell(state, ownCell(state, record));
+  if (changed || lifted || newlyInterested) {
+    markSpread(state, record, newlyInterested ? undefined : peer.id);
+    applyAtHome(state, record);
+  }
+};
+
+const onZoneTotal: TotalHandler = (state, peer, total, fresh) => {
+  const { ledger } = state.options;
+  const { totals, lift, waiting, writer } = decodeTotal(total);
+  const entry = ledgerEntry(ledger, total.pool, total.account);
+  const record = homeRecord(state, entry);
+  const name = writer ?? writerName(peer.id, peer.run as number);
+  let changed = raiseCell(record, name, totals);
+  if (changed && !isLiveWriter(state, name)) {
+    const cell = record.cells.get(name);
+    if (cell !== undefined) markCell(state, cell, peer.id);
+  }
+  if (mergeLift(entry, lift)) changed = true;
+  if (fresh && writer === undefined && setCellWaiting(record, name, waiting)) changed = true;
+  if (!changed) return;
+  markSpread(state, record);
+  applyAtHome(state, record);
+};
+
+const onSpread: TotalHandler = (state, peer, total, fresh) => {
+  const { ledger } = state.options;
+  const { totals, lift, waiting } = decodeTotal(total);
+  const entry = ledgerEntry(ledger, total.pool, total.account);
+  mergeLift(entry, lift);
+  const record = ownRecord(state, entry);
+  const { current } = record;
+  if (current === undefined || current.home !== peer.id) return;
+  applyFleetTotals(entry, totals, subtractTotals(record.assigned, current.assigned));
+  if (fresh) entry.waitingElsewhere = waiting;
+};
+
+const TOTAL_HANDLERS: Record<ExchangeKind, TotalHandler> = {
+  'totals-report': onReported,
+  'zone-totals': onZoneTotal,
+  'spread-totals': onSpread,
+};
+
+function acknowledge(peer: ExchangePeer, kind: ExchangeKind, acks: number[]): void {
+  const outbox = peer.outboxes[kind];
+  outbox.greet = false;
+  acks.forEach((seq) => {
+    const sent = outbox.inFlight.get(seq);
+    if (sent === undefined) return;
+    outbox.inFlight.delete(seq);
+    if (kind !== 'totals-report') return;
+    const sessions = sent.items.filter((item) => !isPool(item)) as OwnSession[];
+    sessions.forEach((session, index) => {
+      const total = sent.message.totals?.[index];
+      if (total !== undefined) {
+        session.acked = maxTotals(session.acked, decodeTotal(total).totals);
+      }
+    });
+  });
+}
+
+/** Asks for an answer, so that the peer learns that this router restarted. */
+function greetAgain(peer: ExchangePeer, kind: ExchangeKind): void {
+  const outbox = peer.outboxes[PAIRED_KIND[kind]];
+  outbox.greet = true;
+  outbox.greetedTick = undefined;
+}
+
+function onMessage(state: ExchangeState, from: string, message: ExchangeMessage): void {
+  let peer = state.peers.get(from);
+  if (peer === undefined) {
+    peer = createPeer(from);
+    state.peers.set(from, peer);
+  }
+  if (peer.run !== message.run) onNewRun(state, peer, message.run);
+  const known = peer;
+  mergePools(state, from, message);
+  const current = message.to === state.run;
+  if (message.to !== undefined && !current) greetAgain(known, message.kind);
+  // A report towards a former run was counted in that run's cell, or is withdrawn by the reporter.
+  if (message.kind === 'totals-report' && message.to !== undefined && !current) return;
+  if (current && message.acks !== undefined) {
+    acknowledge(known, PAIRED_KIND[message.kind], message.acks);
+  }
+  const fresh = receive(known, message);
+  const handler = TOTAL_HANDLERS[message.kind];
+  message.totals?.forEach((total) => handler(state, known, total, fresh));
+}
+
+// --- ticks
+
+function collectChanges(state: ExchangeState): void {
+  const { ledger } = state.options;
+  ledger.changedEntries.forEach((entry) => reportChange(state, ownRecord(state, entry)));
+  ledger.changedEntries.clear();
+  ledger.changedPools.forEach((pool) => markPool(state, pool));
+  ledger.changedPools.clear();
+}
+
+function poolTimes(
+  state: ExchangeState,
+  peer: ExchangePeer,
+  kind: ExchangeKind,
+  items: OutboxItem[],
+) {
+  const { sentPoolMs } = peer.outboxes[kind];
+  const pools = [...state.options.ledger.pools.values()].filter(
+    (pool) => pool.virtualTimeMs > (sentPoolMs.get(pool.pool) ?? 0) || items.includes(pool),
+  );
+  pools.forEach(({ pool, virtualTimeMs }) => sentPoolMs.set(pool, virtualTimeMs));
+  return pools.map(({ pool, virtualTimeMs }) => encodePool(pool, virtualTimeMs));
+}
+
+function compose(state: ExchangeState, peer: ExchangePeer, kind: ExchangeKind): ExchangeSend {
+  const items = takeItems(peer.outboxes[kind], MAX_ENTRIES);
+  const message: ExchangeMessage = { kind, run: state.run };
+  const totals = items
+    .filter((item) => !isPool(item))
+    .map((item) => encodeItem(state, peer, kind, item));
+  if (totals.length > 0) message.totals = totals;
+  const pools = poolTimes(state, peer, kind, items);
+  if (pools.length > 0) message.pools = pools;
+  seal(peer, message, items, state.tick);
+  return { kind: 'send', to: peer.id, message };
+}
+
+function onTick(state: ExchangeState, nowMs: number): ExchangeSend[] {
+  if (state.nextTickMs !== undefined && nowMs < state.nextTickMs) return [];
+  state.nextTickMs = nowMs + state.options.periodMs;
+  state.tick += 1;
+  collectChanges(state);
+  const sends: ExchangeSend[] = [];
+  state.peers.forEach((peer) => {
+    if (!state.topology.routers.has(peer.id)) return;
+    EXCHANGE_KINDS.forEach((kind) => {
+      expireInFlight(peer.outboxes[kind], state.tick);
+      if (isDue(peer, kind, state.tick)) sends.push(compose(state, peer, kind));
+    });
+  });
+  return sends;
+}
+
+/** Applies one event. Call it with a tick at least once per period; ticks that come early do nothing. */
+export function reduceExchange(
+  state: ExchangeState,
+  event: ExchangeEvent,
+): Step<ExchangeState, ExchangeSend> {
+  let effects: ExchangeSend[] = [];
+  if (event.kind === 'tick') effects = onTick(state, event.nowMs);
+  else if (event.kind === 'routers-changed') onRoutersChanged(state, event.routers);
+  else onMessage(state, event.from, event.message);
+  return { state, effects };
+}
--- a/packages/core/src/fairness/service-ledger.ts
+++ b/packages/core/src/fairness/service-ledger.ts
@@ -5,6 +5,7 @@
  * The fleet's total of an account is `others + own - contained`: the exchange sets `others` together with the part of `own`
  * that it contains, so nothing counts twice however late a message is.
  */
+import { addTotals, maxTotals, subtractTotals } from './service-totals.js';
 import type {
   Ledger,
   LedgerEntry,
@@ -102,16 +103,16 @@
   const timeMs = unclampedTimeMs(entry);
   lift.epoch += 1;
   lift.share = share;
-  lift.liftMs = timeMs - serviceMs(entry) / share;
+  lift.liftMs = Math.ceil(timeMs - serviceMs(entry) / share);
   ledger.changedEntries.add(entry);
 }
 
 function raiseTo(ledger: Ledger, entry: LedgerEntry, floorMs: number): number {
   const timeMs = unclampedTimeMs(entry);
   if (timeMs >= floorMs) return timeMs;
-  entry.lift.liftMs += floorMs - timeMs;
+  entry.lift.liftMs = Math.ceil(entry.lift.liftMs + floorMs - timeMs);
   ledger.changedEntries.add(entry);
-  return floorMs;
+  return unclampedTimeMs(entry);
 }
 
 /** The pool's virtual time: the largest start tag dispatched so far. */
@@ -137,8 +138,9 @@
 /** Advances the pool's virtual time to the start tag of a dispatched request; it never goes back. */
 export function advancePoolTime(ledger: Ledger, pool: string, startTagMs: number): void {
   const record = ledgerPool(ledger, pool);
-  if (!(startTagMs > record.virtualTimeMs)) return;
-  record.virtualTimeMs = startTagMs;
+  const wholeMs = Math.floor(startTagMs);
+  if (!(wholeMs > record.virtualTimeMs)) return;
+  record.virtualTimeMs = wholeMs;
   ledger.changedPools.add(record);
 }
 
@@ -179,3 +181,17 @@
   entry.lift = { ...heard };
   return true;
 }
+
+/**
+ * Takes in fleet totals heard from a home. `contained` is the part of this router's own service that they contain. The totals
+ * this router sees never fall: after a change of home, `others` starts from what was known.
+ */
+export function applyFleetTotals(
+  entry: LedgerEntry,
+  heard: ServiceTotals,
+  contained: ServiceTotals,
+): void {
+  const known = subtractTotals(addTotals(entry.others, contained), entry.contained);
+  entry.others = maxTotals(heard, known);
+  entry.contained = contained;
+}
--- a/packages/core/src/hash/rendezvous.ts
+++ b/packages/core/src/hash/rendezvous.ts
@@ -11,7 +11,8 @@
   return a.node < b.node ? -1 : 1;
 }
 
-function weightOf(hasher: Hasher, key: string, node: string): number {
+/** Weight of the node for `key`; the node of highest weight is picked. */
+export function rendezvousWeight(hasher: Hasher, key: string, node: string): number {
   return hasher.hash32(`${key}\u0000${node}`);
 }
 
@@ -21,7 +22,7 @@
  */
 export function rendezvousOrder(hasher: Hasher, key: string, nodes: readonly string[]): string[] {
   return nodes
-    .map((node) => ({ node, weight: weightOf(hasher, key, node) }))
+    .map((node) => ({ node, weight: rendezvousWeight(hasher, key, node) }))
     .sort(byWeight)
     .map(({ node }) => node);
 }
@@ -34,7 +35,7 @@
 ): string | undefined {
   let best: Ranked | undefined;
   nodes.forEach((node) => {
-    const ranked = { node, weight: weightOf(hasher, key, node) };
+    const ranked = { node, weight: rendezvousWeight(hasher, key, node) };
     if (best === undefined || byWeight(ranked, best) < 0) best = ranked;
   });
   return best?.node;
--- a/packages/core/src/protocol/messages.ts
+++ b/packages/core/src/protocol/messages.ts
@@ -106,46 +106,58 @@
   routers: z.array(z.object({ id, address: z.string(), zone: id, region: id })),
 });
 
-/** Grow-only totals of one (pool, account). */
+/**
+ * Totals of one (pool, account) on the wire. Numbers are whole milliseconds; fields that are 0 or false are left out.
+ */
 export const accountTotalSchema = z.object({
   pool: id,
   account: id,
-  chargedMs: finite,
-  refundedMs: finite,
-  /** Lift of the account's virtual time; merges by maximum. */
-  liftMs: finite,
+  /** Grow-only. */
+  chargedMs: count.optional(),
+  /** Grow-only. */
+  refundedMs: count.optional(),
+  /** Lift of the account's virtual time; merges by maximum within an epoch. */
+  liftMs: finite.optional(),
+  /** Epoch of the lift, when the account's share has changed. */
+  liftEpoch: count.optional(),
+  /** Share of the lift's epoch; given when the epoch is not 0. */
+  liftShare: z.number().positive().optional(),
   /** Whether requests of the account wait. */
-  waiting: z.boolean(),
+  waiting: z.boolean().optional(),
+  /** Run of a home router that counted these totals, when it is not the sender's. */
+  writer: id.optional(),
 });
 
 /** Virtual time of one pool; merges by maximum. */
 export const poolTimeSchema = z.object({ pool: id, virtualTimeMs: finite });
 
+/** Fields that the three messages of the exchange share. */
+const exchangeFields = {
+  /** Hash of the sender's incarnation. */
+  run: count,
+  /** Hash of the receiver's incarnation as the sender knows it; acknowledgements count for that run only. */
+  to: count.optional(),
+  /** Number of this message on its way from sender to receiver; to be acknowledged. Left out when nothing needs it. */
+  seq: count.optional(),
+  /** Numbers received since the sender's last message. */
+  acks: z.array(count).optional(),
+  totals: z.array(accountTotalSchema).optional(),
+  pools: z.array(poolTimeSchema).optional(),
+};
+
 /**
- * Router to the home router of the accounts in its zone: its own totals of accounts that changed. Grow-only per router incarnation.
+ * Router to the home router of accounts in its zone: what this run of the router counted towards the run `to` of the home, and
+ * whether it waits. Grow-only.
  */
-export const totalsReportSchema = z.object({
-  kind: z.literal('totals-report'),
-  incarnation: id,
-  totals: z.array(accountTotalSchema),
-  pools: z.array(poolTimeSchema),
-});
+export const totalsReportSchema = z.object({ kind: z.literal('totals-report'), ...exchangeFields });
 
-/** Home router to the homes of other zones: sums over the routers of its zone. */
-export const zoneTotalsSchema = z.object({
-  kind: z.literal('zone-totals'),
-  zone: id,
-  totals: z.array(accountTotalSchema),
-  pools: z.array(poolTimeSchema),
-});
+/** Home router to the other homes of the same accounts: what the routers of its zone counted towards its run. */
+export const zoneTotalsSchema = z.object({ kind: z.literal('zone-totals'), ...exchangeFields });
 
-/** Home router to the routers of its zone: its zone's sums and the fleet's. */
-export const spreadTotalsSchema = z.object({
-  kind: z.literal('spread-totals'),
-  zoneTotals: z.array(accountTotalSchema),
-  fleetTotals: z.array(accountTotalSchema),
-  pools: z.array(poolTimeSchema),
-});
+/**
+ * Home router to a router of its zone: the fleet's totals without what the receiver itself counted towards the sender's run.
+ */
+export const spreadTotalsSchema = z.object({ kind: z.literal('spread-totals'), ...exchangeFields });
 
 /** The configuration version in force at the sender. */
 export const configVersionSchema = z.object({
--- /dev/null
+++ b/packages/core/test/fairness/exchange.test.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import fc from 'fast-check';
+
+import type { ServiceTotals } from '../../src/index.js';
+import {
+  advancePoolTime,
+  chargeService,
+  createHasher,
+  fleetTotals,
+  ledgerEntry,
+  messageSchema,
+  poolVirtualTimeMs,
+  refundService,
+  setWaiting,
+} from '../../src/index.js';
+import type { Network } from './exchange-network.js';
+import {
+  createNetwork,
+  deliver,
+  settle,
+  startNode,
+  tellAll,
+  tickNode,
+} from './exchange-network.js';
+
+const hasher = await createHasher();
+const POOL = 'large';
+const ACCOUNTS = ['ann', 'ben', 'cat'];
+
+type Step =
+  | { kind: 'charge' | 'refund'; node: number; account: number; ms: number }
+  | { kind: 'advance'; node: number; ms: number }
+  | { kind: 'tick'; node: number }
+  | { kind: 'deliver' | 'duplicate' | 'lose'; index: number }
+  | { kind: 'join'; zone: number };
+
+const nat = fc.nat({ max: 1000 });
+const faultFreeSteps: fc.Arbitrary<Step>[] = [
+  fc.record({
+    kind: fc.constantFrom('charge' as const, 'refund' as const),
+    node: nat,
+    account: nat,
+    ms: nat,
+  }),
+  fc.record({ kind: fc.constant('advance' as const), node: nat, ms: nat }),
+  fc.record({ kind: fc.constant('tick' as const), node: nat }),
+  fc.record({
+    kind: fc.constantFrom('deliver' as const, 'duplicate' as const, 'lose' as const),
+    index: nat,
+  }),
+];
+const joins: fc.Arbitrary<Step> = fc.record({ kind: fc.constant('join' as const), zone: nat });
+
+interface Truth {
+  totals: Map<string, ServiceTotals>;
+  poolMs: number;
+}
+
+function createTruth(): Truth {
+  const none = () => ({ chargedMs: 0, refundedMs: 0 });
+  return { totals: new Map(ACCOUNTS.map((account) => [account, none()])), poolMs: 0 };
+}
+
+function nodeAt(network: Network, index: number) {
+  const nodes = [...network.nodes.values()];
+  const node = nodes[index % nodes.length];
+  assert.ok(node);
+  return node;
+}
+
+function accountAt(index: number): string {
+  return ACCOUNTS[index % ACCOUNTS.length] as string;
+}
+
+function apply(network: Network, truth: Truth, step: Step): void {
+  const { messages } = network;
+  if (step.kind === 'charge' || step.kind === 'refund') {
+    const { ledger } = nodeAt(network, step.node);
+    const account = accountAt(step.account);
+    const totals = truth.totals.get(account) as ServiceTotals;
+    if (step.kind === 'charge') chargeService(ledger, POOL, account, step.ms);
+    else refundService(ledger, POOL, account, step.ms);
+    totals[step.kind === 'charge' ? 'chargedMs' : 'refundedMs'] += step.ms;
+  } else if (step.kind === 'advance') {
+    advancePoolTime(nodeAt(network, step.node).ledger, POOL, step.ms);
+    truth.poolMs = Math.max(truth.poolMs, step.ms);
+  } else if (step.kind === 'tick') {
+    network.nowMs += network.periodMs;
+    tickNode(network, nodeAt(network, step.node));
+  } else if (step.kind === 'join') {
+    startNode(network, `router-${network.starts}`, `zone-${step.zone % 3}`);
+    tellAll(network);
+  } else if ('index' in step && messages.length > 0) {
+    const index = step.index % messages.length;
+    const [envelope] =
+      step.kind === 'duplicate' ? messages.slice(index) : messages.splice(index, 1);
+    if (envelope !== undefined && step.kind !== 'lose') deliver(network, envelope);
+  }
+}
+
+function useEverywhere(network: Network): void {
+  network.nodes.forEach(({ ledger }) =>
+    ACCOUNTS.forEach((account) => setWaiting(ledger, POOL, account, true)),
+  );
+}
+
+function assertConverged(network: Network, truth: Truth): void {
+  network.nodes.forEach(({ id, ledger }) => {
+    ACCOUNTS.forEach((account) => {
+      const seen = fleetTotals(ledgerEntry(ledger, POOL, account));
+      assert.deepEqual(seen, truth.totals.get(account), `${account} at ${id}`);
+      const { waitingElsewhere } = ledgerEntry(ledger, POOL, account);
+      assert.equal(waitingElsewhere, network.nodes.size > 1, `${account} waiting at ${id}`);
+    });
+    assert.equal(poolVirtualTimeMs(ledger, POOL), truth.poolMs, `pool time at ${id}`);
+  });
+}
+
+function createFleet(sizes: number[]): Network {
+  const network = createNetwork(hasher, 8, 250);
+  sizes.forEach((size, zone) => {
+    for (let i = 0; i < size; i++) startNode(network, `router-${network.starts}`, `zone-${zone}`);
+  });
+  tellAll(network);
+  return network;
+}
+
+const sizes = fc.array(fc.integer({ min: 1, max: 3 }), { minLength: 1, maxLength: 3 });
+
+test('totals converge to the true sum whatever is lost, late, repeated or reordered', () => {
+  const steps = fc.array(fc.oneof(...faultFreeSteps), { maxLength: 120 });
+  fc.assert(
+    fc.property(sizes, steps, (zoneSizes, sequence) => {
+      const network = createFleet(zoneSizes);
+      const truth = createTruth();
+      sequence.forEach((step) => apply(network, truth, step));
+      useEverywhere(network);
+      assert.ok(settle(network) < 60, 'still sending');
+      assertConverged(network, truth);
+    }),
+    { seed: 21, numRuns: 300 },
+  );
+});
+
+test('totals converge to the true sum when homes move to routers that join', () => {
+  const steps = fc.array(fc.oneof(...faultFreeSteps, joins), { maxLength: 120 });
+  fc.assert(
+    fc.property(sizes, steps, (zoneSizes, sequence) => {
+      const network = createFleet(zoneSizes);
+      const truth = createTruth();
+      sequence.forEach((step) => apply(network, truth, step));
+      useEverywhere(network);
+      assert.ok(settle(network) < 60, 'still sending');
+      assertConverged(network, truth);
+    }),
+    { seed: 22, numRuns: 300 },
+  );
+});
+
+test('messages of the exchange match their schema', () => {
+  const network = createFleet([2, 1]);
+  chargeService(nodeAt(network, 0).ledger, POOL, 'ann', 10);
+  advancePoolTime(nodeAt(network, 0).ledger, POOL, 10);
+  network.nowMs = 250;
+  network.nodes.forEach((node) => tickNode(network, node));
+  assert.ok(network.messages.length > 0);
+  network.messages.forEach(({ message }) =>
+    assert.deepEqual(messageSchema.parse(message), message),
+  );
+});
