Distribute configuration and exchange service totals in the real processes

Cause: each process polled the store, and routers knew only their own service. Change: each process is one composed reducer; configuration reaches it over links, totals go to home routers; a router dials the routers that it shares buckets with.

--- a/packages/core/src/claims/claim-reducer.ts
+++ b/packages/core/src/claims/claim-reducer.ts
@@ -9,7 +9,7 @@
 import type { Step } from '../loop/index.js';
 import type {
   AskOutcome,
-  AttemptOutcome,
+  ClaimAttemptOutcome,
   AttemptTarget,
   Claim,
   ClaimEffect,
@@ -191,10 +191,10 @@
 };
 
 const attemptHandlers: {
-  [C in AttemptOutcome['code']]: (
+  [C in ClaimAttemptOutcome['code']]: (
     ctx: Context,
     claim: Claim,
-    outcome: Extract<AttemptOutcome, { code: C }>,
+    outcome: Extract<ClaimAttemptOutcome, { code: C }>,
   ) => void;
 } = {
   finished: (ctx, claim, { answer }) => record(ctx, claim, answer),
@@ -202,10 +202,10 @@
   unknown: (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
 };
 
-const handleAttempt = <C extends AttemptOutcome['code']>(
+const handleAttempt = <C extends ClaimAttemptOutcome['code']>(
   ctx: Context,
   claim: Claim,
-  outcome: Extract<AttemptOutcome, { code: C }>,
+  outcome: Extract<ClaimAttemptOutcome, { code: C }>,
 ): void => attemptHandlers[outcome.code](ctx, claim, outcome);
 
 const askHandlers: Record<AskOutcome, (ctx: Context, claim: Claim) => void> = {
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -94,7 +94,7 @@
   | { kind: 'claim-written'; nowMs: number; outcome: ClaimWriteOutcome }
   /** A slot for the request; the attempt id is new. */
   | { kind: 'slot-granted'; nowMs: number; target: AttemptTarget }
-  | { kind: 'attempt-ended'; nowMs: number; outcome: AttemptOutcome }
+  | { kind: 'attempt-ended'; nowMs: number; outcome: ClaimAttemptOutcome }
   | { kind: 'attempt-asked'; nowMs: number; outcome: AskOutcome }
   | { kind: 'answer-fetched'; nowMs: number; answer?: RecordedAnswer }
   /** The request's time in the queue is over, or its caller has left, before it was dispatched. */
@@ -103,7 +103,7 @@
 export type ClaimReadOutcome =
   { code: 'found'; version: number; claim: Claim } | { code: 'absent' } | { code: 'failed' };
 
-export type AttemptOutcome =
+export type ClaimAttemptOutcome =
   /** The whole answer was relayed to the caller. Without `answer` it is too large to keep. */
   | { code: 'finished'; answer?: RecordedAnswer }
   /** The attempt is barred and was not run. */
--- /dev/null
+++ b/packages/core/src/process/types.ts
@@ -0,0 +1,100 @@
+/** Whole processes: the reducers of a router or sidecar process, composed into one. */
+import type { ConfigEffect, ConfigEvent, ConfigProcess, ConfigState } from '../config/index.js';
+import type { ExchangeState } from '../fairness/index.js';
+import type { Hello, LinkMessage, Place } from '../protocol/index.js';
+import type { RouterEffect, RouterEvent, RouterOptions, RouterState } from '../router/index.js';
+import type {
+  SidecarEffect,
+  SidecarEvent,
+  SidecarOptions,
+  SidecarState,
+} from '../sidecar/index.js';
+
+/** A live router of the platform's instance list. */
+export interface ListedRouter extends Place {
+  id: string;
+  /** `host:port` of its link listener. */
+  address: string;
+}
+
+/** Who this process is. */
+export interface ProcessSelf extends Place, Omit<ConfigProcess, 'role'> {
+  incarnation: string;
+}
+
+/** Events that both kinds of process have. */
+export type FleetEvent =
+  | { kind: 'link-opened'; nowMs: number; link: string; hello: Hello }
+  | { kind: 'link-closed'; nowMs: number; link: string }
+  | { kind: 'message'; nowMs: number; link: string; message: LinkMessage }
+  | { kind: 'routers-listed'; nowMs: number; routers: ListedRouter[] }
+  | { kind: 'tick'; nowMs: number };
+
+/** Answers of the object service about the configuration. */
+export type StoreEvent = Extract<
+  ConfigEvent,
+  { kind: 'config-loaded' | 'patches-loaded' | 'store-failed' }
+>;
+
+/** Effects that both kinds of process have. */
+export type FleetEffect =
+  | Exclude<ConfigEffect, { kind: 'send' }>
+  | { kind: 'send'; link: string; message: LinkMessage }
+  /** Keep links to just these addresses; the rest is hung up. */
+  | { kind: 'keep-links'; addresses: string[] };
+
+type FleetKind = FleetEvent['kind'];
+
+/** Events of the router process. */
+export type RouterProcessEvent =
+  | FleetEvent
+  | StoreEvent
+  | Exclude<RouterEvent, { kind: FleetKind | 'sidecar-linked' | 'sidecar-unlinked' }>;
+
+/** Effects of the router process. */
+export type RouterProcessEffect = FleetEffect | Exclude<RouterEffect, { kind: 'send' }>;
+
+/** State of the router process. */
+export interface RouterProcessState {
+  self: ProcessSelf;
+  router: RouterState;
+  config: ConfigState;
+  exchange: ExchangeState;
+  /** Open link to each linked router, by router id. */
+  routerLinks: Map<string, string>;
+}
+
+/** Options of the router process. */
+export interface RouterProcessOptions {
+  self: ProcessSelf;
+  router?: Partial<RouterOptions>;
+  /** Period of the exchange of service totals. @default 250 */
+  exchangePeriodMs?: number;
+  nowMs: number;
+}
+
+/** Events of the sidecar process. */
+export type SidecarProcessEvent =
+  FleetEvent | StoreEvent | Exclude<SidecarEvent, { kind: FleetKind | 'configured' }>;
+
+/** Effects of the sidecar process. */
+export type SidecarProcessEffect = FleetEffect | Exclude<SidecarEffect, { kind: 'send' }>;
+
+/** State of the sidecar process. */
+export interface SidecarProcessState {
+  self: ProcessSelf;
+  sidecar: SidecarState;
+  config: ConfigState;
+  /** Live routers as last listed. */
+  routers: ListedRouter[];
+  maxLinks: number;
+}
+
+/** Options of the sidecar process. */
+export interface SidecarProcessOptions {
+  self: ProcessSelf;
+  sidecar: Partial<SidecarOptions> & Pick<SidecarOptions, 'backend'>;
+  /** Routers that it keeps links to. @default 8 */
+  maxLinks?: number;
+  nowMs: number;
+}
--- a/packages/core/src/router/attempts.ts
+++ b/packages/core/src/router/attempts.ts
@@ -19,7 +19,7 @@
   state.attempts.delete(attempt.attempt);
   returnCredit(state, attempt);
   if (!req) return;
-  const excessMs = attempt.chargedMs - slotMs;
+  const excessMs = attempt.chargedMs - Math.round(slotMs);
   if (excessMs > 0) refundService(state.ledger, req.pool, req.account, excessMs);
   if (excessMs < 0) chargeService(state.ledger, req.pool, req.account, -excessMs);
 }
@@ -148,7 +148,7 @@
 /** Charges running attempts that outlast their estimate for the time they have used. */
 export function chargeOverruns(state: RouterState, nowMs: number): void {
   state.attempts.forEach((attempt) => {
-    const usedMs = nowMs - attempt.dispatchedAtMs;
+    const usedMs = Math.round(nowMs - attempt.dispatchedAtMs);
     const req = state.requests.get(attempt.request);
     if (!req || usedMs <= attempt.chargedMs) return;
     chargeService(state.ledger, req.pool, req.account, usedMs - attempt.chargedMs);
--- a/packages/core/src/sidecar/settlement.ts
+++ b/packages/core/src/sidecar/settlement.ts
@@ -11,7 +11,7 @@
   if (routers.some((router) => router.incarnation === active.incarnation)) return [];
   const heir = routers.find((router) => !router.leaving);
   if (!heir) return [];
-  const usedMs = active.startedAtMs === null ? 0 : nowMs - active.startedAtMs;
+  const usedMs = active.startedAtMs === null ? 0 : Math.round(nowMs - active.startedAtMs);
   const message = {
     kind: 'settle' as const,
     attempt: active.attempt,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,8 +1,11 @@
 /** Parts that routers and sidecars share. */
 export * from './attempt-token.js';
-export * from './config-follower.js';
+export * from './config-polls.js';
 export * from './http-listener.js';
+export * from './keep-links.js';
+export * from './link-feed.js';
 export * from './link-metrics.js';
 export * from './membership.js';
+export * from './process-hello.js';
 export * from './repeat.js';
 export * from './signal.js';
--- a/packages/router/src/callers/submit.ts
+++ b/packages/router/src/callers/submit.ts
@@ -1,5 +1,5 @@
 /** Hands callers' requests to the router's reducer. */
-import type { RequestInfo, RouterEvent } from '@kingcupsill/core';
+import type { RequestInfo, RouterProcessEvent } from '@kingcupsill/core';
 import type { Context } from 'koa';
 
 import type { ServiceRecord } from '../directory/types.js';
@@ -8,7 +8,7 @@
 
 /** What submitting needs. */
 export interface SubmitOptions {
-  dispatch(event: RouterEvent): void;
+  dispatch(event: RouterProcessEvent): void;
   clock(): number;
   /** Uniform random number in [0, 1). */
   random(): number;
--- a/packages/router/src/relay/types.ts
+++ b/packages/router/src/relay/types.ts
@@ -1,5 +1,5 @@
 /** Types of the relay between callers and sidecars. */
-import type { RouterEffect, RouterEvent } from '@kingcupsill/core';
+import type { RouterEffect, RouterProcessEvent } from '@kingcupsill/core';
 
 import type { HeldRequest } from '../callers/types.js';
 
@@ -17,7 +17,7 @@
   /** Incarnation of this router. */
   incarnation: string;
   clock(): number;
-  dispatch(event: RouterEvent): void;
+  dispatch(event: RouterProcessEvent): void;
   /** The caller's request, while the router holds it. */
   held(request: string): HeldRequest | undefined;
 }
--- a/packages/router/src/router-effects.ts
+++ b/packages/router/src/router-effects.ts
@@ -1,40 +1,41 @@
-/** Runs the effects of the router's reducer. */
-import type { LinkMessage, RouterEffect } from '@kingcupsill/core';
+/** Runs the effects of the router process. */
+import type { RouterProcessEffect, RouterProcessEvent } from '@kingcupsill/core';
+import { keepLinks } from '@kingcupsill/fleet';
+import type { EffectHandlers, Logger } from '@kingcupsill/runtime';
 
 import { breakAnswer, sendError } from './callers/errors.js';
-import type { HeldRequest } from './callers/types.js';
-import type { Relay } from './relay/types.js';
+import { createDirectory } from './directory/directory.js';
+import type { RouterParts } from './types.js';
 
 /** What the effect handlers need. */
 export interface RouterEffectsOptions {
-  relay: Relay;
-  sendTo(link: string, message: LinkMessage): void;
-  held(request: string): HeldRequest | undefined;
-  onStopped(): void;
+  parts: RouterParts;
+  logger: Logger;
 }
 
-type EffectOf<K extends RouterEffect['kind']> = Extract<RouterEffect, { kind: K }>;
-
-/** Lookup table of effect handlers. */
-export type RouterEffectHandlers = {
-  [K in RouterEffect['kind']]: (effect: EffectOf<K>) => void | Promise<void>;
-};
-
 /** Creates the lookup table of effect handlers. */
-export function createRouterEffects(options: RouterEffectsOptions): RouterEffectHandlers {
-  const { relay, sendTo, held, onStopped } = options;
+export function createRouterEffects(
+  options: RouterEffectsOptions,
+): EffectHandlers<RouterProcessEvent, RouterProcessEffect> {
+  const { parts, logger } = options;
   return {
-    send: ({ link, message }) => sendTo(link, message),
-    dispatch: (effect) => relay.dispatch(effect),
-    resume: (effect) => relay.resume(effect),
-    'ask-outcome': (effect) => relay.askOutcome(effect),
-    cancel: (effect) => relay.cancel(effect),
+    send: ({ link, message }) => parts.linkFeed.send(link, message),
+    'keep-links': ({ addresses }) => keepLinks(parts.dialer, addresses, logger),
+    'poll-store': (effect) => parts.configPolls.poll(effect),
+    'config-in-force': ({ config }) => {
+      parts.directory.now = createDirectory(config);
+      logger.info('config-in-force', { version: config.version });
+    },
+    dispatch: (effect) => parts.relay.dispatch(effect),
+    resume: (effect) => parts.relay.resume(effect),
+    'ask-outcome': (effect) => parts.relay.askOutcome(effect),
+    cancel: (effect) => parts.relay.cancel(effect),
     refuse({ request, code, ran, retryAfterMs }) {
-      const refused = held(request);
+      const refused = parts.heldRequests.get(request);
       if (!refused) return;
       if (refused.headRelayed) breakAnswer(refused.res, code, ran);
       else sendError(refused.res, code, ran, retryAfterMs);
     },
-    stopped: onStopped,
+    stopped: () => parts.stopped.raise(),
   };
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,17 +1,35 @@
 /** Composition of the router process. */
-import type { RouterEffect, RouterEvent, RouterState } from '@kingcupsill/core';
-import { EMPTY_CONFIG, createRouterState, routerReducer } from '@kingcupsill/core';
+import type {
+  Hasher,
+  Hello,
+  RouterProcessEffect,
+  RouterProcessEvent,
+  RouterProcessState,
+} from '@kingcupsill/core';
+import {
+  EMPTY_CONFIG,
+  Role,
+  configStatus,
+  createHasher,
+  createRouterProcessReducer,
+  createRouterProcessState,
+} from '@kingcupsill/core';
 import {
   attemptToken,
-  createConfigFollower,
+  baseHello,
+  createConfigPolls,
+  createLinkFeed,
   createLinkTraffic,
+  createMembership,
   createSignal,
+  linkOptions,
   listenHttp,
+  processSelf,
   repeatTask,
 } from '@kingcupsill/fleet';
 import type { LinkTls } from '@kingcupsill/link';
-import { readTlsFiles } from '@kingcupsill/link';
-import { createConfigStore, createObjectClient } from '@kingcupsill/platform';
+import { createLinkDialer, createLinkServer, readTlsFiles } from '@kingcupsill/link';
+import { createConfigStore, createInstanceClient, createObjectClient } from '@kingcupsill/platform';
 import type { Part, PartTable, RunningProcess } from '@kingcupsill/runtime';
 import { composeProcess, createAdminServer, createLoop } from '@kingcupsill/runtime';
 
@@ -21,7 +39,6 @@
 import { registerRouterMetrics } from './metrics.js';
 import { createRelay } from './relay/relay.js';
 import { createRouterEffects } from './router-effects.js';
-import { createRouterLinkServer } from './router-links.js';
 import type { RouterContext, RouterParts } from './types.js';
 
 const TICK_MS = 50;
@@ -31,11 +48,12 @@
 /** Starts the router. */
 export async function startRouter(ctx: RouterContext): Promise<RunningProcess> {
   const tls = await readTlsFiles(ctx.settings.link);
-  const { parts, close } = composeProcess<RouterParts>(partTable(ctx, tls));
+  const hasher = await createHasher();
+  const { parts, close } = composeProcess<RouterParts>(partTable(ctx, hasher, tls));
   const callers = await parts.callerServer;
   const links = await parts.linkServer;
-  const { traffic, follower, ticking } = parts;
-  void [traffic, follower, ticking];
+  const { traffic, metrics, dialer, membership, ticking } = parts;
+  void [traffic, metrics, dialer, membership, ticking];
   const admin = await parts.adminServer;
   ctx.logger.info('listening', {
     callersPort: callers.port,
@@ -50,23 +68,35 @@
   await parts.stopped.happened;
 }
 
-function partTable(ctx: RouterContext, tls: LinkTls | undefined): PartTable<RouterParts> {
+function partTable(
+  ctx: RouterContext,
+  hasher: Hasher,
+  tls: LinkTls | undefined,
+): PartTable<RouterParts> {
   const { registry, clock } = ctx;
   return {
-    links: { create: () => new Map() },
     heldRequests: { create: () => new Map() },
     directory: { create: () => ({ now: createDirectory(EMPTY_CONFIG) }) },
     stopped: { create: createSignal },
     relay: relayPart(ctx),
-    loop: loopPart(ctx),
-    metrics: { create: ({ loop }) => registerRouterMetrics(registry, loop.state) },
-    callerServer: callerServerPart(ctx),
-    linkServer: {
-      create: (parts) => createRouterLinkServer(ctx, tls, parts),
-      close: (server) => server.close(),
+    loop: loopPart(ctx, hasher),
+    metrics: {
+      create: ({ loop }) => registerRouterMetrics(registry, () => loop.state().router),
     },
-    traffic: { create: ({ links }) => createLinkTraffic(registry, () => [...links.values()]) },
-    follower: followerPart(ctx),
+    linkFeed: {
+      create: (parts) =>
+        createLinkFeed({
+          clock,
+          dispatch: (event) => parts.loop.dispatch(event),
+          traffic: () => parts.traffic,
+        }),
+    },
+    traffic: { create: ({ linkFeed }) => createLinkTraffic(registry, linkFeed.links) },
+    linkServer: linkServerPart(ctx, tls),
+    dialer: dialerPart(ctx, tls),
+    configPolls: configPollsPart(ctx),
+    callerServer: callerServerPart(ctx),
+    membership: membershipPart(ctx),
     ticking: {
       create: ({ loop }) =>
         repeatTask(async () => loop.dispatch({ kind: 'tick', nowMs: clock() }), TICK_MS),
@@ -90,24 +120,72 @@
   };
 }
 
-function loopPart({ settings, incarnation }: RouterContext): RouterPart<'loop'> {
-  const { policy, demandPeriodMs } = settings.fairness;
+function loopPart(ctx: RouterContext, hasher: Hasher): RouterPart<'loop'> {
+  const { settings, incarnation, clock, logger } = ctx;
+  const { policy, demandPeriodMs, exchangePeriodMs } = settings.fairness;
   return {
     create: (parts) =>
-      createLoop<RouterState, RouterEvent, RouterEffect>({
-        initialState: createRouterState({ incarnation, policy, demandPeriodMs }),
-        reduce: routerReducer,
-        handlers: createRouterEffects({
-          relay: parts.relay,
-          sendTo: (link, message) => parts.links.get(link)?.send(message),
-          held: (request) => parts.heldRequests.get(request),
-          onStopped: () => parts.stopped.raise(),
+      createLoop<RouterProcessState, RouterProcessEvent, RouterProcessEffect>({
+        initialState: createRouterProcessState(hasher, {
+          self: processSelf(settings.process, incarnation),
+          router: { policy, demandPeriodMs },
+          exchangePeriodMs,
+          nowMs: clock(),
         }),
+        reduce: createRouterProcessReducer(hasher),
+        handlers: createRouterEffects({ parts, logger }),
       }),
     close: (loop) => loop.close(),
   };
 }
 
+function helloOf({ loop }: RouterParts): Hello {
+  const { self, config } = loop.state();
+  return baseHello(self, Role.Router, config.config.version);
+}
+
+function linkServerPart(ctx: RouterContext, tls: LinkTls | undefined): RouterPart<'linkServer'> {
+  const { link } = ctx.settings;
+  return {
+    create: (parts) =>
+      createLinkServer({
+        ...linkOptions(link, tls, ctx),
+        host: link.host,
+        port: link.port,
+        hello: () => helloOf(parts),
+        handlers: parts.linkFeed.handlers,
+      }),
+    close: (server) => server.close(),
+  };
+}
+
+function dialerPart(ctx: RouterContext, tls: LinkTls | undefined): RouterPart<'dialer'> {
+  return {
+    create: (parts) =>
+      createLinkDialer({
+        ...linkOptions(ctx.settings.link, tls, ctx),
+        random: Math.random,
+        hello: () => helloOf(parts),
+        handlers: parts.linkFeed.handlers,
+      }),
+    close: (dialer) => dialer.close(),
+  };
+}
+
+function configPollsPart({ settings, logger, clock }: RouterContext): RouterPart<'configPolls'> {
+  const objects = createObjectClient({ url: settings.platform.url });
+  return {
+    create: (parts) =>
+      createConfigPolls({
+        store: createConfigStore({ objects }),
+        logger,
+        clock,
+        dispatch: (event) => parts.loop.dispatch(event),
+      }),
+    close: (polls) => polls.close(),
+  };
+}
+
 function callerServerPart({ settings, clock }: RouterContext): RouterPart<'callerServer'> {
   const { host, port, maxBodyBytes } = settings.callers;
   return {
@@ -135,37 +213,29 @@
   });
 }
 
-function followerPart({ settings, logger }: RouterContext): RouterPart<'follower'> {
-  const objects = createObjectClient({ url: settings.platform.url });
+function membershipPart({ settings, clock }: RouterContext): RouterPart<'membership'> {
   return {
-    create: ({ directory }) =>
-      createConfigFollower({
-        store: createConfigStore({ objects }),
-        logger,
-        onConfig(config) {
-          directory.now = createDirectory(config);
-        },
+    create: ({ loop }) =>
+      createMembership({
+        instances: createInstanceClient({ url: settings.platform.url }),
+        onRouters: (routers) => loop.dispatch({ kind: 'routers-listed', nowMs: clock(), routers }),
       }),
-    close: (follower) => follower.close(),
+    close: (membership) => membership.close(),
   };
 }
 
-function adminPart({ settings, registry, logger, incarnation }: RouterContext) {
-  const part: RouterPart<'adminServer'> = {
+function adminPart(ctx: RouterContext): RouterPart<'adminServer'> {
+  const { settings, registry, logger, clock } = ctx;
+  return {
     create: ({ loop, directory }) =>
       createAdminServer({
         ...settings.admin,
         registry,
-        dump: () => ({
-          incarnation,
-          configVersion: directory.now.version,
-          router: loop.state(),
-        }),
+        dump: () => ({ status: configStatus(loop.state().config, clock()), ...loop.state() }),
         ready: () =>
           directory.now.version > 0 ? { ok: true } : { ok: false, reason: 'no configuration yet' },
         logger,
       }),
     close: (server) => server.close(),
   };
-  return part;
 }
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -1,13 +1,14 @@
 /** Parts of the router process. */
-import type { RouterEvent, RouterState } from '@kingcupsill/core';
+import type { RouterProcessEvent, RouterProcessState } from '@kingcupsill/core';
 import type {
-  ConfigFollower,
+  ConfigPolls,
   HttpListener,
+  LinkFeed,
   LinkTraffic,
   Repetition,
   Signal,
 } from '@kingcupsill/fleet';
-import type { Link, LinkServer } from '@kingcupsill/link';
+import type { LinkDialer, LinkServer } from '@kingcupsill/link';
 import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
 
 import type { HeldRequest } from './callers/types.js';
@@ -26,19 +27,20 @@
 
 /** Parts by name; each is made on first use. */
 export interface RouterParts {
-  /** Open links by id. */
-  links: Map<string, Link>;
   /** Callers' requests by id. */
   heldRequests: Map<string, HeldRequest>;
   directory: CurrentDirectory;
   stopped: Signal;
   relay: Relay;
-  loop: Loop<RouterState, RouterEvent>;
+  loop: Loop<RouterProcessState, RouterProcessEvent>;
   metrics: RouterMetrics;
-  callerServer: Promise<HttpListener>;
+  linkFeed: LinkFeed;
+  traffic: LinkTraffic;
   linkServer: Promise<LinkServer>;
-  follower: ConfigFollower;
+  dialer: LinkDialer;
+  configPolls: ConfigPolls;
+  callerServer: Promise<HttpListener>;
+  membership: Repetition;
   ticking: Repetition;
   adminServer: Promise<AdminServer>;
-  traffic: LinkTraffic;
 }
--- a/packages/sidecar/src/attempts/attempt-registry.ts
+++ b/packages/sidecar/src/attempts/attempt-registry.ts
@@ -49,6 +49,5 @@
     released: end.happened,
     release: end.raise,
     slotMs: 0,
-    startedAtMs: null,
   };
 }
--- a/packages/sidecar/src/attempts/attempt-routes.ts
+++ b/packages/sidecar/src/attempts/attempt-routes.ts
@@ -3,7 +3,7 @@
 import { pipeline } from 'node:stream/promises';
 
 import Router from '@koa/router';
-import type { AttemptOffer, SidecarEvent } from '@kingcupsill/core';
+import type { AttemptOffer, SidecarProcessEvent } from '@kingcupsill/core';
 import { AttemptHeader } from '@kingcupsill/core';
 import Koa from 'koa';
 import type { Context } from 'koa';
@@ -15,7 +15,7 @@
 /** What the routes need. */
 export interface AttemptRoutesOptions {
   registry: AttemptRegistry;
-  dispatch(event: SidecarEvent): void;
+  dispatch(event: SidecarProcessEvent): void;
   clock(): number;
   /** Token that routers must show. */
   token: string;
--- a/packages/sidecar/src/attempts/types.ts
+++ b/packages/sidecar/src/attempts/types.ts
@@ -18,7 +18,6 @@
   release(): void;
   /** Slot time used, in milliseconds; known after the end. */
   slotMs: number;
-  startedAtMs: number | null;
 }
 
 /** Registry of attempts and of routers that wait for an outcome. */
--- a/packages/sidecar/src/sidecar-effects.ts
+++ b/packages/sidecar/src/sidecar-effects.ts
@@ -1,56 +1,36 @@
-/** Runs the effects of the sidecar's reducer. */
-import type { LinkMessage, SidecarEffect, SidecarEvent } from '@kingcupsill/core';
+/** Runs the effects of the sidecar process. */
+import type { SidecarProcessEffect, SidecarProcessEvent } from '@kingcupsill/core';
+import { keepLinks } from '@kingcupsill/fleet';
+import type { EffectHandlers, Logger } from '@kingcupsill/runtime';
 
 import { AnswerEnd } from './answer/types.js';
-import type { AttemptRegistry, HeldAttempt } from './attempts/types.js';
-import type { BackendClient } from './backend/types.js';
+import type { HeldAttempt } from './attempts/types.js';
 import { RunEnd } from './backend/types.js';
+import type { SidecarParts } from './types.js';
 
 /** What the effect handlers need. */
 export interface SidecarEffectsOptions {
-  registry: AttemptRegistry;
-  backend: BackendClient;
+  parts: SidecarParts;
   clock(): number;
-  dispatch(event: SidecarEvent): void;
-  sendTo(link: string, message: LinkMessage): void;
-  onStopped(): void;
+  logger: Logger;
 }
 
-type EffectOf<K extends SidecarEffect['kind']> = Extract<SidecarEffect, { kind: K }>;
-
-/** Lookup table of effect handlers. */
-export type SidecarEffectHandlers = {
-  [K in SidecarEffect['kind']]: (effect: EffectOf<K>) => void | Promise<void>;
-};
-
 /** Creates the lookup table of effect handlers. */
-export function createSidecarEffects(options: SidecarEffectsOptions): SidecarEffectHandlers {
-  const { registry, backend, clock, dispatch, sendTo, onStopped } = options;
-
-  async function run(held: HeldAttempt): Promise<void> {
-    const { attempt } = held.req;
-    held.startedAtMs = clock();
-    const running = backend.run(held.req, held.answer);
-    await held.answer.head();
-    if (held.answer.end() === null) held.decide();
-    const end = await running;
-    const nowMs = clock();
-    held.slotMs = nowMs - held.startedAtMs;
-    if (end === RunEnd.NotRun) held.refused = 'backend-refused';
-    held.decide();
-    held.release();
-    dispatch({ kind: 'attempt-ended', nowMs, attempt, ran: end !== RunEnd.NotRun });
-    if (end === RunEnd.NotRun) dispatch({ kind: 'backend-lost', nowMs });
-  }
-
+export function createSidecarEffects(
+  options: SidecarEffectsOptions,
+): EffectHandlers<SidecarProcessEvent, SidecarProcessEffect> {
+  const { parts, clock, logger } = options;
   return {
-    send: ({ link, message }) => sendTo(link, message),
+    send: ({ link, message }) => parts.linkFeed.send(link, message),
+    'keep-links': ({ addresses }) => keepLinks(parts.dialer, addresses, logger),
+    'poll-store': (effect) => parts.configPolls.poll(effect),
+    'config-in-force': ({ config }) => logger.info('config-in-force', { version: config.version }),
     run: ({ attempt }) => {
-      const held = registry.get(attempt);
-      return held ? run(held) : undefined;
+      const held = parts.attempts.get(attempt);
+      return held ? run(parts, clock, held) : undefined;
     },
     refuse: ({ attempt, reason }) => {
-      const held = registry.get(attempt);
+      const held = parts.attempts.get(attempt);
       if (!held) return;
       held.refused = reason;
       held.decide();
@@ -58,11 +38,28 @@
     },
     cancel: ({ attempt }) => {
       // A run that waits for a reader of its answer would not notice the abort.
-      registry.get(attempt)?.answer.finish(AnswerEnd.Broken);
-      return backend.cancel(attempt);
+      parts.attempts.get(attempt)?.answer.finish(AnswerEnd.Broken);
+      return parts.backend.cancel(attempt);
     },
-    'tell-outcome': ({ ask, outcome }) => registry.tell(ask, outcome),
-    'forget-answer': ({ attempt }) => registry.remove(attempt),
-    stopped: onStopped,
+    'tell-outcome': ({ ask, outcome }) => parts.attempts.tell(ask, outcome),
+    'forget-answer': ({ attempt }) => parts.attempts.remove(attempt),
+    stopped: () => parts.stopped.raise(),
   };
 }
+
+/** Runs an attempt at the backend server and reports its end. */
+async function run(parts: SidecarParts, clock: () => number, held: HeldAttempt): Promise<void> {
+  const { attempt } = held.req;
+  const startedAtMs = clock();
+  const running = parts.backend.run(held.req, held.answer);
+  await held.answer.head();
+  if (held.answer.end() === null) held.decide();
+  const end = await running;
+  const nowMs = clock();
+  held.slotMs = nowMs - startedAtMs;
+  if (end === RunEnd.NotRun) held.refused = 'backend-refused';
+  held.decide();
+  held.release();
+  parts.loop.dispatch({ kind: 'attempt-ended', nowMs, attempt, ran: end !== RunEnd.NotRun });
+  if (end === RunEnd.NotRun) parts.loop.dispatch({ kind: 'backend-lost', nowMs });
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,17 +1,32 @@
 /** Composition of the sidecar process. */
-import type { FleetConfig, SidecarEffect, SidecarEvent, SidecarState } from '@kingcupsill/core';
-import { createSidecarState, sidecarReducer } from '@kingcupsill/core';
+import type {
+  Hasher,
+  SidecarProcessEffect,
+  SidecarProcessEvent,
+  SidecarProcessState,
+} from '@kingcupsill/core';
+import {
+  Role,
+  configStatus,
+  createHasher,
+  createSidecarProcessReducer,
+  createSidecarProcessState,
+} from '@kingcupsill/core';
 import {
   attemptToken,
-  createConfigFollower,
+  baseHello,
+  createConfigPolls,
+  createLinkFeed,
   createLinkTraffic,
   createMembership,
   createSignal,
+  linkOptions,
   listenHttp,
+  processSelf,
   repeatTask,
 } from '@kingcupsill/fleet';
 import type { LinkTls } from '@kingcupsill/link';
-import { readTlsFiles } from '@kingcupsill/link';
+import { createLinkDialer, readTlsFiles } from '@kingcupsill/link';
 import { createConfigStore, createInstanceClient, createObjectClient } from '@kingcupsill/platform';
 import type { Part, PartTable, RunningProcess } from '@kingcupsill/runtime';
 import { composeProcess, createAdminServer, createLoop } from '@kingcupsill/runtime';
@@ -20,7 +35,6 @@
 import { createAttemptRegistry } from './attempts/attempt-registry.js';
 import { createBackendClient } from './backend/backend-client.js';
 import { registerSidecarMetrics } from './metrics.js';
-import { createSidecarDialer } from './sidecar-dialer.js';
 import { createSidecarEffects } from './sidecar-effects.js';
 import type { SidecarContext, SidecarParts } from './types.js';
 
@@ -32,8 +46,9 @@
 /** Starts the sidecar. */
 export async function startSidecar(ctx: SidecarContext): Promise<RunningProcess> {
   const tls = await readTlsFiles(ctx.settings.link);
-  const { parts, close } = composeProcess<SidecarParts>(partTable(ctx, tls));
-  registerSidecarMetrics(ctx.registry, parts.loop.state);
+  const hasher = await createHasher();
+  const { parts, close } = composeProcess<SidecarParts>(partTable(ctx, hasher, tls));
+  registerSidecarMetrics(ctx.registry, () => parts.loop.state().sidecar);
   parts.ports.data = (await parts.dataServer).port;
   startWork(parts);
   const admin = await parts.adminServer;
@@ -43,8 +58,8 @@
 
 /** Makes the parts that nothing else asks for. */
 function startWork(parts: SidecarParts): void {
-  const { traffic, follower, membership, ticking, syncing } = parts;
-  void [traffic, follower, membership, ticking, syncing];
+  const { traffic, membership, ticking, syncing } = parts;
+  void [traffic, membership, ticking, syncing];
 }
 
 async function drain({ clock }: SidecarContext, parts: SidecarParts): Promise<void> {
@@ -52,10 +67,13 @@
   await parts.stopped.happened;
 }
 
-function partTable(ctx: SidecarContext, tls: LinkTls | undefined): PartTable<SidecarParts> {
+function partTable(
+  ctx: SidecarContext,
+  hasher: Hasher,
+  tls: LinkTls | undefined,
+): PartTable<SidecarParts> {
   const { settings, registry, clock } = ctx;
   return {
-    links: { create: () => new Map() },
     ports: { create: () => ({ data: 0 }) },
     stopped: { create: createSignal },
     attempts: { create: createAttemptRegistry },
@@ -63,14 +81,19 @@
       create: () => createBackendClient(settings.backend),
       close: (backend) => backend.close(),
     },
-    loop: loopPart(ctx),
-    dataServer: dataServerPart(ctx),
-    dialer: {
-      create: (parts) => createSidecarDialer(ctx, tls, parts),
-      close: (dialer) => dialer.close(),
+    loop: loopPart(ctx, hasher),
+    linkFeed: {
+      create: (parts) =>
+        createLinkFeed({
+          clock,
+          dispatch: (event) => parts.loop.dispatch(event),
+          traffic: () => parts.traffic,
+        }),
     },
-    traffic: { create: ({ dialer }) => createLinkTraffic(registry, () => dialer.links()) },
-    follower: followerPart(ctx),
+    traffic: { create: ({ linkFeed }) => createLinkTraffic(registry, linkFeed.links) },
+    dialer: dialerPart(ctx, tls),
+    configPolls: configPollsPart(ctx),
+    dataServer: dataServerPart(ctx),
     membership: membershipPart(ctx),
     ticking: {
       create: (parts) => repeatTask(() => tick(parts, clock()), TICK_MS),
@@ -84,32 +107,65 @@
   };
 }
 
-function loopPart({ settings, clock }: SidecarContext): SidecarPart<'loop'> {
+function loopPart(ctx: SidecarContext, hasher: Hasher): SidecarPart<'loop'> {
+  const { settings, clock, logger, incarnation } = ctx;
   const { backend, fairness } = settings;
   return {
     create: (parts) =>
-      createLoop<SidecarState, SidecarEvent, SidecarEffect>({
-        initialState: createSidecarState({
-          backend: backend.id,
-          pool: '',
-          slots: 0,
-          policy: fairness.policy,
-          grantTtlMs: fairness.grantTtlMs,
-        }),
-        reduce: sidecarReducer,
-        handlers: createSidecarEffects({
-          registry: parts.attempts,
-          backend: parts.backend,
-          clock,
-          dispatch: (event) => parts.loop.dispatch(event),
-          sendTo: (link, message) => parts.links.get(link)?.send(message),
-          onStopped: () => parts.stopped.raise(),
+      createLoop<SidecarProcessState, SidecarProcessEvent, SidecarProcessEffect>({
+        initialState: createSidecarProcessState({
+          self: processSelf(settings.process, incarnation),
+          sidecar: {
+            backend: backend.id,
+            policy: fairness.policy,
+            grantTtlMs: fairness.grantTtlMs,
+          },
+          maxLinks: fairness.maxLinks,
+          nowMs: clock(),
         }),
+        reduce: createSidecarProcessReducer(hasher),
+        handlers: createSidecarEffects({ parts, clock, logger }),
       }),
     close: (loop) => loop.close(),
   };
 }
 
+function dialerPart(ctx: SidecarContext, tls: LinkTls | undefined): SidecarPart<'dialer'> {
+  const { settings } = ctx;
+  return {
+    create: (parts) =>
+      createLinkDialer({
+        ...linkOptions(settings.link, tls, ctx),
+        random: Math.random,
+        hello() {
+          const { self, config, sidecar } = parts.loop.state();
+          return {
+            ...baseHello(self, Role.Sidecar, config.config.version),
+            dataUrl: `http://${settings.data.host}:${parts.ports.data}`,
+            backend: settings.backend.id,
+            pool: sidecar.options.pool,
+          };
+        },
+        handlers: parts.linkFeed.handlers,
+      }),
+    close: (dialer) => dialer.close(),
+  };
+}
+
+function configPollsPart({ settings, logger, clock }: SidecarContext): SidecarPart<'configPolls'> {
+  const objects = createObjectClient({ url: settings.platform.url });
+  return {
+    create: (parts) =>
+      createConfigPolls({
+        store: createConfigStore({ objects }),
+        logger,
+        clock,
+        dispatch: (event) => parts.loop.dispatch(event),
+      }),
+    close: (polls) => polls.close(),
+  };
+}
+
 function dataServerPart(ctx: SidecarContext): SidecarPart<'dataServer'> {
   const { data, link } = ctx.settings;
   return {
@@ -128,71 +184,42 @@
   };
 }
 
-function followerPart(ctx: SidecarContext): SidecarPart<'follower'> {
-  const objects = createObjectClient({ url: ctx.settings.platform.url });
+function membershipPart({ settings, clock }: SidecarContext): SidecarPart<'membership'> {
   return {
-    create: (parts) =>
-      createConfigFollower({
-        store: createConfigStore({ objects }),
-        logger: ctx.logger,
-        onConfig: (config) => applyConfig(ctx, parts, config),
-      }),
-    close: (follower) => follower.close(),
-  };
-}
-
-function applyConfig(ctx: SidecarContext, parts: SidecarParts, config: FleetConfig): void {
-  const { backend } = ctx.settings;
-  const own = config.backends[backend.id];
-  if (!own) {
-    ctx.logger.warn('backend-not-configured', { backend: backend.id });
-    return;
-  }
-  const { pool, slots, draining = false } = own;
-  parts.loop.dispatch({ kind: 'configured', nowMs: ctx.clock(), pool, slots, draining });
-}
-
-function membershipPart({ settings, logger }: SidecarContext): SidecarPart<'membership'> {
-  return {
-    create: ({ dialer, loop }) =>
+    create: ({ loop }) =>
       createMembership({
         instances: createInstanceClient({ url: settings.platform.url }),
-        dialer,
-        choose: (routers) =>
-          loop.state().options.pool === '' ? [] : routers.slice(0, settings.fairness.maxLinks),
-        logger,
+        onRouters: (routers) => loop.dispatch({ kind: 'routers-listed', nowMs: clock(), routers }),
       }),
     close: (membership) => membership.close(),
   };
 }
 
-async function tick({ links, loop }: SidecarParts, nowMs: number): Promise<void> {
-  const roundTrips = [...links.values()].map((open) => ({ link: open.id, rttMs: open.rttMs() }));
+async function tick({ linkFeed, loop }: SidecarParts, nowMs: number): Promise<void> {
+  const roundTrips = linkFeed.links().map((open) => ({ link: open.id, rttMs: open.rttMs() }));
   loop.dispatch({ kind: 'round-trips', nowMs, roundTrips });
   loop.dispatch({ kind: 'tick', nowMs });
 }
 
 async function syncBackend({ loop, backend }: SidecarParts, clock: () => number): Promise<void> {
-  if (loop.state().synced) return;
+  if (loop.state().sidecar.synced) return;
   if (await backend.sync()) loop.dispatch({ kind: 'backend-synced', nowMs: clock() });
 }
 
-function adminPart({ settings, registry, logger, incarnation }: SidecarContext) {
-  const part: SidecarPart<'adminServer'> = {
-    create: ({ loop, follower }) =>
+function adminPart(ctx: SidecarContext): SidecarPart<'adminServer'> {
+  const { settings, registry, logger, clock } = ctx;
+  return {
+    create: ({ loop }) =>
       createAdminServer({
         ...settings.admin,
         registry,
-        dump: () => ({
-          incarnation,
-          configVersion: follower.config().version,
-          sidecar: loop.state(),
-        }),
+        dump: () => ({ status: configStatus(loop.state().config, clock()), ...loop.state() }),
         ready: () =>
-          loop.state().synced ? { ok: true } : { ok: false, reason: 'backend server not reached' },
+          loop.state().sidecar.synced
+            ? { ok: true }
+            : { ok: false, reason: 'backend server not reached' },
         logger,
       }),
     close: (server) => server.close(),
   };
-  return part;
 }
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -1,14 +1,14 @@
 /** Parts of the sidecar process. */
-import type { SidecarEvent, SidecarState } from '@kingcupsill/core';
+import type { SidecarProcessEvent, SidecarProcessState } from '@kingcupsill/core';
 import type {
-  ConfigFollower,
+  ConfigPolls,
   HttpListener,
+  LinkFeed,
   LinkTraffic,
-  Membership,
   Repetition,
   Signal,
 } from '@kingcupsill/fleet';
-import type { Link, LinkDialer } from '@kingcupsill/link';
+import type { LinkDialer } from '@kingcupsill/link';
 import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
 
 import type { AttemptRegistry } from './attempts/types.js';
@@ -25,18 +25,17 @@
 
 /** Parts by name; each is made on first use. */
 export interface SidecarParts {
-  /** Open links by id. */
-  links: Map<string, Link>;
   ports: SidecarPorts;
   stopped: Signal;
   attempts: AttemptRegistry;
   backend: BackendClient;
-  loop: Loop<SidecarState, SidecarEvent>;
-  dataServer: Promise<HttpListener>;
-  dialer: LinkDialer;
+  loop: Loop<SidecarProcessState, SidecarProcessEvent>;
+  linkFeed: LinkFeed;
   traffic: LinkTraffic;
-  follower: ConfigFollower;
-  membership: Membership;
+  dialer: LinkDialer;
+  configPolls: ConfigPolls;
+  dataServer: Promise<HttpListener>;
+  membership: Repetition;
   ticking: Repetition;
   syncing: Repetition;
   adminServer: Promise<AdminServer>;
