Count the traffic of closed links; wait for connections to end on close

Cause: counters of a closed link were lost, and close of a dialer resolved while its sockets were still open. Change: servers and dialers sum the counters of all their links; close resolves when the connections have ended, a peer that doesn't answer a close is cut after a second; authentication of the server stands in a module of its own.

--- a/packages/link/src/auth/receive-first-frame.ts
+++ b/packages/link/src/auth/receive-first-frame.ts
@@ -1,5 +1,6 @@
 /** Waits for the peer's handshake frame. */
 import type { RawData, WebSocket } from 'ws';
+import { closeSocket } from '../connection/close-socket.js';
 import { RefusalCode } from '../types.js';
 import { REFUSED_CLOSE_CODE } from './handshake.js';
 import type { HandshakeStep } from './handshake.js';
@@ -50,6 +51,5 @@
 
 /** Tells the peer why it is refused and cuts the connection. */
 export function refuse(ws: WebSocket, code: RefusalCode): void {
-  if (ws.readyState === ws.OPEN) ws.close(REFUSED_CLOSE_CODE, code);
-  else ws.terminate();
+  closeSocket(ws, REFUSED_CLOSE_CODE, code);
 }
--- a/packages/link/src/connection/create-link.ts
+++ b/packages/link/src/connection/create-link.ts
@@ -5,6 +5,7 @@
 import { createCodec } from '../codec/create-codec.js';
 import { CloseReason } from '../types.js';
 import type { Link } from '../types.js';
+import { closeSocket } from './close-socket.js';
 import { createPinger } from './create-pinger.js';
 import { createSender } from './create-sender.js';
 import type { ResolvedOptions } from './options.js';
@@ -13,9 +14,6 @@
 
 /** WebSocket close code of links; the reason says more. */
 const LINK_CLOSE_CODE = 4000;
-const MAX_CLOSE_REASON_BYTES = 120;
-/** How long a peer may take to answer a close before the connection is cut. */
-const CLOSE_TIMEOUT_MS = 1000;
 
 /** What a handshake gives. */
 export interface OpenedConnection {
@@ -34,12 +32,6 @@
   return err.code?.startsWith('WS_ERR') ? CloseReason.MalformedMessage : CloseReason.PeerGone;
 }
 
-function closeSocket(ws: WebSocket, reason: string): void {
-  const text = Buffer.from(reason).subarray(0, MAX_CLOSE_REASON_BYTES).toString('utf8');
-  ws.close(LINK_CLOSE_CODE, text);
-  setTimeout(() => ws.terminate(), CLOSE_TIMEOUT_MS).unref();
-}
-
 /** Takes over a WebSocket whose handshake is done. `onClosed` is called once, after the handlers' own. */
 export function createLink(
   connection: OpenedConnection,
@@ -115,7 +107,7 @@
     if (!closed) sender.flush();
     // The flush may have found the peer not to be reading.
     if (closed) return;
-    closeSocket(ws, reason);
+    closeSocket(ws, LINK_CLOSE_CODE, reason);
     finish(reason);
   }
 
--- a/packages/link/src/connection/link-set.ts
+++ b/packages/link/src/connection/link-set.ts
@@ -1,5 +1,6 @@
 /** The open links of one server or dialer. */
-import type { Link } from '../types.js';
+import type { WebSocket } from 'ws';
+import type { Link, LinkCounters } from '../types.js';
 import { createLink } from './create-link.js';
 import type { OpenedConnection } from './create-link.js';
 import type { ResolvedOptions } from './options.js';
@@ -8,23 +9,68 @@
 export interface LinkSet {
   open(connection: OpenedConnection, onClosed?: () => void): Link;
   list(): Link[];
-  closeAll(reason: string): void;
+  /** Traffic of all links, those that have closed included. */
+  counters(): LinkCounters;
+  /** Closes all links and resolves when their connections have ended. */
+  close(reason: string): Promise<void>;
+}
+
+function addCounters(first: LinkCounters, second: LinkCounters): LinkCounters {
+  return {
+    bytesSent: first.bytesSent + second.bytesSent,
+    bytesReceived: first.bytesReceived + second.bytesReceived,
+    messagesSent: first.messagesSent + second.messagesSent,
+    messagesReceived: first.messagesReceived + second.messagesReceived,
+  };
 }
 
 /** Creates an empty set. */
 export function createLinkSet(options: ResolvedOptions): LinkSet {
   const links = new Set<Link>();
-  return {
-    open(connection, onClosed) {
-      const link = createLink(connection, options, (gone) => {
-        links.delete(gone);
-        onClosed?.();
+  const ends = new Set<Promise<void>>();
+  let closedCounters: LinkCounters = {
+    bytesSent: 0,
+    bytesReceived: 0,
+    messagesSent: 0,
+    messagesReceived: 0,
+  };
+
+  function remove(link: Link): void {
+    links.delete(link);
+    closedCounters = addCounters(closedCounters, link.counters());
+  }
+
+  function trackEnd(ws: WebSocket): void {
+    const end = new Promise<void>((resolve) => {
+      ws.once('close', () => {
+        ends.delete(end);
+        resolve();
       });
-      links.add(link);
-      options.handlers.onOpen(link);
-      return link;
-    },
+    });
+    ends.add(end);
+  }
+
+  function open(connection: OpenedConnection, onClosed?: () => void): Link {
+    trackEnd(connection.ws);
+    const link = createLink(connection, options, (gone) => {
+      remove(gone);
+      onClosed?.();
+    });
+    links.add(link);
+    options.handlers.onOpen(link);
+    return link;
+  }
+
+  async function close(reason: string): Promise<void> {
+    [...links].forEach((link) => link.close(reason));
+    await Promise.all(ends);
+  }
+
+  return {
+    open,
     list: () => [...links],
-    closeAll: (reason) => [...links].forEach((link) => link.close(reason)),
+    counters: () =>
+      [...links].reduce((sum, link) => addCounters(sum, link.counters()), closedCounters),
+    close,
   };
 }
--- a/packages/link/src/dialer/create-link-dialer.ts
+++ b/packages/link/src/dialer/create-link-dialer.ts
@@ -45,9 +45,9 @@
     dropped?.close(reason);
   }
 
-  function close(): Promise<void> {
+  async function close(): Promise<void> {
     [...kept.keys()].forEach((address) => drop(address, CloseReason.Closed));
-    return Promise.resolve();
+    await links.close(CloseReason.Closed);
   }
 
   return {
@@ -55,6 +55,7 @@
     hangUp: (address) => drop(address, CloseReason.HungUp),
     addresses: () => [...kept.keys()],
     links: links.list,
+    counters: links.counters,
     refusals: refusals.counts,
     close,
   };
--- /dev/null
+++ b/packages/link/src/server/authenticate.ts
@@ -0,0 +1,76 @@
+/** The server's side of the handshake, after the upgrade. */
+import { PROTOCOL_VERSION } from '@kingcupsill/core';
+import type { WebSocket } from 'ws';
+import { parseDialerFrame } from '../auth/handshake.js';
+import type { DialerFrame, HandshakeStep } from '../auth/handshake.js';
+import { Prover } from '../auth/keyring.js';
+import type { Keyring } from '../auth/keyring.js';
+import { receiveFirstFrame } from '../auth/receive-first-frame.js';
+import { ownStructures } from '../codec/create-codec.js';
+import type { OpenedConnection } from '../connection/create-link.js';
+import type { ResolvedOptions } from '../connection/options.js';
+import { RefusalCode } from '../types.js';
+
+/** An upgrade that was accepted, whose dialer has yet to prove itself. */
+export interface PendingPeer {
+  dialerNonce: string;
+  serverNonce: string;
+  /** Remote address. */
+  address: string;
+}
+
+/** The server's proofs for the upgrade response. */
+export function serverProofs(peer: PendingPeer, keyring: Keyring): string[] {
+  const { dialerNonce, serverNonce } = peer;
+  return keyring.proofs({
+    prover: Prover.Server,
+    protocol: PROTOCOL_VERSION,
+    dialerNonce,
+    serverNonce,
+  });
+}
+
+function checkDialer(
+  peer: PendingPeer,
+  keyring: Keyring,
+  received: HandshakeStep<Buffer>,
+): HandshakeStep<DialerFrame> {
+  const frame = received.ok ? parseDialerFrame(received.value) : received;
+  if (!frame.ok) return frame;
+  const { dialerNonce, serverNonce } = peer;
+  const proven = keyring.verifies(
+    { prover: Prover.Dialer, protocol: PROTOCOL_VERSION, dialerNonce, serverNonce },
+    frame.value.proof,
+  );
+  if (proven) return frame;
+  return { ok: false, code: RefusalCode.WrongKey, detail: "the dialer's proof doesn't match" };
+}
+
+/** Waits for the dialer's frame, checks it and introduces the server. */
+export function authenticate(
+  ws: WebSocket,
+  peer: PendingPeer,
+  keyring: Keyring,
+  options: ResolvedOptions,
+  onOutcome: (outcome: HandshakeStep<OpenedConnection>) => void,
+): void {
+  const { clock, hello, logger } = options;
+  const startedMs = clock();
+  ws.on('error', (err) => logger.debug('link-error', { address: peer.address, err }));
+  receiveFirstFrame(ws, options.handshakeTimeoutMs, (received) => {
+    const frame = checkDialer(peer, keyring, received);
+    if (!frame.ok) {
+      onOutcome(frame);
+      return;
+    }
+    ws.send(JSON.stringify({ hello: hello(), structures: ownStructures }));
+    const value = {
+      ws,
+      peer: frame.value.hello,
+      peerStructures: frame.value.structures,
+      dialedAddress: undefined,
+      rttMs: clock() - startedMs,
+    };
+    onOutcome({ ok: true, value });
+  });
+}
--- a/packages/link/src/server/create-link-server.ts
+++ b/packages/link/src/server/create-link-server.ts
@@ -5,22 +5,20 @@
 import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { promisify } from 'node:util';
-import { PROTOCOL_VERSION } from '@kingcupsill/core';
 import VError from 'verror';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
 import { isLoopbackHost } from '../address.js';
-import { createNonce, HandshakeHeader, parseDialerFrame, readOffer } from '../auth/handshake.js';
-import type { DialerFrame, HandshakeStep } from '../auth/handshake.js';
-import { createKeyring, Prover } from '../auth/keyring.js';
-import type { ProofContext } from '../auth/keyring.js';
-import { receiveFirstFrame, refuse } from '../auth/receive-first-frame.js';
+import { createNonce, HandshakeHeader, readOffer } from '../auth/handshake.js';
+import { createKeyring } from '../auth/keyring.js';
+import { refuse } from '../auth/receive-first-frame.js';
 import { createRefusalLog } from '../auth/refusal-log.js';
-import { ownStructures } from '../codec/create-codec.js';
 import { createLinkSet } from '../connection/link-set.js';
 import { resolveOptions } from '../connection/options.js';
 import { CloseReason, RefusalCode } from '../types.js';
 import type { LinkServer, LinkServerOptions, LinkTls } from '../types.js';
+import { authenticate, serverProofs } from './authenticate.js';
+import type { PendingPeer } from './authenticate.js';
 
 const REFUSED_STATUS_LINE = 'HTTP/1.1 400 Bad Request';
 
@@ -46,17 +44,10 @@
   return (server.address() as AddressInfo).port;
 }
 
-/** An upgrade that was accepted, whose dialer has yet to prove itself. */
-interface PendingPeer {
-  dialerNonce: string;
-  serverNonce: string;
-  address: string;
-}
-
 /** Starts a server. Rejects when it can't listen, or would take plain TCP from other machines without leave. */
 export async function createLinkServer(given: LinkServerOptions): Promise<LinkServer> {
   const options = resolveOptions(given);
-  const { host = '127.0.0.1', port = 0, tls, logger, clock } = options;
+  const { host = '127.0.0.1', port = 0, tls } = options;
   if (tls === undefined && !options.allowPlainTcp && !isLoopbackHost(host)) {
     throw new VError("link host %s isn't loopback: plain TCP must be allowed or TLS set", host);
   }
@@ -71,33 +62,14 @@
     perMessageDeflate: false,
   });
 
-  function proofContext(peer: PendingPeer, prover: Prover): ProofContext {
-    const { dialerNonce, serverNonce } = peer;
-    return { prover, protocol: PROTOCOL_VERSION, dialerNonce, serverNonce };
-  }
-
-  function checkDialer(peer: PendingPeer, data: Buffer): HandshakeStep<DialerFrame> {
-    const frame = parseDialerFrame(data);
-    if (!frame.ok) return frame;
-    const proven = keyring.verifies(proofContext(peer, Prover.Dialer), frame.value.proof);
-    if (proven) return frame;
-    return { ok: false, code: RefusalCode.WrongKey, detail: "the dialer's proof doesn't match" };
-  }
-
-  function authenticate(ws: WebSocket, peer: PendingPeer): void {
-    const startedMs = clock();
-    ws.on('error', (err) => logger.debug('link-error', { address: peer.address, err }));
-    receiveFirstFrame(ws, options.handshakeTimeoutMs, (received) => {
-      const frame = received.ok ? checkDialer(peer, received.value) : received;
-      if (!frame.ok) {
-        refusals.add({ code: frame.code, address: peer.address, detail: frame.detail });
-        refuse(ws, frame.code);
+  function onSocket(ws: WebSocket, peer: PendingPeer): void {
+    authenticate(ws, peer, keyring, options, (outcome) => {
+      if (outcome.ok) {
+        links.open(outcome.value);
         return;
       }
-      ws.send(JSON.stringify({ hello: options.hello(), structures: ownStructures }));
-      const { hello, structures } = frame.value;
-      const rttMs = clock() - startedMs;
-      links.open({ ws, peer: hello, peerStructures: structures, dialedAddress: undefined, rttMs });
+      refusals.add({ code: outcome.code, address: peer.address, detail: outcome.detail });
+      refuse(ws, outcome.code);
     });
   }
 
@@ -111,14 +83,13 @@
     }
     const peer = { dialerNonce: offer.value, serverNonce: createNonce(), address };
     pending.set(req, peer);
-    sockets.handleUpgrade(req, socket, head, (ws) => authenticate(ws, peer));
+    sockets.handleUpgrade(req, socket, head, (ws) => onSocket(ws, peer));
   }
 
   sockets.on('headers', (headers, req) => {
     const peer = pending.get(req)!;
-    const proofs = keyring.proofs(proofContext(peer, Prover.Server));
     headers.push(`${HandshakeHeader.Nonce}: ${peer.serverNonce}`);
-    headers.push(`${HandshakeHeader.Proofs}: ${proofs.join(' ')}`);
+    headers.push(`${HandshakeHeader.Proofs}: ${serverProofs(peer, keyring).join(' ')}`);
   });
   server.on('upgrade', onUpgrade);
   server.on('tlsClientError', (err, socket) => {
@@ -128,12 +99,19 @@
 
   async function close(): Promise<void> {
     const closed = promisify(server.close.bind(server))();
-    links.closeAll(CloseReason.Closed);
+    const linksClosed = links.close(CloseReason.Closed);
     server.closeAllConnections();
-    sockets.clients.forEach((ws) => ws.close());
-    await closed;
+    // Those still open have not finished their handshake.
+    sockets.clients.forEach((ws) => ws.readyState === ws.OPEN && ws.terminate());
+    await Promise.all([closed, linksClosed]);
   }
 
   const boundPort = await listen(server, port, host);
-  return { port: boundPort, links: links.list, refusals: refusals.counts, close };
+  return {
+    port: boundPort,
+    links: links.list,
+    counters: links.counters,
+    refusals: refusals.counts,
+    close,
+  };
 }
--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -135,6 +135,8 @@
   port: number;
   /** Open links. */
   links(): Link[];
+  /** Traffic of all links, those that have closed included. */
+  counters(): LinkCounters;
   /** Handshakes that failed, by code. */
   refusals(): Partial<Record<RefusalCode, number>>;
   /** Closes all links and stops listening. */
@@ -169,6 +171,8 @@
   addresses(): string[];
   /** Open links. */
   links(): Link[];
+  /** Traffic of all links, those that have closed included. */
+  counters(): LinkCounters;
   /** Handshakes that failed, by code. */
   refusals(): Partial<Record<RefusalCode, number>>;
   close(): Promise<void>;
--- a/packages/link/test/server/links.test.ts
+++ b/packages/link/test/server/links.test.ts
@@ -34,10 +34,12 @@
     assert.equal(accepted!.counters().messagesSent, 3);
     assert.equal(dialed!.counters().bytesReceived, accepted!.counters().bytesSent);
     assert.equal(accepted!.counters().bytesReceived, dialed!.counters().bytesSent);
+    assert.deepEqual(server.counters(), accepted!.counters());
   } finally {
     await dialer.close();
     await server.close();
   }
   assert.deepEqual(dialerSide.closed, ['closed']);
   assert.equal(serverSide.closed.length, 1);
+  assert.deepEqual(dialer.counters(), dialerSide.opened[0]!.counters());
 });
