--- a/packages/bench/src/fleet/index.ts
+++ b/packages/bench/src/fleet/index.ts
@@ -5,4 +5,4 @@
 export { startProcess } from './process.js';
 
 export * from './types.js';
-export { changeConfig, patchBackend, setPlatformFault } from './platform-admin.js';
+export { patchConfig, setPlatformFault } from './platform-admin.js';
--- a/packages/bench/src/run/types.ts
+++ b/packages/bench/src/run/types.ts
@@ -1,4 +1,5 @@
 /** Results of a run, as `bench run --json` prints them and as result files keep them. */
+import type { Utilisation } from '../measure/index.js';
 import type { Policy } from '../scenarios/index.js';
 
 /** The bench's figures of one run. A figure that the scenario does not measure is null. */
@@ -49,6 +50,8 @@
   /** Twice (largest request + slots x exchange period), the bound on the gap. */
   gapBoundSlotSeconds: number;
   largestRequestSlotSeconds: number;
+  /** Slot time while work waits, with the transit allowance. */
+  waiting: Utilisation;
   /** While work waits, with the transit allowance. */
   utilisation: number | null;
   /** While work waits, without any allowance. */
--- a/packages/bench/src/scenarios/fault-scripts.ts
+++ b/packages/bench/src/scenarios/fault-scripts.ts
@@ -1,6 +1,6 @@
 /** What the fault scenarios do to a fleet while it serves. */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { patchBackend, setPlatformFault } from '../fleet/index.js';
+import { patchConfig, setPlatformFault } from '../fleet/index.js';
 import type { FleetProcess } from '../fleet/index.js';
 import { wallClockMs } from '../load/index.js';
 import type { Random } from '../load/index.js';
@@ -33,7 +33,7 @@
   );
 
   await waitForPart(0.2);
-  await patchBackend(fleet.platform, engine.id, { draining: true });
+  await patchConfig(fleet.platform, { backends: { [engine.id]: { draining: true } } });
   const startMs = wallClockMs();
   note(`draining ${engine.id} by configuration`);
   await waitForPart(0.4);
@@ -42,7 +42,7 @@
   note(`${router.name} drained, exit ${routerExit.code ?? routerExit.signal}`);
   await waitForPart(0.55);
   recordDrain({ backend: engine.id, startMs, endMs: wallClockMs() });
-  await patchBackend(fleet.platform, engine.id, { draining: false });
+  await patchConfig(fleet.platform, { backends: { [engine.id]: { draining: false } } });
   note(`${engine.id} takes work again`);
   await router.restart();
   setRouterInUse(router.name, true);
