Run the stand-ins on the shared frame of processes

Cause: the binary read its settings and arguments by itself until the runtime package was there. Change: runBinary, loadSettings and the admin server of the runtime; every stand-in tells its state.

--- a/packages/standins/src/app/app-standin.ts
+++ b/packages/standins/src/app/app-standin.ts
@@ -121,10 +121,9 @@
   const drawWorkMs = (ctx: Context) => workTimeMs(ctx.req, cfg.meanWorkMs, random) / cfg.timeScale;
 
   const admin = new Router();
-  addAdminRoutes({ router: admin, kinds: Object.values(AppFaultKind), faults, journal });
-  admin.get('/admin/state', (ctx) => {
-    ctx.body = { busy: pool.busy(), waiting: pool.waiting() };
-  });
+  const kinds = Object.values(AppFaultKind);
+  const state = () => ({ busy: pool.busy(), waiting: pool.waiting(), faults: faults.list() });
+  addAdminRoutes({ router: admin, kinds, faults, journal, state });
   const parts = { pool, faults, journal, drawWorkMs };
   const handleWhole = createWholeHandler(parts);
   const handleEcho = createEchoHandler(parts);
@@ -143,6 +142,7 @@
     url: host.url,
     faults,
     journal: () => journal.after(0),
+    state,
     close: async () => {
       faults.close();
       pool.close();
--- a/packages/standins/src/app/types.ts
+++ b/packages/standins/src/app/types.ts
@@ -63,6 +63,8 @@
   faults: FaultTable<AppFaultKind>;
   /** Every request that ran so far, in order of start. */
   journal(): (AppRunEntry & { seq: number })[];
+  /** What the stand-in holds now, for a dump. */
+  state(): object;
   close(): Promise<void>;
 }
 
--- a/packages/standins/src/bin/settings.ts
+++ b/packages/standins/src/bin/settings.ts
@@ -1,18 +1,17 @@
-import { readFile } from 'node:fs/promises';
+/** Settings of the stand-in binary. */
+import { adminSection } from '@kingcupsill/runtime';
 import { z } from 'zod';
-import { planSchema } from '../common/faults.js';
 import { AppFaultKind } from '../app/index.js';
+import { planSchema } from '../common/faults.js';
 import { EngineFaultKind } from '../engine/index.js';
 import { PlatformFaultKind } from '../platform/index.js';
 import { instanceSchema } from '../platform/instance-routes.js';
-import { parseIni } from './ini.js';
 
-const number = z.coerce.number().nonnegative();
-const positive = z.coerce.number().positive();
-const count = z.coerce.number().int().positive();
-const chance = z.coerce.number().min(0).max(1);
-const flag = z.enum(['true', 'false']).transform((text) => text === 'true');
-const list = z.string().transform((text) => text.split(',').map((one) => one.trim()));
+const number = z.number().nonnegative().optional();
+const positive = z.number().positive().optional();
+const count = z.number().int().positive().optional();
+const chance = z.number().min(0).max(1).optional();
+const flag = z.boolean().optional();
 
 /** JSON text in a value, checked by a schema. */
 const json = <T>(schema: z.ZodType<T>) =>
@@ -26,95 +25,82 @@
         return z.NEVER;
       }
     })
-    .pipe(schema);
+    .pipe(schema)
+    .optional();
 
-/** Sections and keys of the stand-ins' settings. */
-export const settingsSchema = z.strictObject({
-  standin: z.strictObject({
-    kind: z.enum(['platform', 'engine', 'app']),
-    host: z.string().default('127.0.0.1'),
-    port: z.coerce.number().int().min(0).max(65_535).default(0),
-    seed: z.coerce.number().int().default(1),
-  }),
-  platform: z
-    .strictObject({
-      writes_per_second: positive,
-      reads_per_second: positive,
-      instance_lag_ms: number,
-      watch_history: count,
-      weight_bytes: count,
-      weight_bytes_per_second: positive,
-      instances: json(z.array(instanceSchema)),
-      plan: json(planSchema(Object.values(PlatformFaultKind))),
-    })
-    .partial()
-    .default({}),
-  engine: z
-    .strictObject({
-      base_token_ms: number,
-      per_sequence_ms: number,
-      prefill_token_ms: number,
-      max_batch: count,
-      kv_tokens_total: count,
-      cache_blocks: count,
-      block_tokens: count,
-      models: list,
-      time_scale: positive,
-      tokens_per_chunk: count,
-      load_lag_ms: positive,
-      cache_event_lag_ms: number,
-      cache_event_loss: chance,
-      resume_keep_ms: number,
-      cancel_on_disconnect: flag,
-      checks_fencing: flag,
-      model_load_ms: number,
-      weight_store_url: z.string(),
-      plan: json(planSchema(Object.values(EngineFaultKind))),
-    })
-    .partial()
-    .default({}),
-  app: z
-    .strictObject({
-      workers: count,
-      mean_work_ms: number,
-      time_scale: positive,
-      plan: json(planSchema(Object.values(AppFaultKind))),
-    })
-    .partial()
-    .default({}),
+const plan = <const Kind extends string>(kinds: readonly Kind[]) =>
+  json(planSchema(kinds)).describe('JSON list of { atMs, fault }, from the start');
+
+const names = z
+  .string()
+  .transform((text) => text.split(',').map((name) => name.trim()))
+  .optional();
+
+/** `[standin]`: which system to emulate and where it listens. */
+const standinSection = z.strictObject({
+  kind: z.enum(['platform', 'engine', 'app']).describe('system to emulate'),
+  host: z.string().min(1).default('127.0.0.1').describe('address to listen on'),
+  port: z
+    .number()
+    .int()
+    .min(0)
+    .max(65_535)
+    .default(0)
+    .describe('port to listen on; 0 takes a free one'),
+  seed: z.number().int().default(1).describe('seed of fault probabilities and drawn times'),
 });
 
-export type StandinSettings = z.infer<typeof settingsSchema>;
-export type SettingsOutcome =
-  { ok: true; settings: StandinSettings } | { ok: false; message: string };
+/** `[platform]`, for kind `platform`. */
+const platformSection = z.strictObject({
+  writes_per_second: positive.describe('writes before 429'),
+  reads_per_second: positive.describe('reads before 429; a watch counts once'),
+  instance_lag_ms: number.describe('how late the instance list is'),
+  watch_history: count.describe('changes that watches can look back'),
+  weight_bytes: count.describe("size of each model's weights"),
+  weight_bytes_per_second: positive.describe('total rate of the weight store'),
+  instances: json(z.array(instanceSchema)).describe('JSON list of instances from the start'),
+  plan: plan(Object.values(PlatformFaultKind)),
+});
 
-const ENV_KEY = /^KINGCUPSILL_(STANDIN|PLATFORM|ENGINE|APP)_(.+)$/;
+/** `[engine]`, for kind `engine`. */
+const engineSection = z.strictObject({
+  base_token_ms: number.describe('step time of an empty batch'),
+  per_sequence_ms: number.describe('step time added by each sequence'),
+  prefill_token_ms: number.describe('prefill time of an uncached prompt token'),
+  max_batch: count.describe('sequences in the batch at once'),
+  kv_tokens_total: count.describe('KV memory'),
+  cache_blocks: count.describe('prompt blocks in the prefix cache'),
+  block_tokens: count.describe('tokens of a prompt block'),
+  models: names.describe('models loaded from the start, separated by commas'),
+  time_scale: positive.describe('runs everything this many times faster'),
+  tokens_per_chunk: count.describe('tokens in one SSE chunk'),
+  load_lag_ms: positive.describe('greatest age of load reports'),
+  cache_event_lag_ms: number.describe('delay of cache events'),
+  cache_event_loss: chance.describe('chance that a cache event is lost'),
+  resume_keep_ms: number.describe('how long an ended answer can be resumed'),
+  cancel_on_disconnect: flag.describe('whether a closed connection cancels its request'),
+  checks_fencing: flag.describe('whether orders with an old fencing number are refused'),
+  model_load_ms: number.describe('time of a model load besides the fetch'),
+  weight_store_url: z
+    .url({ protocol: /^https?$/ })
+    .optional()
+    .describe('base URL of the platform service to fetch weights from'),
+  plan: plan(Object.values(EngineFaultKind)),
+});
 
-const readIni = async (path: string) => {
-  try {
-    return parseIni(await readFile(path, 'utf8'));
-  } catch (err) {
-    return { ok: false as const, message: (err as Error).message };
-  }
-};
+/** `[app]`, for kind `app`. */
+const appSection = z.strictObject({
+  workers: count.describe('requests that run at once'),
+  mean_work_ms: number.describe('mean work time of a request that names none'),
+  time_scale: positive.describe('runs everything this many times faster'),
+  plan: plan(Object.values(AppFaultKind)),
+});
 
-/** Reads settings from an INI file; environment variables `KINGCUPSILL_{SECTION}_{KEY}` go before it. */
-export const loadStandinSettings = async (
-  path: string,
-  env: NodeJS.ProcessEnv,
-): Promise<SettingsOutcome> => {
-  const read = await readIni(path);
-  if (!read.ok) return { ok: false, message: `${path}: ${read.message}` };
-  const { file } = read;
-  Object.entries(env).forEach(([name, value]) => {
-    const [, section, key] = ENV_KEY.exec(name)?.map((part) => part.toLowerCase()) ?? [];
-    if (section !== undefined && key !== undefined && value !== undefined) {
-      file[section] = { ...file[section], [key]: value };
-    }
-  });
-  const parsed = settingsSchema.safeParse(file);
-  if (parsed.success) return { ok: true, settings: parsed.data };
-  const issue = parsed.error.issues[0];
-  const [section = '', key = ''] = issue?.path.map(String) ?? [];
-  return { ok: false, message: `${path}: [${section}] ${key}: ${issue?.message ?? 'invalid'}` };
-};
+/** Sections and keys of the stand-ins' settings; those of the other kinds are left alone. */
+export const settingsSchema = z.strictObject({
+  standin: standinSection,
+  platform: platformSection,
+  engine: engineSection,
+  app: appSection,
+  admin: adminSection,
+});
--- a/packages/standins/src/common/admin-routes.ts
+++ b/packages/standins/src/common/admin-routes.ts
@@ -41,14 +41,17 @@
   kinds: readonly Kind[];
   faults: FaultTable<Kind>;
   journal: Journal<Entry>;
+  /** What the stand-in holds now, for a dump. */
+  state: () => object;
 }
 
-/** Adds the admin calls that every stand-in has: faults, plan and journal. */
+/** Adds the admin calls that every stand-in has: faults, plan, journal and state. */
 export const addAdminRoutes = <const Kind extends string, Entry extends object>({
   router,
   kinds,
   faults,
   journal,
+  state,
 }: AdminRoutesOptions<Kind, Entry>): void => {
   const oneFault = faultSchema(kinds);
   const onePlan = planSchema(kinds);
@@ -72,6 +75,9 @@
     faults.plan(plan);
     ctx.status = 204;
   });
+  router.get('/admin/state', (ctx) => {
+    ctx.body = state();
+  });
   router.get('/admin/journal', (ctx) => {
     ctx.body = { entries: journal.after(queryNumber(ctx, 'after', 0)) };
   });
--- a/packages/standins/src/engine/engine-standin.ts
+++ b/packages/standins/src/engine/engine-standin.ts
@@ -74,13 +74,17 @@
   const load = createLoadReporter(runner.loop.state, cfg.loadLagMs / timeScale);
 
   const admin = new Router();
-  addAdminRoutes({ router: admin, kinds: Object.values(EngineFaultKind), faults, journal });
+  const state = () => ({
+    models: models.loaded(),
+    loading: models.loading(),
+    role: models.role(),
+    faults: faults.list(),
+    ...load.sample(),
+  });
+  addAdminRoutes({ router: admin, kinds: Object.values(EngineFaultKind), faults, journal, state });
   admin.get('/admin/orders', (ctx) => {
     ctx.body = { entries: models.journal.after(0) };
   });
-  admin.get('/admin/state', (ctx) => {
-    ctx.body = { models: models.loaded(), loading: models.loading(), role: models.role() };
-  });
   const service = new Router();
   addEngineRoutes({ router: service, runner, models, faults, cacheFeed, load });
 
@@ -99,6 +103,7 @@
     url: host.url,
     faults,
     journal: () => journal.after(0),
+    state,
     orders: () => models.journal.after(0),
     close: async () => {
       faults.close();
--- a/packages/standins/src/engine/load-report.ts
+++ b/packages/standins/src/engine/load-report.ts
@@ -10,6 +10,9 @@
 
 /** Load reports that lag behind the batch. */
 export interface LoadReporter {
+  /** The load now. */
+  sample(): LoadSample;
+  /** The load as last sampled. */
   read(): LoadSample & { ageMs: number };
   close(): void;
 }
@@ -36,6 +39,7 @@
   }, periodMs);
 
   return {
+    sample,
     read: () => ({ ...last, ageMs: Math.round(performance.now() - sampledAtMs) }),
     close: () => clearInterval(timer),
   };
--- a/packages/standins/src/engine/types.ts
+++ b/packages/standins/src/engine/types.ts
@@ -117,5 +117,7 @@
   journal(): (EngineRunEntry & { seq: number })[];
   /** Every order so far. */
   orders(): (OrderEntry & { seq: number })[];
+  /** What the stand-in holds now, for a dump. */
+  state(): object;
   close(): Promise<void>;
 }
--- a/packages/standins/src/platform/platform-standin.ts
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -55,7 +55,9 @@
   };
 
   const admin = new Router();
-  addAdminRoutes({ router: admin, kinds: Object.values(PlatformFaultKind), faults, journal });
+  const kinds = Object.values(PlatformFaultKind);
+  const state = () => ({ version: store.version(), calls, faults: faults.list() });
+  addAdminRoutes({ router: admin, kinds, faults, journal, state });
   addInstanceAdminRoutes(admin, instances);
   admin.get('/admin/stats', (ctx) => {
     ctx.body = { calls };
@@ -75,6 +77,7 @@
     url: host.url,
     faults,
     journal: () => journal.after(0),
+    state,
     stats: () => ({ ...calls }),
     putInstance: (instance) => instances.put(instance, performance.now()),
     deleteInstance: (id) => instances.remove(id, performance.now()),
--- a/packages/standins/src/platform/types.ts
+++ b/packages/standins/src/platform/types.ts
@@ -77,5 +77,7 @@
   putInstance(instance: PlatformInstance): void;
   /** Removes an instance; the list shows it after the lag. */
   deleteInstance(id: string): void;
+  /** What the stand-in holds now, for a dump. */
+  state(): object;
   close(): Promise<void>;
 }
--- a/packages/standins/test/bin/settings.test.ts
+++ b/packages/standins/test/bin/settings.test.ts
@@ -3,14 +3,15 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { loadStandinSettings } from '../../src/bin/settings.js';
+import { loadSettings } from '@kingcupsill/runtime';
+import { settingsSchema } from '../../src/bin/settings.js';
 
 const load = async (text: string, env: Record<string, string> = {}) => {
   const dir = await mkdtemp(join(tmpdir(), 'standin-'));
   try {
     const path = join(dir, 'standin.ini');
     await writeFile(path, text);
-    return await loadStandinSettings(path, env);
+    return loadSettings({ schema: settingsSchema, file: path, env });
   } finally {
     await rm(dir, { recursive: true });
   }
@@ -21,7 +22,7 @@
   const text = `[standin]\nkind = engine\n[engine]\nmax_batch = 8\nmodels = a, b\nplan = ${plan}\n`;
   const loaded = await load(text, { KINGCUPSILL_ENGINE_MAX_BATCH: '3' });
   assert.ok(loaded.ok);
-  assert.equal(loaded.settings.engine.max_batch, 3);
+  assert.equal(loaded.settings.engine.maxBatch, 3);
   assert.deepEqual(loaded.settings.engine.models, ['a', 'b']);
   assert.equal(loaded.settings.engine.plan?.[0]?.atMs, 5);
 });
@@ -32,7 +33,7 @@
     ['[standin]\nkind = engine\n[engine]\nmax_batch = x\n', /\[engine\] max_batch/],
     ['[standin]\nkind = boat\n', /\[standin\] kind/],
     ['[standin]\nkind = engine\n[engine]\nplan = {\n', /\[engine\] plan: is not JSON/],
-    ['kind = engine\n', /line 1/],
+    ['kind = engine\n', /kind stands outside/],
   ] as const;
   for (const [text, message] of bad) {
     const loaded = await load(text);
