--- a/packages/core/src/claims/claim-reducer.ts
+++ b/packages/core/src/claims/claim-reducer.ts
@@ -8,8 +8,8 @@
  */
 import type { Step } from '../loop/index.js';
 import type {
-  AskOutcome,
-  AttemptOutcome,
+  ClaimedAttemptState,
+  ClaimedAttemptOutcome,
   AttemptTarget,
   Claim,
   ClaimEffect,
@@ -191,10 +191,10 @@
 };
 
 const attemptHandlers: {
-  [C in AttemptOutcome['code']]: (
+  [C in ClaimedAttemptOutcome['code']]: (
     ctx: Context,
     claim: Claim,
-    outcome: Extract<AttemptOutcome, { code: C }>,
+    outcome: Extract<ClaimedAttemptOutcome, { code: C }>,
   ) => void;
 } = {
   finished: (ctx, claim, { answer }) => record(ctx, claim, answer),
@@ -202,13 +202,13 @@
   unknown: (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
 };
 
-const handleAttempt = <C extends AttemptOutcome['code']>(
+const handleAttempt = <C extends ClaimedAttemptOutcome['code']>(
   ctx: Context,
   claim: Claim,
-  outcome: Extract<AttemptOutcome, { code: C }>,
+  outcome: Extract<ClaimedAttemptOutcome, { code: C }>,
 ): void => attemptHandlers[outcome.code](ctx, claim, outcome);
 
-const askHandlers: Record<AskOutcome, (ctx: Context, claim: Claim) => void> = {
+const askHandlers: Record<ClaimedAttemptState, (ctx: Context, claim: Claim) => void> = {
   running: (ctx) => refuse(ctx, Refusal.InProgress, 'unknown'),
   finished: (ctx, claim) => {
     enter(ctx, ClaimPhase.Fetching);
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -94,8 +94,8 @@
   | { kind: 'claim-written'; nowMs: number; outcome: ClaimWriteOutcome }
   /** A slot for the request; the attempt id is new. */
   | { kind: 'slot-granted'; nowMs: number; target: AttemptTarget }
-  | { kind: 'attempt-ended'; nowMs: number; outcome: AttemptOutcome }
-  | { kind: 'attempt-asked'; nowMs: number; outcome: AskOutcome }
+  | { kind: 'attempt-ended'; nowMs: number; outcome: ClaimedAttemptOutcome }
+  | { kind: 'attempt-asked'; nowMs: number; outcome: ClaimedAttemptState }
   | { kind: 'answer-fetched'; nowMs: number; answer?: RecordedAnswer }
   /** The request's time in the queue is over, or its caller has left, before it was dispatched. */
   | { kind: 'withdrawn'; nowMs: number };
@@ -103,7 +103,7 @@
 export type ClaimReadOutcome =
   { code: 'found'; version: number; claim: Claim } | { code: 'absent' } | { code: 'failed' };
 
-export type AttemptOutcome =
+export type ClaimedAttemptOutcome =
   /** The whole answer was relayed to the caller. Without `answer` it is too large to keep. */
   | { code: 'finished'; answer?: RecordedAnswer }
   /** The attempt is barred and was not run. */
@@ -111,7 +111,8 @@
   | { code: 'unknown' };
 
 /** What a sidecar says of an attempt. */
-export type AskOutcome = 'running' | 'finished' | 'barred' | 'unknown-outcome' | 'unreachable';
+export type ClaimedAttemptState =
+  'running' | 'finished' | 'barred' | 'unknown-outcome' | 'unreachable';
 
 /** Why a request is refused. */
 export const ClaimRefusal = {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './fairness/index.js';
 export * from './hash/index.js';
 export * from './journal/index.js';
+export * from './lease/index.js';
 export * from './loop/index.js';
 export * from './protocol/index.js';
 export * from './router/index.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -6,6 +6,7 @@
 export * from './config-store.js';
 export * from './config-types.js';
 export * from './instance-client.js';
+export * from './lease-store.js';
 export * from './object-client.js';
 export * from './types.js';
 export * from './weight-client.js';
--- /dev/null
+++ b/packages/platform/test/lease/lease-store.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+
+import { createLeaseState, leaseReducer } from '@kingcupsill/core';
+import type { LeaseEvent, LeaseState } from '@kingcupsill/core';
+
+import { createObjectClient, runLeaseStore } from '../../src/index.js';
+import { startFakeObjectService } from '../support/fake-object-service.js';
+import type { FakeObjectService } from '../support/fake-object-service.js';
+
+let service: FakeObjectService;
+before(async () => {
+  service = await startFakeObjectService();
+});
+after(() => service.close());
+
+test('two processes take turns with growing fencing numbers, also over a lost answer', async () => {
+  const objects = createObjectClient({ url: service.url, timeoutMs: 500 });
+  const create = (holder: string) => createLeaseState({ name: 'e1', holder, durationMs: 1000 });
+  const drive = async (state: LeaseState, first: LeaseEvent): Promise<void> => {
+    const events = [first];
+    for (const event of events) {
+      for (const effect of leaseReducer(state, event).effects) {
+        if (effect.kind !== 'store-read' && effect.kind !== 'store-write') continue;
+        events.push({ ...(await runLeaseStore(objects, effect)), nowMs: first.nowMs });
+      }
+    }
+  };
+  const a = create('a');
+  const b = create('b');
+  service.faults.lostAnswers = 1;
+  await drive(a, { kind: 'wanted', nowMs: 0, wanted: true });
+  assert.equal(a.phase, 'held');
+  await drive(b, { kind: 'wanted', nowMs: 10, wanted: true });
+  assert.equal(b.phase, 'waiting');
+  await drive(a, { kind: 'wanted', nowMs: 20, wanted: false });
+  await drive(b, { kind: 'tick', nowMs: 200 });
+  assert.equal(b.phase, 'held');
+  assert.deepEqual([a.lease?.fencing, b.lease?.fencing], [1, 2]);
+});
