--- a/packages/bench/src/cli/main.ts
+++ b/packages/bench/src/cli/main.ts
@@ -19,7 +19,8 @@
   return `Usage: npm run --silent bench -- COMMAND
 
   run SCENARIO [--seed N] [--policy fair|naive|single] [--routers N] [--seconds S] [--json]
-               [--logs DIRECTORY]   runs a scenario; result file in results/
+               [--logs DIRECTORY] [--raw FILE]
+                                   runs a scenario; result file in results/
   report FILE... [--out FILE]      one HTML page with charts from result files
   compare FILE...                  a table of result files
 
--- a/packages/bench/src/measure/waits.ts
+++ b/packages/bench/src/measure/waits.ts
@@ -4,6 +4,8 @@
 /** What happened in one pool. */
 export interface PoolActivity {
   runs: SlotInterval[];
+  /** The runs' times in the batches of engines. */
+  batched: SlotInterval[];
   waits: SlotInterval[];
 }
 
@@ -24,11 +26,17 @@
   const ofPool = records.filter((rec) => rec.pool === pool);
   const accounts = new Map(ofPool.map((rec) => [rec.id, rec.account]));
   const starts = earliestStarts(runs);
+  const runsOfPool = runs.flatMap((run) => {
+    const account = accounts.get(run.id);
+    return account === undefined ? [] : [{ ...run, account }];
+  });
   return {
-    runs: runs.flatMap(({ id, startMs, endMs }) => {
-      const account = accounts.get(id);
-      return account === undefined ? [] : [{ account, startMs, endMs }];
-    }),
+    runs: runsOfPool.map(({ account, startMs, endMs }) => ({ account, startMs, endMs })),
+    batched: runsOfPool.map(({ account, startMs, admittedMs = startMs, endMs }) => ({
+      account,
+      startMs: admittedMs,
+      endMs,
+    })),
     waits: ofPool.map(({ id, account, sentMs, endMs }) => ({
       account,
       startMs: sentMs,
--- a/packages/bench/src/run/run-scenario.ts
+++ b/packages/bench/src/run/run-scenario.ts
@@ -1,8 +1,10 @@
 /** Runs one scenario on a fleet of its own. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { ProcessRole, mergeSettings, startFleet } from '../fleet/index.js';
 import type { Fleet, Settings, Topology } from '../fleet/index.js';
 import { createLoadClient } from '../load/index.js';
 import type { AccountLoad, LoadClient } from '../load/index.js';
+import { startNodeSampler } from '../observe/index.js';
 import { Policy } from '../scenarios/index.js';
 import type { DrainWindow, Scenario } from '../scenarios/index.js';
 import { measureConfigSpread } from './config-spread.js';
@@ -15,12 +17,16 @@
   countLateStarts,
   countOutcomes,
   firstTokenPercentiles,
+  measureNodes,
   measurePools,
   summarise,
 } from './summarise.js';
 import type { RunRecords } from './summarise.js';
 import type { RunResult, RunSummary } from './types.js';
 
+/** Length of the measurement of the idle fleet. */
+const IDLE_MS = 5000;
+
 /** How a scenario is run. */
 export interface RunOptions {
   scenario: Scenario;
@@ -34,6 +40,8 @@
   logDirectory?: string;
   /** Told a line about every second. */
   onProgress: (line: string) => void;
+  /** Told everything that was recorded of the load. */
+  onRecorded?: (recorded: RunRecords) => void;
 }
 
 /** Settings that put a policy in force; `single` is the fair one with a router that sees all. */
@@ -121,6 +129,19 @@
   return firstTokenPercentiles(recorded.records, reportedAccounts);
 }
 
+/** Use by a node while no request is about. */
+async function measureIdle(fleet: Fleet): Promise<RunResult['details']['idle']> {
+  const sampler = await startNodeSampler([...fleet.routers, ...fleet.sidecars]);
+  await sleep(IDLE_MS);
+  const { controlCpuPercentOfCore, controlBytesPerNodePerSecond } = measureNodes(
+    await sampler.stop(),
+  );
+  return {
+    cpuPercentOfCore: controlCpuPercentOfCore,
+    bytesPerNodePerSecond: controlBytesPerNodePerSecond,
+  };
+}
+
 /** Runs a scenario once and computes its figures. */
 export async function runScenario(options: RunOptions): Promise<RunResult> {
   const run = plan(options);
@@ -130,10 +151,12 @@
     run.onProgress('asking the idle fleet');
     const addedFirstTokenMs = await probeAddedFirstToken(fleet, client, createFleetBalancer(fleet));
     const configInForceMs = await measureConfigSpread(fleet);
+    const idle = await measureIdle(fleet);
     const offered = await measureLoad(run, fleet, client, scenario.loads);
-    return { addedFirstTokenMs, configInForceMs, ...offered };
+    return { addedFirstTokenMs, configInForceMs, idle, ...offered };
   });
-  const { addedFirstTokenMs, configInForceMs, recorded, notes, drains } = measured;
+  const { addedFirstTokenMs, configInForceMs, idle, recorded, notes, drains } = measured;
+  run.onRecorded?.(recorded);
   const pools = measurePools(recorded);
   const { topology, records } = recorded;
   return {
@@ -151,6 +174,7 @@
       configInForceMs,
     },
     details: {
+      idle,
       controlBytesPerRouterPerSecond: bytesPerNode(recorded.usage, ProcessRole.Router),
       controlBytesPerSidecarPerSecond: bytesPerNode(recorded.usage, ProcessRole.Sidecar),
       outcomes: countOutcomes(records),
--- a/packages/bench/src/run/types.ts
+++ b/packages/bench/src/run/types.ts
@@ -56,6 +56,8 @@
   utilisation: number | null;
   /** While work waits, without any allowance. */
   strictUtilisation: number | null;
+  /** Like `utilisation`, but a slot counts as busy only once the engine's batch holds the request. */
+  batchUtilisation: number | null;
 }
 
 /** Values of each second of the run. */
@@ -100,6 +102,8 @@
 
 /** What a result file holds beside the summary. */
 export interface RunDetails {
+  /** Use by a node of the fleet before the load, without any request. */
+  idle: { cpuPercentOfCore: number; bytesPerNodePerSecond: number };
   /** Control bytes that a router sends on average, per second. */
   controlBytesPerRouterPerSecond: number;
   /** Control bytes that a sidecar sends on average, per second. */
--- a/packages/bench/test/run/summarise.test.ts
+++ b/packages/bench/test/run/summarise.test.ts
@@ -107,6 +107,7 @@
         configInForceMs: { p50: null, max: null },
       },
       details: {
+        idle: { cpuPercentOfCore: 0, bytesPerNodePerSecond: 0 },
         controlBytesPerRouterPerSecond: 200,
         controlBytesPerSidecarPerSecond: 0,
         outcomes: [],
