--- a/packages/bench/src/run/offer-load.ts
+++ b/packages/bench/src/run/offer-load.ts
@@ -5,6 +5,7 @@
 import type { AccountLoad, Balancer, LoadClient } from '../load/index.js';
 import { readJournals, startNodeSampler } from '../observe/index.js';
 import type { DrainWindow, Scenario } from '../scenarios/index.js';
+import { waitUntilReady } from './readiness.js';
 import type { RunRecords } from './summarise.js';
 
 /** What one load needs. */
@@ -41,7 +42,12 @@
     fleet,
     seconds,
     random: createRandom(seed, 'faults'),
-    setRouterInUse: balancer.setInUse,
+    takeOut: (router) => balancer.setInUse(router.name, false),
+    takeIn: async (router) => {
+      // The platform's balancer asks instances for their health.
+      await waitUntilReady(router);
+      balancer.setInUse(router.name, true);
+    },
     recordDrain,
     waitForPart: async (part) => {
       await sleep(Math.max(0, startMs + part * seconds * MS_PER_SECOND - performance.now()));
--- a/packages/bench/src/run/readiness.ts
+++ b/packages/bench/src/run/readiness.ts
@@ -19,6 +19,15 @@
   return res.statusCode === 200;
 }
 
+/** Resolves once a node reports itself ready; rejects after 30 s. */
+export async function waitUntilReady(node: FleetProcess): Promise<void> {
+  const endMs = performance.now() + READY_TIMEOUT_MS;
+  while (!(await isReady(node))) {
+    if (performance.now() > endMs) throw new Error(`${node.name} did not become ready`);
+    await sleep(POLL_PERIOD_MS);
+  }
+}
+
 async function isServing(fleet: Fleet, linksPerRouter: number): Promise<boolean> {
   const ready = await Promise.all([...fleet.routers, ...fleet.sidecars].map(isReady));
   if (!ready.every(Boolean)) return false;
--- a/packages/bench/src/scenarios/fault-scripts.ts
+++ b/packages/bench/src/scenarios/fault-scripts.ts
@@ -21,7 +21,7 @@
 
 /** Drains one engine by the configuration, then a router and a sidecar by signal, and brings all back. */
 export async function drainOneOfEach(context: FaultContext): Promise<void> {
-  const { fleet, random, waitForPart, setRouterInUse, recordDrain, note } = context;
+  const { fleet, random, waitForPart, takeOut, takeIn, recordDrain, note } = context;
   const engine = pick(
     random,
     fleet.topology.backends.filter(({ kind }) => kind === 'engine'),
@@ -37,7 +37,7 @@
   const startMs = wallClockMs();
   note(`draining ${engine.id} by configuration`);
   await waitForPart(0.4);
-  setRouterInUse(router.name, false);
+  takeOut(router);
   const routerExit = await router.drain();
   note(`${router.name} drained, exit ${routerExit.code ?? routerExit.signal}`);
   await waitForPart(0.55);
@@ -45,7 +45,7 @@
   await patchConfig(fleet.platform, { backends: { [engine.id]: { draining: false } } });
   note(`${engine.id} takes work again`);
   await router.restart();
-  setRouterInUse(router.name, true);
+  await takeIn(router);
   await waitForPart(0.65);
   const sidecarExit = await sidecar.drain();
   note(`${sidecar.name} drained, exit ${sidecarExit.code ?? sidecarExit.signal}`);
@@ -58,10 +58,10 @@
   const isRouter = victim.role === 'router';
   await victim.kill();
   context.note(`killed ${victim.name}`);
-  if (isRouter) context.setRouterInUse(victim.name, false);
+  if (isRouter) context.takeOut(victim);
   await sleep(DOWN_MS);
   await victim.restart();
-  if (isRouter) context.setRouterInUse(victim.name, true);
+  if (isRouter) await context.takeIn(victim);
 }
 
 /** Kills routers and sidecars in turn. */
@@ -76,7 +76,7 @@
 
 /** Pauses routers and sidecars, so that their links break while their state stays, and lets them rejoin. */
 export async function pauseInTurn(context: FaultContext): Promise<void> {
-  const { fleet, random, seconds, setRouterInUse, note } = context;
+  const { fleet, random, seconds, takeOut, takeIn, note } = context;
   const endMs = performance.now() + seconds * MS_PER_SECOND * LAST_FAULT_PART;
   for (let turn = 0; performance.now() + PAUSE_PERIOD_MS + PAUSE_MS < endMs; turn++) {
     await sleep(PAUSE_PERIOD_MS);
@@ -84,10 +84,10 @@
     const isRouter = victim.role === 'router';
     victim.pause();
     note(`paused ${victim.name}`);
-    if (isRouter) setRouterInUse(victim.name, false);
+    if (isRouter) takeOut(victim);
     await sleep(PAUSE_MS);
     victim.resume();
-    if (isRouter) setRouterInUse(victim.name, true);
+    if (isRouter) await takeIn(victim);
   }
 }
 
--- a/packages/bench/src/scenarios/types.ts
+++ b/packages/bench/src/scenarios/types.ts
@@ -1,5 +1,5 @@
 /** Types of scenarios. */
-import type { Fleet, Topology } from '../fleet/index.js';
+import type { Fleet, FleetProcess, Topology } from '../fleet/index.js';
 import type { AccountLoad } from '../load/index.js';
 import type { Random } from '../load/random.js';
 
@@ -26,8 +26,10 @@
   seconds: number;
   /** Resolves at a part of the run, 0 to 1. */
   waitForPart: (part: number) => Promise<void>;
-  /** Takes a router out of the callers' choice, or puts it back. */
-  setRouterInUse: (name: string, isInUse: boolean) => void;
+  /** Takes a router out of the callers' choice. */
+  takeOut: (router: FleetProcess) => void;
+  /** Puts a router back into the callers' choice once it is ready. */
+  takeIn: (router: FleetProcess) => Promise<void>;
   /** Tells that a backend server was asked to drain at a time, and was let in again at another; wall clock. */
   recordDrain: (window: DrainWindow) => void;
   /** Notes what was done, for the result. */
