--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -37,7 +37,7 @@
 } as const;
 export type CloseReason = (typeof CloseReason)[keyof typeof CloseReason];
 
-/** Traffic of one link, WebSocket frame headers and heartbeats included, TCP and TLS not. */
+/** Traffic of one link: messages, heartbeats and their WebSocket headers. The handshake, TCP and TLS aren't counted. */
 export interface LinkCounters {
   bytesSent: number;
   bytesReceived: number;
--- a/packages/runtime/src/binary/run-binary.ts
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -12,6 +12,8 @@
 import type { BinaryContext, BinaryOptions } from './types.js';
 
 const INCARNATION_BYTES = 8;
+/** Time between samples of the event loop's delay; each wakes the process. */
+const EVENT_LOOP_SAMPLING_MS = 100;
 
 function helpText<TSchema extends SettingsSchema>(options: BinaryOptions<TSchema>): string {
   return [
@@ -48,7 +50,10 @@
   const own = (settings as { process?: { id: string; logLevel: LogLevel } }).process;
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({
+    register: registry,
+    eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLING_MS,
+  });
   return {
     settings,
     logger: createLogger({ process: name, id: own?.id ?? name, incarnation, level: own?.logLevel }),
