--- a/packages/standins/src/app/app-standin.ts
+++ b/packages/standins/src/app/app-standin.ts
@@ -1,12 +1,12 @@
 import type { ServerResponse } from 'node:http';
-import { setTimeout as delay } from 'node:timers/promises';
 import Router from '@koa/router';
 import type { Context } from 'koa';
 import { addAdminRoutes } from '../common/admin-routes.js';
 import { readBody } from '../common/body.js';
 import { closeSignal } from '../common/close-signal.js';
+import { delay } from '../common/delay.js';
 import { sha256 } from '../common/digest.js';
-import { createFaultTable } from '../common/faults.js';
+import { createFaultTable, cutAfterOf, delayByFault } from '../common/faults.js';
 import type { FaultTable } from '../common/faults.js';
 import { createJournal } from '../common/journal.js';
 import type { Journal } from '../common/journal.js';
@@ -21,8 +21,6 @@
 
 const DEFAULTS = { seed: 1, workers: 4, meanWorkMs: 20, timeScale: 1 } as const;
 const BODY_LIMIT_BYTES = 16_777_216;
-const LATE_DELAY_MS = 1000;
-const CUT_AFTER_BYTES = 4;
 
 interface AppParts {
   pool: WorkerPool;
@@ -69,14 +67,12 @@
     }
     ctx.respond = false;
     if (!(await pool.take(signal))) return;
-    const cut = faults.hit(AppFaultKind.CutAnswer);
+    const cutAfter = cutAfterOf(faults.hit(AppFaultKind.CutAnswer));
     const entry = journal.add(startEntry(ctx.req, sha256(read.body)));
     await delay(drawWorkMs(ctx));
     pool.release();
-    finish(entry, cut === undefined ? 'finished' : 'cut');
-    const late = faults.hit(AppFaultKind.LateAnswer);
-    if (late !== undefined) await delay(late.delayMs ?? LATE_DELAY_MS);
-    const cutAfter = cut === undefined ? undefined : (cut.after ?? CUT_AFTER_BYTES);
+    finish(entry, cutAfter === undefined ? 'finished' : 'cut');
+    await delayByFault(faults.hit(AppFaultKind.LateAnswer));
     sendAnswer(ctx.res, crossed(answerOf(entry)), cutAfter);
   };
 };
@@ -89,8 +85,7 @@
     if (!(await pool.take(closeSignal(ctx)))) return;
     const entry = journal.add(startEntry(ctx.req, ''));
     await delay(drawWorkMs(ctx));
-    const cut = faults.hit(AppFaultKind.CutAnswer);
-    const cutAfter = cut === undefined ? undefined : (cut.after ?? CUT_AFTER_BYTES);
+    const cutAfter = cutAfterOf(faults.hit(AppFaultKind.CutAnswer));
     ctx.res.writeHead(200, {
       'content-type': ctx.get('content-type') || 'application/octet-stream',
       'x-request-id': entry.requestId,
--- /dev/null
+++ b/packages/standins/src/common/delay.ts
@@ -0,0 +1,5 @@
+import { setTimeout as wait } from 'node:timers/promises';
+
+/** Waits without keeping the process alive; rejects when `signal` aborts. */
+export const delay = (ms: number, signal?: AbortSignal): Promise<void> =>
+  wait(ms, undefined, { ref: false, signal });
--- a/packages/standins/src/common/faults.ts
+++ b/packages/standins/src/common/faults.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { delay } from './delay.js';
 import type { Random } from './random.js';
 
 /** Calls that a fault hits. */
@@ -54,6 +55,18 @@
   now?: () => number;
 }
 
+const ANSWER_DELAY_MS = 1000;
+const CUT_AFTER = 4;
+
+/** Waits as long as a fault delays answers; not at all without a fault. */
+export const delayByFault = async (fault: Fault | undefined): Promise<void> => {
+  if (fault !== undefined) await delay(fault.delayMs ?? ANSWER_DELAY_MS);
+};
+
+/** Tokens or bytes that pass before a fault cuts an answer; undefined without a fault. */
+export const cutAfterOf = (fault: Fault | undefined): number | undefined =>
+  fault === undefined ? undefined : (fault.after ?? CUT_AFTER);
+
 /** Schema of a fault whose kind is one of `kinds`. */
 export const faultSchema = <const Kind extends string>(kinds: readonly Kind[]) =>
   z.strictObject({
--- a/packages/standins/src/common/journal.ts
+++ b/packages/standins/src/common/journal.ts
@@ -1,6 +1,6 @@
 /** Append-only record of what a stand-in did, numbered from 1. */
 export interface Journal<T> {
-  /** Appends and returns the stored entry, which the owner may complete later. */
+  /** Numbers and appends the entry itself, which the owner may complete later. */
   add(entry: T): T & { seq: number };
   /** Entries with a number greater than `seq`. */
   after(seq: number): (T & { seq: number })[];
@@ -11,7 +11,7 @@
   const entries: (T & { seq: number })[] = [];
   return {
     add: (entry) => {
-      const stored = { ...entry, seq: entries.length + 1 };
+      const stored = Object.assign(entry, { seq: entries.length + 1 });
       entries.push(stored);
       return stored;
     },
--- a/packages/standins/src/engine/batch-reducer.ts
+++ b/packages/standins/src/engine/batch-reducer.ts
@@ -118,18 +118,18 @@
   return [];
 };
 
+const handlers: {
+  [Kind in BatchEvent['kind']]: (state: BatchState, event: EventOf<Kind>) => BatchEffect[];
+} = {
+  arrive: onArrive,
+  'step-end': onStepEnd,
+  cancel: onCancel,
+  freeze: onFreeze,
+  crash: onCrash,
+};
+
 /** Applies one event to the batch. Times are milliseconds of one monotonic clock, given by the events. */
 export const reduceBatch = (state: BatchState, event: BatchEvent): BatchResult => {
-  switch (event.kind) {
-    case 'arrive':
-      return { state, effects: onArrive(state, event) };
-    case 'step-end':
-      return { state, effects: onStepEnd(state, event) };
-    case 'cancel':
-      return { state, effects: onCancel(state, event) };
-    case 'freeze':
-      return { state, effects: onFreeze(state, event) };
-    default:
-      return { state, effects: onCrash(state) };
-  }
+  const handle = handlers[event.kind] as (current: BatchState, next: BatchEvent) => BatchEffect[];
+  return { state, effects: handle(state, event) };
 };
--- a/packages/standins/src/engine/models.ts
+++ b/packages/standins/src/engine/models.ts
@@ -1,5 +1,5 @@
-import { setTimeout as delay } from 'node:timers/promises';
 import { request } from 'undici';
+import { delay } from '../common/delay.js';
 import { createJournal } from '../common/journal.js';
 import type { Journal } from '../common/journal.js';
 import type { OrderEntry } from './types.js';
@@ -52,7 +52,7 @@
   const fetchUntilDone = async (model: string, signal: AbortSignal): Promise<void> => {
     if (weightStoreUrl === undefined) return;
     while (!(await fetchWeights(weightStoreUrl, model, signal).catch(() => false))) {
-      await delay(RETRY_DELAY_MS, undefined, { signal });
+      await delay(RETRY_DELAY_MS, signal);
     }
   };
   const load = async (model: string): Promise<void> => {
@@ -61,7 +61,7 @@
     loads.set(model, controller);
     try {
       await fetchUntilDone(model, controller.signal);
-      await delay(loadMs, undefined, { signal: controller.signal });
+      await delay(loadMs, controller.signal);
       loaded.add(model);
     } catch {
       // Aborted by an unload or by closing.
--- a/packages/standins/src/engine/runner.ts
+++ b/packages/standins/src/engine/runner.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { setTimeout as delay } from 'node:timers/promises';
+import { cutAfterOf, delayByFault } from '../common/faults.js';
 import type { FaultTable } from '../common/faults.js';
 import type { Journal } from '../common/journal.js';
 import { createAnswerBuffer } from './answer-buffer.js';
@@ -47,9 +47,6 @@
   crash(): void;
 }
 
-const LATE_DELAY_MS = 1000;
-const CUT_AFTER_TOKENS = 4;
-
 const finishEntry = (entry: EngineRunEntry, outcome: RunOutcome): void => {
   entry.endedAtMs = Date.now();
   entry.outcome = outcome;
@@ -107,7 +104,6 @@
     rejected: withRun((run) => {
       run.rejected = true;
       run.buffer.abort();
-      finishEntry(run.entry, RunOutcome.Cancelled);
       retire(run);
     }),
     'cache-change': ({ change }) => cacheFeed.publish(change, performance.now()),
@@ -138,7 +134,6 @@
     const { requestId, request } = submission;
     const createdSeconds = Math.floor(Date.now() / 1000);
     const facts = { requestId, request, createdSeconds, cachedTokens: 0 };
-    const cut = faults.hit(EngineFaultKind.CutStream);
     lastRunId += 1;
     return {
       runId: lastRunId,
@@ -146,9 +141,9 @@
       facts,
       format: createStreamFormat(facts),
       buffer: createAnswerBuffer(request.stream),
-      entry: journal.add(newEntry(submission)),
+      entry: newEntry(submission),
       sentTokens: 0,
-      cutAfter: cut === undefined ? undefined : (cut.after ?? CUT_AFTER_TOKENS),
+      cutAfter: cutAfterOf(faults.hit(EngineFaultKind.CutStream)),
       rejected: false,
     };
   };
@@ -175,7 +170,9 @@
         answerTokens: request.answerTokens,
         fingerprints: prefixFingerprints(request.prompt, settings.blockTokens),
       });
-      return run.rejected ? undefined : run;
+      if (run.rejected) return undefined;
+      journal.add(run.entry);
+      return run;
     },
     send,
     answer: async (run, res) => {
@@ -183,8 +180,7 @@
         const left = !res.writableFinished && run.entry.outcome === RunOutcome.Running;
         if (options.cancelOnDisconnect && left) loop.cancel(run.runId);
       });
-      const late = faults.hit(EngineFaultKind.LateAnswer);
-      if (late !== undefined) await delay(late.delayMs ?? LATE_DELAY_MS);
+      await delayByFault(faults.hit(EngineFaultKind.LateAnswer));
       const crossed = faults.hit(EngineFaultKind.CrossedAnswers);
       const other = crossed === undefined ? undefined : runs.otherThan(run);
       send(other ?? run, res, 0);
--- a/packages/standins/src/platform/gate.ts
+++ b/packages/standins/src/platform/gate.ts
@@ -1,6 +1,5 @@
-import { setTimeout as delay } from 'node:timers/promises';
 import type { Context, Middleware } from 'koa';
-import { FaultRole } from '../common/faults.js';
+import { delayByFault, FaultRole } from '../common/faults.js';
 import type { FaultTable } from '../common/faults.js';
 import { dropConnection, sendError } from '../common/koa-host.js';
 import { createTokenBucket } from './token-bucket.js';
@@ -14,8 +13,6 @@
   count: (kind: string) => void;
 }
 
-const SLOW_DELAY_MS = 1000;
-
 const callKind = (method: string, path: string): string => {
   if (method !== 'GET') return method.toLowerCase();
   if (path === '/v1/objects') return 'list';
@@ -63,8 +60,7 @@
       sendError(ctx, 429, 'rate_limited');
       return;
     }
-    const slow = faults.hit(PlatformFaultKind.Slow, role);
-    if (slow !== undefined) await delay(slow.delayMs ?? SLOW_DELAY_MS);
+    await delayByFault(faults.hit(PlatformFaultKind.Slow, role));
     await next();
   };
 };
--- a/packages/standins/src/platform/weight-store.ts
+++ b/packages/standins/src/platform/weight-store.ts
@@ -1,4 +1,4 @@
-import { setTimeout as delay } from 'node:timers/promises';
+import { delay } from '../common/delay.js';
 
 /** Serves model weights at a limited total rate. */
 export interface WeightStore {
--- a/packages/standins/test/app/app-standin.test.ts
+++ b/packages/standins/test/app/app-standin.test.ts
@@ -3,10 +3,10 @@
 import { request } from 'undici';
 import { createAppStandin, expectedResult } from '../../src/index.js';
 import type { AppAnswer, AppFaultKind, AppStandin } from '../../src/index.js';
+import { withStandin } from '../with-standin.js';
 
-test('the journal counts every request that ran, and the answer is its own', async () => {
-  const app = await createAppStandin({ workers: 2 });
-  try {
+test('the journal counts every request that ran, and the answer is its own', () =>
+  withStandin(createAppStandin({ workers: 2 }), async (app) => {
     const send = async (index: number) => {
       const res = await request(`${app.url}/batches/${index}?x=1`, {
         method: 'POST',
@@ -32,50 +32,35 @@
       ran.sort(),
       [0, 1, 2, 3, 4, 5].map((index) => `b${index} finished`),
     );
-  } finally {
-    await app.close();
-  }
-});
+  }));
 
-test('a large body is echoed as it comes', async () => {
-  const app = await createAppStandin({ meanWorkMs: 0 });
-  try {
+test('a large body is echoed as it comes', () =>
+  withStandin(createAppStandin({ meanWorkMs: 0 }), async (app) => {
     const body = Buffer.alloc(5_000_000, 'kingcupsill');
     const headers = { 'x-standin-echo': '1' };
     const res = await request(`${app.url}/echo`, { method: 'PUT', body, headers });
     assert.deepEqual(Buffer.from(await res.body.arrayBuffer()), body);
-  } finally {
-    await app.close();
-  }
-});
+  }));
 
-test('a refused request did not run', async () => {
-  const app = await createAppStandin();
-  try {
+test('a refused request did not run', () =>
+  withStandin(createAppStandin(), async (app) => {
     app.faults.add({ kind: 'refuse', durationMs: 60_000 });
     assert.equal((await request(`${app.url}/x`)).statusCode, 503);
     assert.equal(app.journal().length, 0);
-  } finally {
-    await app.close();
-  }
-});
+  }));
 
 const HOUR_MS = 3_600_000;
 
-const withFault = async (
+const withFault = (
   kind: AppFaultKind,
   run: (app: AppStandin, send: (id: string) => ReturnType<typeof request>) => Promise<void>,
-) => {
-  const app = await createAppStandin({ meanWorkMs: 0 });
-  const send = (id: string) => request(`${app.url}/${id}`, { headers: { 'x-request-id': id } });
-  try {
+) =>
+  withStandin(createAppStandin({ meanWorkMs: 0 }), async (app) => {
+    const send = (id: string) => request(`${app.url}/${id}`, { headers: { 'x-request-id': id } });
     await (await send('before')).body.dump();
     app.faults.add({ kind, durationMs: HOUR_MS, delayMs: 5 });
     await run(app, send);
-  } finally {
-    await app.close();
-  }
-};
+  });
 
 test('a crossed answer is another request’s, under its id', () =>
   withFault('crossed-answers', async (app, send) => {
--- a/packages/standins/test/engine/batch-reducer.test.ts
+++ b/packages/standins/test/engine/batch-reducer.test.ts
@@ -44,6 +44,11 @@
     return true;
   };
 
+  const of = <Kind extends BatchEffect['kind']>(kind: Kind) =>
+    log
+      .filter(({ effect }) => effect.kind === kind)
+      .map(({ atMs, effect }) => ({ ...(effect as Extract<BatchEffect, { kind: Kind }>), atMs }));
+
   return {
     state,
     step,
@@ -55,13 +60,10 @@
     freeze: (durationMs: number) => send({ kind: 'freeze', nowMs, durationMs }),
     crash: () => send({ kind: 'crash', nowMs }),
     now: () => nowMs,
-    of: <Kind extends BatchEffect['kind']>(kind: Kind) =>
-      log
-        .filter(({ effect }) => effect.kind === kind)
-        .map(({ atMs, effect }) => ({
-          ...(effect as Extract<BatchEffect, { kind: Kind }>),
-          atMs,
-        })),
+    of,
+    runIds: (kind: 'started' | 'finished' | 'cancelled' | 'rejected') =>
+      of(kind).map(({ runId }) => runId),
+    cachedTokens: () => of('started').map(({ cachedTokens }) => cachedTokens),
   };
 };
 
@@ -87,10 +89,7 @@
   batch.arrive(sequence(2, prompt));
   batch.runAll();
   assert.equal(batch.now(), 21 + 11);
-  assert.deepEqual(
-    batch.of('started').map(({ cachedTokens }) => cachedTokens),
-    [0, 20],
-  );
+  assert.deepEqual(batch.cachedTokens(), [0, 20]);
 });
 
 test('the least recently used prompt blocks are evicted', () => {
@@ -102,10 +101,7 @@
     batch.runAll();
   };
   ['a', 'b', 'a', 'c', 'a', 'b'].forEach((one, index) => ask(index + 1, one));
-  assert.deepEqual(
-    batch.of('started').map(({ cachedTokens }) => cachedTokens),
-    [0, 0, 10, 0, 10, 0],
-  );
+  assert.deepEqual(batch.cachedTokens(), [0, 0, 10, 0, 10, 0]);
   assert.deepEqual(
     batch.of('cache-change').map(({ change }) => `${change.kind} ${change.fingerprint}`),
     ['stored a', 'stored b', 'stored c', 'evicted b', 'stored b', 'evicted c'],
@@ -119,26 +115,17 @@
   batch.arrive(sequence(3, { promptTokens: 10, answerTokens: 2 }));
   batch.step();
   // Number 3 would fit, but number 2 came before.
-  assert.deepEqual(
-    batch.of('started').map(({ runId }) => runId),
-    [1],
-  );
+  assert.deepEqual(batch.runIds('started'), [1]);
   assert.equal(batch.state.queued.length, 2);
   batch.runAll();
-  assert.deepEqual(
-    batch.of('finished').map(({ runId }) => runId),
-    [1, 2, 3],
-  );
+  assert.deepEqual(batch.runIds('finished'), [1, 2, 3]);
   assert.equal(batch.state.kvTokensUsed, 0);
 });
 
 test('a request that exceeds the whole KV memory is rejected', () => {
   const batch = createHarness({ kvTokensTotal: 100 });
   batch.arrive(sequence(1, { promptTokens: 99 }));
-  assert.deepEqual(
-    batch.of('rejected').map(({ runId }) => runId),
-    [1],
-  );
+  assert.deepEqual(batch.runIds('rejected'), [1]);
   assert.equal(batch.state.queued.length, 0);
 });
 
@@ -151,14 +138,8 @@
   batch.cancel(3);
   batch.cancel(3);
   batch.runAll();
-  assert.deepEqual(
-    batch.of('cancelled').map(({ runId }) => runId),
-    [1, 3],
-  );
-  assert.deepEqual(
-    batch.of('finished').map(({ runId }) => runId),
-    [2],
-  );
+  assert.deepEqual(batch.runIds('cancelled'), [1, 3]);
+  assert.deepEqual(batch.runIds('finished'), [2]);
   assert.equal(batch.state.kvTokensUsed, 0);
 });
 
@@ -181,10 +162,7 @@
   assert.equal(batch.of('token').length, 0);
   batch.arrive(sequence(2, { fingerprints: ['a'], promptTokens: 10, answerTokens: 1 }));
   batch.runAll();
-  assert.deepEqual(
-    batch.of('started').map(({ cachedTokens }) => cachedTokens),
-    [0, 0],
-  );
+  assert.deepEqual(batch.cachedTokens(), [0, 0]);
   assert.equal(batch.of('finished').length, 1);
 });
 
@@ -217,10 +195,11 @@
         checkLimits();
       });
       batch.runAll();
-      const ends = [...batch.of('finished'), ...batch.of('cancelled'), ...batch.of('rejected')];
+      const ended = (['finished', 'cancelled', 'rejected'] as const).flatMap(batch.runIds);
+      const expected = Array.from({ length: arrived }, (_, index) => index + 1);
       assert.deepEqual(
-        ends.map(({ runId }) => runId).sort((a, b) => a - b),
-        Array.from({ length: arrived }, (_, index) => index + 1),
+        ended.sort((a, b) => a - b),
+        expected,
       );
       assert.equal(batch.state.kvTokensUsed, 0);
     }),
--- a/packages/standins/test/engine/engine-standin.test.ts
+++ b/packages/standins/test/engine/engine-standin.test.ts
@@ -4,18 +4,10 @@
 import { request } from 'undici';
 import { createEngineStandin, createPlatformStandin, expectedAnswer } from '../../src/index.js';
 import type { EngineFault, EngineOptions, EngineStandin } from '../../src/index.js';
+import { withStandin } from '../with-standin.js';
 
-const withEngine = async (
-  options: EngineOptions,
-  run: (engine: EngineStandin) => Promise<void>,
-) => {
-  const engine = await createEngineStandin({ timeScale: 10, cacheEventLoss: 0, ...options });
-  try {
-    await run(engine);
-  } finally {
-    await engine.close();
-  }
-};
+const withEngine = (options: EngineOptions, run: (engine: EngineStandin) => Promise<void>) =>
+  withStandin(createEngineStandin({ timeScale: 10, cacheEventLoss: 0, ...options }), run);
 
 const send = (engine: EngineStandin, id: string, content: string, fields = {}) =>
   request(`${engine.url}/v1/chat/completions`, {
@@ -147,12 +139,11 @@
     assert.equal(refused.statusCode, 503);
     assert.equal(engine.journal().length, 0);
     engine.faults.clear();
-    engine.faults.add(always('late-answer', { delayMs: 30 }));
-    const late = await send(engine, 'r2', 'x');
-    await late.body.dump();
-    assert.equal(late.statusCode, 200);
-    // The answer was sent when the run had long ended.
-    assert.equal(engine.journal()[0]?.outcome, 'finished');
+    engine.faults.add(always('late-answer', { delayMs: HOUR_MS }));
+    const late = assert.rejects(send(engine, 'r2', 'x'));
+    await until(() => engine.journal()[0]?.outcome === 'finished');
+    await engine.close();
+    await late;
   }));
 
 test('a crash loses runs and kept answers, and the engine serves again', () =>
@@ -167,6 +158,12 @@
     await next.body.dump();
   }));
 
+test('a request that can never fit is refused and does not run', () =>
+  withEngine({ kvTokensTotal: 10 }, async (engine) => {
+    assert.equal((await send(engine, 'r1', '[[tokens=11]]')).statusCode, 400);
+    assert.equal(engine.journal().length, 0);
+  }));
+
 test('orders with an old fencing number are refused where the engine checks', async () => {
   const order = (engine: EngineStandin, fencing: number) =>
     call(engine, 'POST', '/v1/orders', { kind: 'change-role', role: 'prefill', fencing });
@@ -185,10 +182,9 @@
   });
 });
 
-test('a model is served once its weights are fetched, and no more after its unload', async () => {
-  const platform = await createPlatformStandin({ weightBytes: 100_000 });
-  try {
-    await withEngine({ weightStoreUrl: platform.url, modelLoadMs: 10 }, async (engine) => {
+test('a model is served once its weights are fetched, and no more after its unload', () =>
+  withStandin(createPlatformStandin({ weightBytes: 100_000 }), (platform) =>
+    withEngine({ weightStoreUrl: platform.url, modelLoadMs: 10 }, async (engine) => {
       const models = async () => (await call(engine, 'GET', '/v1/models')).text;
       await call(engine, 'POST', '/v1/orders', { kind: 'load-model', model: 'm2', fencing: 1 });
       await until(async () => (await models()).includes('"m2"'));
@@ -196,11 +192,8 @@
       assert.equal((await send(engine, 'r1', 'x', { model: 'm2' })).statusCode, 200);
       await call(engine, 'POST', '/v1/orders', { kind: 'unload-model', model: 'm2', fencing: 1 });
       assert.equal((await send(engine, 'r2', 'x', { model: 'm2' })).statusCode, 404);
-    });
-  } finally {
-    await platform.close();
-  }
-});
+    }),
+  ));
 
 test('cache events come late, by number, and load reports age', () =>
   withEngine({ blockTokens: 4, cacheEventLagMs: 100 }, async (engine) => {
--- a/packages/standins/test/engine/openai-client.test.ts
+++ b/packages/standins/test/engine/openai-client.test.ts
@@ -2,18 +2,18 @@
 import { test } from 'node:test';
 import OpenAI from 'openai';
 import { createEngineStandin, expectedAnswer } from '../../src/index.js';
+import type { EngineStandin } from '../../src/index.js';
+import { withStandin } from '../with-standin.js';
 
 const PROMPT = 'polish the prism [[tokens=5]]';
 
-const start = async () => {
-  const engine = await createEngineStandin({ timeScale: 20, cacheEventLoss: 0 });
-  const client = new OpenAI({ baseURL: `${engine.url}/v1`, apiKey: 'none', maxRetries: 0 });
-  return { engine, client };
-};
+const withClient = (run: (client: OpenAI, engine: EngineStandin) => Promise<void>) =>
+  withStandin(createEngineStandin({ timeScale: 20 }), (engine) =>
+    run(new OpenAI({ baseURL: `${engine.url}/v1`, apiKey: 'none', maxRetries: 0 }), engine),
+  );
 
-test('the openai client gets a whole answer with usage', async () => {
-  const { engine, client } = await start();
-  try {
+test('the openai client gets a whole answer with usage', () =>
+  withClient(async (client) => {
     const answer = await client.chat.completions.create({
       model: 'standin-model',
       messages: [{ role: 'user', content: PROMPT }],
@@ -23,14 +23,10 @@
     assert.equal(answer.usage?.completion_tokens, 5);
     assert.equal(answer.usage?.prompt_tokens, 8);
     assert.equal(answer.usage?.prompt_tokens_details?.cached_tokens, 0);
-  } finally {
-    await engine.close();
-  }
-});
+  }));
 
-test('the openai client gets a streamed answer, capped by max_tokens', async () => {
-  const { engine, client } = await start();
-  try {
+test('the openai client gets a streamed answer, capped by max_tokens', () =>
+  withClient(async (client) => {
     const stream = await client.chat.completions.create({
       model: 'standin-model',
       messages: [{ role: 'user', content: PROMPT }],
@@ -53,14 +49,10 @@
     assert.equal(finishReason, 'length');
     assert.equal(completionTokens, 3);
     assert.deepEqual(roles, ['assistant']);
-  } finally {
-    await engine.close();
-  }
-});
+  }));
 
-test('the openai client lists models and sees an unknown model refused', async () => {
-  const { engine, client } = await start();
-  try {
+test('the openai client lists models and sees an unknown model refused', () =>
+  withClient(async (client, engine) => {
     const models = await client.models.list();
     assert.deepEqual(
       models.data.map(({ id }) => id),
@@ -74,7 +66,4 @@
       OpenAI.NotFoundError,
     );
     assert.equal(engine.journal().length, 0);
-  } finally {
-    await engine.close();
-  }
-});
+  }));
--- a/packages/standins/test/platform/instance-list.test.ts
+++ b/packages/standins/test/platform/instance-list.test.ts
@@ -4,6 +4,7 @@
 import { createPlatformStandin } from '../../src/index.js';
 import { createInstanceList } from '../../src/platform/instance-list.js';
 import type { PlatformInstance } from '../../src/index.js';
+import { withStandin } from '../with-standin.js';
 
 const instance = (id: string): PlatformInstance => ({
   id,
@@ -28,9 +29,8 @@
   assert.equal(list.view(1600).version, 4);
 });
 
-test('admin calls change the list', async () => {
-  const platform = await createPlatformStandin({ instanceLagMs: 0 });
-  try {
+test('admin calls change the list', () =>
+  withStandin(createPlatformStandin({ instanceLagMs: 0 }), async (platform) => {
     const url = `${platform.url}/admin/instances/s1`;
     const body = JSON.stringify({ ...instance('s1'), role: 'sidecar', id: undefined });
     assert.equal((await request(url, { method: 'PUT', body })).statusCode, 204);
@@ -45,7 +45,4 @@
     assert.equal((await request(url, { method: 'DELETE' })).statusCode, 204);
     assert.deepEqual((await read()).instances, []);
     assert.equal((await request(url, { method: 'PUT', body: '{"role":"x"}' })).statusCode, 400);
-  } finally {
-    await platform.close();
-  }
-});
+  }));
--- a/packages/standins/test/platform/object-service.test.ts
+++ b/packages/standins/test/platform/object-service.test.ts
@@ -4,18 +4,12 @@
 import { request } from 'undici';
 import { createPlatformStandin } from '../../src/index.js';
 import type { PlatformOptions, PlatformStandin } from '../../src/index.js';
+import { withStandin } from '../with-standin.js';
 
-const withPlatform = async (
+const withPlatform = (
   options: PlatformOptions,
   run: (platform: PlatformStandin) => Promise<void>,
-) => {
-  const platform = await createPlatformStandin(options);
-  try {
-    await run(platform);
-  } finally {
-    await platform.close();
-  }
-};
+) => withStandin(createPlatformStandin(options), run);
 
 const put = async (platform: PlatformStandin, key: string, body: string, headers = {}) => {
   const res = await request(`${platform.url}/v1/objects/${key}`, { method: 'PUT', body, headers });
@@ -113,10 +107,14 @@
     assert.equal((await watch).status, 503);
   }));
 
-test('a slow service takes the write and answers late', () =>
+test('a slow service holds the calls of its role back', () =>
   withPlatform({}, async (platform) => {
-    platform.faults.add({ kind: 'slow', durationMs: 60_000, delayMs: 20, role: 'writes' });
-    assert.equal((await put(platform, 'k', 'x')).status, 201);
+    platform.faults.add({ kind: 'slow', durationMs: 60_000, delayMs: 60_000, role: 'writes' });
+    const write = assert.rejects(put(platform, 'k', 'x'));
+    while (platform.stats().put !== 1) await setImmediate();
+    assert.equal((await get(platform, '/v1/objects/k')).status, 404);
+    await platform.close();
+    await write;
   }));
 
 test('a plan starts by an admin call and ends with all faults', () =>
