--- /dev/null
+++ b/packages/router/src/types.ts
@@ -0,0 +1,46 @@
+/** Parts of the router process. */
+import type { RouterProcessEvent, RouterProcessState } from '@kingcupsill/core';
+import type {
+  ConfigPolls,
+  HttpListener,
+  LinkFeed,
+  LinkTraffic,
+  Repetition,
+  Signal,
+} from '@kingcupsill/fleet';
+import type { LinkDialer, LinkServer } from '@kingcupsill/link';
+import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
+
+import type { HeldRequest } from './callers/types.js';
+import type { Directory } from './directory/types.js';
+import type { RouterMetrics } from './metrics.js';
+import type { Relay } from './relay/types.js';
+import type { routerSchema } from './settings.js';
+
+/** What the binary's frame gives. */
+export type RouterContext = BinaryContext<typeof routerSchema>;
+
+/** Holds what changes with the configuration. */
+export interface CurrentDirectory {
+  now: Directory;
+}
+
+/** Parts by name; each is made on first use. */
+export interface RouterParts {
+  /** Callers' requests by id. */
+  heldRequests: Map<string, HeldRequest>;
+  directory: CurrentDirectory;
+  stopped: Signal;
+  relay: Relay;
+  loop: Loop<RouterProcessState, RouterProcessEvent>;
+  metrics: RouterMetrics;
+  linkFeed: LinkFeed;
+  traffic: LinkTraffic;
+  linkServer: Promise<LinkServer>;
+  dialer: LinkDialer;
+  configPolls: ConfigPolls;
+  callerServer: Promise<HttpListener>;
+  membership: Repetition;
+  ticking: Repetition;
+  adminServer: Promise<AdminServer>;
+}
