--- a/packages/standins/src/app/app-standin.ts
+++ b/packages/standins/src/app/app-standin.ts
@@ -1,3 +1,4 @@
+/** Puts the application backend server together. */
 import type { ServerResponse } from 'node:http';
 import Router from '@koa/router';
 import type { Context } from 'koa';
@@ -7,7 +8,7 @@
 import { delay } from '../common/delay.js';
 import { sha256 } from '../common/digest.js';
 import { createFaultTable, cutAfterOf, delayByFault } from '../common/faults.js';
-import type { FaultTable } from '../common/faults.js';
+import type { FaultTable } from '../common/types.js';
 import { createJournal } from '../common/journal.js';
 import type { Journal } from '../common/journal.js';
 import { routesOf, sendError, startKoa } from '../common/koa-host.js';
--- a/packages/standins/src/app/echo.ts
+++ b/packages/standins/src/app/echo.ts
@@ -1,3 +1,4 @@
+/** Streaming echo of request bodies. */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Transform } from 'node:stream';
--- a/packages/standins/src/app/types.ts
+++ b/packages/standins/src/app/types.ts
@@ -1,4 +1,5 @@
-import type { Fault, FaultTable, PlannedFault } from '../common/faults.js';
+/** Types of the emulated application backend server. */
+import type { Fault, FaultTable, PlannedFault } from '../common/types.js';
 import type { ListenOptions } from '../common/http-host.js';
 
 /** Faults of the application backend server. */
--- a/packages/standins/src/app/work.ts
+++ b/packages/standins/src/app/work.ts
@@ -1,3 +1,4 @@
+/** Work times, journal entries and answers of the application server's requests. */
 import type { IncomingMessage } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import { sha256 } from '../common/digest.js';
--- a/packages/standins/src/app/worker-pool.ts
+++ b/packages/standins/src/app/worker-pool.ts
@@ -1,3 +1,4 @@
+/** A fixed number of workers with a queue. */
 /** A fixed number of workers with a queue, first come first. */
 export interface WorkerPool {
   /** Resolves true when a worker is taken, or false when `signal` aborts before. */
--- a/packages/standins/src/common/admin-routes.ts
+++ b/packages/standins/src/common/admin-routes.ts
@@ -1,9 +1,10 @@
+/** Admin calls that all stand-ins share. */
 import type Router from '@koa/router';
 import type { Context } from 'koa';
 import type { z } from 'zod';
 import { readBody } from './body.js';
 import { faultSchema, planSchema } from './faults.js';
-import type { FaultTable } from './faults.js';
+import type { FaultTable } from './types.js';
 import type { Journal } from './journal.js';
 
 const ADMIN_BODY_LIMIT_BYTES = 1_000_000;
--- a/packages/standins/src/common/body.ts
+++ b/packages/standins/src/common/body.ts
@@ -1,3 +1,4 @@
+/** Reads request bodies. */
 import type { IncomingMessage } from 'node:http';
 
 export type BodyOutcome = { ok: true; body: Buffer } | { ok: false; code: 'too-large' | 'aborted' };
--- a/packages/standins/src/common/close-signal.ts
+++ b/packages/standins/src/common/close-signal.ts
@@ -1,3 +1,4 @@
+/** Tells when a caller leaves. */
 import type { Context } from 'koa';
 
 /** Aborts when the caller's connection closes. */
--- a/packages/standins/src/common/delay.ts
+++ b/packages/standins/src/common/delay.ts
@@ -1,3 +1,4 @@
+/** Delays. */
 import { setTimeout as wait } from 'node:timers/promises';
 
 /** Waits without keeping the process alive; rejects when `signal` aborts. */
--- a/packages/standins/src/common/digest.ts
+++ b/packages/standins/src/common/digest.ts
@@ -1,3 +1,4 @@
+/** Digests. */
 import { createHash } from 'node:crypto';
 
 /** Lower-case hex SHA-256 digest. */
--- a/packages/standins/src/common/http-host.ts
+++ b/packages/standins/src/common/http-host.ts
@@ -1,3 +1,4 @@
+/** Listening HTTP server. */
 import { createServer } from 'node:http';
 import type { RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
--- a/packages/standins/src/common/journal.ts
+++ b/packages/standins/src/common/journal.ts
@@ -1,3 +1,4 @@
+/** Journals of what ran. */
 /** Append-only record of what a stand-in did, numbered from 1. */
 export interface Journal<T> {
   /** Numbers and appends the entry itself, which the owner may complete later. */
--- a/packages/standins/src/common/koa-host.ts
+++ b/packages/standins/src/common/koa-host.ts
@@ -1,3 +1,4 @@
+/** Koa applications of the stand-ins. */
 import type Router from '@koa/router';
 import Koa from 'koa';
 import type { Context, Middleware } from 'koa';
--- a/packages/standins/src/common/random.ts
+++ b/packages/standins/src/common/random.ts
@@ -1,3 +1,4 @@
+/** Seeded random numbers. */
 import prand from 'pure-rand';
 
 /** Source of numbers in [0, 1). */
--- a/packages/standins/src/engine/answer-buffer.ts
+++ b/packages/standins/src/engine/answer-buffer.ts
@@ -1,3 +1,4 @@
+/** Answers as bytes that readers can follow from any offset. */
 import type { ServerResponse } from 'node:http';
 
 /** Bytes of one answer, kept so that readers can start at any offset. */
--- a/packages/standins/src/engine/answer.ts
+++ b/packages/standins/src/engine/answer.ts
@@ -1,3 +1,4 @@
+/** What the engine answers: deterministic text from the prompt alone. */
 import { sha256 } from '../common/digest.js';
 
 /** A part of a chat message's content. */
--- a/packages/standins/src/engine/batch-reducer.ts
+++ b/packages/standins/src/engine/batch-reducer.ts
@@ -1,3 +1,4 @@
+/** Decisions of continuous batching: admission, steps, KV memory and prefix cache. */
 import type {
   BatchEffect,
   BatchEvent,
--- a/packages/standins/src/engine/batch-types.ts
+++ b/packages/standins/src/engine/batch-types.ts
@@ -1,3 +1,4 @@
+/** State, events and effects of the batch reducer. */
 import type { CacheChange, PrefixCacheState } from './prefix-cache.js';
 import type { BatchSettings } from './types.js';
 
--- a/packages/standins/src/engine/cache-feed.ts
+++ b/packages/standins/src/engine/cache-feed.ts
@@ -1,3 +1,4 @@
+/** Late and lossy publication of cache events. */
 import type { Random } from '../common/random.js';
 import type { CacheChange } from './prefix-cache.js';
 
--- a/packages/standins/src/engine/chat-format.ts
+++ b/packages/standins/src/engine/chat-format.ts
@@ -1,3 +1,4 @@
+/** Answers in the shape of OpenAI's chat completions. */
 import { answerToken, expectedAnswer, promptDigest } from './answer.js';
 import type { ChatRequest } from './chat-request.js';
 
--- a/packages/standins/src/engine/chat-request.ts
+++ b/packages/standins/src/engine/chat-request.ts
@@ -1,3 +1,4 @@
+/** Reads chat completion requests. */
 import { z } from 'zod';
 import { countPromptTokens, promptOf, requestedTokens } from './answer.js';
 
--- a/packages/standins/src/engine/engine-loop.ts
+++ b/packages/standins/src/engine/engine-loop.ts
@@ -1,3 +1,4 @@
+/** Runs the batch reducer in real time. */
 import { createBatchState, reduceBatch } from './batch-reducer.js';
 import type { BatchEffect, BatchEvent, BatchState, Sequence } from './batch-types.js';
 import type { BatchSettings } from './types.js';
--- a/packages/standins/src/engine/engine-routes.ts
+++ b/packages/standins/src/engine/engine-routes.ts
@@ -1,3 +1,4 @@
+/** HTTP calls of the model engine. */
 import { randomUUID } from 'node:crypto';
 import type Router from '@koa/router';
 import type { Context } from 'koa';
@@ -5,7 +6,7 @@
 import { queryNumber, readJson } from '../common/admin-routes.js';
 import { readBody } from '../common/body.js';
 import { sha256 } from '../common/digest.js';
-import type { FaultTable } from '../common/faults.js';
+import type { FaultTable } from '../common/types.js';
 import { sendError } from '../common/koa-host.js';
 import type { CacheFeed } from './cache-feed.js';
 import { parseChatRequest } from './chat-request.js';
--- a/packages/standins/src/engine/engine-standin.ts
+++ b/packages/standins/src/engine/engine-standin.ts
@@ -1,3 +1,4 @@
+/** Puts the model engine together. */
 import Router from '@koa/router';
 import { addAdminRoutes } from '../common/admin-routes.js';
 import { createFaultTable } from '../common/faults.js';
--- a/packages/standins/src/engine/index.ts
+++ b/packages/standins/src/engine/index.ts
@@ -1,3 +1,4 @@
+/** The emulated model engine. */
 export { expectedAnswer, prefixFingerprints, promptOf } from './answer.js';
 export type { ChatMessage, ContentPart } from './answer.js';
 export { createEngineStandin } from './engine-standin.js';
--- a/packages/standins/src/engine/load-report.ts
+++ b/packages/standins/src/engine/load-report.ts
@@ -1,3 +1,4 @@
+/** Lagged load reports. */
 import type { BatchState } from './batch-types.js';
 
 /** Load of the engine as last sampled. */
--- a/packages/standins/src/engine/models.ts
+++ b/packages/standins/src/engine/models.ts
@@ -1,3 +1,4 @@
+/** Models of the engine and the orders that change them. */
 import { request } from 'undici';
 import { delay } from '../common/delay.js';
 import { createJournal } from '../common/journal.js';
--- a/packages/standins/src/engine/prefix-cache.ts
+++ b/packages/standins/src/engine/prefix-cache.ts
@@ -1,3 +1,4 @@
+/** Cache of prompt prefix blocks with eviction of the least recently used. */
 /** A change of the prefix cache. */
 export interface CacheChange {
   kind: 'stored' | 'evicted';
--- a/packages/standins/src/engine/runner.ts
+++ b/packages/standins/src/engine/runner.ts
@@ -1,6 +1,7 @@
+/** Connects the batch with requests, answers, faults and the journal. */
 import type { ServerResponse } from 'node:http';
 import { cutAfterOf, delayByFault } from '../common/faults.js';
-import type { FaultTable } from '../common/faults.js';
+import type { FaultTable } from '../common/types.js';
 import type { Journal } from '../common/journal.js';
 import { createAnswerBuffer } from './answer-buffer.js';
 import { prefixFingerprints } from './answer.js';
--- a/packages/standins/src/engine/runs.ts
+++ b/packages/standins/src/engine/runs.ts
@@ -1,3 +1,4 @@
+/** Table of the requests in the engine. */
 import type { AnswerBuffer } from './answer-buffer.js';
 import type { AnswerFacts, StreamFormat } from './chat-format.js';
 import type { EngineRunEntry } from './types.js';
--- a/packages/standins/src/engine/types.ts
+++ b/packages/standins/src/engine/types.ts
@@ -1,4 +1,5 @@
-import type { Fault, FaultTable, PlannedFault } from '../common/faults.js';
+/** Types of the emulated model engine. */
+import type { Fault, FaultTable, PlannedFault } from '../common/types.js';
 import type { ListenOptions } from '../common/http-host.js';
 
 /** Faults of the model engine. */
--- a/packages/standins/src/platform/conditions.ts
+++ b/packages/standins/src/platform/conditions.ts
@@ -1,3 +1,4 @@
+/** Conditions of writes in request headers. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { WriteCondition } from './types.js';
 
--- a/packages/standins/src/platform/gate.ts
+++ b/packages/standins/src/platform/gate.ts
@@ -1,6 +1,8 @@
+/** What every platform call passes first: counting, faults and rate limits. */
 import type { Context, Middleware } from 'koa';
-import { delayByFault, FaultRole } from '../common/faults.js';
-import type { FaultTable } from '../common/faults.js';
+import { delayByFault } from '../common/faults.js';
+import { FaultRole } from '../common/types.js';
+import type { FaultTable } from '../common/types.js';
 import { dropConnection, sendError } from '../common/koa-host.js';
 import { createTokenBucket } from './token-bucket.js';
 import { PlatformFaultKind } from './types.js';
--- a/packages/standins/src/platform/instance-list.ts
+++ b/packages/standins/src/platform/instance-list.ts
@@ -1,3 +1,4 @@
+/** The lagging list of instances. */
 import type { PlatformInstance } from './types.js';
 
 /** What the list shows at some time. */
--- a/packages/standins/src/platform/instance-routes.ts
+++ b/packages/standins/src/platform/instance-routes.ts
@@ -1,3 +1,4 @@
+/** HTTP calls of the instance list. */
 import type Router from '@koa/router';
 import { z } from 'zod';
 import { readJson } from '../common/admin-routes.js';
--- a/packages/standins/src/platform/object-routes.ts
+++ b/packages/standins/src/platform/object-routes.ts
@@ -1,11 +1,12 @@
+/** HTTP calls of the object service. */
 import type Router from '@koa/router';
 import type { Context } from 'koa';
 import { queryNumber } from '../common/admin-routes.js';
 import { readBody } from '../common/body.js';
 import { closeSignal } from '../common/close-signal.js';
 import { sha256 } from '../common/digest.js';
-import { FaultRole } from '../common/faults.js';
-import type { FaultTable } from '../common/faults.js';
+import { FaultRole } from '../common/types.js';
+import type { FaultTable } from '../common/types.js';
 import type { Journal } from '../common/journal.js';
 import { dropConnection, sendError } from '../common/koa-host.js';
 import { parseCondition } from './conditions.js';
--- a/packages/standins/src/platform/object-store.ts
+++ b/packages/standins/src/platform/object-store.ts
@@ -1,3 +1,4 @@
+/** Versioned objects in memory. */
 import type { WriteCondition } from './types.js';
 
 export interface StoredObject {
--- a/packages/standins/src/platform/platform-standin.ts
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -1,3 +1,4 @@
+/** Puts the platform service together. */
 import { Readable } from 'node:stream';
 import Router from '@koa/router';
 import { addAdminRoutes } from '../common/admin-routes.js';
--- a/packages/standins/src/platform/token-bucket.ts
+++ b/packages/standins/src/platform/token-bucket.ts
@@ -1,3 +1,4 @@
+/** Rate limit by a token bucket. */
 /** Limits a rate of calls. */
 export interface TokenBucket {
   /** Takes one call at `nowMs`; 0 when allowed, else the milliseconds until the next is. */
--- a/packages/standins/src/platform/watchers.ts
+++ b/packages/standins/src/platform/watchers.ts
@@ -1,3 +1,4 @@
+/** Long polls that wait for changes. */
 import type { ChangesOutcome } from './object-store.js';
 
 /** Watches that wait for a change. */
--- a/packages/standins/src/platform/weight-store.ts
+++ b/packages/standins/src/platform/weight-store.ts
@@ -1,3 +1,4 @@
+/** Model weights at a limited rate. */
 import { delay } from '../common/delay.js';
 
 /** Serves model weights at a limited total rate. */
