Add the operators' command line

kingcupsill config get|patch|diff|history|watch|rollback, account add|set| remove|rotate-key, backend add|drain|remove, status, dump and check, on oclif with an explicit command table; the commands are thin over plain functions that return data, lines and an exit code. A conflict shows both versions and what differs. Status asks GET /config/status of the processes' admin servers.

A patch goes through JSON before it is applied, so that members which JSON leaves out cannot make the committer's result differ from the readers'.

--- /dev/null
+++ b/packages/cli/src/commands/account-set.ts
@@ -0,0 +1,31 @@
+/** Changes the share, services or queue limit of a client account. */
+import { Args, Flags } from '@oclif/core';
+
+import { changeFlags, FleetCommand, toChangeOptions } from '../fleet-command.js';
+import { setAccount } from '../operations/accounts.js';
+
+export class AccountSet extends FleetCommand {
+  static override summary = 'Changes the share, services or queue limit of a client account.';
+
+  static override args = {
+    account: Args.string({ description: 'id of the client account', required: true }),
+  };
+
+  static override flags = {
+    ...changeFlags,
+    share: Flags.string({ description: 'weight in each pool, above 0' }),
+    service: Flags.string({ description: 'services it may reach, all of them', multiple: true }),
+    'max-queued': Flags.integer({ description: 'requests queued per router and pool', min: 1 }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(AccountSet);
+    const { share, service: services, 'max-queued': maxQueued } = flags;
+    const options = {
+      ...toChangeOptions(flags),
+      account: args.account,
+      fields: { share: share === undefined ? undefined : Number(share), services, maxQueued },
+    };
+    this.finish(flags, await setAccount(this.fleetContext(flags), options));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/backend-add.ts
@@ -0,0 +1,35 @@
+/** Adds a backend server. */
+import { Args, Flags } from '@oclif/core';
+
+import { changeFlags, FleetCommand, toChangeOptions } from '../fleet-command.js';
+import { addBackend } from '../operations/backends.js';
+
+export class BackendAdd extends FleetCommand {
+  static override summary = 'Adds a backend server.';
+
+  static override args = {
+    backend: Args.string({ description: 'id of the backend server', required: true }),
+  };
+
+  static override flags = {
+    ...changeFlags,
+    pool: Flags.string({ description: 'pool of interchangeable servers', required: true }),
+    zone: Flags.string({ description: 'availability zone', required: true }),
+    region: Flags.string({ description: 'region', required: true }),
+    slots: Flags.integer({ description: 'requests it runs at once', min: 1, required: true }),
+    model: Flags.string({ description: 'model kept loaded', multiple: true }),
+    'checks-fencing': Flags.boolean({ description: 'refuses orders with an old fencing number' }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(BackendAdd);
+    const { pool, zone, region, slots, model: models } = flags;
+    const checksFencing = flags['checks-fencing'] ? true : undefined;
+    const options = {
+      ...toChangeOptions(flags),
+      backend: args.backend,
+      server: { pool, zone, region, slots, models, checksFencing },
+    };
+    this.finish(flags, await addBackend(this.fleetContext(flags), options));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/backend-drain.ts
@@ -0,0 +1,28 @@
+/** Lets a backend server finish what runs and take nothing new. */
+import { Args, Flags } from '@oclif/core';
+
+import { changeFlags, FleetCommand, toChangeOptions } from '../fleet-command.js';
+import { drainBackend } from '../operations/backends.js';
+
+export class BackendDrain extends FleetCommand {
+  static override summary = 'Lets a backend server finish what runs and take nothing new.';
+
+  static override args = {
+    backend: Args.string({ description: 'id of the backend server', required: true }),
+  };
+
+  static override flags = {
+    ...changeFlags,
+    undo: Flags.boolean({ description: 'let it take work again' }),
+  };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(BackendDrain);
+    const options = {
+      ...toChangeOptions(flags),
+      backend: args.backend,
+      undo: flags.undo,
+    };
+    this.finish(flags, await drainBackend(this.fleetContext(flags), options));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config-diff.ts
@@ -0,0 +1,21 @@
+/** Shows what differs between two versions. */
+import { Args } from '@oclif/core';
+
+import { commonFlags, FleetCommand } from '../fleet-command.js';
+import { diffVersions } from '../operations/config.js';
+
+export class ConfigDiff extends FleetCommand {
+  static override summary = 'Shows what differs between two versions.';
+
+  static override args = {
+    from: Args.integer({ description: 'version', min: 0, required: true }),
+    to: Args.integer({ description: 'version; the newest without it', min: 0 }),
+  };
+
+  static override flags = { ...commonFlags };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(ConfigDiff);
+    this.finish(flags, await diffVersions(this.fleetContext(flags), args));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config-get.ts
@@ -0,0 +1,21 @@
+/** Shows the configuration, or one part of it. */
+import { Flags } from '@oclif/core';
+
+import { commonFlags, FleetCommand } from '../fleet-command.js';
+import { getConfig } from '../operations/config.js';
+
+export class ConfigGet extends FleetCommand {
+  static override summary = 'Shows the configuration, or one part of it.';
+
+  static override flags = {
+    ...commonFlags,
+    part: Flags.string({ description: 'accounts, services, backends or operators' }),
+    version: Flags.integer({ description: 'an earlier version', min: 0 }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(ConfigGet);
+    const { part, version } = flags;
+    this.finish(flags, await getConfig(this.fleetContext(flags), { part, version }));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config-watch.ts
@@ -0,0 +1,32 @@
+/** Prints each version as it is accepted. */
+import { Flags } from '@oclif/core';
+
+import { commonFlags, FleetCommand } from '../fleet-command.js';
+import { watchConfig } from '../operations/config.js';
+import { describeEntry } from '../operations/describe.js';
+
+export class ConfigWatch extends FleetCommand {
+  static override summary = 'Prints each version as it is accepted.';
+
+  static override flags = {
+    ...commonFlags,
+    count: Flags.integer({ description: 'end after this many versions', min: 1 }),
+    'idle-seconds': Flags.integer({
+      description: 'end when nothing was accepted for this long',
+      min: 1,
+      max: 3600,
+      default: 600,
+    }),
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(ConfigWatch);
+    const { json, count, 'idle-seconds': idleSeconds } = flags;
+    const outcome = await watchConfig(this.fleetContext(flags), {
+      count: count ?? Infinity,
+      timeoutMs: idleSeconds * 1000,
+      report: (entry) => this.log(json ? JSON.stringify(entry) : describeEntry(entry)),
+    });
+    this.finish(flags, outcome);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/fleet-command.ts
@@ -0,0 +1,89 @@
+/** Base of all commands: common flags, settings, and the printing of outcomes. oclif needs commands to be classes. */
+import { randomBytes, randomUUID } from 'node:crypto';
+
+import { createConfigStore, createObjectClient } from '@kingcupsill/platform';
+import { Command, Flags } from '@oclif/core';
+
+import type { ChangeOptions, FleetContext } from './operations/types.js';
+import type { CommandOutcome } from './outcome.js';
+import { ExitCode } from './outcome.js';
+import { loadSettings, localSettingsSchema, platformSettingsSchema } from './settings.js';
+
+const ACCOUNT_KEY_BYTES = 24;
+
+/** Flags of every command. */
+export const commonFlags = {
+  json: Flags.boolean({ description: 'print one JSON object' }),
+  config: Flags.string({ description: 'settings file (INI)', helpValue: 'FILE' }),
+};
+
+/** Flags of commands that change the configuration. */
+export const changeFlags = {
+  ...commonFlags,
+  reason: Flags.string({ description: 'why, for the history', required: true }),
+  'base-version': Flags.integer({
+    description: 'version that the change is made against; the newest without it',
+    min: 0,
+  }),
+  'patch-id': Flags.string({ description: 'id of the patch, for a safe repeat' }),
+};
+
+interface CommonFlags {
+  json: boolean;
+  config?: string;
+}
+
+interface ChangeFlags extends CommonFlags {
+  reason: string;
+  'base-version'?: number;
+  'patch-id'?: string;
+}
+
+/** Options of a change, from its flags. */
+export const toChangeOptions = (flags: ChangeFlags): ChangeOptions => ({
+  reason: flags.reason,
+  baseVersion: flags['base-version'],
+  patchId: flags['patch-id'],
+});
+
+export abstract class FleetCommand extends Command {
+  /** Settings of a command that uses the platform; wrong ones end the command with exit code 2. */
+  protected platformSettings(flags: CommonFlags) {
+    const loaded = loadSettings({
+      schema: platformSettingsSchema,
+      file: flags.config,
+      env: process.env,
+    });
+    return loaded.ok ? loaded.settings : this.error(loaded.message, { exit: ExitCode.Usage });
+  }
+
+  /** Settings of a command that only talks to processes. */
+  protected localSettings(flags: CommonFlags) {
+    const loaded = loadSettings({
+      schema: localSettingsSchema,
+      file: flags.config,
+      env: process.env,
+    });
+    return loaded.ok ? loaded.settings : this.error(loaded.message, { exit: ExitCode.Usage });
+  }
+
+  protected fleetContext(flags: CommonFlags): FleetContext {
+    const { platform, operator } = this.platformSettings(flags);
+    return {
+      store: createConfigStore({ objects: createObjectClient({ url: platform.url }) }),
+      operatorKey: operator.key,
+      createPatchId: randomUUID,
+      createAccountKey: () => `kc-${randomBytes(ACCOUNT_KEY_BYTES).toString('base64url')}`,
+    };
+  }
+
+  /** Prints the outcome and sets the exit code. */
+  protected finish({ json }: CommonFlags, outcome: CommandOutcome): void {
+    const { exitCode, data, lines } = outcome;
+    const ok = exitCode === ExitCode.Ok;
+    if (json) this.log(JSON.stringify({ ok, ...data }));
+    else if (ok) lines.forEach((line) => this.log(line));
+    else lines.forEach((line) => this.logToStderr(line));
+    process.exitCode = exitCode;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/operations/accounts.ts
@@ -0,0 +1,92 @@
+/** Operations on client accounts. */
+import type { ClientAccount, FleetConfig } from '@kingcupsill/core';
+import { digestKey } from '@kingcupsill/platform';
+
+import { ExitCode, fail } from '../outcome.js';
+import type { CommandOutcome } from '../outcome.js';
+import { changeConfig } from './change.js';
+import type { PlannedChange } from './change.js';
+import type { ChangeOptions, FleetContext } from './types.js';
+
+/** What an operator sets of a client account. */
+export interface AccountFields {
+  share?: number;
+  services?: string[];
+  maxQueued?: number;
+}
+
+type AccountOptions = ChangeOptions & { account: string };
+
+const refuse = (code: string, message: string): PlannedChange => ({
+  ok: false,
+  outcome: fail(ExitCode.Failure, code, message),
+});
+
+const withAccount = (
+  config: FleetConfig,
+  id: string,
+  plan: (account: ClientAccount) => PlannedChange,
+): PlannedChange => {
+  const account = Object.hasOwn(config.accounts, id) ? config.accounts[id] : undefined;
+  return account === undefined
+    ? refuse('not_found', `account "${id}" does not exist`)
+    : plan(account);
+};
+
+const presentKey = (account: string, key: string) => ({
+  data: { account, key },
+  lines: [`key: ${key}`, 'the key is shown once and is not kept'],
+});
+
+/** Adds a client account with a new key, which is shown once. */
+export const addAccount = (
+  ctx: FleetContext,
+  options: AccountOptions & { fields: AccountFields & { share: number; services: string[] } },
+): Promise<CommandOutcome> =>
+  changeConfig(ctx, options, (config) => {
+    const { account: id, fields } = options;
+    if (Object.hasOwn(config.accounts, id))
+      return refuse('exists', `account "${id}" exists already`);
+    const key = ctx.createAccountKey();
+    const account: ClientAccount = { ...fields, keyHashes: [digestKey(key)] };
+    return { ok: true, patch: { accounts: { [id]: account } }, ...presentKey(id, key) };
+  });
+
+/** Changes fields of a client account. */
+export const setAccount = (
+  ctx: FleetContext,
+  options: AccountOptions & { fields: AccountFields },
+): Promise<CommandOutcome> =>
+  changeConfig(ctx, options, (config) =>
+    withAccount(config, options.account, () => ({
+      ok: true,
+      patch: { accounts: { [options.account]: options.fields } },
+    })),
+  );
+
+/** Removes a client account. */
+export const removeAccount = (
+  ctx: FleetContext,
+  options: AccountOptions,
+): Promise<CommandOutcome> =>
+  changeConfig(ctx, options, (config) =>
+    withAccount(config, options.account, () => ({
+      ok: true,
+      patch: { accounts: { [options.account]: null } },
+    })),
+  );
+
+/** Gives a client account a new key; with `keepOld` the former ones stay valid until the next rotation. */
+export const rotateAccountKey = (
+  ctx: FleetContext,
+  options: AccountOptions & { keepOld: boolean },
+): Promise<CommandOutcome> =>
+  changeConfig(ctx, options, (config) =>
+    withAccount(config, options.account, (account) => {
+      const key = ctx.createAccountKey();
+      const kept = options.keepOld ? account.keyHashes : [];
+      const keyHashes = [...kept, digestKey(key)];
+      const patch = { accounts: { [options.account]: { keyHashes } } };
+      return { ok: true, patch, ...presentKey(options.account, key) };
+    }),
+  );
--- /dev/null
+++ b/packages/cli/src/operations/change.ts
@@ -0,0 +1,43 @@
+/** Changes of the configuration: a patch made from the newest version, or from the one the operator names. */
+import type { FleetConfig } from '@kingcupsill/core';
+
+import { succeed } from '../outcome.js';
+import type { CommandOutcome } from '../outcome.js';
+import { describeWarning } from './describe.js';
+import { describeCommitFailure, describeReadFailure } from './failures.js';
+import type { ChangeOptions, FleetContext } from './types.js';
+
+/** A patch, with what the operator is told beside the new version; or an outcome that ends the command. */
+export type PlannedChange =
+  | { ok: true; patch: unknown; data?: Record<string, unknown>; lines?: string[] }
+  | { ok: false; outcome: CommandOutcome };
+
+/** Loads the newest configuration, plans a patch on it and commits that. */
+export const changeConfig = async (
+  ctx: FleetContext,
+  options: ChangeOptions,
+  plan: (config: FleetConfig) => PlannedChange | Promise<PlannedChange>,
+): Promise<CommandOutcome> => {
+  const loaded = await ctx.store.load();
+  if (!loaded.ok) return describeReadFailure(loaded);
+  const planned = await plan(loaded.config);
+  if (!planned.ok) return planned.outcome;
+  const { baseVersion = loaded.config.version, patchId = ctx.createPatchId(), reason } = options;
+  const outcome = await ctx.store.commit({
+    id: patchId,
+    baseVersion,
+    patch: planned.patch,
+    reason,
+    operatorKey: ctx.operatorKey,
+  });
+  if (!outcome.ok) {
+    const failed = await describeCommitFailure(ctx, baseVersion, outcome);
+    return { ...failed, data: { ...failed.data, patchId } };
+  }
+  const { version } = outcome.config;
+  return succeed({ version, patchId, warnings: outcome.warnings, ...planned.data }, [
+    `version ${version}`,
+    ...(planned.lines ?? []),
+    ...outcome.warnings.map(describeWarning),
+  ]);
+};
--- /dev/null
+++ b/packages/cli/test/binary/kingcupsill.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, afterEach, before, beforeEach, test } from 'node:test';
+
+import { drainBackend } from '../../src/index.js';
+import { baseline, startFleet } from '../support/fleet.js';
+import type { Fleet } from '../support/fleet.js';
+import { runBinary } from './run-binary.js';
+import type { BinaryResult } from './run-binary.js';
+
+let fleet: Fleet;
+let env: Record<string, string>;
+
+const run = (args: string, stdin?: string): Promise<BinaryResult> =>
+  runBinary(args.split(' '), { env, stdin });
+const json = ({ stdout }: BinaryResult) => JSON.parse(stdout) as Record<string, unknown>;
+const drain = () =>
+  drainBackend(fleet.createContext('root-key'), { backend: 'w1', undo: false, reason: 'heat' });
+
+beforeEach(async () => {
+  fleet = await startFleet();
+  env = { KINGCUPSILL_PLATFORM_URL: fleet.service.url, KINGCUPSILL_OPERATOR_KEY: 'root-key' };
+});
+afterEach(() => fleet.service.close());
+
+test('a change prints its version; a conflict prints what differs, with exit code 3', async () => {
+  const added = await run('account add school --share 2 --service batches --reason new --json');
+  assert.equal(added.code, 0, added.stderr);
+  assert.equal(json(added).version, 2);
+  await drain();
+  const patch = JSON.stringify({ backends: { w1: { slots: 4 } } });
+  const stale = await run('config patch - --base-version 2 --reason more', patch);
+  assert.equal(stale.code, 3);
+  assert.match(stale.stderr, /made against version 2, the current version is 3/);
+  assert.match(stale.stderr, /backends\.w1\.draining: \(none\) -> true/);
+});
+
+test('wrong arguments and settings end with exit code 2', async () => {
+  assert.equal((await run('account add school --share 1')).code, 2);
+  env = {};
+  const missing = await run('config get');
+  assert.equal(missing.code, 2);
+  assert.match(missing.stderr, /\[platform\] url/);
+});
+
+test('an outage ends with exit code 5', async () => {
+  fleet.service.faults.status = 503;
+  const outcome = await run('config get --json');
+  assert.equal(outcome.code, 5);
+  assert.equal(json(outcome).code, 'unavailable');
+});
+
+test('a watch prints versions as they are accepted', async () => {
+  const watching = run('config watch --count 1 --json');
+  while (!fleet.service.calls.includes('GET /v1/watch')) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+  await drain();
+  const { code, stdout } = await watching;
+  assert.equal(code, 0);
+  assert.equal((JSON.parse(stdout.split('\n')[0]!) as { reason: string }).reason, 'heat');
+});
+
+test('a document is checked without the platform', async () => {
+  env = {};
+  const document = { version: 1, accounts: {}, appliedPatches: [], ...baseline };
+  assert.equal((await run('check -', JSON.stringify(document))).code, 0);
+  const invalid = await run('check - --json', JSON.stringify({ ...document, services: {} }));
+  assert.equal(invalid.code, 4);
+  assert.deepEqual(json(invalid).problems, [
+    { path: 'backends.w1.pool', message: 'no service uses pool "workshop"' },
+  ]);
+});
+
+/** Admin server of a process that is behind. */
+const admin = createServer((req, res) => {
+  const { pathname, searchParams } = new URL(req.url ?? '/', 'http://admin');
+  assert.equal(searchParams.size, 0);
+  if (req.headers.authorization !== 'Bearer t') res.writeHead(401).end();
+  else if (pathname === '/debug/state') res.end(JSON.stringify({ config: { version: 0 } }));
+  else {
+    const config = {
+      version: 0,
+      inForceForMs: 9000,
+      newestVersion: 1,
+      behindForMs: 1500,
+      isWatcher: false,
+    };
+    res.end(JSON.stringify({ id: 'r1', role: 'router', zone: 'a', config }));
+  }
+});
+before(async () => {
+  admin.listen(0, '127.0.0.1');
+  await once(admin, 'listening');
+});
+after(() => admin.close());
+
+test('status says who is behind and who does not answer; dump shows the state', async () => {
+  const address = `127.0.0.1:${(admin.address() as AddressInfo).port}`;
+  env.KINGCUPSILL_FLEET_ADMIN_TOKEN = 't';
+  const status = await run(`status --admin ${address} --admin 127.0.0.1:1`);
+  assert.equal(status.code, 0, status.stderr);
+  assert.match(status.stdout, /r1 {2}router {2}a {2}version 0 {2}behind by 1, known for 1\.5 s/);
+  assert.match(status.stdout, /127\.0\.0\.1:1 {2}not reachable/);
+  assert.match(status.stdout, /0 of 2 processes have version 1 in force/);
+  assert.equal((await run(`status --admin ${address} --require-current`)).code, 1);
+  const dump = await run(`dump ${address} --json`);
+  assert.deepEqual(json(dump), { ok: true, state: { config: { version: 0 } } });
+});
--- a/packages/platform/src/config-committer.ts
+++ b/packages/platform/src/config-committer.ts
@@ -98,7 +98,10 @@
     };
   };
 
-  return async (request: CommitRequest): Promise<CommitOutcome> => {
+  return async (offered: CommitRequest): Promise<CommitOutcome> => {
+    // What is applied here has to be what readers of the log will apply, without members that JSON leaves out.
+    const { patch } = JSON.parse(JSON.stringify({ patch: offered.patch })) as { patch?: unknown };
+    const request = { ...offered, patch };
     const loaded = await reader.load();
     if (!loaded.ok) return loaded;
     const { config } = loaded;
