--- a/packages/core/src/fairness/index.ts
+++ b/packages/core/src/fairness/index.ts
@@ -1,6 +1,7 @@
 export * from './cost-estimator.js';
 export { createExchange, reduceExchange } from './exchange.js';
 export type * from './exchange-types.js';
+export * from './grant-order.js';
 export {
   advancePoolTime,
   chargeService,
