--- /dev/null
+++ b/packages/sidecar/src/types.ts
@@ -0,0 +1,42 @@
+/** Parts of the sidecar process. */
+import type { SidecarProcessEvent, SidecarProcessState } from '@kingcupsill/core';
+import type {
+  ConfigPolls,
+  HttpListener,
+  LinkFeed,
+  LinkTraffic,
+  Repetition,
+  Signal,
+} from '@kingcupsill/fleet';
+import type { LinkDialer } from '@kingcupsill/link';
+import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
+
+import type { AttemptRegistry } from './attempts/types.js';
+import type { BackendClient } from './backend/types.js';
+import type { sidecarSchema } from './settings.js';
+
+/** What the binary's frame gives. */
+export type SidecarContext = BinaryContext<typeof sidecarSchema>;
+
+/** Ports that the process listens on. */
+export interface SidecarPorts {
+  data: number;
+}
+
+/** Parts by name; each is made on first use. */
+export interface SidecarParts {
+  ports: SidecarPorts;
+  stopped: Signal;
+  attempts: AttemptRegistry;
+  backend: BackendClient;
+  loop: Loop<SidecarProcessState, SidecarProcessEvent>;
+  linkFeed: LinkFeed;
+  traffic: LinkTraffic;
+  dialer: LinkDialer;
+  configPolls: ConfigPolls;
+  dataServer: Promise<HttpListener>;
+  membership: Repetition;
+  ticking: Repetition;
+  syncing: Repetition;
+  adminServer: Promise<AdminServer>;
+}
