Shrink exchange messages: numbers for names, low bits for totals

An entry took about 45 bytes. Names are now sent until acknowledged, then stand as numbers; a total that the peer nearly knows takes 16 bits; established runs are named by one 16-bit hash; lifts go only while not acknowledged. Messages of a kind are decoded in order; a late one is not acknowledged and so sent again. The exchange's five convergence tests pass unchanged.

--- a/packages/core/src/fairness/exchange-channel.ts
+++ b/packages/core/src/fairness/exchange-channel.ts
@@ -7,13 +7,17 @@
   ExchangeMessage,
   ExchangePeer,
   Inbox,
+  Inboxes,
   Outbox,
   OutboxItem,
+  SentItem,
 } from './exchange-types.js';
 
 /** Ticks after which an unacknowledged message counts as lost. */
 const RESEND_TICKS = 4;
 
+const SESSION_RANGE = 65_521;
+
 /** Kind of message that acknowledges each kind. */
 export const PAIRED_KIND = {
   'totals-report': 'spread-totals',
@@ -26,7 +30,9 @@
 function createOutbox(): Outbox {
   return {
     nextSeq: 1,
+    established: false,
     dirty: new Set(),
+    keys: new Map(),
     inFlight: new Map(),
     sentPoolMs: new Map(),
     greet: false,
@@ -35,7 +41,15 @@
 }
 
 function createInbox(): Inbox {
-  return { lastSeq: 0, pendingAcks: [] };
+  return { lastSeq: 0, pendingAcks: [], keys: new Map() };
+}
+
+function createInboxes(): Inboxes {
+  return {
+    'totals-report': createInbox(),
+    'zone-totals': createInbox(),
+    'spread-totals': createInbox(),
+  };
 }
 
 /** Creates the state of a peer that has not been heard yet. */
@@ -48,20 +62,28 @@
       'zone-totals': createOutbox(),
       'spread-totals': createOutbox(),
     },
-    inboxes: {
-      'totals-report': createInbox(),
-      'zone-totals': createInbox(),
-      'spread-totals': createInbox(),
-    },
+    inboxes: createInboxes(),
+    formerInboxes: new Map(),
   };
 }
 
-/** Forgets what was sent to and heard from the peer's former run. Numbers go on, so that late acknowledgements find nothing. */
+const MAX_FORMER_RUNS = 4;
+
+/**
+ * Starts over with another run of the peer. Numbers of messages go on, so that late acknowledgements find nothing; what a run
+ * sent is kept for a while, in case a message of a former run comes late and makes it look like the present one.
+ */
 export function resetPeer(peer: ExchangePeer, run: number): void {
-  const { outboxes } = peer;
-  Object.assign(peer, createPeer(peer.id), { run });
+  const { outboxes, inboxes, formerInboxes } = peer;
+  if (peer.run !== undefined) formerInboxes.set(peer.run, inboxes);
+  if (formerInboxes.size > MAX_FORMER_RUNS) {
+    formerInboxes.delete(formerInboxes.keys().next().value as number);
+  }
+  peer.run = run;
+  peer.inboxes = formerInboxes.get(run) ?? createInboxes();
+  formerInboxes.delete(run);
   EXCHANGE_KINDS.forEach((kind) => {
-    peer.outboxes[kind].nextSeq = outboxes[kind].nextSeq;
+    outboxes[kind] = { ...createOutbox(), nextSeq: outboxes[kind].nextSeq };
   });
 }
 
@@ -81,7 +103,7 @@
   outbox.inFlight.forEach((sent, seq) => {
     if (tick - sent.tick < RESEND_TICKS) return;
     outbox.inFlight.delete(seq);
-    sent.items.forEach((item) => outbox.dirty.add(item));
+    sent.sent.forEach(({ out }) => outbox.dirty.add(out.item));
   });
 }
 
@@ -110,32 +132,46 @@
   return items;
 }
 
-/** Numbers the message if it carries anything to be acknowledged, and adds acknowledgements. */
+/** An empty message. */
+export function createMessage(kind: ExchangeKind): ExchangeMessage {
+  const lists = { acks: [], keys: [], totals: [], lifts: [], pools: [] };
+  return { kind, run: 0, to: 0, session: 0, seq: 0, ...lists };
+}
+
+/** Hash of two runs, never 0. */
+export function sessionOf(run: number, to: number): number {
+  return 1 + ((run + (to % SESSION_RANGE) * 31) % SESSION_RANGE);
+}
+
+/** Numbers the message if it carries anything to be acknowledged, names the runs and adds acknowledgements. */
 export function seal(
   peer: ExchangePeer,
   message: ExchangeMessage,
-  items: OutboxItem[],
-  tick: number,
+  sent: SentItem[],
+  { run, tick }: { run: number; tick: number },
 ): void {
   const outbox = peer.outboxes[message.kind];
   const inbox = peer.inboxes[PAIRED_KIND[message.kind]];
-  if (peer.run !== undefined) message.to = peer.run;
-  if (inbox.pendingAcks.length > 0) message.acks = inbox.pendingAcks;
+  if (outbox.established && peer.run !== undefined) message.session = sessionOf(run, peer.run);
+  else Object.assign(message, { run, to: peer.run ?? 0 });
+  message.acks = inbox.pendingAcks;
   inbox.pendingAcks = [];
   const greeting = greetingDue(outbox, tick);
   if (greeting) outbox.greetedTick = tick;
-  if (items.length === 0 && !greeting) return;
+  if (sent.length === 0 && !greeting) return;
   message.seq = outbox.nextSeq;
   outbox.nextSeq += 1;
-  outbox.inFlight.set(message.seq, { tick, items, message });
+  outbox.inFlight.set(message.seq, { tick, sent });
 }
 
-/** Notes the number of a received message. Returns whether it is newer than all before it. */
+/**
+ * Notes the number of a received message. Returns whether its entries count: only if it is newer than all before it. One that
+ * comes late is not acknowledged, so what it said is sent again.
+ */
 export function receive(peer: ExchangePeer, message: ExchangeMessage): boolean {
-  if (message.seq === undefined) return false;
   const inbox = peer.inboxes[message.kind];
-  if (!inbox.pendingAcks.includes(message.seq)) inbox.pendingAcks.push(message.seq);
   if (message.seq <= inbox.lastSeq) return false;
   inbox.lastSeq = message.seq;
+  inbox.pendingAcks.push(message.seq);
   return true;
 }
--- a/packages/core/src/fairness/exchange-home.ts
+++ b/packages/core/src/fairness/exchange-home.ts
@@ -141,8 +141,7 @@
   id: string;
   run: number;
   totals: ServiceTotals;
-  /** Undefined when a newer report said more. */
-  waiting: boolean | undefined;
+  waiting: boolean;
 }
 
 /** What a report did to a home's record. */
@@ -173,7 +172,7 @@
   reporter.tick = state.tick;
   grow(ownCell(state, record), increment);
   let changed = !isZero(increment);
-  if (report.waiting !== undefined && reporter.live) {
+  if (reporter.live) {
     if (setReporterWaiting(record, reporter, report.waiting)) changed = true;
   }
   return { changed, newlyInterested };
--- a/packages/core/src/fairness/exchange-types.ts
+++ b/packages/core/src/fairness/exchange-types.ts
@@ -1,7 +1,7 @@
 /** Types of the exchange of service totals between routers. */
 import type { Hasher } from '../hash/index.js';
 import type { SpreadTotals, TotalsReport, ZoneTotals } from '../protocol/index.js';
-import type { Ledger, LedgerEntry, LedgerPool, ServiceTotals } from './types.js';
+import type { Ledger, LedgerEntry, LedgerPool, Lift, ServiceTotals } from './types.js';
 
 /** Messages of the exchange. */
 export type ExchangeMessage = TotalsReport | ZoneTotals | SpreadTotals;
@@ -111,16 +111,34 @@
 /** What can wait to be sent. */
 export type OutboxItem = OwnSession | Cell | HomeRecord | LedgerPool;
 
+/** An item under the number that stands for it towards one peer, and what the peer acknowledged of it. */
+export interface OutKey {
+  item: OutboxItem;
+  key: number;
+  /** Totals, or a pool's virtual time as `chargedMs`. Undefined until the peer knows the number. */
+  acked: ServiceTotals | undefined;
+  ackedLift: Lift | undefined;
+}
+
+/** What a message under way says of an item. */
+export interface SentItem {
+  out: OutKey;
+  totals: ServiceTotals;
+  lift: Lift | undefined;
+}
+
 interface InFlight {
   tick: number;
-  items: OutboxItem[];
-  message: ExchangeMessage;
+  sent: SentItem[];
 }
 
 /** One direction of one message kind to one peer. */
 export interface Outbox {
   nextSeq: number;
+  /** Whether the peer acknowledged this run, so that messages need not name it. */
+  established: boolean;
   dirty: Set<OutboxItem>;
+  keys: Map<OutboxItem, OutKey>;
   inFlight: Map<number, InFlight>;
   sentPoolMs: Map<string, number>;
   /** Sends a message although nothing changed: to learn the peer's run or to tell it ours. */
@@ -128,19 +146,32 @@
   greetedTick: number | undefined;
 }
 
-/** Numbers received of one message kind from one peer. */
+/** What a number stands for, and what the sender last said of it. */
+export interface InKey {
+  pool: string;
+  account: string;
+  writer: string;
+  totals: ServiceTotals;
+}
+
+/** Messages of one kind received from one run of a peer. */
 export interface Inbox {
   lastSeq: number;
   pendingAcks: number[];
+  keys: Map<number, InKey>;
 }
 
+export type Inboxes = Record<ExchangeKind, Inbox>;
+
 /** Another router. */
 export interface ExchangePeer {
   id: string;
   /** Hash of its incarnation, once heard. */
   run: number | undefined;
   outboxes: Record<ExchangeKind, Outbox>;
-  inboxes: Record<ExchangeKind, Inbox>;
+  inboxes: Inboxes;
+  /** Inboxes of the latest former runs, in case one of their messages is late. */
+  formerInboxes: Map<number, Inboxes>;
 }
 
 /** State of the exchange. */
--- a/packages/core/src/fairness/exchange.ts
+++ b/packages/core/src/fairness/exchange.ts
@@ -7,17 +7,18 @@
  */
 import { bucketOf } from '../hash/index.js';
 import type { Step } from '../loop/index.js';
-import type { AccountTotal } from '../protocol/index.js';
 import {
   EXCHANGE_KINDS,
   PAIRED_KIND,
   clearOutboxes,
+  createMessage,
   createPeer,
   expireInFlight,
   isDue,
   receive,
   resetPeer,
   seal,
+  sessionOf,
   takeItems,
 } from './exchange-channel.js';
 import {
@@ -34,7 +35,8 @@
   writerName,
   refreshLiveness,
 } from './exchange-home.js';
-import { encodeItem, isPool } from './exchange-items.js';
+import { acknowledgeItem, addItem, decodeMessage } from './exchange-codec.js';
+import type { DecodedTotal } from './exchange-codec.js';
 import { ownRecord, reportChange, retarget } from './exchange-own.js';
 import { createTopology, helpsNewPeer, homeOf } from './exchange-topology.js';
 import type {
@@ -47,11 +49,13 @@
   ExchangeSend,
   ExchangeState,
   HomeRecord,
+  InKey,
+  Outbox,
   OutboxItem,
   OwnSession,
   Topology,
 } from './exchange-types.js';
-import { decodeTotal, encodePool } from './exchange-wire.js';
+import { isPool } from './exchange-values.js';
 import { applyFleetTotals, ledgerEntry, ledgerPool, mergeLift } from './service-ledger.js';
 import { maxTotals, subtractTotals } from './service-totals.js';
 import type { LedgerPool } from './types.js';
@@ -63,7 +67,7 @@
 export function createExchange(options: ExchangeOptions): ExchangeState {
   return {
     options,
-    run: options.hasher.hash32(options.self.incarnation),
+    run: Math.max(1, options.hasher.hash32(options.self.incarnation)),
     tick: 0,
     nextTickMs: undefined,
     topology: createTopology(options, []),
@@ -97,11 +101,11 @@
   });
 }
 
-function mergePools(state: ExchangeState, from: string, message: ExchangeMessage): void {
-  message.pools?.forEach(({ pool, virtualTimeMs }) => {
+function mergePools(state: ExchangeState, from: string, pools: InKey[]): void {
+  pools.forEach(({ pool, totals }) => {
     const record = ledgerPool(state.options.ledger, pool);
-    if (virtualTimeMs <= record.virtualTimeMs) return;
-    record.virtualTimeMs = virtualTimeMs;
+    if (totals.chargedMs <= record.virtualTimeMs) return;
+    record.virtualTimeMs = totals.chargedMs;
     markPool(state, record, from);
   });
 }
@@ -222,23 +226,17 @@
 
 // --- messages
 
-type TotalHandler = (
-  state: ExchangeState,
-  peer: ExchangePeer,
-  total: AccountTotal,
-  fresh: boolean,
-) => void;
-
-const onReported: TotalHandler = (state, peer, total, fresh) => {
-  const { totals, lift, waiting } = decodeTotal(total);
-  const entry = ledgerEntry(state.options.ledger, total.pool, total.account);
+type TotalHandler = (state: ExchangeState, peer: ExchangePeer, total: DecodedTotal) => void;
+
+const onReported: TotalHandler = (state, peer, { key, waiting, lift }) => {
+  const entry = ledgerEntry(state.options.ledger, key.pool, key.account);
   const record = homeRecord(state, entry);
-  const lifted = mergeLift(entry, lift);
+  const lifted = lift !== undefined && mergeLift(entry, lift);
   const { changed, newlyInterested } = acceptReport(state, record, {
     id: peer.id,
     run: peer.run as number,
-    totals,
-    waiting: fresh ? waiting : undefined,
+    totals: key.totals,
+    waiting,
   });
   if (changed || lifted) markCell(state, ownCell(state, record));
   if (changed || lifted || newlyInterested) {
@@ -247,34 +245,31 @@
   }
 };
 
-const onZoneTotal: TotalHandler = (state, peer, total, fresh) => {
-  const { ledger } = state.options;
-  const { totals, lift, waiting, writer } = decodeTotal(total);
-  const entry = ledgerEntry(ledger, total.pool, total.account);
+const onZoneTotal: TotalHandler = (state, peer, { key, waiting, lift }) => {
+  const entry = ledgerEntry(state.options.ledger, key.pool, key.account);
   const record = homeRecord(state, entry);
-  const name = writer ?? writerName(peer.id, peer.run as number);
-  let changed = raiseCell(record, name, totals);
+  const isOwn = key.writer === '';
+  const name = isOwn ? writerName(peer.id, peer.run as number) : key.writer;
+  let changed = raiseCell(record, name, key.totals);
   if (changed && !isLiveWriter(state, name)) {
     const cell = record.cells.get(name);
     if (cell !== undefined) markCell(state, cell, peer.id);
   }
-  if (mergeLift(entry, lift)) changed = true;
-  if (fresh && writer === undefined && setCellWaiting(record, name, waiting)) changed = true;
+  if (lift !== undefined && mergeLift(entry, lift)) changed = true;
+  if (isOwn && setCellWaiting(record, name, waiting)) changed = true;
   if (!changed) return;
   markSpread(state, record);
   applyAtHome(state, record);
 };
 
-const onSpread: TotalHandler = (state, peer, total, fresh) => {
-  const { ledger } = state.options;
-  const { totals, lift, waiting } = decodeTotal(total);
-  const entry = ledgerEntry(ledger, total.pool, total.account);
-  mergeLift(entry, lift);
+const onSpread: TotalHandler = (state, peer, { key, waiting, lift }) => {
+  const entry = ledgerEntry(state.options.ledger, key.pool, key.account);
+  if (lift !== undefined) mergeLift(entry, lift);
   const record = ownRecord(state, entry);
   const { current } = record;
   if (current === undefined || current.home !== peer.id) return;
-  applyFleetTotals(entry, totals, subtractTotals(record.assigned, current.assigned));
-  if (fresh) entry.waitingElsewhere = waiting;
+  applyFleetTotals(entry, key.totals, subtractTotals(record.assigned, current.assigned));
+  entry.waitingElsewhere = waiting;
 };
 
 const TOTAL_HANDLERS: Record<ExchangeKind, TotalHandler> = {
@@ -285,18 +280,18 @@
 
 function acknowledge(peer: ExchangePeer, kind: ExchangeKind, acks: number[]): void {
   const outbox = peer.outboxes[kind];
-  outbox.greet = false;
   acks.forEach((seq) => {
-    const sent = outbox.inFlight.get(seq);
-    if (sent === undefined) return;
+    const inFlight = outbox.inFlight.get(seq);
+    if (inFlight === undefined) return;
     outbox.inFlight.delete(seq);
-    if (kind !== 'totals-report') return;
-    const sessions = sent.items.filter((item) => !isPool(item)) as OwnSession[];
-    sessions.forEach((session, index) => {
-      const total = sent.message.totals?.[index];
-      if (total !== undefined) {
-        session.acked = maxTotals(session.acked, decodeTotal(total).totals);
-      }
+    outbox.established = true;
+    outbox.greet = false;
+    inFlight.sent.forEach((sent) => {
+      acknowledgeItem(sent);
+      const { item } = sent.out;
+      if (kind !== 'totals-report' || isPool(item)) return;
+      const session = item as OwnSession;
+      session.acked = maxTotals(session.acked, sent.totals);
     });
   });
 }
@@ -306,27 +301,38 @@
   const outbox = peer.outboxes[PAIRED_KIND[kind]];
   outbox.greet = true;
   outbox.greetedTick = undefined;
+  outbox.established = false;
 }
 
-function onMessage(state: ExchangeState, from: string, message: ExchangeMessage): void {
-  let peer = state.peers.get(from);
-  if (peer === undefined) {
-    peer = createPeer(from);
-    state.peers.set(from, peer);
+/** Whether the message is from the peer's present run to this run; takes note of a run that is new. */
+function isCurrent(state: ExchangeState, peer: ExchangePeer, message: ExchangeMessage): boolean {
+  if (message.run === 0) {
+    return peer.run !== undefined && message.session === sessionOf(peer.run, state.run);
   }
   if (peer.run !== message.run) onNewRun(state, peer, message.run);
-  const known = peer;
-  mergePools(state, from, message);
-  const current = message.to === state.run;
-  if (message.to !== undefined && !current) greetAgain(known, message.kind);
-  // A report towards a former run was counted in that run's cell, or is withdrawn by the reporter.
-  if (message.kind === 'totals-report' && message.to !== undefined && !current) return;
-  if (current && message.acks !== undefined) {
-    acknowledge(known, PAIRED_KIND[message.kind], message.acks);
+  return message.to === state.run;
+}
+
+function peerOf(state: ExchangeState, id: string): ExchangePeer {
+  const peer = state.peers.get(id) ?? createPeer(id);
+  state.peers.set(id, peer);
+  return peer;
+}
+
+function onMessage(state: ExchangeState, from: string, message: ExchangeMessage): void {
+  const peer = peerOf(state, from);
+  const current = isCurrent(state, peer, message);
+  const greeting = message.run !== 0 && message.to === 0;
+  if (!current && !greeting) {
+    greetAgain(peer, message.kind);
+    return;
   }
-  const fresh = receive(known, message);
+  if (current) acknowledge(peer, PAIRED_KIND[message.kind], message.acks);
+  if (!receive(peer, message)) return;
+  const { totals, pools } = decodeMessage(peer.inboxes[message.kind], message);
+  mergePools(state, from, pools);
   const handler = TOTAL_HANDLERS[message.kind];
-  message.totals?.forEach((total) => handler(state, known, total, fresh));
+  totals.forEach((total) => handler(state, peer, total));
 }
 
 // --- ticks
@@ -339,30 +345,24 @@
   ledger.changedPools.clear();
 }
 
-function poolTimes(
-  state: ExchangeState,
-  peer: ExchangePeer,
-  kind: ExchangeKind,
-  items: OutboxItem[],
-) {
-  const { sentPoolMs } = peer.outboxes[kind];
-  const pools = [...state.options.ledger.pools.values()].filter(
-    (pool) => pool.virtualTimeMs > (sentPoolMs.get(pool.pool) ?? 0) || items.includes(pool),
+/** Pools whose virtual time goes along with a message that is due anyway. */
+function riders(state: ExchangeState, outbox: Outbox, items: OutboxItem[]): LedgerPool[] {
+  const { sentPoolMs } = outbox;
+  return [...state.options.ledger.pools.values()].filter(
+    (pool) => pool.virtualTimeMs > (sentPoolMs.get(pool.pool) ?? 0) && !items.includes(pool),
   );
-  pools.forEach(({ pool, virtualTimeMs }) => sentPoolMs.set(pool, virtualTimeMs));
-  return pools.map(({ pool, virtualTimeMs }) => encodePool(pool, virtualTimeMs));
 }
 
 function compose(state: ExchangeState, peer: ExchangePeer, kind: ExchangeKind): ExchangeSend {
-  const items = takeItems(peer.outboxes[kind], MAX_ENTRIES);
-  const message: ExchangeMessage = { kind, run: state.run };
-  const totals = items
-    .filter((item) => !isPool(item))
-    .map((item) => encodeItem(state, peer, kind, item));
-  if (totals.length > 0) message.totals = totals;
-  const pools = poolTimes(state, peer, kind, items);
-  if (pools.length > 0) message.pools = pools;
-  seal(peer, message, items, state.tick);
+  const outbox = peer.outboxes[kind];
+  const items = takeItems(outbox, MAX_ENTRIES);
+  items.push(...riders(state, outbox, items));
+  const message = createMessage(kind);
+  const sent = items.map((item) => addItem(state, peer, message, item));
+  items.filter(isPool).forEach(({ pool, virtualTimeMs }) => {
+    outbox.sentPoolMs.set(pool, virtualTimeMs);
+  });
+  seal(peer, message, sent, state);
   return { kind: 'send', to: peer.id, message };
 }
 
--- a/packages/core/src/fairness/grant-order.ts
+++ b/packages/core/src/fairness/grant-order.ts
@@ -3,14 +3,7 @@
  * reports the sidecar corrects them by what was granted meanwhile. Distance and prompt-prefix hits shift the order by bounded
  * amounts, so that their effect on the service gap is bounded too.
  */
-
-/** How far a router is from the sidecar. */
-export const Distance = {
-  SameZone: 'same-zone',
-  SameRegion: 'same-region',
-  OtherRegion: 'other-region',
-} as const;
-export type Distance = (typeof Distance)[keyof typeof Distance];
+import { Distance } from '../protocol/index.js';
 
 /** Ways to estimate what was granted since a router's last report. */
 export const Correction = {
--- a/packages/core/src/protocol/messages.ts
+++ b/packages/core/src/protocol/messages.ts
@@ -107,43 +107,60 @@
   routers: z.array(z.object({ id, address: z.string(), zone: id, region: id })),
 });
 
+/** Number that stands for a (pool, account) or a pool from this sender to this receiver; sent until acknowledged. */
+export const exchangeKeySchema = z.object({
+  key: count,
+  pool: id,
+  /** Empty for the pool's virtual time. */
+  account: z.string().max(200),
+  /** Run of the home router that counted the totals; empty for the sender's. */
+  writer: z.string().max(250),
+});
+
 /**
- * Totals of one (pool, account) on the wire. Numbers are whole milliseconds; fields that are 0 or false are left out.
+ * Grow-only number in whole milliseconds: positive, the number itself; 0, as the sender last sent it; negative, `-1 - n` for its
+ * lowest 15 bits `n`, next at or above what the sender last sent.
  */
+const growing = z.number().int();
+
+/** Totals of one (pool, account). */
 export const accountTotalSchema = z.object({
-  pool: id,
-  account: id,
-  /** Grow-only. */
-  chargedMs: count.optional(),
-  /** Grow-only. */
-  refundedMs: count.optional(),
-  /** Lift of the account's virtual time; merges by maximum within an epoch. */
-  liftMs: finite.optional(),
-  /** Epoch of the lift, when the account's share has changed. */
-  liftEpoch: count.optional(),
-  /** Share of the lift's epoch; given when the epoch is not 0. */
-  liftShare: z.number().positive().optional(),
+  key: count,
+  chargedMs: growing,
+  refundedMs: growing,
   /** Whether requests of the account wait. */
-  waiting: z.boolean().optional(),
-  /** Run of a home router that counted these totals, when it is not the sender's. */
-  writer: id.optional(),
+  waiting: z.boolean(),
+});
+
+/** Lift of an account's virtual time, as long as it is not acknowledged. */
+export const accountLiftSchema = z.object({
+  key: count,
+  /** Grows with each change of the account's share; within an epoch the largest lift wins. */
+  epoch: count,
+  liftMs: finite,
+  /** Share of the epoch. */
+  share: z.number().positive(),
 });
 
 /** Virtual time of one pool; merges by maximum. */
-export const poolTimeSchema = z.object({ pool: id, virtualTimeMs: finite });
+export const poolTimeSchema = z.object({ key: count, virtualTimeMs: growing });
 
-/** Fields that the three messages of the exchange share. */
+/** Fields that the three messages of the exchange share. All are present: absent ones would take more bytes. */
 const exchangeFields = {
-  /** Hash of the sender's incarnation. */
+  /** Hash of the sender's incarnation; 0 once the receiver has acknowledged it. */
   run: count,
-  /** Hash of the receiver's incarnation as the sender knows it; acknowledgements count for that run only. */
-  to: count.optional(),
-  /** Number of this message on its way from sender to receiver; to be acknowledged. Left out when nothing needs it. */
-  seq: count.optional(),
+  /** Hash of the receiver's incarnation as the sender knows it; 0 if it does not, and once acknowledged. */
+  to: count,
+  /** Hash of both incarnations in place of `run` and `to`; 0 as long as these are sent. */
+  session: count,
+  /** Number of this message on its way from sender to receiver, to be acknowledged; 0 when nothing needs it. */
+  seq: count,
   /** Numbers received since the sender's last message. */
-  acks: z.array(count).optional(),
-  totals: z.array(accountTotalSchema).optional(),
-  pools: z.array(poolTimeSchema).optional(),
+  acks: z.array(count),
+  keys: z.array(exchangeKeySchema),
+  totals: z.array(accountTotalSchema),
+  lifts: z.array(accountLiftSchema),
+  pools: z.array(poolTimeSchema),
 };
 
 /**
@@ -214,6 +231,8 @@
 export type Leaving = z.infer<typeof leavingSchema>;
 export type Routers = z.infer<typeof routersSchema>;
 export type AccountTotal = z.infer<typeof accountTotalSchema>;
+export type AccountLift = z.infer<typeof accountLiftSchema>;
+export type ExchangeKey = z.infer<typeof exchangeKeySchema>;
 export type PoolTime = z.infer<typeof poolTimeSchema>;
 export type TotalsReport = z.infer<typeof totalsReportSchema>;
 export type ZoneTotals = z.infer<typeof zoneTotalsSchema>;
--- a/packages/link/test/codec/codec.test.ts
+++ b/packages/link/test/codec/codec.test.ts
@@ -5,17 +5,14 @@
 import { createCodec, ownStructures } from '../../src/codec/create-codec.js';
 import { helloOf } from '../support/fixtures.js';
 
-const total = {
-  pool: 'polish-13b',
-  account: 'opticians-north',
-  chargedMs: 8_123_456,
-  refundedMs: 12_345,
-  liftMs: 0,
-  waiting: true,
-};
-const poolTime = { pool: 'polish-13b', virtualTimeMs: 8_123_456.25 };
+const total = { key: 7, chargedMs: -12_345, refundedMs: -345, waiting: true };
+const poolTime = { key: 0, virtualTimeMs: -12_345 };
+const exchangeKey = { key: 7, pool: 'polish-13b', account: 'opticians-north', writer: '' };
+const accountLift = { key: 7, epoch: 0, liftMs: 8_123_456, share: 2 };
 
-const exchangeFields = { run: 3_123_456_789, to: 2_123_456_789, seq: 70_123, acks: [70_122] };
+const noLists = { acks: [], keys: [], totals: [], lifts: [], pools: [] };
+const settled = { ...noLists, run: 0, to: 0, session: 54_321, seq: 70_123, acks: [70_122] };
+const fresh = { ...noLists, run: 3_123_456_789, to: 2_123_456_789, session: 0, seq: 1, acks: [1] };
 
 /** A typical message of each kind, and the most bytes that it may take. */
 const samples: [LinkMessage, number][] = [
@@ -68,9 +65,19 @@
     },
     70,
   ],
-  [{ kind: 'totals-report', ...exchangeFields, totals: [total], pools: [poolTime] }, 130],
-  [{ kind: 'zone-totals', ...exchangeFields, totals: [total], pools: [poolTime] }, 130],
-  [{ kind: 'spread-totals', ...exchangeFields, totals: [total, total], pools: [poolTime] }, 170],
+  [{ kind: 'totals-report', ...settled, totals: [total], pools: [poolTime] }, 60],
+  [{ kind: 'zone-totals', ...settled, totals: [total], pools: [poolTime] }, 60],
+  [{ kind: 'spread-totals', ...settled, totals: [total, total], pools: [poolTime] }, 70],
+  [
+    {
+      kind: 'zone-totals',
+      ...fresh,
+      keys: [exchangeKey],
+      totals: [{ ...total, chargedMs: 8_123_456 }],
+      lifts: [accountLift],
+    },
+    110,
+  ],
   [{ kind: 'config-version', version: 30_123 }, 30],
   [{ kind: 'config-patch', version: 30_123, patch: { accounts: { schools: { share: 2 } } } }, 60],
   [{ kind: 'config-full', config: { version: 1, accounts: {}, list: [1, null, 'a'] } }, 60],
