--- a/packages/standins/src/platform/weight-store.ts
+++ b/packages/standins/src/platform/weight-store.ts
@@ -1,4 +1,5 @@
-import { setTimeout as delay } from 'node:timers/promises';
+/** Model weights at a limited rate. */
+import { delay } from '../common/delay.js';
 
 /** Serves model weights at a limited total rate. */
 export interface WeightStore {
