Grant in order of corrected virtual times; fewer demand and credits messages

Cause: the pool's virtual time was the largest start tag, estimates included, so a refunded estimate left newcomers behind (one-queue gap 52.8 slot s); a sidecar's grants were compared with reports up to a second old; any demand closed all credits, and each of 8 sidecars granted the same single waiting request (421 of 1048 grants declined in 20 s). Change: the pool's virtual time leaves out attempts that have not ended; sidecars order by core's grant order with own-grants correction; credits close only when no slot is free and reopen at a quarter of the slots; staging depth follows the time from grant to attempt; one request is queued ahead at the backend server.

--- a/packages/core/src/process/sidecar-process.ts
+++ b/packages/core/src/process/sidecar-process.ts
@@ -87,12 +87,27 @@
   const slots = own?.slots ?? options.slots;
   const draining = own ? (own.draining ?? false) : true;
   const poolChanged = pool !== options.pool;
-  const effects = steps.sidecar(state, { kind: 'configured', nowMs, pool, slots, draining });
+  const fleetSlots = poolSlots(config, pool);
+  const effects = steps.sidecar(state, {
+    kind: 'configured',
+    nowMs,
+    pool,
+    slots,
+    fleetSlots,
+    draining,
+  });
   if (!poolChanged) return effects;
   // Routers learn the pool from the hello of a new link.
   return [...effects, { kind: 'keep-links', addresses: [] }, keepLinks(state, steps.hasher)];
 }
 
+/** Slots of all backend servers of the pool. */
+function poolSlots(config: FleetConfig, pool: string): number {
+  return Object.values(config.backends)
+    .filter((backend) => backend.pool === pool)
+    .reduce((sum, { slots }) => sum + slots, 0);
+}
+
 /** Before its pool is known, a sidecar has nothing to offer to routers. */
 function keepLinks(state: SidecarProcessState, hasher: Hasher): SidecarProcessEffect {
   const { self, routers, maxLinks } = state;
--- a/packages/core/src/protocol/messages.ts
+++ b/packages/core/src/protocol/messages.ts
@@ -45,8 +45,6 @@
   virtualTimeMs: finite,
   /** Requests waiting; 0 removes the account. */
   waiting: count,
-  /** How long the oldest has waited. */
-  oldestMs: finite,
   /** Expected slot time of the head request. */
   estimateMs: finite,
   share: z.number().positive(),
--- a/packages/core/src/router/attempts.ts
+++ b/packages/core/src/router/attempts.ts
@@ -1,7 +1,7 @@
 /** Life of an attempt after dispatch: settle, refuse, ask for a lost one's outcome, retry. */
 import { chargeService, observeCost, refundService } from '../fairness/index.js';
 import { AttemptOutcome } from '../journal/index.js';
-import { enqueue } from './queues.js';
+import { addOutstanding, enqueue } from './queues.js';
 import { RefusalCode, RequestState } from './types.js';
 import type {
   LearnedOutcome,
@@ -19,6 +19,7 @@
   state.attempts.delete(attempt.attempt);
   returnCredit(state, attempt);
   if (!req) return;
+  addOutstanding(state, req.pool, req.account, -attempt.chargedMs);
   const excessMs = attempt.chargedMs - Math.round(slotMs);
   if (excessMs > 0) refundService(state.ledger, req.pool, req.account, excessMs);
   if (excessMs < 0) chargeService(state.ledger, req.pool, req.account, -excessMs);
@@ -152,6 +153,7 @@
     const req = state.requests.get(attempt.request);
     if (!req || usedMs <= attempt.chargedMs) return;
     chargeService(state.ledger, req.pool, req.account, usedMs - attempt.chargedMs);
+    addOutstanding(state, req.pool, req.account, usedMs - attempt.chargedMs);
     attempt.chargedMs = usedMs;
   });
 }
--- a/packages/core/src/router/demand.ts
+++ b/packages/core/src/router/demand.ts
@@ -5,7 +5,7 @@
 import type { RouterEffect, RouterState, SidecarView } from './types.js';
 
 /** Virtual times that differ by less than this part of the head's cost are not worth a message. */
-const WORTHWHILE_PART = 0.25;
+const WORTHWHILE_PART = 1;
 
 /** Sends to the sidecars of a pool which accounts began to wait, or wait unknown to the sidecar. */
 export function sendUrgentDemand(state: RouterState, pool: string, nowMs: number): RouterEffect[] {
@@ -50,7 +50,7 @@
 }
 
 function sendDemand(state: RouterState, sidecar: SidecarView, nowMs: number): RouterEffect[] {
-  const entries = changedEntries(state, sidecar, nowMs);
+  const entries = changedEntries(state, sidecar);
   if (entries.length === 0) return [];
   sidecar.lastDemandMs = nowMs;
   entries.forEach((entry) => {
@@ -66,11 +66,11 @@
   return [{ kind: 'send', link: sidecar.link, message }];
 }
 
-function changedEntries(state: RouterState, sidecar: SidecarView, nowMs: number): DemandEntry[] {
+function changedEntries(state: RouterState, sidecar: SidecarView): DemandEntry[] {
   const { accounts } = poolQueue(state, sidecar.pool);
   const entries: DemandEntry[] = [];
   accounts.forEach((queue, account) => {
-    const entry = demandEntry(state, sidecar.pool, account, queue.length, nowMs);
+    const entry = demandEntry(state, sidecar.pool, account, queue.length);
     if (entry && isWorthSending(sidecar, entry)) entries.push(entry);
   });
   sidecar.sent.forEach((_sent, account) => {
@@ -92,7 +92,6 @@
   pool: string,
   account: string,
   waiting: number,
-  nowMs: number,
 ): DemandEntry | null {
   const head = headRequest(state, pool, account);
   if (!head) return null;
@@ -100,12 +99,11 @@
     account,
     virtualTimeMs: Math.round(virtualTimeMs(state.ledger, pool, account, head.share)),
     waiting,
-    oldestMs: Math.round(nowMs - head.arrivedAtMs),
     estimateMs: Math.round(head.estimateMs),
     share: head.share,
   };
 }
 
 function goneEntry(account: string): DemandEntry {
-  return { account, virtualTimeMs: 0, waiting: 0, oldestMs: 0, estimateMs: 0, share: 1 };
+  return { account, virtualTimeMs: 0, waiting: 0, estimateMs: 0, share: 1 };
 }
--- a/packages/core/src/router/dispatching.ts
+++ b/packages/core/src/router/dispatching.ts
@@ -1,7 +1,7 @@
 /** Sends waiting requests to sidecars: into granted slots, on standing credits, or pushed under the naive policy. */
 import { advancePoolTime, chargeService, virtualTimeMs } from '../fairness/index.js';
 import { demandAfterGrant, noteGrant } from './demand.js';
-import { dequeue, leastServedHead } from './queues.js';
+import { addOutstanding, dequeue, leastServedHead, outstandingMs } from './queues.js';
 import { RequestState } from './types.js';
 import type {
   RouterAttempt,
@@ -85,14 +85,14 @@
   grant: number | 'credit' | 'push',
   nowMs: number,
 ): RouterEffect {
-  const startTagMs = virtualTimeMs(state.ledger, req.pool, req.account, req.share);
-  advancePoolTime(state.ledger, req.pool, startTagMs);
+  advancePoolTime(state.ledger, req.pool, settledTagMs(state, req));
   dequeue(state, req);
   const attempt = `${state.options.incarnation}.${state.nextAttempt}`;
   state.nextAttempt += 1;
   const creditEpoch = grant === 'credit' ? sidecar.creditEpoch : null;
   state.attempts.set(attempt, newAttempt(attempt, req, sidecar, creditEpoch, nowMs));
   chargeService(state.ledger, req.pool, req.account, req.estimateMs);
+  addOutstanding(state, req.pool, req.account, req.estimateMs);
   req.state = RequestState.Dispatched;
   req.attempt = attempt;
   return {
@@ -107,6 +107,15 @@
   };
 }
 
+/**
+ * Virtual time of the account without the estimates of its attempts that have not ended: a pool's virtual time never goes back, so
+ * an estimate that is refunded later must not raise it.
+ */
+function settledTagMs(state: RouterState, req: RouterRequest): number {
+  const tagMs = virtualTimeMs(state.ledger, req.pool, req.account, req.share);
+  return tagMs - outstandingMs(state, req.pool, req.account) / req.share;
+}
+
 function newAttempt(
   attempt: string,
   req: RouterRequest,
--- a/packages/core/src/router/queues.ts
+++ b/packages/core/src/router/queues.ts
@@ -6,7 +6,7 @@
 export function poolQueue(state: RouterState, pool: string): PoolQueue {
   const known = state.pools.get(pool);
   if (known) return known;
-  const created: PoolQueue = { accounts: new Map() };
+  const created: PoolQueue = { accounts: new Map(), outstandingMs: new Map() };
   state.pools.set(pool, created);
   return created;
 }
@@ -72,3 +72,21 @@
   });
   return best;
 }
+
+/** Adds to what the account is charged for attempts that have not ended; negative when one ends. */
+export function addOutstanding(
+  state: RouterState,
+  pool: string,
+  account: string,
+  addedMs: number,
+): void {
+  const sums = poolQueue(state, pool).outstandingMs;
+  const sumMs = (sums.get(account) ?? 0) + addedMs;
+  if (sumMs > 0) sums.set(account, sumMs);
+  else sums.delete(account);
+}
+
+/** What the account is charged here for attempts that have not ended. */
+export function outstandingMs(state: RouterState, pool: string, account: string): number {
+  return state.pools.get(pool)?.outstandingMs.get(account) ?? 0;
+}
--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -107,6 +107,8 @@
 /** Requests of one pool that wait, by account, oldest first. */
 export interface PoolQueue {
   accounts: Map<string, string[]>;
+  /** Charged for attempts that have not ended, by account, in milliseconds of slot time. */
+  outstandingMs: Map<string, number>;
 }
 
 /** State of the router's reducer. */
--- a/packages/core/src/sidecar/granting.ts
+++ b/packages/core/src/sidecar/granting.ts
@@ -1,79 +1,58 @@
-/** Hands free slots to routers: grants while requests wait, credits while none do. */
-import type { DemandEntry, Distance } from '../protocol/index.js';
-import { canGrant, freeSlots, hasDemand, isDraining } from './slots.js';
+/** Hands free slots to routers: grants while requests wait, credits while slots are free. */
+import { chooseGrant, recordGrant } from '../fairness/index.js';
+import type { GrantCandidate } from '../fairness/index.js';
+import type { DemandEntry } from '../protocol/index.js';
+import { canGrant, freeSlots, isDraining } from './slots.js';
 import type { RouterView, SidecarEffect, SidecarState } from './types.js';
 
-/** Added to the virtual time of a candidate, by distance, so that near routers win near-ties. In milliseconds of slot time. */
-const DISTANCE_PENALTY_MS: Record<Distance, number> = {
-  'same-zone': 0,
-  'same-region': 1,
-  'other-region': 5,
-};
-
-interface Candidate {
-  router: RouterView;
-  entry: DemandEntry;
-  score: number;
-}
-
-/** Gives grants and credits as far as the free slots go. */
+/** Gives grants and credits as far as the slots go. */
 export function handOutSlots(state: SidecarState, nowMs: number): SidecarEffect[] {
   const effects: SidecarEffect[] = [];
   while (canGrant(state)) {
-    const candidate = leastServed(state);
-    if (!candidate) break;
-    effects.push(grantSlot(state, candidate, nowMs));
+    const chosen = chooseGrant(state.order, candidates(state), nowMs);
+    if (!chosen) break;
+    effects.push(grantSlot(state, chosen, nowMs));
   }
   effects.push(...updateCredits(state));
   return effects;
 }
 
-function leastServed(state: SidecarState): Candidate | null {
-  let best: Candidate | null = null;
-  state.routers.forEach((router) => {
-    if (router.leaving) return;
-    router.demand.forEach((entry) => {
-      if (entry.waiting <= 0) return;
-      const score = entry.virtualTimeMs + DISTANCE_PENALTY_MS[router.distance];
-      if (!best || score < best.score) best = { router, entry, score };
-    });
-  });
-  return best;
+function candidates(state: SidecarState): GrantCandidate[] {
+  return [...state.routers.values()]
+    .filter((router) => !router.leaving)
+    .flatMap((router) => [...router.demand.values()].map((entry) => candidate(router, entry)));
 }
 
-function grantSlot(state: SidecarState, candidate: Candidate, nowMs: number): SidecarEffect {
-  const { router, entry } = candidate;
-  const { grantTtlMs } = state.options;
+function candidate({ link, distance }: RouterView, entry: DemandEntry): GrantCandidate {
+  const { account, virtualTimeMs, waiting } = entry;
+  return {
+    router: link,
+    account,
+    virtualTimeMs,
+    waiting,
+    oldestMs: 0,
+    distance,
+    prefixHit: false,
+  };
+}
+
+function grantSlot(state: SidecarState, chosen: GrantCandidate, nowMs: number): SidecarEffect {
+  const { router: link, account } = chosen;
+  const { rttMs, demand } = state.routers.get(link) as RouterView;
+  const { estimateMs, share } = demand.get(account) as DemandEntry;
+  const { grantTtlMs: ttlMs } = state.options;
   const grant = state.nextGrant;
   state.nextGrant += 1;
-  state.grants.set(grant, {
-    grant,
-    link: router.link,
-    account: entry.account,
-    estimateMs: entry.estimateMs,
-    expiresAtMs: nowMs + grantTtlMs + router.rttMs,
-  });
-  state.poolVirtualTimeMs = Math.max(state.poolVirtualTimeMs, entry.virtualTimeMs);
-  countOwnGrant(state, entry);
+  const expiresAtMs = nowMs + ttlMs + rttMs;
+  state.grants.set(grant, { grant, link, account, estimateMs, grantedAtMs: nowMs, expiresAtMs });
+  recordGrant(state.order, { router: link, account, estimateMs, share }, nowMs);
   const { poolVirtualTimeMs } = state;
-  const message = {
-    kind: 'grant' as const,
-    grant,
-    account: entry.account,
-    ttlMs: grantTtlMs,
-    poolVirtualTimeMs,
-  };
-  return { kind: 'send', link: router.link, message };
+  const message = { kind: 'grant' as const, grant, account, ttlMs, poolVirtualTimeMs };
+  return { kind: 'send', link, message };
 }
 
-/** Charges the grant to the account at every router at once, before the routers' own reports show it. */
-function countOwnGrant(state: SidecarState, granted: DemandEntry): void {
-  granted.waiting -= 1;
-  state.routers.forEach((router) => {
-    const entry = router.demand.get(granted.account);
-    if (entry) entry.virtualTimeMs += granted.estimateMs / granted.share;
-  });
-}
+/** Part of the slots that must be free before a sidecar that is full hands out credits again. */
+const REOPEN_PART = 0.25;
 
 /** Credits are sent as powers of two, so that most changes of the free slots need no message. */
 function quantise(free: number): number {
@@ -81,12 +60,12 @@
 }
 
 function updateCredits(state: SidecarState): SidecarEffect[] {
-  const closed = !state.synced || isDraining(state) || hasDemand(state);
-  const credits = closed ? 0 : quantise(freeSlots(state));
+  const isClosed = !state.synced || isDraining(state);
+  const free = isClosed ? 0 : freeSlots(state);
   const effects: SidecarEffect[] = [];
   state.routers.forEach((router) => {
-    const target = router.leaving ? 0 : credits;
-    if (!shouldSendCredits(router.credits, target)) return;
+    const target = router.leaving ? 0 : quantise(free);
+    if (!shouldSendCredits(router.credits, target, state.options.slots)) return;
     router.credits = target;
     const { poolVirtualTimeMs } = state;
     const message = { kind: 'credits' as const, credits: target, poolVirtualTimeMs };
@@ -95,9 +74,10 @@
   return effects;
 }
 
-/** Closing and opening is told at once; other changes only when they are fourfold. */
-function shouldSendCredits(sent: number, target: number): boolean {
+/** That no slot is free is told at once; other changes only when they are large, so that few messages are needed. */
+function shouldSendCredits(sent: number, target: number, slots: number): boolean {
   if (sent === target) return false;
-  if (sent === 0 || target === 0) return true;
+  if (target === 0) return true;
+  if (sent === 0) return target >= slots * REOPEN_PART;
   return target >= sent * 4 || target * 4 <= sent;
 }
--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -2,6 +2,14 @@
  * Reducer of the sidecar: sole way to one backend server. It admits attempts into slots, grants free slots to the client
  * account of least virtual time, and keeps the attempt journal.
  */
+import {
+  Correction,
+  createGrantOrder,
+  forgetAccount,
+  forgetRouter,
+  onReport,
+  withdrawGrant,
+} from '../fairness/index.js';
 import {
   AttemptState,
   askOutcome,
@@ -11,14 +19,23 @@
   recordAttempt,
 } from '../journal/index.js';
 import type { Reducer } from '../loop/index.js';
-import type { LinkMessage } from '../protocol/index.js';
+import type { DemandEntry, LinkMessage } from '../protocol/index.js';
 import { handOutSlots } from './granting.js';
-import { freeSlots, hasDemand, isDraining, observeSlotTime } from './slots.js';
+import {
+  freeSlots,
+  hasDemand,
+  isDraining,
+  observeGrantLatency,
+  observeSlotTime,
+  runLimit,
+} from './slots.js';
 import { settleOrphan } from './settlement.js';
 import { NotRunReason, Policy } from './types.js';
 import type {
   ActiveAttempt,
   AttemptOffer,
+  GrantedSlot,
+  RouterView,
   SidecarEffect,
   SidecarEvent,
   SidecarOptions,
@@ -35,22 +52,28 @@
 export function createSidecarState(
   options: Partial<SidecarOptions> & Pick<SidecarOptions, 'backend' | 'pool' | 'slots'>,
 ): SidecarState {
+  const filled: SidecarOptions = {
+    policy: Policy.Fair,
+    queueAhead: 1,
+    correction: Correction.OwnGrants,
+    grantTtlMs: 1000,
+    orphanGraceMs: 3000,
+    journalKeepMs: 120_000,
+    ...options,
+  };
+  const { correction, slots } = filled;
   return {
-    options: {
-      policy: Policy.Fair,
-      grantTtlMs: 1000,
-      orphanGraceMs: 3000,
-      journalKeepMs: 120_000,
-      ...options,
-    },
+    options: filled,
     routers: new Map(),
     grants: new Map(),
+    order: createGrantOrder({ correction, ownSlots: slots, fleetSlots: slots }),
     staged: [],
     active: new Map(),
     running: 0,
     journal: createAttemptJournal(),
     poolVirtualTimeMs: 0,
     meanSlotMs: 0,
+    grantLatencyMs: 0,
     nextGrant: 1,
     stopping: false,
     drained: false,
@@ -59,16 +82,18 @@
 }
 
 const messageHandlers: {
-  [K in LinkMessage['kind']]?: (state: SidecarState, link: string, message: MessageOf<K>) => void;
+  [K in LinkMessage['kind']]?: (
+    state: SidecarState,
+    link: string,
+    message: MessageOf<K>,
+    nowMs: number,
+  ) => void;
 } = {
-  demand: (state, link, message) => {
+  demand: (state, link, message, nowMs) => {
     const router = state.routers.get(link);
     if (!router) return;
     if (message.full) router.demand.clear();
-    message.entries.forEach((entry) => {
-      if (entry.waiting > 0) router.demand.set(entry.account, { ...entry });
-      else router.demand.delete(entry.account);
-    });
+    message.entries.forEach((entry) => noteDemand(state, router, entry, nowMs));
     state.poolVirtualTimeMs = Math.max(state.poolVirtualTimeMs, message.poolVirtualTimeMs);
   },
 
@@ -76,6 +101,7 @@
     const granted = state.grants.get(message.grant);
     if (!granted || granted.link !== link) return;
     state.grants.delete(message.grant);
+    withdrawGrant(state.order, link, granted.account);
     state.routers.get(link)?.demand.delete(granted.account);
   },
 
@@ -104,15 +130,16 @@
 
   'link-closed': (state, { link }) => {
     state.routers.delete(link);
+    forgetRouter(state.order, link);
     releaseGrants(state, (granted) => granted.link === link);
     return [];
   },
 
-  message: (state, { link, message }) => {
+  message: (state, { link, message, nowMs }) => {
     const router = state.routers.get(link);
     const handle = messageHandlers[message.kind] as
-      ((s: SidecarState, l: string, m: LinkMessage) => void) | undefined;
-    if (router && handle) handle(state, link, message);
+      ((s: SidecarState, l: string, m: LinkMessage, n: number) => void) | undefined;
+    if (router && handle) handle(state, link, message, nowMs);
     return [];
   },
 
@@ -124,7 +151,7 @@
       }
       return [{ kind: 'refuse', attempt: offer.attempt, reason }];
     }
-    if (typeof offer.grant === 'number') state.grants.delete(offer.grant);
+    if (typeof offer.grant === 'number') useGrant(state, offer.grant, nowMs);
     admit(state, offer, nowMs);
     return [];
   },
@@ -167,9 +194,10 @@
     return [];
   },
 
-  configured: (state, { pool, slots, draining }) => {
+  configured: (state, { pool, slots, fleetSlots, draining }) => {
     state.options.pool = pool;
     state.options.slots = slots;
+    Object.assign(state.order.options, { ownSlots: slots, fleetSlots });
     return changeDraining(state, () => {
       state.drained = draining;
     });
@@ -244,9 +272,34 @@
   });
 }
 
+function noteDemand(
+  state: SidecarState,
+  router: RouterView,
+  entry: DemandEntry,
+  nowMs: number,
+): void {
+  const { account, waiting, virtualTimeMs } = entry;
+  if (waiting > 0) {
+    router.demand.set(account, entry);
+    const report = { router: router.link, account, virtualTimeMs, roundTripMs: router.rttMs };
+    onReport(state.order, report, nowMs);
+    return;
+  }
+  router.demand.delete(account);
+  const waitsElsewhere = [...state.routers.values()].some(({ demand }) => demand.has(account));
+  if (!waitsElsewhere) forgetAccount(state.order, account);
+}
+
+function useGrant(state: SidecarState, grant: number, nowMs: number): void {
+  const granted = state.grants.get(grant);
+  if (!granted) return;
+  state.grants.delete(grant);
+  observeGrantLatency(state, nowMs - granted.grantedAtMs);
+}
+
 function startStaged(state: SidecarState, nowMs: number): SidecarEffect[] {
   const effects: SidecarEffect[] = [];
-  while (state.running < state.options.slots && state.staged.length > 0) {
+  while (state.running < runLimit(state) && state.staged.length > 0) {
     const attempt = state.staged.shift() as string;
     const active = state.active.get(attempt) as ActiveAttempt;
     active.startedAtMs = nowMs;
@@ -282,12 +335,11 @@
   return effects;
 }
 
-function releaseGrants(
-  state: SidecarState,
-  isOver: (granted: { link: string; expiresAtMs: number }) => boolean,
-): void {
+function releaseGrants(state: SidecarState, isOver: (granted: GrantedSlot) => boolean): void {
   state.grants.forEach((granted, grant) => {
-    if (isOver(granted)) state.grants.delete(grant);
+    if (!isOver(granted)) return;
+    state.grants.delete(grant);
+    withdrawGrant(state.order, granted.link, granted.account);
   });
 }
 
--- a/packages/core/src/sidecar/slots.ts
+++ b/packages/core/src/sidecar/slots.ts
@@ -6,6 +6,11 @@
   return state.options.slots - state.active.size - state.grants.size;
 }
 
+/** Attempts that may be at the backend server at once. */
+export function runLimit({ options }: SidecarState): number {
+  return options.slots + options.queueAhead;
+}
+
 /** Whether some router has requests waiting. */
 export function hasDemand(state: SidecarState): boolean {
   return [...state.routers.values()].some((router) => !router.leaving && waits(router));
@@ -16,14 +21,13 @@
 }
 
 /**
- * Attempts to admit beyond the slots, so that a freed slot does not idle for a grant's round trip: the work that the slots
- * finish within the longest round trip.
+ * Attempts to admit beyond the slots, so that a freed slot does not idle while a grant turns into an attempt: the work that the
+ * slots finish in twice the usual time of that, the second half against its variation.
  */
 export function stagingDepth(state: SidecarState): number {
   if (state.meanSlotMs <= 0) return 0;
-  const rttMs = Math.max(0, ...[...state.routers.values()].map((router) => router.rttMs));
-  const depth = Math.ceil((state.options.slots * rttMs) / state.meanSlotMs);
-  return Math.min(state.options.slots, depth);
+  const finishedMeanwhile = (state.options.slots * state.grantLatencyMs) / state.meanSlotMs;
+  return Math.min(state.options.slots, Math.ceil(2 * finishedMeanwhile));
 }
 
 /** Whether the sidecar takes no new work, by its own shutdown or by configuration. */
@@ -33,15 +37,23 @@
 
 /** Whether one more grant may be given. */
 export function canGrant(state: SidecarState): boolean {
-  return state.synced && !isDraining(state) && freeSlots(state) + stagingDepth(state) > 0;
+  const admitted = state.active.size + state.grants.size;
+  return state.synced && !isDraining(state) && admitted < runLimit(state) + stagingDepth(state);
 }
 
 const MEAN_WEIGHT = 0.1;
 
 /** Updates the moving average of slot time. */
 export function observeSlotTime(state: SidecarState, slotMs: number): void {
-  const isFirst = state.meanSlotMs === 0;
-  state.meanSlotMs = isFirst
-    ? slotMs
-    : state.meanSlotMs + MEAN_WEIGHT * (slotMs - state.meanSlotMs);
+  state.meanSlotMs = movingAverage(state.meanSlotMs, slotMs);
+}
+
+/** Updates the moving average of the time from a grant to its attempt. */
+export function observeGrantLatency(state: SidecarState, latencyMs: number): void {
+  state.grantLatencyMs = movingAverage(state.grantLatencyMs, latencyMs);
+}
+
+/** An average of 0 has no samples yet. */
+function movingAverage(average: number, sample: number): number {
+  return average === 0 ? sample : average + MEAN_WEIGHT * (sample - average);
 }
--- a/packages/core/src/sidecar/types.ts
+++ b/packages/core/src/sidecar/types.ts
@@ -1,4 +1,5 @@
 /** State, events and effects of the sidecar's reducer. */
+import type { Correction, GrantOrder } from '../fairness/index.js';
 import type { AttemptJournal, AttemptOutcome } from '../journal/index.js';
 import type { DemandEntry, Distance, LinkMessage } from '../protocol/index.js';
 
@@ -17,6 +18,13 @@
   pool: string;
   /** Requests the backend server runs at once. */
   slots: number;
+  /**
+   * Requests sent to the backend server beyond its slots, so that none of them idles between two requests.
+   * @default 1
+   */
+  queueAhead: number;
+  /** How grants between the routers' reports are estimated. @default 'own-grants' */
+  correction: Correction;
   /** @default 'fair' */
   policy: Policy;
   /** How long a router may sit on a grant, in milliseconds. @default 1000 */
@@ -47,6 +55,7 @@
   link: string;
   account: string;
   estimateMs: number;
+  grantedAtMs: number;
   expiresAtMs: number;
 }
 
@@ -68,6 +77,8 @@
   options: SidecarOptions;
   routers: Map<string, RouterView>;
   grants: Map<number, GrantedSlot>;
+  /** Order in which free slots are granted. */
+  order: GrantOrder;
   /** Admitted attempts that wait for a slot, oldest first. */
   staged: string[];
   active: Map<string, ActiveAttempt>;
@@ -77,6 +88,8 @@
   poolVirtualTimeMs: number;
   /** Moving average of slot time, in milliseconds; 0 before the first attempt ends. */
   meanSlotMs: number;
+  /** Moving average of the time from a grant to the arrival of its attempt, in milliseconds. */
+  grantLatencyMs: number;
   nextGrant: number;
   /** The process is shutting down. */
   stopping: boolean;
@@ -128,7 +141,14 @@
   | { kind: 'attempt-cancelled'; nowMs: number; attempt: string }
   | { kind: 'outcome-asked'; nowMs: number; attempt: string; ask: number; sameIncarnation: boolean }
   | { kind: 'round-trips'; nowMs: number; roundTrips: { link: string; rttMs: number }[] }
-  | { kind: 'configured'; nowMs: number; pool: string; slots: number; draining: boolean }
+  | {
+      kind: 'configured';
+      nowMs: number;
+      pool: string;
+      slots: number;
+      fleetSlots: number;
+      draining: boolean;
+    }
   | { kind: 'backend-synced'; nowMs: number }
   | { kind: 'backend-lost'; nowMs: number }
   | { kind: 'stop'; nowMs: number }
--- a/packages/fleet/src/link-feed.ts
+++ b/packages/fleet/src/link-feed.ts
@@ -2,10 +2,14 @@
 import type { FleetEvent, LinkMessage } from '@kingcupsill/core';
 import type { Link, LinkHandlers } from '@kingcupsill/link';
 
+import { Counter } from 'prom-client';
+import type { Registry } from 'prom-client';
+
 import type { LinkTraffic } from './link-metrics.js';
 
 /** What the feed needs. */
 export interface LinkFeedOptions {
+  registry: Registry;
   clock(): number;
   dispatch(event: FleetEvent): void;
   traffic: () => LinkTraffic;
@@ -21,8 +25,14 @@
 
 /** Creates the feed. */
 export function createLinkFeed(options: LinkFeedOptions): LinkFeed {
-  const { clock, dispatch, traffic } = options;
+  const { registry, clock, dispatch, traffic } = options;
   const open = new Map<string, Link>();
+  const sentByKind = new Counter({
+    name: 'kingcupsill_link_messages_sent_by_kind_total',
+    help: 'Messages sent on links, by kind.',
+    labelNames: ['kind'],
+    registers: [registry],
+  });
   return {
     handlers: {
       onOpen(link) {
@@ -39,6 +49,9 @@
       },
     },
     links: () => [...open.values()],
-    send: (link, message) => open.get(link)?.send(message),
+    send(link, message) {
+      sentByKind.inc({ kind: message.kind });
+      open.get(link)?.send(message);
+    },
   };
 }
--- a/packages/link/test/codec/codec.test.ts
+++ b/packages/link/test/codec/codec.test.ts
@@ -25,7 +25,6 @@
         account,
         virtualTimeMs: 8_123_456.25 + index,
         waiting: 3,
-        oldestMs: 412,
         estimateMs: 1800,
         share: 2,
       })),
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -85,6 +85,7 @@
     linkFeed: {
       create: (parts) =>
         createLinkFeed({
+          registry,
           clock,
           dispatch: (event) => parts.loop.dispatch(event),
           traffic: () => parts.traffic,
