Host idempotency claims in the router

Change: the router's reducer feeds a claim reducer per keyed request; a granted slot is held while the claim is written, an attempt is sent only under a confirmed claim, its answer (to 256 KiB) is recorded. Keyed requests run to their end when their caller leaves. A sidecar's word 'barred' counts for claims younger than 60 s only, as journals forget after 120 s.

--- a/packages/core/src/claims/claim-reducer.ts
+++ b/packages/core/src/claims/claim-reducer.ts
@@ -25,6 +25,11 @@
 export const CLAIM_LIFETIME_MS = 24 * 60 * 60 * 1000;
 /** Age below which a claim counts as in progress without asking its sidecar, as that would bar an attempt about to be sent. */
 export const CLAIM_GRACE_MS = 2_000;
+/**
+ * Age of a claim up to which a sidecar's word that it never ran the attempt counts. A sidecar's journal forgets an attempt 120 s after
+ * its end, and then takes it for one that never came; the difference allows for clocks that are apart. No attempt is sent later either.
+ */
+export const BAR_TRUSTED_MS = 60_000;
 /** Writes of one claim, or of one answer, at most. */
 export const MAX_CLAIM_WRITES = 3;
 
@@ -77,6 +82,12 @@
 
 const dispatch = (ctx: Context, claim: Claim): void => {
   ctx.state.unconfirmed = undefined;
+  // After a long pause the sidecar may have barred the attempt for a repeat, and forgotten that again.
+  if (ctx.nowMs - claim.claimedAtMs >= BAR_TRUSTED_MS) {
+    ctx.effects.push({ kind: 'decline-slot', target: targetOf(claim) });
+    awaitSlot(ctx);
+    return;
+  }
   enter(ctx, ClaimPhase.Running);
   ctx.effects.push({ kind: 'dispatch', target: targetOf(claim) });
 };
@@ -214,7 +225,10 @@
     enter(ctx, ClaimPhase.Fetching);
     ctx.effects.push({ kind: 'fetch-answer', target: targetOf(claim) });
   },
-  barred: awaitSlot,
+  barred: (ctx, claim) => {
+    if (ctx.nowMs - claim.claimedAtMs < BAR_TRUSTED_MS) awaitSlot(ctx);
+    else refuse(ctx, Refusal.OutcomeUnknown, 'unknown');
+  },
   'unknown-outcome': (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
   unreachable: (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
 };
--- a/packages/core/src/router/attempts.ts
+++ b/packages/core/src/router/attempts.ts
@@ -1,7 +1,10 @@
 /** Life of an attempt after dispatch: settle, refuse, ask for a lost one's outcome, retry. */
-import { chargeService, observeCost, refundService } from '../fairness/index.js';
+import type { RecordedAnswer } from '../claims/index.js';
+import { chargeService, observeCost } from '../fairness/index.js';
 import { AttemptOutcome } from '../journal/index.js';
+import { stepClaim } from './claiming.js';
 import { addOutstanding, enqueue } from './queues.js';
+import { settleAttempt } from './settling.js';
 import { RefusalCode, RequestState } from './types.js';
 import type {
   LearnedOutcome,
@@ -13,25 +16,30 @@
 
 const ASK_INTERVAL_MS = 200;
 
-/** Corrects the account's charge to the slot time used and forgets the attempt. */
-export function settleAttempt(state: RouterState, attempt: RouterAttempt, slotMs: number): void {
-  const req = state.requests.get(attempt.request);
-  state.attempts.delete(attempt.attempt);
-  returnCredit(state, attempt);
-  if (!req) return;
-  addOutstanding(state, req.pool, req.account, -attempt.chargedMs);
-  const excessMs = attempt.chargedMs - Math.round(slotMs);
-  if (excessMs > 0) refundService(state.ledger, req.pool, req.account, excessMs);
-  if (excessMs < 0) chargeService(state.ledger, req.pool, req.account, -excessMs);
+/** How an attempt ended. */
+export interface AttemptEnd {
+  slotMs: number;
+  /** The answer of a request with an idempotency key, unless it is too large to record. */
+  answer?: RecordedAnswer;
 }
 
-/** The attempt ended: settles it and learns its cost. */
-export function endAttempt(state: RouterState, attempt: RouterAttempt, slotMs: number): void {
+/** The attempt ended: settles it, learns its cost, and records the answer of a request with an idempotency key. */
+export function endAttempt(
+  state: RouterState,
+  attempt: RouterAttempt,
+  { slotMs, answer }: AttemptEnd,
+  nowMs: number,
+): RouterEffect[] {
   const req = state.requests.get(attempt.request);
   settleAttempt(state, attempt, slotMs);
-  if (!req) return;
+  if (!req) return [];
   observeCost(state.estimator, costKey(req), slotMs);
+  if (req.keyed) {
+    const outcome = { code: 'finished' as const, answer };
+    return stepClaim(state, req, { kind: 'attempt-ended', outcome }, nowMs);
+  }
   state.requests.delete(req.request);
+  return [];
 }
 
 /** What the cost estimator looks at. */
@@ -41,13 +49,22 @@
 }
 
 /** The attempt certainly has not run: its request waits again, at the head. */
-export function requeueNotRun(state: RouterState, attempt: RouterAttempt): void {
+export function requeueNotRun(
+  state: RouterState,
+  attempt: RouterAttempt,
+  nowMs: number,
+): RouterEffect[] {
   settleAttempt(state, attempt, 0);
   const req = state.requests.get(attempt.request);
-  if (!req) return;
-  req.state = RequestState.Waiting;
+  if (!req) return [];
   req.attempt = null;
+  if (req.keyed) {
+    const outcome = { code: 'not-run' as const };
+    return stepClaim(state, req, { kind: 'attempt-ended', outcome }, nowMs);
+  }
+  req.state = RequestState.Waiting;
   enqueue(state, req, true);
+  return [];
 }
 
 /** The connection broke: asks the sidecar's journal. */
@@ -82,16 +99,13 @@
   LearnedOutcome,
   (state: RouterState, attempt: RouterAttempt, nowMs: number) => RouterEffect[]
 > = {
-  [AttemptOutcome.Barred]: (state, attempt) => {
-    if (attempt.headRelayed) return giveUp(state, attempt);
-    requeueNotRun(state, attempt);
-    return [];
-  },
+  [AttemptOutcome.Barred]: (state, attempt, nowMs) =>
+    attempt.headRelayed ? giveUp(state, attempt, nowMs) : requeueNotRun(state, attempt, nowMs),
   [AttemptOutcome.Running]: resume,
   [AttemptOutcome.Finished]: resume,
   [AttemptOutcome.Unknown]: retryOrGiveUp,
   unreachable: (state, attempt, nowMs) => {
-    if (nowMs >= attempt.askUntilMs) return retryOrGiveUp(state, attempt);
+    if (nowMs >= attempt.askUntilMs) return retryOrGiveUp(state, attempt, nowMs);
     attempt.askAgainAtMs = nowMs + ASK_INTERVAL_MS;
     return [];
   },
@@ -116,36 +130,34 @@
 }
 
 /** The attempt may have run: only an idempotent request of which the caller has nothing yet runs again. */
-function retryOrGiveUp(state: RouterState, attempt: RouterAttempt): RouterEffect[] {
+function retryOrGiveUp(state: RouterState, attempt: RouterAttempt, nowMs: number): RouterEffect[] {
   const req = state.requests.get(attempt.request);
   if (!req) return [];
   req.tries += 1;
   const mayRetry =
     req.idempotent &&
+    !req.keyed &&
     !attempt.headRelayed &&
     req.tries < state.options.maxTries &&
     state.retryBudget >= 1;
-  if (!mayRetry) return giveUp(state, attempt);
+  if (!mayRetry) return giveUp(state, attempt, nowMs);
   state.retryBudget -= 1;
-  requeueNotRun(state, attempt);
-  return [];
+  return requeueNotRun(state, attempt, nowMs);
 }
 
-function giveUp(state: RouterState, attempt: RouterAttempt): RouterEffect[] {
+function giveUp(state: RouterState, attempt: RouterAttempt, nowMs: number): RouterEffect[] {
   const req = state.requests.get(attempt.request);
   settleAttempt(state, attempt, attempt.chargedMs);
   if (!req) return [];
+  if (req.keyed) {
+    const outcome = { code: 'unknown' as const };
+    return stepClaim(state, req, { kind: 'attempt-ended', outcome }, nowMs);
+  }
   state.requests.delete(req.request);
   const code = RefusalCode.OutcomeUnknown;
   return [{ kind: 'refuse', request: req.request, code, ran: 'unknown', retryAfterMs: null }];
 }
 
-function returnCredit(state: RouterState, attempt: RouterAttempt): void {
-  const sidecar = state.sidecars.get(attempt.link);
-  if (!sidecar || attempt.creditEpoch !== sidecar.creditEpoch) return;
-  sidecar.creditsUsed = Math.max(0, sidecar.creditsUsed - 1);
-}
-
 /** Charges running attempts that outlast their estimate for the time they have used. */
 export function chargeOverruns(state: RouterState, nowMs: number): void {
   state.attempts.forEach((attempt) => {
--- a/packages/core/src/router/dispatching.ts
+++ b/packages/core/src/router/dispatching.ts
@@ -1,5 +1,6 @@
 /** Sends waiting requests to sidecars: into granted slots, on standing credits, or pushed under the naive policy. */
 import { advancePoolTime, chargeService, virtualTimeMs } from '../fairness/index.js';
+import { stepClaim } from './claiming.js';
 import { demandAfterGrant, noteGrant } from './demand.js';
 import { addOutstanding, dequeue, leastServedHead, outstandingMs } from './queues.js';
 import { RequestState } from './types.js';
@@ -9,6 +10,7 @@
   RouterRequest,
   RouterState,
   SidecarView,
+  SlotGrant,
 } from './types.js';
 
 const DISTANCE_RANK = { 'same-zone': 0, 'same-region': 1, 'other-region': 2 } as const;
@@ -28,7 +30,7 @@
   }
   noteGrant(sidecar, granted, req.estimateMs / req.share);
   const dispatched = dispatch(state, sidecar, req, grant, nowMs);
-  return [dispatched, ...demandAfterGrant(state, sidecar, nowMs)];
+  return [...dispatched, ...demandAfterGrant(state, sidecar, nowMs)];
 }
 
 /** Dispatches waiting requests of a pool on credits, least served first, while credits last. */
@@ -39,7 +41,7 @@
     const sidecar = req && creditedSidecar(state, pool);
     if (!req || !sidecar) return effects;
     sidecar.creditsUsed += 1;
-    effects.push(dispatch(state, sidecar, req, 'credit', nowMs));
+    effects.push(...dispatch(state, sidecar, req, 'credit', nowMs));
   }
 }
 
@@ -47,12 +49,11 @@
 export function pushAtRandom(
   state: RouterState,
   req: RouterRequest,
-  seed: number,
   nowMs: number,
 ): RouterEffect[] {
   const candidates = poolSidecars(state, req.pool);
-  const sidecar = candidates[Math.floor(seed * candidates.length)];
-  return sidecar ? [dispatch(state, sidecar, req, 'push', nowMs)] : [];
+  const sidecar = candidates[Math.floor(req.seed * candidates.length)];
+  return sidecar ? dispatch(state, sidecar, req, 'push', nowMs) : [];
 }
 
 function poolSidecars(state: RouterState, pool: string): SidecarView[] {
@@ -78,33 +79,31 @@
   return byDistance === 0 ? creditsLeft(a) > creditsLeft(b) : byDistance < 0;
 }
 
+/** Dispatches the request, or begins to claim its idempotency key, upon which it is dispatched. */
 function dispatch(
   state: RouterState,
   sidecar: SidecarView,
   req: RouterRequest,
-  grant: number | 'credit' | 'push',
+  grant: SlotGrant,
   nowMs: number,
-): RouterEffect {
+): RouterEffect[] {
   advancePoolTime(state.ledger, req.pool, settledTagMs(state, req));
   dequeue(state, req);
   const attempt = `${state.options.incarnation}.${state.nextAttempt}`;
   state.nextAttempt += 1;
-  const creditEpoch = grant === 'credit' ? sidecar.creditEpoch : null;
-  state.attempts.set(attempt, newAttempt(attempt, req, sidecar, creditEpoch, nowMs));
+  state.attempts.set(attempt, newAttempt(attempt, req, sidecar, grant, nowMs));
   chargeService(state.ledger, req.pool, req.account, req.estimateMs);
   addOutstanding(state, req.pool, req.account, req.estimateMs);
-  req.state = RequestState.Dispatched;
   req.attempt = attempt;
-  return {
-    kind: 'dispatch',
-    request: req.request,
-    attempt,
-    dataUrl: sidecar.dataUrl,
-    backend: sidecar.backend,
-    sidecarIncarnation: sidecar.incarnation,
-    grant,
-    estimateMs: req.estimateMs,
-  };
+  const { dataUrl, backend, incarnation: sidecarIncarnation } = sidecar;
+  const target = { attempt, backend, sidecarIncarnation, dataUrl };
+  if (req.keyed) {
+    req.state = RequestState.Claiming;
+    return stepClaim(state, req, { kind: 'slot-granted', target }, nowMs);
+  }
+  req.state = RequestState.Dispatched;
+  const { request, estimateMs } = req;
+  return [{ kind: 'dispatch', request, ...target, grant, estimateMs }];
 }
 
 /**
@@ -120,7 +119,7 @@
   attempt: string,
   req: RouterRequest,
   sidecar: SidecarView,
-  creditEpoch: number | null,
+  grant: SlotGrant,
   nowMs: number,
 ): RouterAttempt {
   return {
@@ -131,7 +130,8 @@
     sidecarIncarnation: sidecar.incarnation,
     dispatchedAtMs: nowMs,
     chargedMs: req.estimateMs,
-    creditEpoch,
+    grant,
+    creditEpoch: grant === 'credit' ? sidecar.creditEpoch : null,
     relayedBytes: 0,
     headRelayed: false,
     askUntilMs: 0,
--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -2,6 +2,7 @@
  * Reducer of the router: queues requests by pool and client account, dispatches them into slots that sidecars grant, and
  * follows each attempt to its end.
  */
+import { createClaimState } from '../claims/index.js';
 import {
   advancePoolTime,
   chargeService,
@@ -22,11 +23,15 @@
   requeueNotRun,
   startAsking,
 } from './attempts.js';
+import { stepClaim, withdraw } from './claiming.js';
+import type { UntimedClaimEvent } from './claiming.js';
 import { refreshDemand, sendUrgentDemand } from './demand.js';
 import { pushAtRandom, useCredits, useGrant } from './dispatching.js';
 import { dequeue, enqueue, waitingCount } from './queues.js';
 import { RefusalCode, RequestState } from './types.js';
 import type {
+  ClaimAnswerEvent,
+  KeyedRequest,
   RequestInfo,
   RouterEffect,
   RouterEvent,
@@ -76,6 +81,7 @@
     estimator: createCostEstimator(),
     nextAttempt: 1,
     retryBudget: MAX_RETRY_BUDGET,
+    wallOffsetMs: 0,
     stopping: false,
   };
 }
@@ -114,21 +120,34 @@
 
 const handlers: Handlers = {
   'request-arrived': (state, { info, seed, nowMs }) => {
-    if (state.stopping) return [refuse(info.request, RefusalCode.ShuttingDown, 0)];
+    if (state.stopping) return refuseArrived(info, RefusalCode.ShuttingDown, 0);
     if (waitingCount(state, info.pool, info.account) >= info.maxQueued) {
-      return [refuse(info.request, RefusalCode.QueueFull, MIN_RETRY_AFTER_MS)];
+      return refuseArrived(info, RefusalCode.QueueFull, MIN_RETRY_AFTER_MS);
     }
     state.retryBudget = Math.min(MAX_RETRY_BUDGET, state.retryBudget + RETRIES_PER_REQUEST);
-    const req = newRequest(state, info, nowMs);
+    const req = newRequest(state, info, seed, nowMs);
     state.requests.set(req.request, req);
+    if (info.claim) {
+      state.wallOffsetMs = info.claim.arrivedWallMs - nowMs;
+      return stepClaim(state, req, { kind: 'request' }, nowMs);
+    }
     enqueue(state, req, false);
-    if (state.options.policy === Policy.Naive) return pushAtRandom(state, req, seed, nowMs);
-    return dispatchWaiting(state, req.pool, nowMs);
+    return serveArrived(state, req, nowMs);
   },
 
-  'request-gone': (state, { request }) => {
+  'claim-read': (state, { outcome, ...times }) =>
+    claimAnswered(state, times, { kind: 'claim-read', outcome }),
+  'claim-written': (state, { outcome, ...times }) =>
+    claimAnswered(state, times, { kind: 'claim-written', outcome }),
+  'attempt-asked': (state, { outcome, ...times }) =>
+    claimAnswered(state, times, { kind: 'attempt-asked', outcome }),
+  'answer-fetched': (state, { answer, ...times }) =>
+    claimAnswered(state, times, { kind: 'answer-fetched', answer }),
+
+  'request-gone': (state, { request, nowMs }) => {
     const req = state.requests.get(request);
     if (!req) return [];
+    if (req.keyed) return keyedCallerGone(state, req, req.keyed, nowMs);
     if (req.state === RequestState.Waiting) {
       dequeue(state, req);
       state.requests.delete(request);
@@ -178,15 +197,15 @@
     if (!refused) return [];
     const sidecar = state.sidecars.get(refused.link);
     if (sidecar && refused.creditEpoch === sidecar.creditEpoch) sidecar.credits = 0;
-    requeueNotRun(state, refused);
+    const effects = requeueNotRun(state, refused, nowMs);
     const req = state.requests.get(refused.request);
-    return req ? dispatchWaiting(state, req.pool, nowMs) : [];
+    if (req) effects.push(...dispatchWaiting(state, req.pool, nowMs));
+    return effects;
   },
 
-  'attempt-ended': (state, { attempt, slotMs }) => {
+  'attempt-ended': (state, { attempt, slotMs, answer, nowMs }) => {
     const ended = state.attempts.get(attempt);
-    if (ended) endAttempt(state, ended, slotMs);
-    return [];
+    return ended ? endAttempt(state, ended, { slotMs, answer }, nowMs) : [];
   },
 
   'attempt-lost': (state, { attempt, relayedBytes, headRelayed, nowMs }) => {
@@ -239,14 +258,66 @@
   return effects;
 }
 
-function newRequest(state: RouterState, info: RequestInfo, nowMs: number): RouterRequest {
+/** Serves the pool after a request joined its queue for the first time. */
+function serveArrived(state: RouterState, req: RouterRequest, nowMs: number): RouterEffect[] {
+  if (state.options.policy === Policy.Naive) return pushAtRandom(state, req, nowMs);
+  return dispatchWaiting(state, req.pool, nowMs);
+}
+
+/** Feeds the claim with an answer; its request may have joined the queue, or have given back a credit. */
+function claimAnswered(
+  state: RouterState,
+  { request, nowMs, wallMs }: Pick<ClaimAnswerEvent, 'request' | 'nowMs' | 'wallMs'>,
+  event: UntimedClaimEvent,
+): RouterEffect[] {
+  state.wallOffsetMs = wallMs - nowMs;
+  const req = state.requests.get(request);
+  if (!req) return [];
+  const effects = stepClaim(state, req, event, nowMs);
+  if (req.state === RequestState.Waiting) effects.push(...serveArrived(state, req, nowMs));
+  else if (req.attempt === null) effects.push(...dispatchWaiting(state, req.pool, nowMs));
+  return effects;
+}
+
+/** Takes the request out if it waits; an attempt runs to its end, as its answer is recorded. */
+function keyedCallerGone(
+  state: RouterState,
+  req: RouterRequest,
+  keyed: KeyedRequest,
+  nowMs: number,
+): RouterEffect[] {
+  keyed.callerGone = true;
+  if (req.state !== RequestState.Waiting) return [];
+  dequeue(state, req);
+  return withdraw(state, req, nowMs);
+}
+
+function newKeyed(state: RouterState, { claim }: RequestInfo): KeyedRequest | null {
+  if (!claim) return null;
+  const { key, bodyDigest } = claim;
+  const { incarnation: routerIncarnation } = state.options;
+  return {
+    claim: createClaimState({ key, bodyDigest, routerIncarnation }),
+    callerGone: false,
+    queuedBefore: false,
+  };
+}
+
+function newRequest(
+  state: RouterState,
+  info: RequestInfo,
+  seed: number,
+  nowMs: number,
+): RouterRequest {
   const req: RouterRequest = {
     ...info,
-    state: RequestState.Waiting,
+    state: info.claim ? RequestState.Checking : RequestState.Waiting,
     arrivedAtMs: nowMs,
     estimateMs: 0,
     attempt: null,
     tries: 0,
+    keyed: newKeyed(state, info),
+    seed,
   };
   req.estimateMs = Math.max(1, Math.round(estimateCostMs(state.estimator, costKey(req))));
   return req;
@@ -256,6 +327,15 @@
   return { kind: 'refuse', request, code, ran: 'no', retryAfterMs };
 }
 
+function refuseArrived(
+  { request, claim }: RequestInfo,
+  code: RefusalCode,
+  retryAfterMs: number,
+): RouterEffect[] {
+  const refusal = refuse(request, code, retryAfterMs);
+  return claim ? [refusal, { kind: 'forget', request }] : [refusal];
+}
+
 function expireWaiting(state: RouterState, nowMs: number): RouterEffect[] {
   const effects: RouterEffect[] = [];
   state.requests.forEach((req) => {
@@ -263,8 +343,9 @@
     const waitedMs = nowMs - req.arrivedAtMs;
     if (waitedMs < req.queueTimeoutMs) return;
     dequeue(state, req);
-    state.requests.delete(req.request);
     effects.push(refuse(req.request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS));
+    if (req.keyed) effects.push(...withdraw(state, req, nowMs));
+    else state.requests.delete(req.request);
   });
   return effects;
 }
--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -1,4 +1,13 @@
 /** State, events and effects of the router's reducer. */
+import { ClaimRefusal } from '../claims/index.js';
+import type {
+  ClaimEffect,
+  ClaimReadOutcome,
+  ClaimState,
+  ClaimWriteOutcome,
+  ClaimedAttemptState,
+  RecordedAnswer,
+} from '../claims/index.js';
 import type { CostEstimator, Ledger } from '../fairness/index.js';
 import type { AttemptOutcome } from '../journal/index.js';
 import type { Distance, LinkMessage } from '../protocol/index.js';
@@ -21,7 +30,11 @@
 
 /** Where a request stands. */
 export const RequestState = {
+  /** Its claim is read, or an earlier attempt with its idempotency key is asked about. */
+  Checking: 'checking',
   Waiting: 'waiting',
+  /** A slot is held for it while its claim is written. */
+  Claiming: 'claiming',
   /** An attempt is on its way or running. */
   Dispatched: 'dispatched',
   /** The attempt's connection broke; the router asks the sidecar's journal. */
@@ -48,6 +61,26 @@
   queueTimeoutMs: number;
   /** Requests of the account that may wait in this pool. */
   maxQueued: number;
+  /** Set when the caller sent an `Idempotency-Key`. */
+  claim?: ClaimInfo;
+}
+
+/** What the router knows of a request's `Idempotency-Key` on arrival. */
+export interface ClaimInfo {
+  /** Key of the claim object, see `claimKey`. */
+  key: string;
+  /** Digest of the request's service, method, path and body. */
+  bodyDigest: string;
+  /** Wall-clock time of the arrival, in milliseconds. */
+  arrivedWallMs: number;
+}
+
+/** What the router keeps of a request with an `Idempotency-Key`. */
+export interface KeyedRequest {
+  claim: ClaimState;
+  /** The caller has left; what was dispatched runs to its end, for a repeat to find its answer. */
+  callerGone: boolean;
+  queuedBefore: boolean;
 }
 
 /** A request inside the router. */
@@ -59,9 +92,16 @@
   attempt: string | null;
   /** Attempts that may have run. */
   tries: number;
+  /** Null without an `Idempotency-Key`. */
+  keyed: KeyedRequest | null;
+  /** Random number in [0, 1) of its arrival. */
+  seed: number;
 }
 
-/** An attempt that the router dispatched. */
+/** A sidecar's grant by its number, a standing credit, or nothing under the naive policy. */
+export type SlotGrant = number | 'credit' | 'push';
+
+/** An attempt that the router dispatched, or is about to when its request's claim is written. */
 export interface RouterAttempt {
   attempt: string;
   request: string;
@@ -71,6 +111,8 @@
   dispatchedAtMs: number;
   /** What the account has been charged for it so far, in milliseconds of slot time. */
   chargedMs: number;
+  /** What it runs on. */
+  grant: SlotGrant;
   /** Whether a standing credit paid for it, and which credits message it belongs to. */
   creditEpoch: number | null;
   /** Bytes of the answer that the caller has got. */
@@ -123,6 +165,8 @@
   nextAttempt: number;
   /** Retries that the router may still make; grows with requests. */
   retryBudget: number;
+  /** What to add to `nowMs` for wall-clock time, as last learned from an event. */
+  wallOffsetMs: number;
   stopping: boolean;
 }
 
@@ -132,15 +176,34 @@
   QueueTimeout: 'queue_timeout',
   ShuttingDown: 'shutting_down',
   RetriesExhausted: 'retries_exhausted',
-  OutcomeUnknown: 'outcome_unknown',
+  OutcomeUnknown: ClaimRefusal.OutcomeUnknown,
+  InProgress: ClaimRefusal.InProgress,
+  KeyReused: ClaimRefusal.KeyReused,
+  ClaimStoreUnavailable: ClaimRefusal.StoreUnavailable,
+  AnswerNotKept: ClaimRefusal.AnswerNotKept,
 } as const;
 export type RefusalCode = (typeof RefusalCode)[keyof typeof RefusalCode];
 
 /** What the router learned about a lost attempt; `unreachable` when the sidecar did not answer. */
 export type LearnedOutcome = AttemptOutcome | 'unreachable';
 
+interface ClaimAnswerTimes {
+  nowMs: number;
+  /** Wall-clock time, in milliseconds. */
+  wallMs: number;
+  request: string;
+}
+
+/** Answers to the effects of claims. */
+export type ClaimAnswerEvent =
+  | ({ kind: 'claim-read'; outcome: ClaimReadOutcome } & ClaimAnswerTimes)
+  | ({ kind: 'claim-written'; outcome: ClaimWriteOutcome } & ClaimAnswerTimes)
+  | ({ kind: 'attempt-asked'; outcome: ClaimedAttemptState } & ClaimAnswerTimes)
+  | ({ kind: 'answer-fetched'; answer?: RecordedAnswer } & ClaimAnswerTimes);
+
 /** Events of the router. `nowMs` is a monotonic clock. */
 export type RouterEvent =
+  | ClaimAnswerEvent
   | { kind: 'request-arrived'; nowMs: number; info: RequestInfo; seed: number }
   | { kind: 'request-gone'; nowMs: number; request: string }
   | {
@@ -156,7 +219,14 @@
   | { kind: 'sidecar-unlinked'; nowMs: number; link: string }
   | { kind: 'message'; nowMs: number; link: string; message: LinkMessage }
   | { kind: 'attempt-refused'; nowMs: number; attempt: string; reason: string }
-  | { kind: 'attempt-ended'; nowMs: number; attempt: string; slotMs: number }
+  | {
+      kind: 'attempt-ended';
+      nowMs: number;
+      attempt: string;
+      slotMs: number;
+      /** The answer of a request with an `Idempotency-Key`, unless it is too large to record. */
+      answer?: RecordedAnswer;
+    }
   | {
       kind: 'attempt-lost';
       nowMs: number;
@@ -168,8 +238,26 @@
   | { kind: 'stop'; nowMs: number }
   | { kind: 'tick'; nowMs: number };
 
+/** Effects of claims that the router passes on, each about one request. */
+export type ClaimHostEffect = Extract<
+  ClaimEffect,
+  {
+    kind:
+      | 'store-read'
+      | 'store-create'
+      | 'store-update'
+      | 'store-remove'
+      | 'bar-attempt'
+      | 'fetch-answer'
+      | 'answer';
+  }
+> & { request: string };
+
 /** Effects of the router. */
 export type RouterEffect =
+  | ClaimHostEffect
+  /** The request with an `Idempotency-Key` is over; its caller may have left long ago. */
+  | { kind: 'forget'; request: string }
   | { kind: 'send'; link: string; message: LinkMessage }
   | {
       kind: 'dispatch';
@@ -178,7 +266,7 @@
       dataUrl: string;
       backend: string;
       sidecarIncarnation: string;
-      grant: number | 'credit' | 'push';
+      grant: SlotGrant;
       estimateMs: number;
     }
   | {
--- a/packages/core/test/claims/claim-reducer.test.ts
+++ b/packages/core/test/claims/claim-reducer.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 
 import {
+  BAR_TRUSTED_MS,
   CLAIM_GRACE_MS,
   CLAIM_LIFETIME_MS,
   claimReducer,
@@ -162,3 +163,17 @@
   const [update] = run(expired, granted);
   assert.equal(update?.kind === 'store-update' && update.version, 3);
 });
+
+test('a sidecar that may have forgotten an attempt is not believed that it never ran', () => {
+  const asked: ClaimEvent = { kind: 'attempt-asked', nowMs: NOW_MS, outcome: 'barred' };
+  const old = (ageMs: number) => found({ claimedAtMs: NOW_MS - ageMs });
+  assert.deepEqual(kinds(run(old(BAR_TRUSTED_MS - 1), asked)), ['await-slot']);
+  assert.deepEqual(run(old(BAR_TRUSTED_MS), asked), [
+    { kind: 'refuse', code: 'outcome_unknown', ran: 'unknown' },
+  ]);
+});
+
+test('after a pause as long, an attempt is not sent but claimed anew', () => {
+  const late: ClaimEvent = { ...confirmed, nowMs: NOW_MS + BAR_TRUSTED_MS };
+  assert.deepEqual(kinds(run(absent, granted, late)), ['decline-slot', 'await-slot']);
+});
--- a/packages/router/src/callers/errors.ts
+++ b/packages/router/src/callers/errors.ts
@@ -16,6 +16,14 @@
   queue_timeout: { status: 503, message: 'No capacity became free in time. Come back later.' },
   shutting_down: { status: 503, message: 'This router is shutting down. Try another one.' },
   retries_exhausted: { status: 502, message: 'Backend servers failed repeatedly.' },
+  invalid_idempotency_key: { status: 400, message: 'The Idempotency-Key is empty or too long.' },
+  in_progress: { status: 409, message: 'An earlier request with this key has not ended.' },
+  idempotency_key_reused: { status: 422, message: 'The key was used for another request.' },
+  claim_store_unavailable: {
+    status: 503,
+    message: 'It can not be checked whether the key was used. Come back later.',
+  },
+  answer_not_kept: { status: 409, message: 'The request ran; its answer is not kept.' },
   outcome_unknown: { status: 502, message: 'The request may have run; its answer was lost.' },
 } as const;
 export type CallerErrorCode = keyof typeof CALLER_ERRORS;
@@ -38,6 +46,7 @@
   ran: Ran,
   retryAfterMs: number | null = null,
 ): void {
+  if (res.destroyed) return;
   const headers: Record<string, string> = { 'content-type': 'application/json' };
   if (retryAfterMs !== null) {
     headers['retry-after'] = String(Math.ceil(retryAfterMs / MS_PER_SECOND));
@@ -48,6 +57,7 @@
 
 /** Ends an answer that has begun, so that it can't be taken for a whole one. */
 export function breakAnswer(res: ServerResponse, code: CallerErrorCode, ran: Ran): void {
+  if (res.destroyed) return;
   const isEventStream = String(res.getHeader('content-type')).startsWith('text/event-stream');
   if (!isEventStream) {
     res.destroy();
--- a/packages/router/src/callers/submit.ts
+++ b/packages/router/src/callers/submit.ts
@@ -4,12 +4,16 @@
 
 import type { ServiceRecord } from '../directory/types.js';
 import { callerOf } from './authenticate.js';
+import { fail } from './errors.js';
+import { claimOf, readIdempotencyKey } from './idempotency-key.js';
 import type { HeldRequest } from './types.js';
 
 /** What submitting needs. */
 export interface SubmitOptions {
   dispatch(event: RouterProcessEvent): void;
   clock(): number;
+  /** Wall-clock time in milliseconds. */
+  wallClock(): number;
   /** Uniform random number in [0, 1). */
   random(): number;
   /** Registers a request until its connection has ended. */
@@ -31,23 +35,35 @@
 
 /** Creates the function that submits a call; the answer is written by effects. */
 export function createSubmit(options: SubmitOptions): (ctx: Context, call: ServiceCall) => void {
-  const { dispatch, clock, random, hold } = options;
+  const { dispatch, clock, wallClock, random, hold } = options;
   let nextRequest = 1;
 
   return (ctx, call) => {
+    const keyRead = readIdempotencyKey(ctx.headers);
+    if (!keyRead.ok) {
+      fail(ctx, keyRead.code);
+      return;
+    }
     const request = String(nextRequest);
     nextRequest += 1;
     ctx.respond = false;
-    hold(heldRequest(ctx, call, request));
+    const held = heldRequest(ctx, call, request, keyRead.key !== null);
+    hold(held);
     ctx.res.once('close', () => {
       if (!ctx.res.writableFinished) dispatch({ kind: 'request-gone', nowMs: clock(), request });
     });
     const info = requestInfo(ctx, call, request);
+    if (keyRead.key !== null) info.claim = claimOf(held, keyRead.key, wallClock());
     dispatch({ kind: 'request-arrived', nowMs: clock(), info, seed: random() });
   };
 }
 
-function heldRequest(ctx: Context, call: ServiceCall, request: string): HeldRequest {
+function heldRequest(
+  ctx: Context,
+  call: ServiceCall,
+  request: string,
+  keyed: boolean,
+): HeldRequest {
   const headers = { ...ctx.headers };
   delete headers.authorization;
   return {
@@ -63,6 +79,8 @@
     heldBack: [],
     receivedBytes: 0,
     backend: '',
+    recording: null,
+    keyed,
     headRelayed: false,
   };
 }
--- a/packages/router/src/callers/types.ts
+++ b/packages/router/src/callers/types.ts
@@ -20,6 +20,10 @@
   receivedBytes: number;
   /** Backend server that answers. */
   backend: string;
+  /** The whole answer so far, for the record of an idempotency key; null when not kept or too large. */
+  recording: Buffer[] | null;
+  /** Whether the request outlives its caller's connection, as one with an idempotency key does. */
+  keyed: boolean;
   /** Whether the caller has got the head. */
   headRelayed: boolean;
 }
--- a/packages/router/src/relay/answer-writer.ts
+++ b/packages/router/src/relay/answer-writer.ts
@@ -4,11 +4,14 @@
 import { AttemptHeader, passedHeaders } from '@kingcupsill/core';
 import type { Dispatcher } from 'undici';
 
-import type { HeldRequest } from '../callers/types.js';
+import type { AnswerHead, HeldRequest } from '../callers/types.js';
 
 /** Answers up to this size are held back until whole. */
 const HOLD_BACK_BYTES = 256 * 1024;
 
+/** Answers up to this size are recorded for the repeats of a request with an idempotency key. */
+export const RECORDED_BYTES = 256 * 1024;
+
 /** Which attempt an answer comes from. */
 export interface AnswerSource {
   attempt: string;
@@ -20,16 +23,12 @@
   held.head = null;
   held.heldBack = [];
   held.receivedBytes = 0;
+  held.recording = held.keyed ? [] : null;
 }
 
-/** Takes the head of a sidecar's answer; an event stream's goes to the caller at once. */
-export function takeHead(
-  held: HeldRequest,
-  res: Dispatcher.ResponseData,
-  source: AnswerSource,
-): void {
-  held.backend = source.backend;
-  held.head = {
+/** Head for the caller of a sidecar's answer. */
+export function answerHead(res: Dispatcher.ResponseData, source: AnswerSource): AnswerHead {
+  return {
     status: Number(res.headers[AttemptHeader.Status]),
     headers: {
       ...passedHeaders(res.headers),
@@ -37,6 +36,16 @@
       'x-kingcupsill-backend': source.backend,
     },
   };
+}
+
+/** Takes the head of a sidecar's answer; an event stream's goes to the caller at once. */
+export function takeHead(
+  held: HeldRequest,
+  res: Dispatcher.ResponseData,
+  source: AnswerSource,
+): void {
+  held.backend = source.backend;
+  held.head = answerHead(res, source);
   const contentType = String(res.headers['content-type'] ?? '');
   if (contentType.startsWith('text/event-stream')) relayHead(held);
 }
@@ -44,6 +53,8 @@
 /** Takes one chunk of the answer and waits while the caller reads slowly. */
 export async function relayChunk(held: HeldRequest, chunk: Buffer): Promise<void> {
   held.receivedBytes += chunk.length;
+  if (held.receivedBytes > RECORDED_BYTES) held.recording = null;
+  held.recording?.push(chunk);
   if (held.headRelayed) {
     await write(held, chunk);
     return;
@@ -61,6 +72,7 @@
 function relayHead(held: HeldRequest): void {
   if (held.headRelayed || !held.head) return;
   held.headRelayed = true;
+  if (held.res.destroyed) return;
   held.res.writeHead(held.head.status, held.head.headers);
   held.res.flushHeaders();
 }
--- a/packages/router/src/relay/relay.ts
+++ b/packages/router/src/relay/relay.ts
@@ -1,10 +1,12 @@
 /** Sends attempts to sidecars and relays their answers to callers. */
-import type { LearnedOutcome } from '@kingcupsill/core';
+import type { LearnedOutcome, RecordedAnswer } from '@kingcupsill/core';
 import { AttemptHeader, AttemptOutcome } from '@kingcupsill/core';
 import type { Dispatcher } from 'undici';
 
 import type { HeldRequest } from '../callers/types.js';
 import { finishAnswer, relayChunk, resetAnswer, takeHead } from './answer-writer.js';
+import { createClaimedAttempts } from './claimed-attempts.js';
+import { recordedAnswer } from './recorded-answer.js';
 import { createSidecarClient } from './sidecar-client.js';
 import type { Relay, RelayOptions } from './types.js';
 
@@ -34,7 +36,7 @@
       report.lost(attempt, held);
       return;
     }
-    report.ended(attempt, Number(trailers[AttemptHeader.SlotMs]));
+    report.ended(attempt, Number(trailers[AttemptHeader.SlotMs]), recordedAnswer(held));
     await finishAnswer(held);
   }
 
@@ -93,6 +95,8 @@
       dispatch({ kind: 'attempt-ended', nowMs, attempt, slotMs: slotMs ?? nowMs - askedAtMs });
     },
 
+    ...createClaimedAttempts(client, options),
+
     close: () => client.close(),
   };
 }
@@ -106,8 +110,8 @@
     refused(attempt: string, reason: string): void {
       dispatch({ kind: 'attempt-refused', nowMs: clock(), attempt, reason });
     },
-    ended(attempt: string, slotMs: number): void {
-      dispatch({ kind: 'attempt-ended', nowMs: clock(), attempt, slotMs });
+    ended(attempt: string, slotMs: number, answer?: RecordedAnswer): void {
+      dispatch({ kind: 'attempt-ended', nowMs: clock(), attempt, slotMs, answer });
     },
     learned(attempt: string, outcome: LearnedOutcome): void {
       dispatch({ kind: 'outcome-learned', nowMs: clock(), attempt, outcome });
--- a/packages/router/src/relay/sidecar-client.ts
+++ b/packages/router/src/relay/sidecar-client.ts
@@ -31,8 +31,13 @@
     signal: AbortSignal,
   ): Promise<Dispatcher.ResponseData>;
   /** Reads the answer again from an offset; null when the sidecar can't be reached. */
-  readAnswer(effect: ResumeEffect, signal: AbortSignal): Promise<Dispatcher.ResponseData | null>;
-  askOutcome(effect: AskEffect): Promise<LearnedOutcome>;
+  readAnswer(
+    effect: Pick<ResumeEffect, 'attempt' | 'dataUrl' | 'offset'>,
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData | null>;
+  askOutcome(
+    effect: Pick<AskEffect, 'attempt' | 'dataUrl' | 'sidecarIncarnation'>,
+  ): Promise<LearnedOutcome>;
   /** Cancels and returns the slot time used; null when the sidecar can't be reached. */
   cancel(effect: CancelEffect): Promise<number | null>;
   close(): Promise<void>;
--- a/packages/router/src/relay/types.ts
+++ b/packages/router/src/relay/types.ts
@@ -8,6 +8,8 @@
 export type DispatchEffect = EffectOf<'dispatch'>;
 export type ResumeEffect = EffectOf<'resume'>;
 export type AskEffect = EffectOf<'ask-outcome'>;
+export type AskClaimedEffect = EffectOf<'bar-attempt'>;
+export type FetchAnswerEffect = EffectOf<'fetch-answer'>;
 export type CancelEffect = EffectOf<'cancel'>;
 
 /** What the relay needs. */
@@ -17,6 +19,8 @@
   /** Incarnation of this router. */
   incarnation: string;
   clock(): number;
+  /** Wall-clock time in milliseconds. */
+  wallClock(): number;
   dispatch(event: RouterProcessEvent): void;
   /** The caller's request, while the router holds it. */
   held(request: string): HeldRequest | undefined;
@@ -28,5 +32,9 @@
   resume(effect: ResumeEffect): Promise<void>;
   askOutcome(effect: AskEffect): Promise<void>;
   cancel(effect: CancelEffect): Promise<void>;
+  /** Asks what became of an earlier attempt with a request's idempotency key. */
+  askClaimed(effect: AskClaimedEffect): Promise<void>;
+  /** Fetches the answer of such an attempt. */
+  fetchAnswer(effect: FetchAnswerEffect): Promise<void>;
   close(): Promise<void>;
 }
--- a/packages/router/src/router-effects.ts
+++ b/packages/router/src/router-effects.ts
@@ -5,6 +5,7 @@
 
 import { breakAnswer, sendError } from './callers/errors.js';
 import { createDirectory } from './directory/directory.js';
+import { sendRecorded } from './relay/recorded-answer.js';
 import type { RouterParts } from './types.js';
 
 /** What the effect handlers need. */
@@ -30,6 +31,19 @@
     resume: (effect) => parts.relay.resume(effect),
     'ask-outcome': (effect) => parts.relay.askOutcome(effect),
     cancel: (effect) => parts.relay.cancel(effect),
+    'store-read': (effect) => parts.claims.run(effect),
+    'store-create': (effect) => parts.claims.run(effect),
+    'store-update': (effect) => parts.claims.run(effect),
+    'store-remove': (effect) => parts.claims.remove(effect),
+    'bar-attempt': (effect) => parts.relay.askClaimed(effect),
+    'fetch-answer': (effect) => parts.relay.fetchAnswer(effect),
+    answer({ request, answer }) {
+      const repeat = parts.heldRequests.get(request);
+      if (repeat) sendRecorded(repeat, answer);
+    },
+    forget({ request }) {
+      parts.heldRequests.delete(request);
+    },
     refuse({ request, code, ran, retryAfterMs }) {
       const refused = parts.heldRequests.get(request);
       if (!refused) return;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -35,6 +35,7 @@
 
 import { createCallerApp } from './callers/caller-app.js';
 import type { HeldRequest } from './callers/types.js';
+import { createClaims } from './claims/claims.js';
 import { createDirectory } from './directory/directory.js';
 import { registerRouterMetrics } from './metrics.js';
 import { createRelay } from './relay/relay.js';
@@ -79,6 +80,7 @@
     directory: { create: () => ({ now: createDirectory(EMPTY_CONFIG) }) },
     stopped: { create: createSignal },
     relay: relayPart(ctx),
+    claims: claimsPart(ctx),
     loop: loopPart(ctx, hasher),
     metrics: {
       create: ({ loop }) => registerRouterMetrics(registry, () => loop.state().router),
@@ -114,6 +116,7 @@
         token: attemptToken(settings.link.fleetKey),
         incarnation,
         clock,
+        wallClock: Date.now,
         dispatch: (event) => parts.loop.dispatch(event),
         held: (request) => parts.heldRequests.get(request),
       }),
@@ -121,6 +124,18 @@
   };
 }
 
+function claimsPart({ settings, clock }: RouterContext): RouterPart<'claims'> {
+  return {
+    create: (parts) =>
+      createClaims({
+        url: settings.platform.url,
+        clock,
+        wallClock: Date.now,
+        dispatch: (event) => parts.loop.dispatch(event),
+      }),
+  };
+}
+
 function loopPart(ctx: RouterContext, hasher: Hasher): RouterPart<'loop'> {
   const { settings, incarnation, clock, logger } = ctx;
   const { policy, demandPeriodMs, exchangePeriodMs } = settings.fairness;
@@ -195,6 +210,7 @@
         directory: () => parts.directory.now,
         dispatch: parts.loop.dispatch,
         clock,
+        wallClock: Date.now,
         random: Math.random,
         hold: (request) => holdRequest(parts, request),
         maxBodyBytes,
@@ -205,11 +221,11 @@
   };
 }
 
-/** Keeps the request until its connection to the caller has ended. */
+/** Keeps the request until its connection to the caller has ended; one with an idempotency key, until the reducer is done with it. */
 function holdRequest({ heldRequests, metrics }: RouterParts, held: HeldRequest): void {
   heldRequests.set(held.request, held);
   held.res.once('close', () => {
-    heldRequests.delete(held.request);
+    if (!held.keyed) heldRequests.delete(held.request);
     metrics.answered(held.res.statusCode);
   });
 }
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -12,6 +12,7 @@
 import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
 
 import type { HeldRequest } from './callers/types.js';
+import type { Claims } from './claims/claims.js';
 import type { Directory } from './directory/types.js';
 import type { RouterMetrics } from './metrics.js';
 import type { Relay } from './relay/types.js';
@@ -32,6 +33,8 @@
   directory: CurrentDirectory;
   stopped: Signal;
   relay: Relay;
+  /** Calls to the object service for claims of idempotency keys. */
+  claims: Claims;
   loop: Loop<RouterProcessState, RouterProcessEvent>;
   metrics: RouterMetrics;
   linkFeed: LinkFeed;
