Send less demand: three sidecars at once, the rest within 250 ms; heartbeats every 2 s, exchange every 500 ms

Change: an arrival tells three sidecars that know of no demand here, or one that does; the others hear within 250 ms.

--- a/packages/bench/src/run/summarise.ts
+++ b/packages/bench/src/run/summarise.ts
@@ -27,7 +27,7 @@
 /** Time after which a draining backend server must get no new work. */
 const DRAIN_NEWS_MS = 2000;
 
-const DEFAULT_EXCHANGE_PERIOD_MS = 250;
+const DEFAULT_EXCHANGE_PERIOD_MS = 500;
 
 /** Added first-token time that the target allows; a request this long on its way does not wait. */
 const TRANSIT_ALLOWANCE_MS = 5;
--- a/packages/core/src/process/router-process.ts
+++ b/packages/core/src/process/router-process.ts
@@ -21,7 +21,7 @@
 /** Account buckets of the exchange; the same on every router. */
 export const EXCHANGE_BUCKETS = 64;
 
-const DEFAULT_EXCHANGE_PERIOD_MS = 250;
+const DEFAULT_EXCHANGE_PERIOD_MS = 500;
 
 type EventOf<K extends FleetEvent['kind']> = Extract<FleetEvent, { kind: K }>;
 type FleetHandlers = {
--- a/packages/core/src/process/types.ts
+++ b/packages/core/src/process/types.ts
@@ -68,7 +68,7 @@
 export interface RouterProcessOptions {
   self: ProcessSelf;
   router?: Partial<RouterOptions>;
-  /** Period of the exchange of service totals. @default 250 */
+  /** Period of the exchange of service totals. @default 500 */
   exchangePeriodMs?: number;
   nowMs: number;
 }
--- a/packages/core/src/router/demand.ts
+++ b/packages/core/src/router/demand.ts
@@ -7,14 +7,47 @@
 /** Virtual times that differ by less than this part of the head's cost are not worth a message. */
 const WORTHWHILE_PART = 1;
 
-/** Sends to the sidecars of a pool which accounts began to wait, or wait unknown to the sidecar. */
+/**
+ * Sidecars without any demand from here that are told at once of an account that began to wait. One grant serves the request, so
+ * telling all at once would have most of their grants declined.
+ */
+const URGENT_FAN_OUT = 3;
+
+/** Longest time until every sidecar knows of an account that waits, in milliseconds. */
+const UNTOLD_PERIOD_MS = 250;
+
+/**
+ * Tells a few sidecars of the pool, in turn, of an account that began to wait: those that know of no demand here, or else one, so
+ * that an account of least virtual time need not wait for the next refresh.
+ */
 export function sendUrgentDemand(state: RouterState, pool: string, nowMs: number): RouterEffect[] {
-  const effects: RouterEffect[] = [];
-  state.sidecars.forEach((sidecar) => {
-    if (sidecar.pool !== pool || sidecar.leaving) return;
-    if (isUrgent(state, sidecar)) effects.push(...sendDemand(state, sidecar, nowMs));
-  });
-  return effects;
+  const uninformed = uninformedSidecars(state).filter((sidecar) => sidecar.pool === pool);
+  const unaware = uninformed.filter((sidecar) => !knowsOfDemand(sidecar));
+  const chosen = unaware.length > 0 ? unaware : uninformed;
+  const fanOut = Math.min(unaware.length > 0 ? URGENT_FAN_OUT : 1, chosen.length);
+  const first = state.nextFanOut;
+  state.nextFanOut += fanOut;
+  return Array.from({ length: fanOut }, (_, i) => chosen[(first + i) % chosen.length]).flatMap(
+    (sidecar) => sendDemand(state, sidecar as SidecarView, nowMs),
+  );
+}
+
+/** Tells every sidecar of accounts that have waited unknown to it. */
+export function sendUntoldDemand(state: RouterState, nowMs: number): RouterEffect[] {
+  return uninformedSidecars(state)
+    .filter((sidecar) => nowMs - sidecar.lastDemandMs >= UNTOLD_PERIOD_MS)
+    .flatMap((sidecar) => sendDemand(state, sidecar, nowMs));
+}
+
+function uninformedSidecars(state: RouterState): SidecarView[] {
+  return [...state.sidecars.values()].filter(
+    (sidecar) => !sidecar.leaving && isUninformed(state, sidecar),
+  );
+}
+
+/** Whether the sidecar believes that requests wait here. */
+function knowsOfDemand({ sent }: SidecarView): boolean {
+  return [...sent.values()].some(({ waiting }) => waiting > 0);
 }
 
 /** Sends what has changed to each sidecar whose last demand message is a period old. */
@@ -33,7 +66,7 @@
   sidecar: SidecarView,
   nowMs: number,
 ): RouterEffect[] {
-  return isUrgent(state, sidecar) ? sendDemand(state, sidecar, nowMs) : [];
+  return knowsOfDemand(sidecar) ? [] : sendDemand(state, sidecar, nowMs);
 }
 
 /** Keeps the picture of what the sidecar believes in step with its own grants. */
@@ -44,7 +77,8 @@
   sent.virtualTimeMs += addedMs;
 }
 
-function isUrgent(state: RouterState, sidecar: SidecarView): boolean {
+/** Whether an account waits of which the sidecar does not know, or believes that all its requests were granted. */
+function isUninformed(state: RouterState, sidecar: SidecarView): boolean {
   const accounts = [...poolQueue(state, sidecar.pool).accounts.keys()];
   return accounts.some((account) => (sidecar.sent.get(account)?.waiting ?? 0) <= 0);
 }
--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -22,7 +22,7 @@
   requeueNotRun,
   startAsking,
 } from './attempts.js';
-import { refreshDemand, sendUrgentDemand } from './demand.js';
+import { refreshDemand, sendUntoldDemand, sendUrgentDemand } from './demand.js';
 import { pushAtRandom, useCredits, useGrant } from './dispatching.js';
 import { dequeue, enqueue, waitingCount } from './queues.js';
 import { RefusalCode, RequestState } from './types.js';
@@ -75,6 +75,7 @@
     ledger: createLedger({ lagBoundMs: filled.lagBoundMs }),
     estimator: createCostEstimator(),
     nextAttempt: 1,
+    nextFanOut: 0,
     retryBudget: MAX_RETRY_BUDGET,
     stopping: false,
   };
@@ -220,6 +221,7 @@
     chargeOverruns(state, nowMs);
     const effects = expireWaiting(state, nowMs);
     effects.push(...askAgain(state, nowMs));
+    effects.push(...sendUntoldDemand(state, nowMs));
     effects.push(...refreshDemand(state, nowMs));
     return effects;
   },
--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -121,6 +121,8 @@
   ledger: Ledger;
   estimator: CostEstimator;
   nextAttempt: number;
+  /** Turn of the sidecars that are told first of new demand. */
+  nextFanOut: number;
   /** Retries that the router may still make; grows with requests. */
   retryBudget: number;
   stopping: boolean;
--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -111,9 +111,9 @@
   maxMessageBytes?: number;
   /** Unsent bytes beyond which a peer counts as not reading. @default 16777216 */
   maxBufferedBytes?: number;
-  /** Time between pings. @default 1000 */
+  /** Time between pings. @default 2000 */
   heartbeatMs?: number;
-  /** Time without any traffic after which the peer counts as gone. @default 3000 */
+  /** Time without any traffic after which the peer counts as gone. @default 6000 */
   deadAfterMs?: number;
   /** Longest time for connection and handshake. @default 5000 */
   handshakeTimeoutMs?: number;
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -25,7 +25,7 @@
       .number()
       .int()
       .positive()
-      .default(250)
+      .default(500)
       .describe('period of the exchange of service totals between routers'),
     demand_period_ms: z
       .number()
