--- a/packages/platform/src/config-log.ts
+++ b/packages/platform/src/config-log.ts
@@ -17,8 +17,8 @@
 export const SNAPSHOT_KEY = 'config/current';
 export const HISTORY_PREFIX = 'config/history/';
 
-/** Log entries read at once. */
-const READ_BATCH = 8;
+/** Log entries read at once at most. */
+const MAX_READ_BATCH = 8;
 const GZIP_MAGIC = [0x1f, 0x8b] as const;
 /** Largest document after decompression. */
 const MAX_DOCUMENT_BYTES = 64 * 1024 * 1024;
@@ -45,6 +45,12 @@
 
 export const historyKey = (version: number): string => `${HISTORY_PREFIX}${version}`;
 
+/** Version that a key of the log stands for; undefined for another key. */
+export const versionOfKey = (key: string): number | undefined => {
+  const suffix = key.startsWith(HISTORY_PREFIX) ? key.slice(HISTORY_PREFIX.length) : '';
+  return /^[1-9]\d*$/.test(suffix) ? Number(suffix) : undefined;
+};
+
 export const encodeEntry = (entry: HistoryEntry): Uint8Array =>
   encoder.encode(JSON.stringify(entry));
 
@@ -100,7 +106,8 @@
 };
 
 /**
- * Reads the log after `version`, at most `limit` entries. The next entry is asked for alone first, as mostly there is none.
+ * Reads the log after `version`, at most `limit` entries. The next entry is asked for alone first, as mostly there is none; then more and more
+ * at once.
  */
 export const readEntries = async (
   objects: ObjectClient,
@@ -116,7 +123,7 @@
     if (!read.ok) return read;
     entries.push(...read.entries);
     if (read.entries.length < to - from + 1) break;
-    batch = READ_BATCH;
+    batch = Math.min(2 * batch, MAX_READ_BATCH);
   }
   return { ok: true, entries };
 };
--- a/packages/platform/src/config-reader.ts
+++ b/packages/platform/src/config-reader.ts
@@ -12,7 +12,8 @@
 /** Reads the configuration; the methods are those of the store. */
 export interface ConfigReader {
   load(): Promise<LoadOutcome>;
-  readSince(version: number): Promise<ChangesOutcome>;
+  /** Reads what follows `version`, up to `to` where the caller knows that those versions exist. */
+  readSince(version: number, to?: number): Promise<ChangesOutcome>;
   history(range: { from: number; to: number }): Promise<HistoryOutcome>;
   loadVersion(version: number): Promise<LoadOutcome | { ok: false; code: 'not-found' }>;
   /** Keeps a configuration that is known to be accepted, if it is newer than the one kept. */
@@ -61,8 +62,9 @@
     return applied;
   };
 
-  const readSince = async (version: number): Promise<ChangesOutcome> => {
-    const read = await readEntries(objects, version, MAX_PATCHES_READ);
+  const readSince: ConfigReader['readSince'] = async (version, to = Infinity) => {
+    const limit = Math.min(MAX_PATCHES_READ, Math.max(0, to - version));
+    const read = await readEntries(objects, version, limit);
     if (!read.ok) return read;
     if (read.entries.length < MAX_PATCHES_READ) {
       return { ok: true, kind: 'patches', patches: read.entries.map(toAccepted) };
--- a/packages/platform/src/config-store.ts
+++ b/packages/platform/src/config-store.ts
@@ -18,7 +18,7 @@
   const reader = createConfigReader(objects);
   return {
     load: reader.load,
-    readSince: reader.readSince,
+    readSince: (version) => reader.readSince(version),
     history: reader.history,
     loadVersion: reader.loadVersion,
     commit: createCommitter({ objects, reader, now, retryDelayMs, writeAttempts }),
--- a/packages/platform/src/config-watcher.ts
+++ b/packages/platform/src/config-watcher.ts
@@ -1,5 +1,5 @@
 /** Waiting for new versions of the configuration. */
-import { HISTORY_PREFIX, SNAPSHOT_KEY } from './config-log.js';
+import { HISTORY_PREFIX, SNAPSHOT_KEY, versionOfKey } from './config-log.js';
 import type { LogFailure } from './config-log.js';
 import type { ConfigReader } from './config-reader.js';
 import type { ChangesOutcome, WatchConfigRequest } from './config-types.js';
@@ -16,8 +16,12 @@
     return listed.ok ? listed.version : listed;
   };
 
-  const readAfter = async (version: number, nextCursor: number): Promise<ChangesOutcome> => {
-    const changes = await reader.readSince(version);
+  const readAfter = async (
+    version: number,
+    nextCursor: number,
+    to?: number,
+  ): Promise<ChangesOutcome> => {
+    const changes = await reader.readSince(version, to);
     // After a failed read the events are spent, so the next watch has to start afresh.
     cursor = changes.ok ? nextCursor : undefined;
     return changes;
@@ -39,7 +43,8 @@
       return watched.code === 'expired' ? reader.readSince(version) : watched;
     }
     cursor = watched.version;
-    if (watched.events.length === 0) return { ok: true, kind: 'patches', patches: [] };
-    return readAfter(version, watched.version);
+    const newest = Math.max(0, ...watched.events.map(({ key }) => versionOfKey(key) ?? 0));
+    if (newest <= version) return { ok: true, kind: 'patches', patches: [] };
+    return readAfter(version, watched.version, newest);
   };
 };
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,7 +2,6 @@
 export * from './claim-store.js';
 export { digestKey } from './config-committer.js';
 export { encodeSnapshot } from './config-log.js';
-export * from './config-poll.js';
 export * from './config-store.js';
 export * from './config-types.js';
 export * from './instance-client.js';
--- a/packages/platform/test/config/config-store.test.ts
+++ b/packages/platform/test/config/config-store.test.ts
@@ -176,6 +176,8 @@
   const waiting = watcher.watch({ version: 2, timeoutMs: 5000 });
   await store.commit(addAccount('third', 2));
   const second = await waiting;
+  // A watcher that was woken reads the new entry and does not look for another.
+  assert.equal(service.calls.includes('GET /v1/objects/config/history/4'), false);
   assert.equal(second.ok && second.kind === 'patches' && second.patches[0]?.version, 3);
   const idle = await watcher.watch({ version: 3, timeoutMs: 10 });
   assert.deepEqual(idle, { ok: true, kind: 'patches', patches: [] });
--- a/packages/platform/test/config/config-poll.test.ts
+++ b/packages/platform/test/config/config-watcher.test.ts
@@ -4,7 +4,7 @@
 import { createConfigReducer, createConfigState, createHasher } from '@kingcupsill/core';
 import type { ConfigEffect, ConfigEvent } from '@kingcupsill/core';
 
-import { createConfigStore, createObjectClient, runConfigPoll } from '../../src/index.js';
+import { createConfigStore, createObjectClient } from '../../src/index.js';
 import { startFakeObjectService } from '../support/fake-object-service.js';
 import type { FakeObjectService } from '../support/fake-object-service.js';
 
@@ -27,8 +27,15 @@
   const run = async (effect: ConfigEffect): Promise<ConfigEvent[]> => {
     if (effect.kind === 'config-in-force') seen.push(effect.config.version);
     if (effect.kind !== 'poll-store' || aborter.signal.aborted) return [];
-    const answer = await runConfigPoll(ownStore, effect, aborter.signal);
-    return [{ ...answer, nowMs: 1 }];
+    const { signal } = aborter;
+    const { mode, version, timeoutMs } = effect;
+    const outcome =
+      mode === 'load'
+        ? await ownStore.load()
+        : await ownStore.watch({ version, timeoutMs, signal });
+    if (!outcome.ok) return [{ kind: 'store-failed', nowMs: 1 }];
+    if ('config' in outcome) return [{ kind: 'config-loaded', nowMs: 1, config: outcome.config }];
+    return [{ kind: 'patches-loaded', nowMs: 1, patches: outcome.patches }];
   };
   const follow = async (events: ConfigEvent[]): Promise<void> => {
     for (const event of events) {
