--- a/packages/platform/src/config-committer.ts
+++ b/packages/platform/src/config-committer.ts
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { applyPatch, createMergePatch, findOperator } from '@kingcupsill/core';
-import type { FleetConfig, HistoryEntry, PatchOutcome } from '@kingcupsill/core';
+import type { ConfigProblem, FleetConfig, HistoryEntry, PatchOutcome } from '@kingcupsill/core';
 
 import { SNAPSHOT_KEY, encodeEntry, encodeSnapshot, historyKey, readEntry } from './config-log.js';
 import type { ConfigReader } from './config-reader.js';
@@ -26,6 +26,12 @@
   writeAttempts: number;
 }
 
+const invalidPatch = (message: string): CommitOutcome => ({
+  ok: false,
+  code: 'invalid',
+  problems: [{ path: '', message }],
+});
+
 type Accepted = Extract<PatchOutcome, { ok: true }>;
 
 /** Lower-case hex SHA-256 digest of a key, as the configuration lists it. */
@@ -53,10 +59,16 @@
   ...circumstances,
 });
 
-const writeSnapshot = async (objects: ObjectClient, config: FleetConfig): Promise<void> => {
+/** Writes the snapshot when it is due; returns a remark when it cannot be kept any more. */
+const writeSnapshot = async (
+  objects: ObjectClient,
+  config: FleetConfig,
+): Promise<ConfigProblem[]> => {
   // An older snapshot in its place would only make readers fetch more of the log, so the write needs no condition or retry.
-  if (config.version % SNAPSHOT_INTERVAL !== 0) return;
-  await objects.put(SNAPSHOT_KEY, await encodeSnapshot(config));
+  if (config.version % SNAPSHOT_INTERVAL !== 0) return [];
+  const put = await objects.put(SNAPSHOT_KEY, await encodeSnapshot(config));
+  if (put.ok || put.code !== 'rejected') return [];
+  return [{ path: '', message: `the snapshot was not written: ${put.message}` }];
 };
 
 /** Creates the function that commits patches. */
@@ -115,9 +127,9 @@
     const entry = createEntry(config, applied.config, request, { author, time });
     const put = await writeEntry(entry);
     if (!put.ok && put.code === 'conflict') return resolveConflict(entry, applied);
-    if (!put.ok) return put.code === 'rejected' ? { ...put, code: 'unavailable' } : put;
+    if (!put.ok) return put.code === 'rejected' ? invalidPatch(put.message) : put;
     reader.remember(applied.config);
-    await writeSnapshot(objects, applied.config);
-    return applied;
+    const remarks = await writeSnapshot(objects, applied.config);
+    return { ...applied, warnings: [...applied.warnings, ...remarks] };
   };
 };
--- a/packages/platform/test/config/config-store.test.ts
+++ b/packages/platform/test/config/config-store.test.ts
@@ -201,3 +201,20 @@
   const loaded = await openStore().load();
   assert.equal(loaded.ok ? 'ok' : loaded.code, 'corrupt');
 });
+
+test('a patch or a snapshot above the size limit is said to be', async () => {
+  const objects = createObjectClient({ url: service.url, timeoutMs: 500 });
+  const limited = (key: string) =>
+    createConfigStore({
+      objects: {
+        ...objects,
+        put: (name, body, condition) =>
+          objects.put(name, name === key ? new Uint8Array(2 ** 20 + 1) : body, condition),
+      },
+    });
+  const refused = await limited('config/history/1').commit(addAccount('first', 0));
+  assert.equal(refused.ok ? 'ok' : refused.code, 'invalid');
+  await commitMany(15);
+  const last = await limited('config/current').commit(addAccount('last', 15));
+  assert.match(JSON.stringify(last.ok && last.warnings), /the snapshot was not written/);
+});
--- a/packages/platform/test/measure/config-size.ts
+++ b/packages/platform/test/measure/config-size.ts
@@ -67,7 +67,7 @@
 
 const [accounts = 4000, backends = 6400] = process.argv.slice(2).map(Number);
 const config = createConfig(accounts, backends);
-const patch = { accounts: { 'account-17': { share: 9 } } };
+const patch = { accounts: { 'account-1': { share: 9 } } };
 const request = { id: 'p', baseVersion: 0, patch, author: 'root', reason: 'measure' };
 const applied = applyPatch(config, request);
 if (!applied.ok) throw new Error(JSON.stringify(applied));
