Let status read the state that processes already show

Status asked for a route of its own that no process serves. It now takes version, role and id from /debug/state, which routers and sidecars have.

--- a/packages/cli/src/operations/status.ts
+++ b/packages/cli/src/operations/status.ts
@@ -1,7 +1,6 @@
 /** Which processes have which version of the configuration in force. */
-import { processConfigStatusSchema } from '@kingcupsill/core';
-import type { ProcessConfigStatus } from '@kingcupsill/core';
 import type { ConfigStore, InstanceClient } from '@kingcupsill/platform';
+import { z } from 'zod';
 
 import { ExitCode, fail, succeed } from '../outcome.js';
 import type { CommandOutcome } from '../outcome.js';
@@ -11,6 +10,20 @@
 /** Calls to processes under way at once. */
 const CONCURRENT_CALLS = 32;
 
+/** What this command reads of a process's state. */
+const processStateSchema = z.object({
+  /** See `configStatus` of the core package. */
+  status: z.object({
+    version: z.number().int(),
+    inForceForMs: z.number(),
+    newestVersion: z.number().int(),
+    behindForMs: z.number(),
+    isWatcher: z.boolean(),
+    storeAnsweredAgoMs: z.number().optional(),
+  }),
+  config: z.object({ self: z.object({ id: z.string(), role: z.string() }) }),
+});
+
 export interface StatusOptions {
   /** Admin addresses; without any, those of the instance list with `adminPort`. */
   addresses: string[];
@@ -28,7 +41,9 @@
 interface ReachedProcess {
   address: string;
   reachable: true;
-  status: ProcessConfigStatus;
+  id: string;
+  role: string;
+  config: z.infer<typeof processStateSchema>['status'];
 }
 
 interface SilentProcess {
@@ -60,11 +75,14 @@
 };
 
 const askProcess = async (address: string, token: string | undefined): Promise<AskedProcess> => {
-  const answer = await fetchAdmin({ address, token }, '/config/status');
+  const answer = await fetchAdmin({ address, token }, '/debug/state');
   if (!answer.ok) return { address, reachable: false, message: answer.message };
-  const parsed = processConfigStatusSchema.safeParse(answer.body);
-  if (parsed.success) return { address, reachable: true, status: parsed.data };
-  return { address, reachable: false, message: 'the answer is not a status' };
+  const parsed = processStateSchema.safeParse(answer.body);
+  if (!parsed.success) {
+    return { address, reachable: false, message: 'the answer is not the state of a process' };
+  }
+  const { status, config } = parsed.data;
+  return { address, reachable: true, id: config.self.id, role: config.self.role, config: status };
 };
 
 const askAll = async (addresses: string[], token: string | undefined): Promise<AskedProcess[]> => {
@@ -77,20 +95,20 @@
 };
 
 const newestKnown = (asked: AskedProcess): number =>
-  asked.reachable ? Math.max(asked.status.config.version, asked.status.config.newestVersion) : 0;
+  asked.reachable ? Math.max(asked.config.version, asked.config.newestVersion) : 0;
 
 const toRow = (asked: AskedProcess, newestVersion: number): ProcessRow =>
-  asked.reachable ? { ...asked, behind: newestVersion - asked.status.config.version } : asked;
+  asked.reachable ? { ...asked, behind: newestVersion - asked.config.version } : asked;
 
 const describeRow = (row: ProcessRow): string => {
   if (!row.reachable) return `${row.address}  not reachable: ${row.message}`;
-  const { id, role, zone, config } = row.status;
+  const { id, role, config } = row;
   const seconds = (ms: number) => `${(ms / 1000).toFixed(1)} s`;
   const state =
     row.behind === 0
       ? `in force for ${seconds(config.inForceForMs)}`
       : `behind by ${row.behind}, known for ${seconds(config.behindForMs)}`;
-  return `${id}  ${role}  ${zone}  version ${config.version}  ${state}`;
+  return `${id}  ${role}  version ${config.version}  ${state}`;
 };
 
 interface FleetStatus {
