Do not ask a sidecar to bar the attempt of an old claim

A repeat that came later, of a request whose router died before it recorded the answer, would have had a finished attempt barred and run it again. From 60 s on the claim's sidecar is asked for the kept answer only.

--- a/packages/core/src/claims/claim-reducer.ts
+++ b/packages/core/src/claims/claim-reducer.ts
@@ -25,6 +25,11 @@
 export const CLAIM_LIFETIME_MS = 24 * 60 * 60 * 1000;
 /** Age below which a claim counts as in progress without asking its sidecar, as that would bar an attempt about to be sent. */
 export const CLAIM_GRACE_MS = 2_000;
+/**
+ * Age from which a sidecar is no longer asked to bar an attempt, only for its answer. Its journal forgets ended attempts after a while, and would
+ * then bar, as one that never came, an attempt that has run; so this stays well below the journal's time, see `journalKeepMs`.
+ */
+export const CLAIM_ASK_LIMIT_MS = 60_000;
 /** Writes of one claim, or of one answer, at most. */
 export const MAX_CLAIM_WRITES = 3;
 
@@ -97,6 +102,14 @@
   ctx.effects.push({ kind: 'answer', answer: claim.answer });
 };
 
+const isBeyondAsking = ({ nowMs }: Context, claim: Claim): boolean =>
+  nowMs - claim.claimedAtMs > CLAIM_ASK_LIMIT_MS;
+
+const fetchAnswer = (ctx: Context, claim: Claim): void => {
+  enter(ctx, ClaimPhase.Fetching);
+  ctx.effects.push({ kind: 'fetch-answer', target: targetOf(claim) });
+};
+
 /** Decides on a claim that is not of this request's own current attempt. */
 const considerClaim = (ctx: Context, claim: Claim): void => {
   if (claim.expiresAtMs <= ctx.nowMs) awaitSlot(ctx);
@@ -104,6 +117,8 @@
   else if (claim.state === ClaimStatus.Recorded) answerRecorded(ctx, claim);
   else if (ctx.nowMs - claim.claimedAtMs < CLAIM_GRACE_MS) {
     refuse(ctx, Refusal.InProgress, 'unknown');
+  } else if (isBeyondAsking(ctx, claim)) {
+    fetchAnswer(ctx, claim);
   } else {
     enter(ctx, ClaimPhase.Barring);
     ctx.effects.push({ kind: 'bar-attempt', target: targetOf(claim) });
@@ -210,10 +225,7 @@
 
 const askHandlers: Record<ClaimedAttemptState, (ctx: Context, claim: Claim) => void> = {
   running: (ctx) => refuse(ctx, Refusal.InProgress, 'unknown'),
-  finished: (ctx, claim) => {
-    enter(ctx, ClaimPhase.Fetching);
-    ctx.effects.push({ kind: 'fetch-answer', target: targetOf(claim) });
-  },
+  finished: fetchAnswer,
   barred: awaitSlot,
   'unknown-outcome': (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
   unreachable: (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
@@ -259,7 +271,8 @@
     const { phase, claim } = ctx.state;
     if (phase !== ClaimPhase.Fetching || claim === undefined) return;
     if (answer === undefined) {
-      refuse(ctx, Refusal.AnswerNotKept, 'unknown');
+      const code = isBeyondAsking(ctx, claim) ? Refusal.OutcomeUnknown : Refusal.AnswerNotKept;
+      refuse(ctx, code, 'unknown');
       return;
     }
     ctx.effects.push({ kind: 'answer', answer });
--- a/packages/core/test/claims/claim-reducer.test.ts
+++ b/packages/core/test/claims/claim-reducer.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 
 import {
+  CLAIM_ASK_LIMIT_MS,
   CLAIM_GRACE_MS,
   CLAIM_LIFETIME_MS,
   claimReducer,
@@ -89,6 +90,14 @@
   assert.deepEqual(kinds(run(found({}))), ['bar-attempt']);
 });
 
+test('the sidecar of an old claim is asked for the answer only, as its journal may have forgotten', () => {
+  const old = found({ claimedAtMs: NOW_MS - CLAIM_ASK_LIMIT_MS - 1 });
+  assert.deepEqual(kinds(run(old)), ['fetch-answer']);
+  const none: ClaimEvent = { kind: 'answer-fetched', nowMs: NOW_MS };
+  assert.deepEqual(run(old, none), [{ kind: 'refuse', code: 'outcome_unknown', ran: 'unknown' }]);
+  assert.deepEqual(kinds(run(old, { ...none, answer })), ['answer', 'store-update']);
+});
+
 test('only a barred attempt is replaced, by a write on the version that was read', () => {
   const asked = (
     outcome: 'barred' | 'running' | 'unknown-outcome' | 'unreachable',
