--- a/packages/cli/src/operations/accounts.ts
+++ b/packages/cli/src/operations/accounts.ts
@@ -53,16 +53,18 @@
   });
 
 /** Changes fields of a client account. */
-export const setAccount = (
+export const setAccount = async (
   ctx: FleetContext,
   options: AccountOptions & { fields: AccountFields },
-): Promise<CommandOutcome> =>
-  changeConfig(ctx, options, (config) =>
-    withAccount(config, options.account, () => ({
-      ok: true,
-      patch: { accounts: { [options.account]: options.fields } },
-    })),
+): Promise<CommandOutcome> => {
+  const { account, fields } = options;
+  if (Object.values(fields).every((value) => value === undefined)) {
+    return fail(ExitCode.Usage, 'nothing_to_set', 'name at least one field to change');
+  }
+  return changeConfig(ctx, options, (config) =>
+    withAccount(config, account, () => ({ ok: true, patch: { accounts: { [account]: fields } } })),
   );
+};
 
 /** Removes a client account. */
 export const removeAccount = (
--- a/packages/cli/test/operations/operations.test.ts
+++ b/packages/cli/test/operations/operations.test.ts
@@ -42,6 +42,7 @@
   assert.equal((await addSchool()).exitCode, 1);
   const set = await setAccount(ctx, { ...school, fields: { share: 2.5, services: undefined } });
   assert.equal(set.exitCode, 0, set.lines.join());
+  assert.equal((await setAccount(ctx, { ...school, fields: {} })).exitCode, 2);
   const rotated = (await rotateAccountKey(ctx, { ...school, keepOld: true })).data;
   const keyHashes = [digestKey(String(key)), digestKey(String(rotated.key))];
   const expected = { share: 2.5, services: ['batches'], keyHashes };
--- a/packages/platform/test/config/config-store.test.ts
+++ b/packages/platform/test/config/config-store.test.ts
@@ -195,6 +195,23 @@
   assert.equal(changes.ok && changes.kind === 'patches' && changes.patches.length, 1);
 });
 
+test('a watch from a version that the service has forgotten reads what it missed', async () => {
+  const objects = createObjectClient({ url: service.url, timeoutMs: 500 });
+  let forgets = false;
+  const watcher = createConfigStore({
+    objects: {
+      ...objects,
+      watch: (watched) =>
+        forgets ? Promise.resolve({ ok: false, code: 'expired' }) : objects.watch(watched),
+    },
+  });
+  await watcher.watch({ version: 0, timeoutMs: 1 });
+  await commitMany(1);
+  forgets = true;
+  const missed = await watcher.watch({ version: 0, timeoutMs: 5000 });
+  assert.equal(missed.ok && missed.kind === 'patches' && missed.patches.length, 1);
+});
+
 test('a log entry that is not one is reported, not skipped', async () => {
   await commitMany(1);
   service.objects.set('config/history/2', { version: 99, body: Buffer.from('{}') });
