--- a/packages/core/src/fairness/exchange-home.ts
+++ b/packages/core/src/fairness/exchange-home.ts
@@ -58,7 +58,7 @@
 function cellOf(record: HomeRecord, writer: string): Cell {
   let cell = record.cells.get(writer);
   if (cell === undefined) {
-    cell = { key: record, writer, totals: zeroTotals(), waiting: false };
+    cell = { key: record, writer, totals: zeroTotals(), announced: false, waiting: false };
     record.cells.set(writer, cell);
   }
   return cell;
@@ -114,10 +114,26 @@
   return changed;
 }
 
-/** Queues a cell for the other routers that keep the account's totals. */
+/** Whether a peer is told of changes: a backup, the home of this zone, or one that told of its own cell. */
+function isTold(state: ExchangeState, record: HomeRecord, id: string): boolean {
+  const { topology, options, peers } = state;
+  if (topology.backups[record.bucket]?.has(id) === true) return true;
+  if (topology.routers.get(id)?.zone === options.self.zone) return true;
+  const run = peers.get(id)?.run;
+  return run !== undefined && record.cells.has(writerName(id, run));
+}
+
+/**
+ * Queues a cell for the other routers that keep the account's totals. This run's own cell goes to all of them the first time,
+ * and then to those that use the account or are backups.
+ */
 export function markCell(state: ExchangeState, cell: Cell, except?: string): void {
+  const own = cell.writer === writerName(state.options.self.id, state.run);
+  const toAll = own && !cell.announced;
+  cell.announced = true;
   state.topology.peers[cell.key.bucket]?.forEach((id) => {
-    if (id !== except) state.peers.get(id)?.outboxes['zone-totals'].dirty.add(cell);
+    if (id === except || !(toAll || isTold(state, cell.key, id))) return;
+    state.peers.get(id)?.outboxes['zone-totals'].dirty.add(cell);
   });
 }
 
--- a/packages/core/src/fairness/exchange-topology.ts
+++ b/packages/core/src/fairness/exchange-topology.ts
@@ -2,6 +2,9 @@
 import { rendezvousWeight } from '../hash/index.js';
 import type { ExchangeOptions, ExchangeRouter, Topology } from './exchange-types.js';
 
+/** Homes of other zones that keep all that is known of a bucket. */
+const HELPERS = 2;
+
 function weightsOf(options: ExchangeOptions, id: string): Uint32Array {
   const { buckets, hasher } = options;
   return Uint32Array.from({ length: buckets }, (_, bucket) =>
@@ -57,6 +60,23 @@
   return [...peers];
 }
 
+function backupsOf(
+  self: string,
+  homes: Map<string, string[]>,
+  second: string | undefined,
+  weights: Map<string, Uint32Array>,
+  bucket: number,
+): Set<string> {
+  const weightOf = (id: string): number => weights.get(id)?.[bucket] ?? 0;
+  const others = [...homes.values()]
+    .map((ids) => ids[bucket] as string)
+    .filter((id) => id !== self)
+    .sort((a, b) => weightOf(b) - weightOf(a));
+  const backups = new Set(others.slice(0, HELPERS));
+  if (second !== undefined && second !== self) backups.add(second);
+  return backups;
+}
+
 /** Works out the homes. Weights of routers that were known before are kept. */
 export function createTopology(
   options: ExchangeOptions,
@@ -82,7 +102,10 @@
   const peers = Array.from({ length: buckets }, (_, bucket) =>
     peersOf(self.id, homes, runnersUp[bucket], bucket),
   );
-  return { routers: live, homes, runnersUp, peers, weights };
+  const backups = Array.from({ length: buckets }, (_, bucket) =>
+    backupsOf(self.id, homes, runnersUp[bucket], weights, bucket),
+  );
+  return { routers: live, homes, runnersUp, peers, backups, weights };
 }
 
 /** Home of the bucket in this router's zone. */
@@ -90,8 +113,6 @@
   return topology.homes.get(options.self.zone)?.[bucket] ?? options.self.id;
 }
 
-const HELPERS = 2;
-
 /**
  * Whether this router tells `peer`, new to the bucket, what former homes counted: every router of the peer's own zone that
  * knows does, and of the other homes the two of highest weight.
--- a/packages/core/src/fairness/exchange-types.ts
+++ b/packages/core/src/fairness/exchange-types.ts
@@ -49,6 +49,8 @@
   runnersUp: (string | undefined)[];
   /** Routers that keep totals of each bucket, without this one: the homes of all zones and this zone's second. */
   peers: string[][];
+  /** Those of the peers that are told everything, whether their zones use the account or not. */
+  backups: Set<string>[];
   /** Rendezvous weight of each router for each bucket. */
   weights: Map<string, Uint32Array>;
 }
@@ -77,6 +79,8 @@
   key: HomeRecord;
   writer: string;
   totals: ServiceTotals;
+  /** Whether all homes were told of this run's own cell, so that they tell it of theirs. */
+  announced: boolean;
   /** Whether requests wait in the writer's zone; false for this run's own cell and when the writer is not live. */
   waiting: boolean;
 }
--- a/packages/core/src/fairness/exchange.ts
+++ b/packages/core/src/fairness/exchange.ts
@@ -156,7 +156,8 @@
 
 function refreshHome(state: ExchangeState, record: HomeRecord, change: RouterChange): void {
   if (refreshLiveness(state, record)) {
-    markCell(state, ownCell(state, record));
+    const own = record.cells.get(writerName(state.options.self.id, state.run));
+    if (own !== undefined) markCell(state, own);
     markSpread(state, record);
   }
   change.newTo(record.bucket).forEach((id) => bringUpToDate(state, record, id));
@@ -250,6 +251,7 @@
   const record = homeRecord(state, entry);
   const isOwn = key.writer === '';
   const name = isOwn ? writerName(peer.id, peer.run as number) : key.writer;
+  const isFirst = !record.cells.has(name);
   let changed = raiseCell(record, name, key.totals);
   if (changed && !isLiveWriter(state, name)) {
     const cell = record.cells.get(name);
@@ -257,6 +259,7 @@
   }
   if (lift !== undefined && mergeLift(entry, lift)) changed = true;
   if (isOwn && setCellWaiting(record, name, waiting)) changed = true;
+  if (isOwn && isFirst) bringUpToDate(state, record, peer.id);
   if (!changed) return;
   markSpread(state, record);
   applyAtHome(state, record);
--- a/packages/core/test/fairness/exchange.test.ts
+++ b/packages/core/test/fairness/exchange.test.ts
@@ -32,7 +32,7 @@
 const ACCOUNTS = ['ann', 'ben', 'cat'];
 /** An account that waits now here, now there. */
 const ROVER = 'rover';
-const MAX_ROUTERS = 12;
+const MAX_ROUTERS = 18;
 
 type Step =
   | { kind: 'charge' | 'refund'; node: number; account: number; ms: number }
@@ -149,7 +149,7 @@
     crash(network, truth, step);
   } else if (step.kind === 'join') {
     if (network.nodes.size === MAX_ROUTERS) return;
-    waitForAll(startNode(network, `router-${network.starts}`, `zone-${step.zone % 3}`));
+    waitForAll(startNode(network, `router-${network.starts}`, `zone-${step.zone % 6}`));
     tellAll(network);
     truth.unsettled = true;
   } else if ('index' in step && messages.length > 0) {
@@ -225,7 +225,7 @@
   return network;
 }
 
-const sizes = fc.array(fc.integer({ min: 1, max: 3 }), { minLength: 1, maxLength: 3 });
+const sizes = fc.array(fc.integer({ min: 1, max: 3 }), { minLength: 1, maxLength: 6, size: 'max' });
 
 test('totals converge to the true sum whatever is lost, late, repeated or reordered', () => {
   const steps = fc.array(fc.oneof(...faultFreeSteps), { maxLength: 150, size: 'max' });
--- a/packages/core/test/measure/exchange-cost.ts
+++ b/packages/core/test/measure/exchange-cost.ts
@@ -1,8 +1,9 @@
 /**
  * Measures the exchange: bytes, messages and processor time per router against the number of routers and accounts. Routers
- * dispatch requests of random accounts; messages are encoded as on the links. Prints one JSON line.
+ * dispatch requests of random accounts; messages are encoded as records, as on the links. Prints one JSON line.
  */
-import { createCodec, ownStructures } from '../../../link/src/codec/create-codec.js';
+import { Packr } from 'msgpackr';
+
 import type { ExchangeMessage, ExchangeState, Ledger } from '../../src/index.js';
 import {
   advancePoolTime,
@@ -13,7 +14,6 @@
   reduceExchange,
   refundService,
   setWaiting,
-  virtualTimeMs,
 } from '../../src/index.js';
 import { numericOptions } from './options.js';
 import type { Random } from './random.js';
@@ -55,7 +55,8 @@
 }
 
 const hasher = await createHasher();
-const codec = createCodec(ownStructures);
+// Records whose key lists are known to both sides, as on the links.
+const packr = new Packr({ structures: [] });
 const random: Random = createRandom(options.seed);
 const poolNames = Array.from({ length: options.pools }, (_, i) => `pool-${i}`);
 
@@ -126,8 +127,8 @@
     const account = node.accounts[zipf()] as string;
     const number = Number(account.slice('account-'.length));
     const pool = poolNames[number % options.pools] as string;
-    const startMs = virtualTimeMs(node.ledger, pool, account, 1);
-    advancePoolTime(node.ledger, pool, startMs);
+    // Start tags advance with time, as they do when the fleet serves fairly.
+    advancePoolTime(node.ledger, pool, tick * options.period);
     chargeService(node.ledger, pool, account, ESTIMATE_MS);
     const endTick = tick + 1 + random.below(Math.ceil((2 * ESTIMATE_MS) / options.period));
     running.push({ node, pool, account, endTick });
@@ -149,8 +150,8 @@
   message: ExchangeMessage;
 }
 
-function count({ from, to, message }: Sent): void {
-  const bytes = codec.encode(message).length;
+function countSent({ from, to, message }: Sent): void {
+  const bytes = packr.pack(message).length;
   from.sentBytes += bytes;
   from.messages += 1;
   if (from.region !== to.region) from.crossRegionBytes += bytes;
@@ -169,7 +170,7 @@
     });
   });
   sent.forEach((envelope) => {
-    count(envelope);
+    countSent(envelope);
     const { from, to, message } = envelope;
     timed(to, () => {
       reduceExchange(to.exchange, { kind: 'message', from: from.id, message });
