--- a/packages/bench/src/measure/types.ts
+++ b/packages/bench/src/measure/types.ts
@@ -51,6 +51,7 @@
   /** Value of `x-bench-request`. */
   id: string;
   backend: string;
+  /** Arrival at the backend server, from which it takes a slot. */
   startMs: number;
   /** End of the run; the time of collection while it still runs. */
   endMs: number;
--- a/packages/bench/src/observe/journals.ts
+++ b/packages/bench/src/observe/journals.ts
@@ -18,7 +18,7 @@
   return entries.flatMap(({ benchRequest, startedAtMs, endedAtMs }) => {
     if (benchRequest === null) return [];
     const endMs = endedAtMs ?? nowMs;
-    // A run that ended in the engine's queue took no slot time.
+    // A request that waits in the engine's own queue uses no slot yet.
     return [{ id: benchRequest, backend: backend.name, startMs: startedAtMs ?? endMs, endMs }];
   });
 }
--- a/packages/bench/src/report/describe.ts
+++ b/packages/bench/src/report/describe.ts
@@ -68,6 +68,8 @@
   return [
     `${summary.scenario}, ${summary.policy}, seed ${summary.seed}, ${summary.routers} routers`,
     ...summaryRows(summary).map(([name, value]) => `  ${name.padEnd(30)} ${value}`),
+    `  idle node: ${formatFigure(details.idle.cpuPercentOfCore)}% of a core, ` +
+      `${formatFigure(details.idle.bytesPerNodePerSecond)} B/s`,
     ...details.pools.map(
       (pool) =>
         `  pool ${pool.pool}: ${pool.slots} slots, gap ${formatFigure(pool.fairnessGapSlotSeconds)} ` +
