--- a/packages/core/src/claims/claim-reducer.ts
+++ b/packages/core/src/claims/claim-reducer.ts
@@ -82,6 +82,12 @@
 
 const dispatch = (ctx: Context, claim: Claim): void => {
   ctx.state.unconfirmed = undefined;
+  // After a long pause the sidecar may have barred the attempt for a repeat, and forgotten that again.
+  if (ctx.nowMs - claim.claimedAtMs >= CLAIM_ASK_LIMIT_MS) {
+    ctx.effects.push({ kind: 'decline-slot', target: targetOf(claim) });
+    awaitSlot(ctx);
+    return;
+  }
   enter(ctx, ClaimPhase.Running);
   ctx.effects.push({ kind: 'dispatch', target: targetOf(claim) });
 };
@@ -226,7 +232,10 @@
 const askHandlers: Record<ClaimedAttemptState, (ctx: Context, claim: Claim) => void> = {
   running: (ctx) => refuse(ctx, Refusal.InProgress, 'unknown'),
   finished: fetchAnswer,
-  barred: awaitSlot,
+  barred: (ctx, claim) => {
+    if (ctx.nowMs - claim.claimedAtMs < CLAIM_ASK_LIMIT_MS) awaitSlot(ctx);
+    else refuse(ctx, Refusal.OutcomeUnknown, 'unknown');
+  },
   'unknown-outcome': (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
   unreachable: (ctx) => refuse(ctx, Refusal.OutcomeUnknown, 'unknown'),
 };
