--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -25,7 +25,7 @@
 } from './attempts.js';
 import { stepClaim, withdraw } from './claiming.js';
 import type { UntimedClaimEvent } from './claiming.js';
-import { refreshDemand, sendUrgentDemand } from './demand.js';
+import { refreshDemand, sendUntoldDemand, sendUrgentDemand } from './demand.js';
 import { pushAtRandom, useCredits, useGrant } from './dispatching.js';
 import { dequeue, enqueue, waitingCount } from './queues.js';
 import { RefusalCode, RequestState } from './types.js';
@@ -80,6 +80,7 @@
     ledger: createLedger({ lagBoundMs: filled.lagBoundMs }),
     estimator: createCostEstimator(),
     nextAttempt: 1,
+    nextFanOut: 0,
     retryBudget: MAX_RETRY_BUDGET,
     wallOffsetMs: 0,
     stopping: false,
@@ -239,6 +240,7 @@
     chargeOverruns(state, nowMs);
     const effects = expireWaiting(state, nowMs);
     effects.push(...askAgain(state, nowMs));
+    effects.push(...sendUntoldDemand(state, nowMs));
     effects.push(...refreshDemand(state, nowMs));
     return effects;
   },
--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -163,6 +163,8 @@
   ledger: Ledger;
   estimator: CostEstimator;
   nextAttempt: number;
+  /** Turn of the sidecars that are told first of new demand. */
+  nextFanOut: number;
   /** Retries that the router may still make; grows with requests. */
   retryBudget: number;
   /** What to add to `nowMs` for wall-clock time, as last learned from an event. */
