--- a/packages/router/src/relay/sidecar-client.ts
+++ b/packages/router/src/relay/sidecar-client.ts
@@ -60,6 +60,7 @@
       [AttemptHeader.Path]: held.path,
       [AttemptHeader.Estimate]: String(effect.estimateMs),
       [AttemptHeader.RouterIncarnation]: incarnation,
+      [AttemptHeader.SidecarIncarnation]: effect.sidecarIncarnation,
     };
   }
 
