Never take a forgotten attempt for a new one

A question about a finished one then barred it and said "not run" (a request with an Idempotency-Key could run again), and a barred one could run when it arrived late. Change: of forgotten attempts the largest sequence number per router incarnation stays; up to it nothing is new, and a question about one is answered with an unknown outcome. Memory: one number per router incarnation met.

--- a/packages/core/src/journal/types.ts
+++ b/packages/core/src/journal/types.ts
@@ -18,7 +18,7 @@
   Running: 'running',
   Finished: 'finished',
   Barred: 'barred',
-  /** Began before this sidecar incarnation: it may have run. */
+  /** Began before this sidecar incarnation, or so long ago that the journal has forgotten it: it may have run. */
   Unknown: 'unknown-outcome',
 } as const;
 export type AttemptOutcome = (typeof AttemptOutcome)[keyof typeof AttemptOutcome];
@@ -33,4 +33,6 @@
 /** The journal: entries by attempt id. */
 export interface AttemptJournal {
   entries: Map<string, JournalEntry>;
+  /** Largest sequence number forgotten, by router incarnation. */
+  forgotten: Map<string, number>;
 }
