Keep a draining sidecar up while attempts are on their way to it

Cause: an idle sidecar stopped at once, also with grants out that routers may still use, and while attempts on standing credits were on their way. These met a closed port or a reset connection: a request that must not run twice then ended with outcome_unknown. Change: stopped only when no attempt and no grant is left, and not before one grant life after the stop. Decision: grants from before the drain stay good for their life.

--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -76,6 +76,7 @@
     grantLatencyMs: 0,
     nextGrant: 1,
     stopping: false,
+    lingerUntilMs: 0,
     drained: false,
     synced: false,
   };
@@ -213,8 +214,9 @@
     return [];
   },
 
-  stop: (state) =>
+  stop: (state, { nowMs }) =>
     changeDraining(state, () => {
+      if (!state.stopping) state.lingerUntilMs = nowMs + state.options.grantTtlMs;
       state.stopping = true;
     }),
 
@@ -243,10 +245,16 @@
   const effects = handle(state, event);
   effects.push(...startStaged(state, event.nowMs));
   effects.push(...handOutSlots(state, event.nowMs));
-  if (state.stopping && state.active.size === 0) effects.push({ kind: 'stopped' });
+  if (hasStopped(state, event.nowMs)) effects.push({ kind: 'stopped' });
   return { state, effects };
 };
 
+/** Attempts on grants and credits given before the stop may still be on their way: they must meet a refusal, not a closed port. */
+function hasStopped(state: SidecarState, nowMs: number): boolean {
+  const isIdle = state.active.size === 0 && state.grants.size === 0;
+  return state.stopping && isIdle && nowMs >= state.lingerUntilMs;
+}
+
 function refusalReason(state: SidecarState, offer: AttemptOffer): NotRunReason | null {
   if (!isNewAttempt(state.journal, offer.attempt)) return NotRunReason.Barred;
   if (!state.synced) return NotRunReason.NotReady;
--- a/packages/core/src/sidecar/types.ts
+++ b/packages/core/src/sidecar/types.ts
@@ -93,6 +93,8 @@
   nextGrant: number;
   /** The process is shutting down. */
   stopping: boolean;
+  /** While stopping: the process answers until then, so that attempts on their way are refused rather than lost. */
+  lingerUntilMs: number;
   /** The configuration takes the backend server out of service. */
   drained: boolean;
   /** False until it is known what still runs at the backend server. */
