Bar an attempt whose cancellation overtakes it

Cause: the cancellation of an attempt that the sidecar did not know had no effect, so the attempt ran when it arrived afterwards, for a caller who had left.

--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -179,7 +179,12 @@
 
   'attempt-cancelled': (state, { attempt, nowMs }) => {
     const active = state.active.get(attempt);
-    return active ? cancelAttempt(state, active, nowMs) : [];
+    if (active) return cancelAttempt(state, active, nowMs);
+    // The cancellation may overtake the attempt, which must not run afterwards.
+    if (isNewAttempt(state.journal, attempt)) {
+      recordAttempt(state.journal, attempt, AttemptState.Barred, nowMs);
+    }
+    return [];
   },
 
   'outcome-asked': (state, { attempt, ask, sameIncarnation, nowMs }) => {
