Refuse an attempt on a grant given to another router

Cause: grant numbers begin again with each sidecar incarnation; an attempt on an old grant could take the slot promised to another router. Change: the grant's link must be of the router incarnation that offers.

--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -264,7 +264,7 @@
   if (!isNewAttempt(state.journal, offer.attempt)) return NotRunReason.Barred;
   if (!state.synced) return NotRunReason.NotReady;
   if (typeof offer.grant === 'number') {
-    return state.grants.has(offer.grant) ? null : NotRunReason.LateGrant;
+    return isOwnGrant(state, offer, offer.grant) ? null : NotRunReason.LateGrant;
   }
   if (isDraining(state)) return NotRunReason.Draining;
   if (offer.grant === 'push')
@@ -272,6 +272,12 @@
   return freeSlots(state) > 0 && !hasDemand(state) ? null : NotRunReason.Full;
 }
 
+/** Grant numbers start again with each sidecar incarnation, so a late one may name another router's grant. */
+function isOwnGrant(state: SidecarState, { incarnation }: AttemptOffer, grant: number): boolean {
+  const link = state.grants.get(grant)?.link;
+  return link !== undefined && state.routers.get(link)?.incarnation === incarnation;
+}
+
 function admit(state: SidecarState, offer: AttemptOffer, nowMs: number): void {
   recordAttempt(state.journal, offer.attempt, AttemptState.Staged, nowMs);
   state.staged.push(offer.attempt);
