Say that a request may have run when it times out waiting for another try

Cause: an idempotent request whose first attempt's outcome was unknown waits again; at its queue timeout it was refused with ran "no". Change: it ends with outcome_unknown, ran "unknown".

--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -258,6 +258,13 @@
   return { kind: 'refuse', request, code, ran: 'no', retryAfterMs };
 }
 
+/** A request that waits for another try may have run already. */
+function timedOut({ request, tries }: RouterRequest): RouterEffect {
+  if (tries === 0) return refuse(request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS);
+  const code = RefusalCode.OutcomeUnknown;
+  return { kind: 'refuse', request, code, ran: 'unknown', retryAfterMs: MIN_RETRY_AFTER_MS };
+}
+
 function expireWaiting(state: RouterState, nowMs: number): RouterEffect[] {
   const effects: RouterEffect[] = [];
   state.requests.forEach((req) => {
@@ -266,7 +273,7 @@
     if (waitedMs < req.queueTimeoutMs) return;
     dequeue(state, req);
     state.requests.delete(req.request);
-    effects.push(refuse(req.request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS));
+    effects.push(timedOut(req));
   });
   return effects;
 }
