--- a/packages/core/test/router/router-properties.test.ts
+++ b/packages/core/test/router/router-properties.test.ts
@@ -36,7 +36,9 @@
     const request = pickOf([...world.requests.keys()], pick);
     if (request !== undefined) world.leave(request);
   },
-  link: (world: RouterWorld) => void link(world),
+  link(world: RouterWorld) {
+    link(world);
+  },
   unlink(world: RouterWorld, { pick }: Action) {
     const id = pickOf([...world.credits.keys()], pick);
     if (id === undefined) return;
--- a/packages/core/test/router/router-world.ts
+++ b/packages/core/test/router/router-world.ts
@@ -53,13 +53,6 @@
 
   const world = { state, requests, attempts, jobs, credits, nowMs: 0, send, arrive, leave, endJob };
 
-  function send(event: Plain<RouterEvent>): void {
-    const { effects } = routerReducer(state, { ...event, nowMs: world.nowMs });
-    effects.forEach((effect) =>
-      (checks[effect.kind] as ((e: RouterEffect) => void) | undefined)?.(effect),
-    );
-  }
-
   const checks: { [K in RouterEffect['kind']]?: (effect: EffectOf<K>) => void } = {
     dispatch({ request, attempt, grant }) {
       const req = requests.get(request) as Request;
@@ -78,15 +71,28 @@
       else req.attempts.forEach((attempt) => noteUnknownCost(attempt));
       end(req, 'refused');
     },
-    resume: ({ attempt }) => void jobs.push({ kind: 'resume', attempt }),
-    'ask-outcome': ({ attempt }) => void jobs.push({ kind: 'ask-outcome', attempt }),
-    cancel: ({ attempt }) => void jobs.push({ kind: 'cancel', attempt }),
+    resume({ attempt }) {
+      jobs.push({ kind: 'resume', attempt });
+    },
+    'ask-outcome'({ attempt }) {
+      jobs.push({ kind: 'ask-outcome', attempt });
+    },
+    cancel({ attempt }) {
+      jobs.push({ kind: 'cancel', attempt });
+    },
     stopped() {
       isStopped = true;
       assert.ok([...requests.values()].every((req) => req.ends.length === 1));
     },
   };
 
+  function send(event: Plain<RouterEvent>): void {
+    const { effects } = routerReducer(state, { ...event, nowMs: world.nowMs });
+    effects.forEach((effect) =>
+      (checks[effect.kind] as ((e: RouterEffect) => void) | undefined)?.(effect),
+    );
+  }
+
   /** Whether the caller may find that an attempt has run: any that is not barred for ever. */
   function mayHaveRun(req: Request): boolean {
     return req.attempts.some((id) => !(attempts.get(id) as Attempt).barred);
