--- a/packages/core/test/router/router-world.ts
+++ b/packages/core/test/router/router-world.ts
@@ -71,15 +71,9 @@
       else req.attempts.forEach((attempt) => noteUnknownCost(attempt));
       end(req, 'refused');
     },
-    resume({ attempt }) {
-      jobs.push({ kind: 'resume', attempt });
-    },
-    'ask-outcome'({ attempt }) {
-      jobs.push({ kind: 'ask-outcome', attempt });
-    },
-    cancel({ attempt }) {
-      jobs.push({ kind: 'cancel', attempt });
-    },
+    resume: ({ attempt }) => addJob('resume', attempt),
+    'ask-outcome': ({ attempt }) => addJob('ask-outcome', attempt),
+    cancel: ({ attempt }) => addJob('cancel', attempt),
     stopped() {
       isStopped = true;
       assert.ok([...requests.values()].every((req) => req.ends.length === 1));
@@ -102,6 +96,10 @@
     (attempts.get(attempt) as Attempt).unknownCost = true;
   }
 
+  function addJob(kind: Job['kind'], attempt: string): void {
+    jobs.push({ kind, attempt });
+  }
+
   function useCredit(attempt: string): void {
     const link = state.attempts.get(attempt)?.link ?? '';
     const given = credits.get(link);
