Fetch the request's own answer from the engine when it was crossed or cut

Cause: a crossed answer, and a whole answer cut before its end or head, ended broken (outcome unknown to the caller), although the engine keeps the request's own answer. Change: any engine answer that is not the request's own or breaks off is read from the engine's kept answer, from offset 0 or where it broke.

--- a/packages/sidecar/src/answer/answer.ts
+++ b/packages/sidecar/src/answer/answer.ts
@@ -52,7 +52,7 @@
       return answerHead;
     },
     setHead(head) {
-      answerHead = head;
+      answerHead ??= head;
       wake();
     },
     async append(chunk) {
--- a/packages/sidecar/src/answer/types.ts
+++ b/packages/sidecar/src/answer/types.ts
@@ -19,6 +19,7 @@
 export interface Answer {
   /** Resolves with the head, or null when the answer ended without one. */
   head(): Promise<AnswerHead | null>;
+  /** Sets the head, once; later ones are passed over. */
   setHead(head: AnswerHead): void;
   /** Adds bytes; resolves when the buffer has room for more. */
   append(chunk: Buffer): Promise<void>;
--- a/packages/sidecar/src/backend/backend-client.ts
+++ b/packages/sidecar/src/backend/backend-client.ts
@@ -1,4 +1,4 @@
-/** Runs requests at the backend server, resumes cut engine streams, and refuses answers to other requests. */
+/** Runs requests at the backend server, resumes cut engine answers, and replaces answers to other requests by the request's own. */
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { REQUEST_ID_HEADER, passedHeaders } from '@kingcupsill/core';
@@ -34,26 +34,24 @@
     });
   }
 
+  /** Reads the rest of an answer that an engine keeps, from where it broke off or from its start. */
   async function resumeUntilWhole(attempt: string, answer: Answer, signal: AbortSignal) {
     for (let tries = 0; tries < maxResumes && !signal.aborted; tries += 1) {
       await delay(resumeDelayMs);
       const res = await engine.resume(attempt, answer.length(), signal);
-      const isOwn = res?.statusCode === 200 && isAnswerTo(res, attempt);
-      if (isOwn && (await readBody(res, answer))) return true;
-      if (res && !isOwn) abandon(res);
+      if (res?.statusCode === 200 && (await takeAnswer(attempt, res, answer))) return true;
+      if (res) abandon(res);
     }
     return false;
   }
 
   async function receive(req: BackendRequest, answer: Answer, signal: AbortSignal) {
-    const res = await send(req, signal);
-    if (!isAnswerTo(res, req.attempt)) {
-      abandon(res);
-      return RunEnd.Broken;
+    const outcome = await send(req, signal).catch(endOfError);
+    if (outcome === RunEnd.NotRun) return RunEnd.NotRun;
+    if (outcome !== RunEnd.Broken && (await takeAnswer(req.attempt, outcome, answer))) {
+      return RunEnd.Whole;
     }
-    answer.setHead({ status: res.statusCode, headers: passedHeaders(res.headers) });
-    if (await readBody(res, answer)) return RunEnd.Whole;
-    if (kind !== BackendKind.Engine || !isStream(res)) return RunEnd.Broken;
+    if (kind !== BackendKind.Engine) return RunEnd.Broken;
     return (await resumeUntilWhole(req.attempt, answer, signal)) ? RunEnd.Whole : RunEnd.Broken;
   }
 
@@ -61,7 +59,7 @@
     async run(req, answer) {
       const controller = new AbortController();
       running.set(req.attempt, controller);
-      const end = await receive(req, answer, controller.signal).catch(endOfError);
+      const end = await receive(req, answer, controller.signal);
       running.delete(req.attempt);
       answer.finish(end === RunEnd.Whole ? AnswerEnd.Whole : AnswerEnd.Broken);
       return end;
@@ -85,6 +83,16 @@
   };
 }
 
+/** Takes the answer if it is the attempt's own; false when it is another's or broke off. */
+async function takeAnswer(attempt: string, res: BackendResponse, answer: Answer): Promise<boolean> {
+  if (!isAnswerTo(res, attempt)) {
+    abandon(res);
+    return false;
+  }
+  answer.setHead({ status: res.statusCode, headers: passedHeaders(res.headers) });
+  return readBody(res, answer);
+}
+
 async function readBody(res: BackendResponse, answer: Answer): Promise<boolean> {
   try {
     for await (const chunk of res.body) await answer.append(chunk as Buffer);
@@ -99,7 +107,7 @@
   res.body.on('error', () => undefined).destroy();
 }
 
-function endOfError(err: unknown): RunEnd {
+function endOfError(err: unknown): typeof RunEnd.NotRun | typeof RunEnd.Broken {
   const code = String((err as { code?: unknown } | null)?.code ?? '');
   return NOT_SENT_CODES.has(code) ? RunEnd.NotRun : RunEnd.Broken;
 }
@@ -108,7 +116,3 @@
   const named = res.headers[REQUEST_ID_HEADER];
   return named === undefined || named === attempt;
 }
-
-function isStream(res: BackendResponse): boolean {
-  return String(res.headers['content-type'] ?? '').startsWith('text/event-stream');
-}
