--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -159,6 +159,7 @@
       state.requests.delete(request);
       return [];
     }
+    req.gone = true;
     return [{ kind: 'cancel', attempt: attempt.attempt, dataUrl: attempt.dataUrl }];
   },
 
@@ -320,6 +321,7 @@
     tries: 0,
     keyed: newKeyed(state, info),
     seed,
+    gone: false,
   };
   req.estimateMs = Math.max(1, Math.round(estimateCostMs(state.estimator, costKey(req))));
   return req;
@@ -338,6 +340,13 @@
   return claim ? [refusal, { kind: 'forget', request }] : [refusal];
 }
 
+/** A request that waits for another try may have run already. */
+function timedOut({ request, tries }: RouterRequest): RouterEffect {
+  if (tries === 0) return refuse(request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS);
+  const code = RefusalCode.OutcomeUnknown;
+  return { kind: 'refuse', request, code, ran: 'unknown', retryAfterMs: MIN_RETRY_AFTER_MS };
+}
+
 function expireWaiting(state: RouterState, nowMs: number): RouterEffect[] {
   const effects: RouterEffect[] = [];
   state.requests.forEach((req) => {
@@ -345,7 +354,7 @@
     const waitedMs = nowMs - req.arrivedAtMs;
     if (waitedMs < req.queueTimeoutMs) return;
     dequeue(state, req);
-    effects.push(refuse(req.request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS));
+    effects.push(timedOut(req));
     if (req.keyed) effects.push(...withdraw(state, req, nowMs));
     else state.requests.delete(req.request);
   });
--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -96,6 +96,8 @@
   keyed: KeyedRequest | null;
   /** Random number in [0, 1) of its arrival. */
   seed: number;
+  /** The caller has left; the end of the cancelled attempt ends the request. */
+  gone: boolean;
 }
 
 /** A sidecar's grant by its number, a standing credit, or nothing under the naive policy. */
--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -76,6 +76,7 @@
     grantLatencyMs: 0,
     nextGrant: 1,
     stopping: false,
+    lingerUntilMs: 0,
     drained: false,
     synced: false,
   };
@@ -178,7 +179,12 @@
 
   'attempt-cancelled': (state, { attempt, nowMs }) => {
     const active = state.active.get(attempt);
-    return active ? cancelAttempt(state, active, nowMs) : [];
+    if (active) return cancelAttempt(state, active, nowMs);
+    // The cancellation may overtake the attempt, which must not run afterwards.
+    if (isNewAttempt(state.journal, attempt)) {
+      recordAttempt(state.journal, attempt, AttemptState.Barred, nowMs);
+    }
+    return [];
   },
 
   'outcome-asked': (state, { attempt, ask, sameIncarnation, nowMs }) => {
@@ -213,8 +219,9 @@
     return [];
   },
 
-  stop: (state) =>
+  stop: (state, { nowMs }) =>
     changeDraining(state, () => {
+      if (!state.stopping) state.lingerUntilMs = nowMs + state.options.grantTtlMs;
       state.stopping = true;
     }),
 
@@ -243,15 +250,21 @@
   const effects = handle(state, event);
   effects.push(...startStaged(state, event.nowMs));
   effects.push(...handOutSlots(state, event.nowMs));
-  if (state.stopping && state.active.size === 0) effects.push({ kind: 'stopped' });
+  if (hasStopped(state, event.nowMs)) effects.push({ kind: 'stopped' });
   return { state, effects };
 };
 
+/** Attempts on grants and credits given before the stop may still be on their way: they must meet a refusal, not a closed port. */
+function hasStopped(state: SidecarState, nowMs: number): boolean {
+  const isIdle = state.active.size === 0 && state.grants.size === 0;
+  return state.stopping && isIdle && nowMs >= state.lingerUntilMs;
+}
+
 function refusalReason(state: SidecarState, offer: AttemptOffer): NotRunReason | null {
   if (!isNewAttempt(state.journal, offer.attempt)) return NotRunReason.Barred;
   if (!state.synced) return NotRunReason.NotReady;
   if (typeof offer.grant === 'number') {
-    return state.grants.has(offer.grant) ? null : NotRunReason.LateGrant;
+    return isOwnGrant(state, offer, offer.grant) ? null : NotRunReason.LateGrant;
   }
   if (isDraining(state)) return NotRunReason.Draining;
   if (offer.grant === 'push')
@@ -259,6 +272,12 @@
   return freeSlots(state) > 0 && !hasDemand(state) ? null : NotRunReason.Full;
 }
 
+/** Grant numbers start again with each sidecar incarnation, so a late one may name another router's grant. */
+function isOwnGrant(state: SidecarState, { incarnation }: AttemptOffer, grant: number): boolean {
+  const link = state.grants.get(grant)?.link;
+  return link !== undefined && state.routers.get(link)?.incarnation === incarnation;
+}
+
 function admit(state: SidecarState, offer: AttemptOffer, nowMs: number): void {
   recordAttempt(state.journal, offer.attempt, AttemptState.Staged, nowMs);
   state.staged.push(offer.attempt);
