Accept the attempts token of the previous fleet key too, in constant time

Cause: a sidecar accepted the token of fleet_key alone, so a rotation refused attempts between processes on different steps; the token was compared by ===.

--- a/packages/fleet/src/attempt-token.ts
+++ b/packages/fleet/src/attempt-token.ts
@@ -1,5 +1,5 @@
 /** Token with which routers authenticate at sidecars' attempts interface. */
-import { createHmac } from 'node:crypto';
+import { createHmac, timingSafeEqual } from 'node:crypto';
 
 const PURPOSE = 'kingcupsill attempts interface';
 
@@ -7,3 +7,17 @@
 export function attemptToken(fleetKey: string): string {
   return createHmac('sha256', fleetKey).update(PURPOSE).digest('hex');
 }
+
+/** Creates the check of a shown token against those of all accepted fleet keys, in constant time. */
+export function createTokenCheck(fleetKeys: string[]): (shown: string) => boolean {
+  const accepted = fleetKeys.map((key) => Buffer.from(attemptToken(key)));
+  return (shown) => {
+    const bytes = Buffer.from(shown);
+    const matches = accepted.map((token) => isSame(token, bytes));
+    return matches.includes(true);
+  };
+}
+
+function isSame(token: Buffer, shown: Buffer): boolean {
+  return token.length === shown.length && timingSafeEqual(token, shown);
+}
--- a/packages/sidecar/src/attempts/attempt-routes.ts
+++ b/packages/sidecar/src/attempts/attempt-routes.ts
@@ -17,8 +17,8 @@
   registry: AttemptRegistry;
   dispatch(event: SidecarProcessEvent): void;
   clock(): number;
-  /** Token that routers must show. */
-  token: string;
+  /** Whether this is a token that routers may show. */
+  isToken(shown: string): boolean;
   /** Incarnation of this sidecar. */
   incarnation: string;
   /** Largest request body in bytes. */
@@ -29,7 +29,7 @@
 
 /** Creates the HTTP application. */
 export function createAttemptApp(options: AttemptRoutesOptions): Koa {
-  const { registry, dispatch, clock, token, incarnation, maxBodyBytes } = options;
+  const { registry, dispatch, clock, isToken, incarnation, maxBodyBytes } = options;
   const router = new Router();
 
   router.post('/attempts/:id', async (ctx) => {
@@ -94,7 +94,7 @@
 
   const app = new Koa();
   app.use(async (ctx, next) => {
-    if (ctx.get(AttemptHeader.Token) !== token) ctx.throw(401);
+    if (!isToken(ctx.get(AttemptHeader.Token))) ctx.throw(401);
     await next();
   });
   app.use(router.routes());
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -13,13 +13,13 @@
   createSidecarProcessState,
 } from '@kingcupsill/core';
 import {
-  attemptToken,
   baseHello,
   createConfigPolls,
   createLinkFeed,
   createLinkTraffic,
   createMembership,
   createSignal,
+  createTokenCheck,
   linkOptions,
   listenHttp,
   processSelf,
@@ -169,13 +169,15 @@
 
 function dataServerPart(ctx: SidecarContext): SidecarPart<'dataServer'> {
   const { data, link } = ctx.settings;
+  const { fleetKey, fleetKeyPrevious } = link;
+  const fleetKeys = fleetKeyPrevious === undefined ? [fleetKey] : [fleetKey, fleetKeyPrevious];
   return {
     create(parts) {
       const app = createAttemptApp({
         registry: parts.attempts,
         dispatch: parts.loop.dispatch,
         clock: ctx.clock,
-        token: attemptToken(link.fleetKey),
+        isToken: createTokenCheck(fleetKeys),
         incarnation: ctx.incarnation,
         maxBodyBytes: data.maxBodyBytes,
       });
--- /dev/null
+++ b/packages/sidecar/test/attempts/attempt-token.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { attemptToken, createTokenCheck, listenHttp } from '@kingcupsill/fleet';
+import { request } from 'undici';
+
+import { createAttemptRegistry } from '../../src/attempts/attempt-registry.js';
+import { createAttemptApp } from '../../src/attempts/attempt-routes.js';
+
+const PRESENT = 'the present fleet key';
+const PREVIOUS = 'the previous fleet key';
+
+async function statusWith(fleetKeys: string[], token: string): Promise<number> {
+  const registry = createAttemptRegistry();
+  const app = createAttemptApp({
+    registry,
+    dispatch: (event) => {
+      if (event.kind === 'outcome-asked') registry.tell(event.ask, 'barred');
+    },
+    clock: () => 0,
+    isToken: createTokenCheck(fleetKeys),
+    incarnation: 's',
+    maxBodyBytes: 1000,
+  });
+  app.silent = true;
+  const server = await listenHttp(app, '127.0.0.1', 0);
+  const url = `http://127.0.0.1:${server.port}/attempts/r.1/outcome`;
+  const res = await request(url, { method: 'POST', headers: { 'kc-token': token } });
+  await res.body.dump();
+  await server.close();
+  return res.statusCode;
+}
+
+test('the attempts interface accepts the tokens of both fleet keys and nothing else', async () => {
+  const both = [PRESENT, PREVIOUS];
+  assert.equal(await statusWith(both, attemptToken(PRESENT)), 200);
+  assert.equal(await statusWith(both, attemptToken(PREVIOUS)), 200);
+  assert.equal(await statusWith(both, attemptToken('another fleet key')), 401);
+  assert.equal(await statusWith(both, PRESENT), 401);
+  assert.equal(await statusWith(both, ''), 401);
+  assert.equal(await statusWith([PRESENT], attemptToken(PREVIOUS)), 401);
+});
