--- a/packages/platform/test/config/config-store.test.ts
+++ b/packages/platform/test/config/config-store.test.ts
@@ -176,6 +176,8 @@
   const waiting = watcher.watch({ version: 2, timeoutMs: 5000 });
   await store.commit(addAccount('third', 2));
   const second = await waiting;
+  // A watcher that was woken reads the new entry and does not look for another.
+  assert.equal(service.calls.includes('GET /v1/objects/config/history/4'), false);
   assert.equal(second.ok && second.kind === 'patches' && second.patches[0]?.version, 3);
   const idle = await watcher.watch({ version: 3, timeoutMs: 10 });
   assert.deepEqual(idle, { ok: true, kind: 'patches', patches: [] });
@@ -193,9 +195,43 @@
   assert.equal(changes.ok && changes.kind === 'patches' && changes.patches.length, 1);
 });
 
+test('a watch from a version that the service has forgotten reads what it missed', async () => {
+  const objects = createObjectClient({ url: service.url, timeoutMs: 500 });
+  let forgets = false;
+  const watcher = createConfigStore({
+    objects: {
+      ...objects,
+      watch: (watched) =>
+        forgets ? Promise.resolve({ ok: false, code: 'expired' }) : objects.watch(watched),
+    },
+  });
+  await watcher.watch({ version: 0, timeoutMs: 1 });
+  await commitMany(1);
+  forgets = true;
+  const missed = await watcher.watch({ version: 0, timeoutMs: 5000 });
+  assert.equal(missed.ok && missed.kind === 'patches' && missed.patches.length, 1);
+});
+
 test('a log entry that is not one is reported, not skipped', async () => {
   await commitMany(1);
   service.objects.set('config/history/2', { version: 99, body: Buffer.from('{}') });
   const loaded = await openStore().load();
   assert.equal(loaded.ok ? 'ok' : loaded.code, 'corrupt');
 });
+
+test('a patch or a snapshot above the size limit is said to be', async () => {
+  const objects = createObjectClient({ url: service.url, timeoutMs: 500 });
+  const limited = (key: string) =>
+    createConfigStore({
+      objects: {
+        ...objects,
+        put: (name, body, condition) =>
+          objects.put(name, name === key ? new Uint8Array(2 ** 20 + 1) : body, condition),
+      },
+    });
+  const refused = await limited('config/history/1').commit(addAccount('first', 0));
+  assert.equal(refused.ok ? 'ok' : refused.code, 'invalid');
+  await commitMany(15);
+  const last = await limited('config/current').commit(addAccount('last', 15));
+  assert.match(JSON.stringify(last.ok && last.warnings), /the snapshot was not written/);
+});
