Tell the caller of a broken stream what happened

Cause: breakAnswer asked the response for a header that writeHead had set, which Node doesn't give back, so no stream ever got the error event and was only cut. Found by test/fleet/fleet-faults.test.ts (sidecar dies after the first bytes). Change: the content type comes from the held head.

--- a/packages/router/src/callers/errors.ts
+++ b/packages/router/src/callers/errors.ts
@@ -3,6 +3,8 @@
 
 import type { Context } from 'koa';
 
+import type { HeldRequest } from './types.js';
+
 /** Stable error codes and the HTTP status of each. */
 export const CALLER_ERRORS = {
   unknown_key: { status: 401, message: 'The API key is missing or unknown.' },
@@ -56,9 +58,13 @@
 }
 
 /** Ends an answer that has begun, so that it can't be taken for a whole one. */
-export function breakAnswer(res: ServerResponse, code: CallerErrorCode, ran: Ran): void {
+export function breakAnswer(
+  { res, head }: Pick<HeldRequest, 'res' | 'head'>,
+  code: CallerErrorCode,
+  ran: Ran,
+): void {
   if (res.destroyed) return;
-  const isEventStream = String(res.getHeader('content-type')).startsWith('text/event-stream');
+  const isEventStream = String(head?.headers['content-type']).startsWith('text/event-stream');
   if (!isEventStream) {
     res.destroy();
     return;
--- a/packages/router/src/router-effects.ts
+++ b/packages/router/src/router-effects.ts
@@ -47,7 +47,7 @@
     refuse({ request, code, ran, retryAfterMs }) {
       const refused = parts.heldRequests.get(request);
       if (!refused) return;
-      if (refused.headRelayed) breakAnswer(refused.res, code, ran);
+      if (refused.headRelayed) breakAnswer(refused, code, ran);
       else sendError(refused.res, code, ran, retryAfterMs);
     },
     stopped: () => parts.stopped.raise(),
