--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -319,9 +319,9 @@
     estimateMs: 0,
     attempt: null,
     tries: 0,
+    gone: false,
     keyed: newKeyed(state, info),
     seed,
-    gone: false,
   };
   req.estimateMs = Math.max(1, Math.round(estimateCostMs(state.estimator, costKey(req))));
   return req;
@@ -331,6 +331,13 @@
   return { kind: 'refuse', request, code, ran: 'no', retryAfterMs };
 }
 
+/** A request that waits for another try may have run already. */
+function timedOut({ request, tries }: RouterRequest): RouterEffect {
+  if (tries === 0) return refuse(request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS);
+  const code = RefusalCode.OutcomeUnknown;
+  return { kind: 'refuse', request, code, ran: 'unknown', retryAfterMs: MIN_RETRY_AFTER_MS };
+}
+
 function refuseArrived(
   { request, claim }: RequestInfo,
   code: RefusalCode,
@@ -340,13 +347,6 @@
   return claim ? [refusal, { kind: 'forget', request }] : [refusal];
 }
 
-/** A request that waits for another try may have run already. */
-function timedOut({ request, tries }: RouterRequest): RouterEffect {
-  if (tries === 0) return refuse(request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS);
-  const code = RefusalCode.OutcomeUnknown;
-  return { kind: 'refuse', request, code, ran: 'unknown', retryAfterMs: MIN_RETRY_AFTER_MS };
-}
-
 function expireWaiting(state: RouterState, nowMs: number): RouterEffect[] {
   const effects: RouterEffect[] = [];
   state.requests.forEach((req) => {
