--- a/packages/core/src/fairness/grant-order.ts
+++ b/packages/core/src/fairness/grant-order.ts
@@ -29,7 +29,7 @@
 const PREFIX_BONUS_MS = 100;
 
 export interface GrantOrderOptions {
-  /** @default 'own-grants' */
+  /** @default 'scaled' */
   correction?: Correction;
   /** Slots of this sidecar. */
   ownSlots: number;
@@ -105,7 +105,7 @@
 export function createGrantOrder(options: GrantOrderOptions): GrantOrder {
   return {
     options: {
-      correction: options.correction ?? Correction.OwnGrants,
+      correction: options.correction ?? Correction.Scaled,
       ownSlots: options.ownSlots,
       fleetSlots: options.fleetSlots,
       distancePenaltyMs: options.distancePenaltyMs ?? DISTANCE_PENALTY_MS,
--- a/packages/core/test/fairness/fleet-harness.ts
+++ b/packages/core/test/fairness/fleet-harness.ts
@@ -335,7 +335,7 @@
 /** Three zones with a router each, eight backend servers and 16 accounts, a few of them large. */
 export const DEFAULT_FLEET: FleetOptions = {
   policy: 'fair',
-  correction: 'own-grants',
+  correction: 'scaled',
   routers: 3,
   sidecars: 8,
   slotsPerSidecar: 4,
--- a/packages/core/test/measure/gap.ts
+++ b/packages/core/test/measure/gap.ts
@@ -37,9 +37,9 @@
   });
 });
 [100, 500, 2000, 4000].forEach((exchangePeriodMs) => {
-  row(`own-grants, ${exchangePeriodMs} ms`, { exchangePeriodMs });
+  row(`scaled, ${exchangePeriodMs} ms`, { exchangePeriodMs });
 });
-row('own-grants, demand 250 ms', { demandPeriodMs: 250 });
+row('own-grants, demand 250 ms', { demandPeriodMs: 250, correction: 'own-grants' });
 row('scaled, demand 250 ms', { demandPeriodMs: 250, correction: 'scaled' });
 row('extrapolate, demand 250 ms', { demandPeriodMs: 250, correction: 'extrapolate' });
 row('none, demand 250 ms', { demandPeriodMs: 250, correction: 'none' });
@@ -55,4 +55,4 @@
     });
   });
 });
-row('own-grants, locality', { locality: true });
+row('scaled, locality', { locality: true });
