--- a/packages/core/test/claims/claim-reducer.test.ts
+++ b/packages/core/test/claims/claim-reducer.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 
 import {
+  CLAIM_ASK_LIMIT_MS,
   CLAIM_GRACE_MS,
   CLAIM_LIFETIME_MS,
   claimReducer,
@@ -89,6 +90,14 @@
   assert.deepEqual(kinds(run(found({}))), ['bar-attempt']);
 });
 
+test('the sidecar of an old claim is asked for the answer only, as its journal may have forgotten', () => {
+  const old = found({ claimedAtMs: NOW_MS - CLAIM_ASK_LIMIT_MS - 1 });
+  assert.deepEqual(kinds(run(old)), ['fetch-answer']);
+  const none: ClaimEvent = { kind: 'answer-fetched', nowMs: NOW_MS };
+  assert.deepEqual(run(old, none), [{ kind: 'refuse', code: 'outcome_unknown', ran: 'unknown' }]);
+  assert.deepEqual(kinds(run(old, { ...none, answer })), ['answer', 'store-update']);
+});
+
 test('only a barred attempt is replaced, by a write on the version that was read', () => {
   const asked = (
     outcome: 'barred' | 'running' | 'unknown-outcome' | 'unreachable',
@@ -162,3 +171,17 @@
   const [update] = run(expired, granted);
   assert.equal(update?.kind === 'store-update' && update.version, 3);
 });
+
+test('a sidecar that may have forgotten an attempt is not believed that it never ran', () => {
+  const asked: ClaimEvent = { kind: 'attempt-asked', nowMs: NOW_MS, outcome: 'barred' };
+  const old = (ageMs: number) => found({ claimedAtMs: NOW_MS - ageMs });
+  assert.deepEqual(kinds(run(old(CLAIM_ASK_LIMIT_MS - 1), asked)), ['await-slot']);
+  assert.deepEqual(run(old(CLAIM_ASK_LIMIT_MS), asked), [
+    { kind: 'refuse', code: 'outcome_unknown', ran: 'unknown' },
+  ]);
+});
+
+test('after a pause as long, an attempt is not sent but claimed anew', () => {
+  const late: ClaimEvent = { ...confirmed, nowMs: NOW_MS + CLAIM_ASK_LIMIT_MS };
+  assert.deepEqual(kinds(run(absent, granted, late)), ['decline-slot', 'await-slot']);
+});
