--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -92,6 +92,8 @@
   attempt: string | null;
   /** Attempts that may have run. */
   tries: number;
+  /** The caller has left; the end of the cancelled attempt ends the request. */
+  gone: boolean;
   /** Null without an `Idempotency-Key`. */
   keyed: KeyedRequest | null;
   /** Random number in [0, 1) of its arrival. */
