--- a/packages/core/src/router/attempts.ts
+++ b/packages/core/src/router/attempts.ts
@@ -57,6 +57,10 @@
   settleAttempt(state, attempt, 0);
   const req = state.requests.get(attempt.request);
   if (!req) return [];
+  if (req.gone) {
+    state.requests.delete(req.request);
+    return [];
+  }
   req.attempt = null;
   if (req.keyed) {
     const outcome = { code: 'not-run' as const };
@@ -74,6 +78,7 @@
   nowMs: number,
 ): RouterEffect[] {
   const req = state.requests.get(attempt.request);
+  if (req?.gone) return [];
   if (req) req.state = RequestState.Asking;
   attempt.askUntilMs = nowMs + state.options.outcomeTimeoutMs;
   return [askNow(attempt)];
@@ -118,6 +123,7 @@
   outcome: LearnedOutcome,
   nowMs: number,
 ): RouterEffect[] {
+  if (state.requests.get(attempt.request)?.gone) return [];
   return OUTCOME_HANDLERS[outcome](state, attempt, nowMs);
 }
 
--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -159,6 +159,7 @@
       state.requests.delete(request);
       return [];
     }
+    req.gone = true;
     return [{ kind: 'cancel', attempt: attempt.attempt, dataUrl: attempt.dataUrl }];
   },
 
@@ -318,6 +319,7 @@
     estimateMs: 0,
     attempt: null,
     tries: 0,
+    gone: false,
     keyed: newKeyed(state, info),
     seed,
   };
@@ -329,6 +331,13 @@
   return { kind: 'refuse', request, code, ran: 'no', retryAfterMs };
 }
 
+/** A request that waits for another try may have run already. */
+function timedOut({ request, tries }: RouterRequest): RouterEffect {
+  if (tries === 0) return refuse(request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS);
+  const code = RefusalCode.OutcomeUnknown;
+  return { kind: 'refuse', request, code, ran: 'unknown', retryAfterMs: MIN_RETRY_AFTER_MS };
+}
+
 function refuseArrived(
   { request, claim }: RequestInfo,
   code: RefusalCode,
@@ -345,7 +354,7 @@
     const waitedMs = nowMs - req.arrivedAtMs;
     if (waitedMs < req.queueTimeoutMs) return;
     dequeue(state, req);
-    effects.push(refuse(req.request, RefusalCode.QueueTimeout, MIN_RETRY_AFTER_MS));
+    effects.push(timedOut(req));
     if (req.keyed) effects.push(...withdraw(state, req, nowMs));
     else state.requests.delete(req.request);
   });
