--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -55,7 +55,7 @@
   const filled: SidecarOptions = {
     policy: Policy.Fair,
     queueAhead: 1,
-    correction: Correction.OwnGrants,
+    correction: Correction.Scaled,
     grantTtlMs: 1000,
     orphanGraceMs: 3000,
     journalKeepMs: 120_000,
--- a/packages/core/src/sidecar/types.ts
+++ b/packages/core/src/sidecar/types.ts
@@ -23,7 +23,7 @@
    * @default 1
    */
   queueAhead: number;
-  /** How grants between the routers' reports are estimated. @default 'own-grants' */
+  /** How grants between the routers' reports are estimated. @default 'scaled' */
   correction: Correction;
   /** @default 'fair' */
   policy: Policy;
