Let a draining sidecar send its last answers to the end

Cause: a sidecar closed all connections as soon as its attempts had left the backend server, while a router might still be reading an answer. Found by reading; test/http/http-listener.test.ts covers the wait. Change: the shutdown waits for the answers then on their way.

--- a/packages/fleet/src/http-listener.ts
+++ b/packages/fleet/src/http-listener.ts
@@ -1,10 +1,12 @@
 /** Listens for HTTP and closes for good. */
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
 /** A listening HTTP server. */
 export interface HttpListener {
   port: number;
+  /** Resolves when the answers now on their way have been sent, to slow readers too. */
+  idle(): Promise<void>;
   /** Stops listening and ends open connections. */
   close(): Promise<void>;
 }
@@ -18,14 +20,32 @@
 export function listenHttp(app: Listenable, host: string, port: number): Promise<HttpListener> {
   return new Promise((resolve, reject) => {
     const server = app.listen(port, host);
+    const idle = watchAnswers(server);
     server.once('error', reject);
     server.once('listening', () => {
       const { port: actualPort } = server.address() as AddressInfo;
-      resolve({ port: actualPort, close: () => closeServer(server) });
+      resolve({ port: actualPort, idle, close: () => closeServer(server) });
     });
   });
 }
 
+/** Returns a function that waits for the answers that are on their way at its call. */
+function watchAnswers(server: Server): () => Promise<void> {
+  const open = new Map<ServerResponse, Promise<void>>();
+  server.on('request', (_req: IncomingMessage, res: ServerResponse) => {
+    const closed = new Promise<void>((resolve) => {
+      res.once('close', () => {
+        open.delete(res);
+        resolve();
+      });
+    });
+    open.set(res, closed);
+  });
+  return async () => {
+    await Promise.all(open.values());
+  };
+}
+
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
--- /dev/null
+++ b/packages/fleet/test/http/http-listener.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import { test } from 'node:test';
+
+import { request } from 'undici';
+
+import { listenHttp } from '../../src/http-listener.js';
+
+const ANSWER_BYTES = 32 * 1024 * 1024;
+
+test('a listener is idle only when slow readers have got their answers', async () => {
+  const server = createServer((_req, res) => res.end(Buffer.alloc(ANSWER_BYTES)));
+  const listener = await listenHttp(server, '127.0.0.1', 0);
+  await listener.idle();
+  const res = await request(`http://127.0.0.1:${listener.port}/`);
+  let isIdle = false;
+  const idle = listener.idle().then(() => {
+    isIdle = true;
+  });
+  let receivedBytes = 0;
+  for await (const chunk of res.body) {
+    if (receivedBytes === 0) assert.ok(!isIdle);
+    receivedBytes += (chunk as Buffer).length;
+  }
+  await idle;
+  await listener.close();
+  assert.equal(receivedBytes, ANSWER_BYTES);
+});
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -65,6 +65,7 @@
 async function drain({ clock }: SidecarContext, parts: SidecarParts): Promise<void> {
   parts.loop.dispatch({ kind: 'stop', nowMs: clock() });
   await parts.stopped.happened;
+  await (await parts.dataServer).idle();
 }
 
 function partTable(
