Let a draining router send its last answers to the end

Cause: the reducer stops when the last attempt has ended, before the answer is written to a slow caller; the close then cut it. Found by reading. Change: the shutdown waits for the answers then on their way.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -67,6 +67,7 @@
 async function drain({ clock }: RouterContext, parts: RouterParts): Promise<void> {
   parts.loop.dispatch({ kind: 'stop', nowMs: clock() });
   await parts.stopped.happened;
+  await (await parts.callerServer).idle();
 }
 
 function partTable(
