--- a/packages/router/test/fleet/fleet-faults.test.ts
+++ b/packages/router/test/fleet/fleet-faults.test.ts
@@ -93,6 +93,20 @@
     ));
 });
 
+test('a stream survives a cut at the engine and another between router and sidecar', () =>
+  withFleet((fleet) =>
+    watchAttempts(async (sockets) => {
+      fleet.engine.faults.add({ kind: 'cut-stream', durationMs: 60_000, after: 30 });
+      const answer = answerOf(chat(fleet, 120, true));
+      await until(() => tokensOf(fleet) > 10);
+      sockets.forEach((socket) => socket.destroy());
+      const { text } = await answer;
+      assert.equal(contentOf(text), expectedAnswer('[[tokens=120]] polish', 120));
+      assert.ok(text.endsWith('data: [DONE]\n\n'));
+      assert.equal(fleet.engine.journal().length, 1);
+    }),
+  ));
+
 test('a request that must not run twice survives a cut between router and sidecar', () =>
   withFleet((fleet) =>
     watchAttempts(async (sockets) => {
