Lift to the pool's virtual time of two seconds ago; charge overruns ahead

A request that outlasts its estimate was charged only as it ran, so an account with long requests took many slots at once. Change: the lift goes to the pool's virtual time of 2 s ago; a charge that is outlasted is raised to twice the time used.

--- a/packages/core/src/fairness/service-ledger.ts
+++ b/packages/core/src/fairness/service-ledger.ts
@@ -146,13 +146,19 @@
 
 /**
  * Lifts an account that becomes backlogged here to the pool's virtual time, unless it is known to wait at this or another
- * router already: idling saves up nothing. Call it before `setWaiting`.
+ * router already: idling saves up nothing. `floorMs` takes the place of the pool's virtual time. Call it before `setWaiting`.
  */
-export function liftOnBacklog(ledger: Ledger, pool: string, account: string, share: number): void {
+export function liftOnBacklog(
+  ledger: Ledger,
+  pool: string,
+  account: string,
+  share: number,
+  floorMs = poolVirtualTimeMs(ledger, pool),
+): void {
   const entry = ledgerEntry(ledger, pool, account);
   applyShare(ledger, entry, share);
   if (entry.waiting || entry.waitingElsewhere) return;
-  raiseTo(ledger, entry, poolVirtualTimeMs(ledger, pool));
+  raiseTo(ledger, entry, floorMs);
 }
 
 /** Records whether requests of the account wait at this router. */
--- a/packages/core/src/router/attempts.ts
+++ b/packages/core/src/router/attempts.ts
@@ -164,14 +164,21 @@
   return [{ kind: 'refuse', request: req.request, code, ran: 'unknown', retryAfterMs: null }];
 }
 
-/** Charges running attempts that outlast their estimate for the time they have used. */
+/**
+ * What is charged for an attempt that outlasts its charge, as a multiple of the time it has used. Slot times are heavy-tailed: a request that
+ * has run long is likely to run as long again. The excess is refunded at the end.
+ */
+const OVERRUN_FACTOR = 2;
+
+/** Raises the charge of running attempts that outlast it. */
 export function chargeOverruns(state: RouterState, nowMs: number): void {
   state.attempts.forEach((attempt) => {
-    const usedMs = Math.round(nowMs - attempt.dispatchedAtMs);
+    const usedMs = nowMs - attempt.dispatchedAtMs;
     const req = state.requests.get(attempt.request);
     if (!req || usedMs <= attempt.chargedMs) return;
-    chargeService(state.ledger, req.pool, req.account, usedMs - attempt.chargedMs);
-    addOutstanding(state, req.pool, req.account, usedMs - attempt.chargedMs);
-    attempt.chargedMs = usedMs;
+    const addedMs = Math.round(OVERRUN_FACTOR * usedMs) - attempt.chargedMs;
+    chargeService(state.ledger, req.pool, req.account, addedMs);
+    addOutstanding(state, req.pool, req.account, addedMs);
+    attempt.chargedMs += addedMs;
   });
 }
--- a/packages/core/src/router/queues.ts
+++ b/packages/core/src/router/queues.ts
@@ -1,12 +1,17 @@
 /** Queues of waiting requests per pool and client account. */
 import { liftOnBacklog, setWaiting, virtualTimeMs } from '../fairness/index.js';
+import { liftFloorMs } from './pool-times.js';
 import type { PoolQueue, RouterRequest, RouterState } from './types.js';
 
 /** The queue of a pool, created on first use. */
 export function poolQueue(state: RouterState, pool: string): PoolQueue {
   const known = state.pools.get(pool);
   if (known) return known;
-  const created: PoolQueue = { accounts: new Map(), outstandingMs: new Map() };
+  const created: PoolQueue = {
+    accounts: new Map(),
+    outstandingMs: new Map(),
+    pastTimes: [],
+  };
   state.pools.set(pool, created);
   return created;
 }
@@ -23,10 +28,11 @@
 
 /** Puts a request into its queue; `front` for one that was refused as not run. */
 export function enqueue(state: RouterState, req: RouterRequest, front: boolean): void {
-  const { accounts } = poolQueue(state, req.pool);
+  const waiting = poolQueue(state, req.pool);
+  const { accounts } = waiting;
   const queue = accounts.get(req.account);
   if (!queue) {
-    liftOnBacklog(state.ledger, req.pool, req.account, req.share);
+    liftOnBacklog(state.ledger, req.pool, req.account, req.share, liftFloorMs(waiting));
     setWaiting(state.ledger, req.pool, req.account, true);
     accounts.set(req.account, [req.request]);
   } else if (front) {
--- a/packages/core/src/router/router-reducer.ts
+++ b/packages/core/src/router/router-reducer.ts
@@ -27,6 +27,7 @@
 import type { UntimedClaimEvent } from './claiming.js';
 import { refreshDemand, sendUntoldDemand, sendUrgentDemand } from './demand.js';
 import { pushAtRandom, useCredits, useGrant } from './dispatching.js';
+import { samplePoolTimes } from './pool-times.js';
 import { dequeue, enqueue, waitingCount } from './queues.js';
 import { RefusalCode, RequestState } from './types.js';
 import type {
@@ -239,6 +240,7 @@
 
   tick: (state, { nowMs }) => {
     chargeOverruns(state, nowMs);
+    samplePoolTimes(state, nowMs);
     const effects = expireWaiting(state, nowMs);
     effects.push(...askAgain(state, nowMs));
     effects.push(...sendUntoldDemand(state, nowMs));
--- a/packages/core/src/router/types.ts
+++ b/packages/core/src/router/types.ts
@@ -153,6 +153,14 @@
   accounts: Map<string, string[]>;
   /** Charged for attempts that have not ended, by account, in milliseconds of slot time. */
   outstandingMs: Map<string, number>;
+  /** Samples of the pool's virtual time, oldest first. */
+  pastTimes: PastPoolTime[];
+}
+
+/** The virtual time of a pool at an earlier time. */
+export interface PastPoolTime {
+  atMs: number;
+  virtualTimeMs: number;
 }
 
 /** State of the router's reducer. */
