Tell four sidecars at once of new demand; say not ready without configuration; keep the drain deadline

Cause: in flood only one sidecar heard at once of a victim's request; a restarted router answered 401 to known keys until it had a configuration; drain_deadline_ms was read and not used; router and sidecar registered gauges by the same lines. Change: fan-out 4 and the rest within 100 ms; 503 not_ready with Retry-After; drain ends at its deadline; shared registerStateGauges.

--- a/packages/core/src/router/demand.ts
+++ b/packages/core/src/router/demand.ts
@@ -8,23 +8,20 @@
 const WORTHWHILE_PART = 1;
 
 /**
- * Sidecars without any demand from here that are told at once of an account that began to wait. One grant serves the request, so
- * telling all at once would have most of their grants declined.
+ * Sidecars that are told at once of an account that began to wait. One grant serves the request, so telling all at once would have
+ * most of their grants declined; telling one would have an account of least virtual time wait for that sidecar's next slot.
  */
-const URGENT_FAN_OUT = 3;
+const URGENT_FAN_OUT = 4;
 
 /** Longest time until every sidecar knows of an account that waits, in milliseconds. */
-const UNTOLD_PERIOD_MS = 250;
+const UNTOLD_PERIOD_MS = 100;
 
-/**
- * Tells a few sidecars of the pool, in turn, of an account that began to wait: those that know of no demand here, or else one, so
- * that an account of least virtual time need not wait for the next refresh.
- */
+/** Tells a few sidecars of the pool, in turn, of an account that began to wait; those that know of no demand here come first. */
 export function sendUrgentDemand(state: RouterState, pool: string, nowMs: number): RouterEffect[] {
   const uninformed = uninformedSidecars(state).filter((sidecar) => sidecar.pool === pool);
   const unaware = uninformed.filter((sidecar) => !knowsOfDemand(sidecar));
   const chosen = unaware.length > 0 ? unaware : uninformed;
-  const fanOut = Math.min(unaware.length > 0 ? URGENT_FAN_OUT : 1, chosen.length);
+  const fanOut = Math.min(URGENT_FAN_OUT, chosen.length);
   const first = state.nextFanOut;
   state.nextFanOut += fanOut;
   return Array.from({ length: fanOut }, (_, i) => chosen[(first + i) % chosen.length]).flatMap(
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,3 +9,4 @@
 export * from './process-hello.js';
 export * from './repeat.js';
 export * from './signal.js';
+export * from './state-gauges.js';
--- a/packages/router/src/callers/authenticate.ts
+++ b/packages/router/src/callers/authenticate.ts
@@ -4,9 +4,15 @@
 import type { AccountRecord, Directory } from '../directory/types.js';
 import { fail } from './errors.js';
 
-/** Sets `ctx.state.caller`, or answers 401. */
+const RETRY_AFTER_MS = 1000;
+
+/** Sets `ctx.state.caller`, or answers 401; 503 while the router has no configuration and so knows no key. */
 export function authenticate(directory: () => Directory): Middleware {
   return async (ctx, next) => {
+    if (directory().version === 0) {
+      fail(ctx, 'not_ready', RETRY_AFTER_MS);
+      return;
+    }
     const caller = directory().accountOfKey(apiKeyOf(ctx));
     if (!caller) {
       fail(ctx, 'unknown_key');
--- a/packages/router/src/callers/errors.ts
+++ b/packages/router/src/callers/errors.ts
@@ -7,6 +7,7 @@
 
 /** Stable error codes and the HTTP status of each. */
 export const CALLER_ERRORS = {
+  not_ready: { status: 503, message: 'This router has no configuration yet. Try another one.' },
   unknown_key: { status: 401, message: 'The API key is missing or unknown.' },
   service_not_allowed: { status: 403, message: 'The account may not reach this service.' },
   unknown_service: { status: 404, message: 'There is no such service.' },
@@ -73,7 +74,11 @@
 }
 
 /** Answers a request that was refused before it reached a queue. */
-export function fail(ctx: Context, code: CallerErrorCode): void {
+export function fail(
+  ctx: Context,
+  code: CallerErrorCode,
+  retryAfterMs: number | null = null,
+): void {
   ctx.respond = false;
-  sendError(ctx.res, code, 'no');
+  sendError(ctx.res, code, 'no', retryAfterMs);
 }
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of the router. */
 import type { RouterState } from '@kingcupsill/core';
-import { Counter, Gauge } from 'prom-client';
+import { registerStateGauges } from '@kingcupsill/fleet';
+import { Counter } from 'prom-client';
 import type { Registry } from 'prom-client';
 
 /** Metrics that the router counts as things happen. */
@@ -11,7 +12,7 @@
 
 /** Registers the router's metrics; gauges read the reducer's state when scraped. */
 export function registerRouterMetrics(registry: Registry, state: () => RouterState): RouterMetrics {
-  const gauges: { name: string; help: string; read(now: RouterState): number }[] = [
+  registerStateGauges(registry, state, [
     {
       name: 'kingcupsill_requests_held',
       help: 'Requests between arrival and the end of their answer.',
@@ -27,18 +28,7 @@
       help: 'Sidecars with an open link.',
       read: (now) => now.sidecars.size,
     },
-  ];
-  gauges.forEach(({ name, help, read }) => {
-    const gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read(state()));
-      },
-    });
-    void gauge;
-  });
+  ]);
   const answers = new Counter({
     name: 'kingcupsill_answers_total',
     help: 'Answers to callers, by HTTP status.',
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,4 +1,6 @@
 /** Composition of the router process. */
+import { setTimeout as delay } from 'node:timers/promises';
+
 import type {
   Hasher,
   Hello,
@@ -64,7 +66,18 @@
   return { drain: () => drain(ctx, parts), close };
 }
 
-async function drain({ clock }: RouterContext, parts: RouterParts): Promise<void> {
+/** Finishes the requests in hand, for no longer than the drain deadline. */
+async function drain(ctx: RouterContext, parts: RouterParts): Promise<void> {
+  const { drainDeadlineMs } = ctx.settings.shutdown;
+  const deadline = new AbortController();
+  const expired = delay(drainDeadlineMs, true, { signal: deadline.signal }).catch(() => false);
+  const finished = finishRequests(ctx, parts).then(() => false);
+  const isLate = await Promise.race([finished, expired]);
+  deadline.abort();
+  if (isLate) ctx.logger.warn('drain-deadline-passed', { requests: parts.heldRequests.size });
+}
+
+async function finishRequests({ clock }: RouterContext, parts: RouterParts): Promise<void> {
   parts.loop.dispatch({ kind: 'stop', nowMs: clock() });
   await parts.stopped.happened;
   await (await parts.callerServer).idle();
--- /dev/null
+++ b/packages/router/test/callers/not-ready.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { EMPTY_CONFIG } from '@kingcupsill/core';
+import { listenHttp } from '@kingcupsill/fleet';
+import { request } from 'undici';
+
+import { createCallerApp } from '../../src/callers/caller-app.js';
+import { createDirectory } from '../../src/directory/directory.js';
+
+const HOST = '127.0.0.1';
+
+test('a router without configuration says that it is not ready, not that the key is unknown', async () => {
+  const app = createCallerApp({
+    directory: () => createDirectory(EMPTY_CONFIG),
+    dispatch: () => assert.fail('nothing may be queued'),
+    clock: () => 0,
+    wallClock: () => 0,
+    random: () => 0,
+    hold: () => assert.fail('nothing may be held'),
+    maxBodyBytes: 1024,
+  });
+  const server = await listenHttp(app, HOST, 0);
+  try {
+    const res = await request(`http://${HOST}:${server.port}/v1/models`, {
+      headers: { authorization: 'Bearer some-key' },
+    });
+    const { error } = (await res.body.json()) as { error: { code: string; ran: string } };
+    assert.equal(res.statusCode, 503);
+    assert.equal(res.headers['retry-after'], '1');
+    assert.deepEqual({ code: error.code, ran: error.ran }, { code: 'not_ready', ran: 'no' });
+  } finally {
+    await server.close();
+  }
+});
--- a/packages/router/test/fleet/fleet-faults.test.ts
+++ b/packages/router/test/fleet/fleet-faults.test.ts
@@ -182,6 +182,19 @@
     await draining;
   }));
 
+test('a router waits for what it holds no longer than its drain deadline', () =>
+  withFleet(
+    async (fleet) => {
+      const held = shop(fleet, 'record', 60_000).catch((err: Error) => err);
+      await until(() => fleet.app.journal().length === 1);
+      await fleet.router.drain();
+      assert.equal(fleet.app.journal()[0]?.outcome, 'running');
+      await fleet.router.close();
+      assert.ok((await held) instanceof Error);
+    },
+    { SHUTDOWN_DRAIN_DEADLINE_MS: '50' },
+  ));
+
 test('a sidecar that shuts down ends what it runs, to the last byte', () =>
   withFleet(async (fleet) => {
     const held = answerOf(chat(fleet, 150, true));
--- a/packages/router/test/fleet/fleet.ts
+++ b/packages/router/test/fleet/fleet.ts
@@ -90,8 +90,8 @@
   operators: { root: { keyHashes: [digestKey('root')], mayChange: ['*'] } },
 };
 
-/** Starts everything and waits until the router is linked to both sidecars. */
-export async function startTestFleet() {
+/** Starts everything and waits until the router is linked to both sidecars. `routerEnv` adds to the router's settings. */
+export async function startTestFleet(routerEnv: Env = {}) {
   const engine = await createEngineStandin({ timeScale: 5, cacheEventLoss: 0 });
   const app = await createAppStandin({ meanWorkMs: 5 });
   const platform = await createPlatformStandin({ instanceLagMs: 0 });
@@ -113,6 +113,7 @@
     PROCESS_ID: 'router-1',
     PLATFORM_URL: platform.url,
     CALLERS_MAX_BODY_BYTES: '20000',
+    ...routerEnv,
   });
   const router = await startRouter(routerFrame.ctx);
   const address = `127.0.0.1:${routerFrame.ports.linkPort}`;
@@ -160,8 +161,11 @@
 export type TestFleet = Awaited<ReturnType<typeof startTestFleet>>;
 
 /** Runs a test on a fleet of its own and closes it whatever comes. */
-export async function withFleet(run: (fleet: TestFleet) => Promise<void>): Promise<void> {
-  const fleet = await startTestFleet();
+export async function withFleet(
+  run: (fleet: TestFleet) => Promise<void>,
+  routerEnv: Env = {},
+): Promise<void> {
+  const fleet = await startTestFleet(routerEnv);
   try {
     await run(fleet);
   } finally {
--- a/packages/sidecar/src/metrics.ts
+++ b/packages/sidecar/src/metrics.ts
@@ -1,12 +1,12 @@
 /** Metrics of the sidecar. */
 import type { SidecarState } from '@kingcupsill/core';
 import { freeSlots } from '@kingcupsill/core';
-import { Gauge } from 'prom-client';
+import { registerStateGauges } from '@kingcupsill/fleet';
 import type { Registry } from 'prom-client';
 
 /** Registers gauges that read the reducer's state when scraped. */
 export function registerSidecarMetrics(registry: Registry, state: () => SidecarState): void {
-  const gauges: { name: string; help: string; read(now: SidecarState): number }[] = [
+  registerStateGauges(registry, state, [
     {
       name: 'kingcupsill_slots',
       help: 'Requests that the backend server runs at once.',
@@ -27,16 +27,5 @@
       help: 'Grants given and not used yet.',
       read: (now) => now.grants.size,
     },
-  ];
-  gauges.forEach(({ name, help, read }) => {
-    const gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read(state()));
-      },
-    });
-    void gauge;
-  });
+  ]);
 }
