Count a grant as contained in any later report, so that no request waits beside a free slot

A sidecar kept a grant as pending when its router's report came within a round trip of it, though the router had used the grant before; the report's one waiting request was then taken for granted, and the router, which believed the sidecar informed, did not report again. Ruled out: the router's fan-out, which only decides who hears first. Change: a report contains all grants before it; a grant that really crossed costs one declined grant at worst.

--- a/packages/core/src/sidecar/sidecar-reducer.ts
+++ b/packages/core/src/sidecar/sidecar-reducer.ts
@@ -300,7 +300,9 @@
   const { account, waiting, virtualTimeMs } = entry;
   if (waiting > 0) {
     router.demand.set(account, entry);
-    const report = { router: router.link, account, virtualTimeMs, roundTripMs: router.rttMs };
+    // A grant that crossed the report counts as contained in it: at worst one more grant than requests is given and declined. To
+    // keep it as pending after the router has used it would leave a request waiting beside a free slot.
+    const report = { router: router.link, account, virtualTimeMs };
     onReport(state.order, report, nowMs);
     return;
   }
