Read bodies and tell unsent calls in one place

Cause: on reading the change again, router and sidecar each had the reader of request bodies and the list of errors that prove a call was not sent; the second decides what is called not run, so it must not differ between them. Change: both are in packages/fleet; behaviour is as it was.

--- a/packages/router/src/callers/read-body.ts
+++ b/packages/fleet/src/read-body.ts
@@ -1,4 +1,4 @@
-/** Reads callers' bodies. */
+/** Reads the bodies of HTTP requests. */
 import type { IncomingMessage } from 'node:http';
 
 /** Outcome of reading a body. */
--- a/packages/router/src/callers/caller-app.ts
+++ b/packages/router/src/callers/caller-app.ts
@@ -1,6 +1,7 @@
 /** Callers' HTTP interface: chat completions, models, plain services. */
 import Router from '@koa/router';
 import { ServiceKind } from '@kingcupsill/core';
+import { readBody } from '@kingcupsill/fleet';
 import Koa from 'koa';
 import type { Context } from 'koa';
 
@@ -9,7 +10,6 @@
 import { parseChatRequest } from './chat-request.js';
 import { fail } from './errors.js';
 import { isIdempotent } from './idempotency.js';
-import { readBody } from './read-body.js';
 import { parseServicePath } from './service-path.js';
 import { createSubmit } from './submit.js';
 import type { SubmitOptions } from './submit.js';
--- a/packages/router/src/relay/relay.ts
+++ b/packages/router/src/relay/relay.ts
@@ -1,6 +1,7 @@
 /** Sends attempts to sidecars and relays their answers to callers. */
 import type { LearnedOutcome, RecordedAnswer } from '@kingcupsill/core';
 import { AttemptHeader, AttemptOutcome } from '@kingcupsill/core';
+import { isNotSent } from '@kingcupsill/fleet';
 import type { Dispatcher } from 'undici';
 
 import type { HeldRequest } from '../callers/types.js';
@@ -10,9 +11,6 @@
 import { createSidecarClient } from './sidecar-client.js';
 import type { Relay, RelayOptions } from './types.js';
 
-/** Errors that come before a byte of the request has left this process. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
 type SidecarResponse = Dispatcher.ResponseData;
 
 /** Creates the relay. */
@@ -135,7 +133,3 @@
 function toError(err: unknown): Error {
   return err instanceof Error ? err : new Error(String(err));
 }
-
-function isNotSent(err: Error): boolean {
-  return NOT_SENT_CODES.has(String((err as { code?: string }).code));
-}
--- a/packages/sidecar/src/attempts/attempt-routes.ts
+++ b/packages/sidecar/src/attempts/attempt-routes.ts
@@ -5,11 +5,11 @@
 import Router from '@koa/router';
 import type { AttemptOffer, SidecarProcessEvent } from '@kingcupsill/core';
 import { AttemptHeader } from '@kingcupsill/core';
+import { readBody } from '@kingcupsill/fleet';
 import Koa from 'koa';
 import type { Context } from 'koa';
 
 import { AnswerEnd } from '../answer/types.js';
-import { readBody } from './read-body.js';
 import type { AttemptRegistry, HeldAttempt } from './types.js';
 
 /** What the routes need. */
@@ -34,12 +34,12 @@
 
   router.post('/attempts/:id', async (ctx) => {
     const attempt = String(ctx.params.id);
-    const body = await readBody(ctx.req, maxBodyBytes);
-    if (body === null || registry.get(attempt)) {
+    const read = await readBody(ctx.req, maxBodyBytes);
+    if (!read.ok || registry.get(attempt)) {
       refuse(ctx, 'barred');
       return;
     }
-    const held = registry.add(backendRequest(ctx, attempt, body));
+    const held = registry.add(backendRequest(ctx, attempt, read.body));
     dispatch({ kind: 'attempt-offered', nowMs: clock(), offer: offerOf(ctx, attempt) });
     await held.decided;
     if (held.refused) {
--- a/packages/sidecar/src/backend/backend-client.ts
+++ b/packages/sidecar/src/backend/backend-client.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { REQUEST_ID_HEADER, passedHeaders } from '@kingcupsill/core';
+import { isNotSent } from '@kingcupsill/fleet';
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 
@@ -12,9 +13,6 @@
 import { BackendKind, RunEnd } from './types.js';
 import type { BackendClient, BackendClientOptions, BackendRequest } from './types.js';
 
-/** Errors that come before a byte of the request has left this process. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
 type BackendResponse = Dispatcher.ResponseData;
 
 /** Creates the client of one backend server. */
@@ -108,8 +106,7 @@
 }
 
 function endOfError(err: unknown): typeof RunEnd.NotRun | typeof RunEnd.Broken {
-  const code = String((err as { code?: unknown } | null)?.code ?? '');
-  return NOT_SENT_CODES.has(code) ? RunEnd.NotRun : RunEnd.Broken;
+  return isNotSent(err) ? RunEnd.NotRun : RunEnd.Broken;
 }
 
 function isAnswerTo(res: BackendResponse, attempt: string): boolean {
