--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'coverage/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -18,7 +18,11 @@
     languageOptions: {
       parserOptions: {
         projectService: false,
-        project: ['./packages/*/tsconfig.json', './tsconfig.tests.json'],
+        project: [
+          './packages/*/tsconfig.json',
+          './platform/tsconfig.json',
+          './tsconfig.tests.json',
+        ],
         tsconfigRootDir: fileURLToPath(new URL('.', import.meta.url)),
       },
     },
@@ -54,7 +58,7 @@
     },
   },
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: {
       'max-lines-per-function': 'off',
       // node:test returns promises that the runner itself awaits.
--- /dev/null
+++ b/packages/core/src/direct/index.ts
@@ -0,0 +1,15 @@
+export * from './account-usage.js';
+export * from './admission.js';
+export * from './engine-load.js';
+export type * from './events.js';
+export * from './part-cache.js';
+export * from './placement.js';
+export * from './reducer.js';
+export * from './repeat-budget.js';
+export * from './reports.js';
+export * from './route-table.js';
+export * from './server-health.js';
+export * from './server-registry.js';
+export * from './sliding-sum.js';
+export * from './state.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/core/src/direct/reducer.ts
@@ -0,0 +1,90 @@
+/** Reducer of the direct router: one table of handlers over all events. */
+import type { Step } from '../loop/index.js';
+import type { DirectEffect, DirectEvent } from './events.js';
+import { applyReport, forgetPeer } from './reports.js';
+import {
+  expireRequests,
+  onAttemptBegun,
+  onAttemptEnded,
+  onCallerLeft,
+  onEventsDelivered,
+  onRequest,
+} from './requests.js';
+import { createRouteTable } from './route-table.js';
+import type { DirectState } from './state.js';
+
+type EventOf<TKind extends DirectEvent['kind']> = Extract<DirectEvent, { kind: TKind }>;
+type Handlers = {
+  [TKind in DirectEvent['kind']]: (state: DirectState, event: EventOf<TKind>) => DirectEffect[];
+};
+
+function forgetServers(state: DirectState, keys: string[]): DirectEffect[] {
+  return keys.map((key) => {
+    state.servers.delete(key);
+    return { kind: 'note', event: 'server-gone', fields: { server: key } };
+  });
+}
+
+function configure(state: DirectState, event: EventOf<'configured'>): DirectEffect[] {
+  const { config } = event;
+  const current = state.table?.config.version;
+  if (current !== undefined && config.version <= current) return [];
+  state.table = createRouteTable(config);
+  const fields = { version: config.version, routes: config.routes.length };
+  return [{ kind: 'note', event: 'configuration-in-force', fields }];
+}
+
+function changeServer(state: DirectState, event: EventOf<'server-changed'>): DirectEffect[] {
+  const { id, draining, service, zone } = event.entry;
+  const gone = state.registry.put(event.entry);
+  const fields = { server: id, draining, service, zone };
+  return [...forgetServers(state, gone), { kind: 'note', event: 'server-changed', fields }];
+}
+
+const HANDLERS: Handlers = {
+  configured: configure,
+  'servers-listed': (state, { entries, nowMs }) => {
+    state.listed = true;
+    return forgetServers(state, state.registry.replaceAll(entries, nowMs));
+  },
+  'server-changed': changeServer,
+  'server-removed': (state, { id, nowMs }) =>
+    forgetServers(state, state.registry.remove(id, nowMs)),
+  'store-answered': (state, { nowMs }) => {
+    state.registry.storeAnswered(nowMs);
+    return [];
+  },
+  request: (state, { request, facts, draw, nowMs }) =>
+    onRequest(state, request, facts, draw, nowMs),
+  'attempt-begun': (state, { attempt, nowMs }) => onAttemptBegun(state, attempt, nowMs),
+  'events-delivered': (state, { request, lastEventId }) =>
+    onEventsDelivered(state, request, lastEventId),
+  'attempt-ended': (state, { attempt, end, detail, nowMs }) =>
+    onAttemptEnded(state, attempt, end, detail, nowMs),
+  'caller-left': (state, { request, nowMs }) => onCallerLeft(state, request, nowMs),
+  'peer-report': (state, { report, nowMs }) => {
+    applyReport(state, report, nowMs);
+    return [];
+  },
+  'peer-gone': (state, { router }) => {
+    forgetPeer(state, router);
+    return [];
+  },
+  'peers-counted': (state, { routers }) => {
+    state.routers = routers;
+    return [];
+  },
+  tick: (state, { nowMs }) => [
+    ...forgetServers(state, state.registry.expire(nowMs)),
+    ...expireRequests(state, nowMs),
+  ],
+};
+
+/** Applies one event. */
+export function directReducer(
+  state: DirectState,
+  event: DirectEvent,
+): Step<DirectState, DirectEffect> {
+  const handle = HANDLERS[event.kind] as (state: DirectState, event: DirectEvent) => DirectEffect[];
+  return { state, effects: handle(state, event) };
+}
--- /dev/null
+++ b/packages/core/src/direct/server-health.ts
@@ -0,0 +1,72 @@
+/** Evidence from this router's own attempts on whether a backend server can be used. */
+import { AttemptEnd } from './types.js';
+
+/** Health of one backend server as this router sees it. */
+export interface ServerHealth {
+  note(end: AttemptEnd, nowMs: number): void;
+  /** An answer began. */
+  noteAlive(nowMs: number): void;
+  /** Recent share of failed attempts, 0 to 1. */
+  failureShare(nowMs: number): number;
+  /** Until when no new work goes there but for one trial; 0 when it is open. */
+  avoidUntilMs(): number;
+}
+
+/** Time after which old evidence counts half: a crashed engine is back after a few seconds. */
+const HALF_LIFE_MS = 3000;
+/** Good attempts assumed at the start, so that one failure does not condemn a server. */
+const PRIOR_GOOD = 2;
+/** First time without new work after a server couldn't be reached; it doubles with each failure in a row. */
+const FIRST_AVOID_MS = 300;
+const LONGEST_AVOID_MS = 3000;
+
+/** Ends that say that the server or the path to it is broken rather than that it is busy. */
+const UNREACHABLE = new Set<AttemptEnd>([AttemptEnd.Unsent, AttemptEnd.Unknown]);
+const FAILED = new Set<AttemptEnd>([AttemptEnd.Unsent, AttemptEnd.Unknown, AttemptEnd.Failed]);
+
+/** Creates the health of a server without any evidence. */
+export function createServerHealth(): ServerHealth {
+  let good = 0;
+  let bad = 0;
+  let decayedAtMs = 0;
+  let failuresInRow = 0;
+  let avoidUntil = 0;
+
+  function decay(nowMs: number): void {
+    const factor = 0.5 ** ((nowMs - decayedAtMs) / HALF_LIFE_MS);
+    good *= factor;
+    bad *= factor;
+    decayedAtMs = nowMs;
+  }
+
+  function noteUnreachable(nowMs: number): void {
+    failuresInRow += 1;
+    if (failuresInRow < 2) return;
+    const backoff = FIRST_AVOID_MS * 2 ** (failuresInRow - 2);
+    avoidUntil = nowMs + Math.min(LONGEST_AVOID_MS, backoff);
+  }
+
+  return {
+    note(end, nowMs) {
+      if (end === AttemptEnd.Cancelled) return;
+      decay(nowMs);
+      if (FAILED.has(end)) bad += 1;
+      else good += 1;
+      if (UNREACHABLE.has(end)) {
+        noteUnreachable(nowMs);
+      } else {
+        failuresInRow = 0;
+        avoidUntil = 0;
+      }
+    },
+    noteAlive(_nowMs) {
+      failuresInRow = 0;
+      avoidUntil = 0;
+    },
+    failureShare(nowMs) {
+      decay(nowMs);
+      return bad / (good + bad + PRIOR_GOOD);
+    },
+    avoidUntilMs: () => avoidUntil,
+  };
+}
--- /dev/null
+++ b/packages/edge/src/logs/log-sink.ts
@@ -0,0 +1,34 @@
+/** Writes log lines without ever waiting for their reader. */
+import { SonicBoom } from 'sonic-boom';
+
+/** Where log lines go. */
+export interface LogSink {
+  write(line: string): void;
+  /** Lines that were dropped as nobody read. */
+  dropped(): number;
+  /** Writes what is held, at exit. */
+  flush(): void;
+}
+
+/** Bytes held for a slow reader; what comes beyond is dropped and counted. */
+const MOST_HELD_BYTES = 256 * 1024;
+
+/** Creates a sink on a file descriptor. */
+export function createLogSink(fd: number): LogSink {
+  const out = new SonicBoom({ fd, sync: false, maxLength: MOST_HELD_BYTES });
+  let dropped = 0;
+  out.on('drop', () => {
+    dropped += 1;
+  });
+  // A reader that has gone is no reason to end; the lines are lost and count as dropped.
+  out.on('error', () => {
+    dropped += 1;
+  });
+  return {
+    write: (line) => void out.write(line),
+    dropped: () => dropped,
+    flush() {
+      out.flush();
+    },
+  };
+}
--- /dev/null
+++ b/packages/edge/src/store/object-feed.ts
@@ -0,0 +1,116 @@
+/** Follows one kind of objects in the platform's store: lists them, then waits for changes, through outages. */
+import { StoreFailure } from '@kingcupsill/prepared-platform';
+import type {
+  StoreChange,
+  StoreClient,
+  StoreKind,
+  StoreObject,
+  StoreOutcome,
+} from '@kingcupsill/prepared-platform';
+import type { Logger } from '@kingcupsill/runtime';
+
+/** Options of a feed. */
+export interface ObjectFeedOptions {
+  client: StoreClient;
+  kind: StoreKind;
+  logger: Logger;
+  /** Random number from 0 up to 1, for jitter. */
+  random: () => number;
+  /** The store answered. */
+  onAnswered: () => void;
+  onListed: (objects: StoreObject[]) => void;
+  onChanged: (change: StoreChange) => void;
+}
+
+/** A feed. */
+export interface ObjectFeed {
+  close(): void;
+}
+
+/** Wait of one watch. A connection that went silent shows after it, well within the time in which changes must be in force. */
+const WATCH_MS = 1500;
+/** First pause after a failure; it doubles up to the longest. The store's rates leave room for each router to ask this often. */
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 400;
+
+/** Starts a feed. */
+export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
+  const { client, kind, logger } = options;
+  let closed = false;
+  let failures = 0;
+  let wake: (() => void) | undefined;
+
+  function pause(): Promise<void> {
+    const base = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(failures, 10));
+    const ms = base * (0.5 + options.random() / 2);
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  /** Notes how a call went; one line for a loss and one for the return. */
+  function note(outcome: StoreOutcome<unknown>): void {
+    if (outcome.ok || outcome.failure === StoreFailure.HistoryGone) {
+      if (failures > 0) logger.info('store-regained', { kind, failures });
+      failures = 0;
+      options.onAnswered();
+      return;
+    }
+    failures += 1;
+    const { failure, detail } = outcome;
+    if (failures === 1) logger.warn('store-lost', { kind, failure, detail });
+  }
+
+  async function list(): Promise<number | undefined> {
+    const objects: StoreObject[] = [];
+    let after: string | undefined;
+    let revision: number | undefined;
+    do {
+      const page = await client.listPage(kind, after);
+      if (closed) return undefined;
+      note(page);
+      if (!page.ok) return undefined;
+      // Changes during the walk lie after the first page's revision, so the watch brings them.
+      revision ??= page.value.revision;
+      objects.push(...page.value.objects);
+      after = page.value.next;
+    } while (after !== undefined);
+    options.onListed(objects);
+    return revision;
+  }
+
+  async function watch(from: number): Promise<number | undefined> {
+    const outcome = await client.watch(kind, from, WATCH_MS);
+    if (closed) return undefined;
+    note(outcome);
+    if (outcome.ok) {
+      outcome.value.changes.forEach(options.onChanged);
+      return outcome.value.revision;
+    }
+    if (outcome.failure === StoreFailure.HistoryGone) {
+      logger.info('store-history-gone', { kind, revision: from });
+      return undefined;
+    }
+    return from;
+  }
+
+  async function run(): Promise<void> {
+    let revision: number | undefined;
+    while (!closed) {
+      revision = revision === undefined ? await list() : await watch(revision);
+      if (failures > 0 && !closed) await pause();
+    }
+  }
+
+  void run();
+  return {
+    close() {
+      closed = true;
+      wake?.();
+    },
+  };
+}
