--- a/packages/core/src/direct/admission.ts
+++ b/packages/core/src/direct/admission.ts
@@ -17,6 +17,11 @@
 const LOW_ACCOUNT_PART = 0.9;
 /** For an account above its share: only engines that have next to nothing waiting take its requests. */
 const HIGH_ACCOUNT_PART = 0.3;
+/**
+ * Part of the objective that a request's own work counts for at most. Without it, large prompts would be refused whenever
+ * anything waits, and none of them would be served under load.
+ */
+const OWN_WORK_PART = 0.35;
 /** Shares used at which an account counts as low, and as high. */
 const LOW_SHARE = 0.8;
 const HIGH_SHARE = 1.1;
@@ -43,8 +48,11 @@
   shareUsed: number,
   draw: number,
 ): Admission {
-  const allowedMs = facts.route.objectiveMs * allowedPart(shareUsed);
-  const over = Math.max(best.predictedMs - allowedMs, LEAST_RETRY_MS);
+  const { objectiveMs } = facts.route;
+  const allowedMs = objectiveMs * allowedPart(shareUsed);
+  const overWork = Math.max(0, best.workMs - objectiveMs * OWN_WORK_PART);
+  const countedMs = best.predictedMs - overWork;
+  const over = Math.max(countedMs - allowedMs, LEAST_RETRY_MS);
   const retryAfterMs = Math.min(LONGEST_RETRY_MS, over * (1 + RETRY_SPREAD * draw));
-  return { admitted: best.predictedMs <= allowedMs, allowedMs, retryAfterMs };
+  return { admitted: countedMs <= allowedMs, allowedMs, retryAfterMs };
 }
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -12,6 +12,8 @@
   /** Time until its first event, or its answer, would come. */
   predictedMs: number;
   waitMs: number;
+  /** Time for the request's own prompt or work. */
+  workMs: number;
   readTokens: number;
   /** What the choice goes by: lower is better. */
   cost: number;
@@ -83,7 +85,7 @@
   const away = again > 0 && choice.home !== undefined && choice.home !== server.key;
   const cost =
     predictedMs + again + failures * FAILURE_COST_MS + (away ? OTHER_HOME_MS : 0) + load.running();
-  return { server, known, predictedMs, waitMs, readTokens, cost };
+  return { server, known, predictedMs, waitMs, workMs, readTokens, cost };
 }
 
 /** A server that wasn't reached gets one trial at a time, once its pause is over. */
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -3,7 +3,7 @@
 import type { Refusal, RequestFacts } from '@kingcupsill/core/direct';
 import { retryAfterText } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
-import type { AnswerTarget, HeldAnswer, RunningAttempt } from '../relay/types.js';
+import type { AnswerTarget, HeldAnswer } from '../relay/types.js';
 
 /** A request in hand. */
 export interface Exchange {
@@ -13,8 +13,6 @@
   facts: RequestFacts;
   body: Buffer;
   target: AnswerTarget;
-  attempt: RunningAttempt | undefined;
-  attemptName: string | undefined;
   held: HeldAnswer | undefined;
 }
 
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -4,6 +4,7 @@
 import { AttemptEnd } from '@kingcupsill/core/direct';
 import { readAnswerHeaders, toCallerHeaders } from '@kingcupsill/prepared-platform';
 import { createEventSplitter } from './event-splitter.js';
+import { endsWithConnection, readInSteps } from './read-in-steps.js';
 import type { ServerConnections } from './server-connections.js';
 import type {
   AnswerTarget,
@@ -130,6 +131,7 @@
 
   function onResponse(res: IncomingMessage): void {
     const judged = judgeHead(req, res);
+    if (endsWithConnection(res)) readInSteps(res);
     res.on('error', (err) => fail(err.message));
     res.on('close', () => fail('answer cut short'));
     if (judged !== undefined && HEAD_DECIDES.has(judged)) {
--- a/packages/edge/src/requests.ts
+++ b/packages/edge/src/requests.ts
@@ -19,6 +19,7 @@
 import type { EdgeMetrics } from './metrics.js';
 import { startAttempt } from './relay/attempt.js';
 import type { ServerConnections } from './relay/server-connections.js';
+import type { RunningAttempt } from './relay/types.js';
 
 /** Retry-After before a configuration is known: it comes within a second of the store's answer. */
 const NO_CONFIGURATION_RETRY_MS = 1000;
@@ -51,6 +52,8 @@
 export function createRequests(options: RequestsOptions): Requests {
   const { state, connections, logger, metrics, nowMs, random } = options;
   const exchanges = new Map<string, { exchange: Exchange; res: ServerResponse }>();
+  // Apart from the exchanges: an attempt is cancelled after its caller has gone.
+  const running = new Map<string, RunningAttempt>();
   let numbered = 0;
 
   function headerBytes(req: IncomingMessage): number {
@@ -144,8 +147,6 @@
         facts: early.facts,
         body: outcome.body,
         target: createAnswerTarget(res),
-        attempt: undefined,
-        attemptName: undefined,
         held: undefined,
       };
       submit(res, exchange);
@@ -168,8 +169,7 @@
       fetchFrom: effect.fetchFrom,
     };
     exchange.held = undefined;
-    exchange.attemptName = attempt;
-    exchange.attempt = startAttempt(
+    const started = startAttempt(
       connections,
       {
         method: req.method!,
@@ -190,6 +190,7 @@
           loop.dispatch({ kind: 'events-delivered', request, lastEventId: id, nowMs: nowMs() });
         },
         ended(end, detail, held) {
+          running.delete(attempt);
           exchange.held = held;
           metrics.ended(end);
           if (end !== 'complete') logger.warn('attempt-ended', { request, attempt, end, detail });
@@ -198,6 +199,7 @@
         },
       },
     );
+    running.set(attempt, started);
   }
 
   function take(request: string): { exchange: Exchange; res: ServerResponse } | undefined {
@@ -212,9 +214,8 @@
     handlers: {
       send,
       cancel({ attempt }) {
-        exchanges.forEach(({ exchange }) => {
-          if (exchange.attemptName === attempt) exchange.attempt?.cancel();
-        });
+        running.get(attempt)?.cancel();
+        running.delete(attempt);
       },
       finish({ request }) {
         const found = take(request);
