--- a/packages/core/src/direct/account-usage.ts
+++ b/packages/core/src/direct/account-usage.ts
@@ -99,7 +99,9 @@
       if (before === undefined) return;
       add(account, totals.asked - before.asked, totals.served - before.served, nowMs);
     },
-    forgetPeer: (peer) => void peers.delete(peer),
+    forgetPeer(peer) {
+      peers.delete(peer);
+    },
     shareUsed(account, nowMs) {
       if (nowMs - levelAtMs >= LEVEL_PERIOD_MS) {
         level = computeLevel(nowMs);
--- a/packages/core/src/direct/admission.ts
+++ b/packages/core/src/direct/admission.ts
@@ -11,20 +11,27 @@
   retryAfterMs: number;
 }
 
-/** Part of the objective that a prediction may use; the rest covers its error and the way to the caller. */
-const BASE_PART = 0.75;
-/** For an account far below its share. */
-const LOW_ACCOUNT_PART = 0.9;
-/** For an account above its share: only engines that have next to nothing waiting take its requests. */
-const HIGH_ACCOUNT_PART = 0.3;
+/** Part of the objective that a prediction may use while nothing is short; the rest covers its error and the way to the caller. */
+const CALM_PART = 0.75;
+/** A share used, and the part of the objective that is allowed there. */
+interface SharePoint {
+  shareUsed: number;
+  part: number;
+}
+/**
+ * While something is short, accounts far below their share go first, and the further one is above it, the less may wait in
+ * front of its requests. At the end, only idle engines take them, so nothing idles while they ask.
+ */
+const SHARE_POINTS: readonly SharePoint[] = [
+  { shareUsed: 0.8, part: 0.9 },
+  { shareUsed: 1.1, part: 0.3 },
+  { shareUsed: 1.5, part: 0.05 },
+];
 /**
  * Part of the objective that a request's own work counts for at most. Without it, large prompts would be refused whenever
  * anything waits, and none of them would be served under load.
  */
 const OWN_WORK_PART = 0.35;
-/** Shares used at which an account counts as low, and as high. */
-const LOW_SHARE = 0.8;
-const HIGH_SHARE = 1.1;
 /** Bounds of the time told to callers. */
 const LEAST_RETRY_MS = 200;
 const LONGEST_RETRY_MS = 2000;
@@ -32,10 +39,13 @@
 const RETRY_SPREAD = 0.5;
 
 function allowedPart(shareUsed: number): number {
-  if (shareUsed <= LOW_SHARE) return shareUsed === 0 ? BASE_PART : LOW_ACCOUNT_PART;
-  if (shareUsed >= HIGH_SHARE) return HIGH_ACCOUNT_PART;
-  const above = (shareUsed - LOW_SHARE) / (HIGH_SHARE - LOW_SHARE);
-  return LOW_ACCOUNT_PART + above * (HIGH_ACCOUNT_PART - LOW_ACCOUNT_PART);
+  if (shareUsed === 0) return CALM_PART;
+  const next = SHARE_POINTS.findIndex((point) => shareUsed < point.shareUsed);
+  if (next === 0) return SHARE_POINTS[0]!.part;
+  if (next < 0) return SHARE_POINTS[SHARE_POINTS.length - 1]!.part;
+  const [from, to] = [SHARE_POINTS[next - 1]!, SHARE_POINTS[next]!];
+  const way = (shareUsed - from.shareUsed) / (to.shareUsed - from.shareUsed);
+  return from.part + way * (to.part - from.part);
 }
 
 /**
--- a/packages/edge/src/bin/edge.ts
+++ b/packages/edge/src/bin/edge.ts
@@ -1,52 +1,66 @@
 #!/usr/bin/env node
 /** The `kingcupsill-edge` binary. */
+import { randomBytes } from 'node:crypto';
 import { SETTINGS_VARIABLE } from '@kingcupsill/prepared-platform';
 import {
   createLogger,
   createMonotonicClock,
   ExitCode,
-  loadSettings,
   shutDownOnSignals,
 } from '@kingcupsill/runtime';
 import { Registry } from 'prom-client';
 import { startEdge } from '../edge.js';
 import { createBoundedLogger } from '../logs/bounded-logger.js';
 import { createLogSink } from '../logs/log-sink.js';
-import { edgeSchema } from '../settings.js';
+import { openSettings } from '../settings-source.js';
 
 const STANDARD_OUTPUT = 1;
+const INCARNATION_BYTES = 4;
+/** Time between looks at the settings file: a change without a signal is in force about as soon as one of the configuration. */
+const SETTINGS_CHECK_MS = 2000;
 
 const file = process.argv[2] === '--config' ? process.argv[3] : process.env[SETTINGS_VARIABLE];
-const loaded = loadSettings({ schema: edgeSchema, file, env: process.env });
-if (!loaded.ok) {
-  process.stderr.write(`kingcupsill-edge: ${loaded.message}\n`);
+const opened = openSettings(file, process.env);
+if (!opened.ok) {
+  process.stderr.write(`kingcupsill-edge: ${opened.message}\n`);
   process.exit(ExitCode.Usage);
 }
 
-const { settings } = loaded;
-const nowMs = createMonotonicClock();
+const { source } = opened;
+const clock = createMonotonicClock();
 const sink = createLogSink(STANDARD_OUTPUT);
+const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+const { id, logLevel } = source.current().process;
 const logger = createBoundedLogger({
   logger: createLogger({
     process: 'kingcupsill-edge',
-    id: settings.process.id,
-    incarnation: String(process.pid),
-    level: settings.process.logLevel,
+    id,
+    incarnation,
+    level: logLevel,
     write: sink.write,
   }),
-  nowMs,
+  clock,
 });
 
+/** A broken invariant may have left any state behind, so the process ends at once. */
 const fail = (event: string) => (err: unknown) => {
   logger.error(event, { err });
-  process.stderr.write(`${event}: ${err instanceof Error ? err.stack : String(err)}\n`);
+  sink.flush();
   process.exit(ExitCode.Internal);
 };
 process.on('uncaughtException', fail('uncaught-exception'));
 process.on('unhandledRejection', fail('unhandled-rejection'));
 
 logger.info('starting', { node: process.version });
-const starting = startEdge({ settings, logger, registry: new Registry(), nowMs });
+const starting = startEdge({
+  settings: source.current,
+  logger,
+  registry: new Registry(),
+  clock,
+  random: Math.random,
+  incarnation,
+});
 shutDownOnSignals(starting, logger);
-process.on('SIGHUP', () => logger.info('settings-reload-asked'));
+process.on('SIGHUP', () => source.reload(logger));
+setInterval(() => source.reloadIfChanged(logger), SETTINGS_CHECK_MS).unref();
 starting.catch(fail('start-failed'));
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -3,7 +3,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@kingcupsill/core/direct';
-import type { Logger } from '@kingcupsill/runtime';
+import type { Clock, Logger } from '@kingcupsill/runtime';
+import { repeatEvery } from '../closable.js';
+import { listenOn } from '../listen.js';
+import { createConnectionTable } from './connection-table.js';
 
 /** Options of the server. */
 export interface CallerServerOptions {
@@ -12,7 +15,7 @@
   /** Limits in force; undefined before a configuration is known. */
   limits: () => CallerLimits | undefined;
   onRequest: (req: IncomingMessage, res: ServerResponse) => void;
-  nowMs: () => number;
+  clock: Clock;
   logger: Logger;
 }
 
@@ -26,111 +29,83 @@
   close(): Promise<void>;
 }
 
-/** Bound of the header that the parser accepts; the configuration's own limit is checked after it. */
-const PARSER_HEADER_BYTES = 64 * 1024;
 /** Idle time before a configuration is known. */
 const DEFAULT_IDLE_MS = 15_000;
 /** Callers may use a connection up to the idle time-out; it is closed this much later. */
 const IDLE_MARGIN_MS = 1000;
 const SWEEP_PERIOD_MS = 500;
-/** Longest time for a header or a body to come in; a connection may also be idle before its first byte. */
+/** Longest time for a header and a body to come in; it includes the idle time before a connection's first byte. */
 const RECEIVE_TIMEOUT_MS = 30_000;
 
-/** Answers to bytes that are no request. */
+const SERVER_OPTIONS = {
+  // Idle connections are closed by the sweep, whose time-out follows the configuration.
+  keepAliveTimeout: 0,
+  headersTimeout: RECEIVE_TIMEOUT_MS,
+  requestTimeout: RECEIVE_TIMEOUT_MS,
+  connectionsCheckingInterval: 1000,
+  // Bound of the parser; the configuration's own limit is checked after it.
+  maxHeaderSize: 64 * 1024,
+  noDelay: true,
+};
+
+/** Answers to bytes that are no request, by the parser's code. */
 const MALFORMED_ANSWERS: Partial<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
-interface Connection {
-  idleSinceMs: number;
-  requests: number;
+function answerMalformed(socket: Socket, code: string | undefined): void {
+  const status = MALFORMED_ANSWERS[code ?? ''] ?? '400 Bad Request';
+  socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
 }
 
 /** Starts listening. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-  const { nowMs, logger } = options;
-  const connections = new Map<Socket, Connection>();
-  let open = 0;
-  let draining = false;
-  let closing = false;
-
-  function onClosed(socket: Socket): void {
-    const connection = connections.get(socket);
-    if (connection === undefined) return;
-    connection.requests -= 1;
-    connection.idleSinceMs = nowMs();
-    if (closing && connection.requests === 0) socket.end();
-  }
+  const connections = createConnectionTable(options.clock);
+  const phase = { draining: false, closing: false };
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const connection = connections.get(req.socket);
-    if (connection !== undefined) connection.requests += 1;
-    open += 1;
+    const { socket } = req;
+    connections.requestBegan(socket);
     res.sendDate = false;
-    if (draining) res.shouldKeepAlive = false;
+    if (phase.draining) res.shouldKeepAlive = false;
     res.on('close', () => {
-      open -= 1;
-      onClosed(req.socket);
+      connections.requestEnded(socket);
+      if (phase.closing && connections.isIdle(socket)) socket.end();
     });
     options.onRequest(req, res);
   }
 
   function onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
-    const connection = connections.get(socket);
-    if (socket.writable && (connection?.requests ?? 0) === 0 && err.code !== 'ECONNRESET') {
-      const status = MALFORMED_ANSWERS[err.code ?? ''] ?? '400 Bad Request';
-      logger.warn('malformed-request', { code: err.code, status });
-      socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
-    } else {
+    if (!socket.writable || !connections.isIdle(socket) || err.code === 'ECONNRESET') {
       socket.destroy();
+      return;
     }
+    options.logger.warn('request-malformed', { code: err.code });
+    answerMalformed(socket, err.code);
   }
 
-  function sweep(): void {
-    const idleMs = (options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_MS) + IDLE_MARGIN_MS;
-    const before = nowMs() - idleMs;
-    connections.forEach((connection, socket) => {
-      if (connection.requests === 0 && connection.idleSinceMs < before) socket.end();
-    });
-  }
-
-  const server = createServer(
-    {
-      keepAliveTimeout: 0,
-      headersTimeout: RECEIVE_TIMEOUT_MS,
-      requestTimeout: RECEIVE_TIMEOUT_MS,
-      connectionsCheckingInterval: 1000,
-      maxHeaderSize: PARSER_HEADER_BYTES,
-      noDelay: true,
-    },
-    onRequest,
-  );
-  server.on('connection', (socket) => {
-    connections.set(socket, { idleSinceMs: nowMs(), requests: 0 });
-    socket.on('close', () => connections.delete(socket));
-  });
+  const server = createServer(SERVER_OPTIONS, onRequest);
+  server.on('connection', connections.opened);
   server.on('clientError', onClientError);
-  const sweeper = setInterval(sweep, SWEEP_PERIOD_MS);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.host, 1024, resolve);
+  await listenOn(server, options);
+  const sweeping = repeatEvery(SWEEP_PERIOD_MS, () => {
+    const idleMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_MS;
+    connections.closeIdle(idleMs + IDLE_MARGIN_MS);
   });
 
   return {
     startDrain() {
-      draining = true;
+      phase.draining = true;
     },
     stopListening() {
-      closing = true;
+      phase.closing = true;
       server.close();
-      connections.forEach(({ requests }, socket) => {
-        if (requests === 0) socket.end();
-      });
+      connections.closeIdle(0);
     },
-    openRequests: () => open,
+    openRequests: connections.openRequests,
     async close() {
-      clearInterval(sweeper);
+      sweeping.close();
       server.close();
       server.closeAllConnections();
     },
--- /dev/null
+++ b/packages/edge/src/callers/connection-table.ts
@@ -0,0 +1,52 @@
+/** Callers' kept connections: which are idle, and since when. */
+import type { Socket } from 'node:net';
+
+/** Open connections of callers. */
+export interface ConnectionTable {
+  opened(socket: Socket): void;
+  requestBegan(socket: Socket): void;
+  requestEnded(socket: Socket): void;
+  isIdle(socket: Socket): boolean;
+  /** Closes connections that have been idle for longer than `idleMs`. */
+  closeIdle(idleMs: number): void;
+  /** Requests that are being answered. */
+  openRequests(): number;
+}
+
+interface Connection {
+  idleSinceMs: number;
+  requests: number;
+}
+
+/** Creates an empty table. */
+export function createConnectionTable(nowMs: () => number): ConnectionTable {
+  const connections = new Map<Socket, Connection>();
+  let open = 0;
+
+  return {
+    opened(socket) {
+      connections.set(socket, { idleSinceMs: nowMs(), requests: 0 });
+      socket.on('close', () => connections.delete(socket));
+    },
+    requestBegan(socket) {
+      open += 1;
+      const connection = connections.get(socket);
+      if (connection !== undefined) connection.requests += 1;
+    },
+    requestEnded(socket) {
+      open -= 1;
+      const connection = connections.get(socket);
+      if (connection === undefined) return;
+      connection.requests -= 1;
+      connection.idleSinceMs = nowMs();
+    },
+    isIdle: (socket) => connections.get(socket)?.requests === 0,
+    closeIdle(idleMs) {
+      const before = nowMs() - idleMs;
+      connections.forEach(({ requests, idleSinceMs }, socket) => {
+        if (requests === 0 && idleSinceMs <= before) socket.end();
+      });
+    },
+    openRequests: () => open,
+  };
+}
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -9,13 +9,18 @@
 export interface Exchange {
   id: string;
   req: IncomingMessage;
+  res: ServerResponse;
   headers: CallerHeaders;
   facts: RequestFacts;
   body: Buffer;
   target: AnswerTarget;
+  /** Whole answer of the last attempt, until the reducer decides on it. */
   held: HeldAnswer | undefined;
 }
 
+/** Statuses whose answers have no body. */
+const BODILESS = new Set([204, 304]);
+
 /** Writes a failure of the router's own; the caller's copy says whether the request ran. */
 export function writeRefusal(res: ServerResponse, refusal: Refusal): void {
   const { status, code, ran, retryAfterMs } = refusal;
@@ -34,8 +39,7 @@
 /** Gives a held answer to the caller, or ends its stream. */
 export function writeAnswer(res: ServerResponse, held: HeldAnswer | undefined): void {
   if (held !== undefined && !res.headersSent) {
-    const bodiless = held.status === 204 || held.status === 304;
-    const length = bodiless ? [] : ['Content-Length', String(held.body.length)];
+    const length = BODILESS.has(held.status) ? [] : ['Content-Length', String(held.body.length)];
     res.writeHead(held.status, [...held.headers, ...length]);
     res.end(held.body);
     return;
--- a/packages/edge/src/callers/readiness-server.ts
+++ b/packages/edge/src/callers/readiness-server.ts
@@ -1,24 +1,26 @@
 /** Answers the platform's readiness check. */
 import { createServer } from 'node:http';
 import { READINESS_PATH } from '@kingcupsill/prepared-platform';
+import type { Closable } from '../closable.js';
+import { listenOn } from '../listen.js';
+
+/** Kept connections of the platform's checks stay open between them. */
+const KEEP_ALIVE_MS = 30_000;
 
 /** Listens for readiness checks. */
 export async function createReadinessServer(options: {
   host: string;
   port: number;
   ready: () => boolean;
-}): Promise<{ close(): void }> {
+}): Promise<Closable> {
   const server = createServer((req, res) => {
     const known = req.url === READINESS_PATH;
     const status = options.ready() ? 200 : 503;
     res.writeHead(known ? status : 404, { 'Content-Length': 0 });
     res.end();
   });
-  server.keepAliveTimeout = 30_000;
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.host, resolve);
-  });
+  server.keepAliveTimeout = KEEP_ALIVE_MS;
+  await listenOn(server, options);
   return {
     close() {
       server.close();
--- /dev/null
+++ b/packages/edge/src/callers/receive.ts
@@ -0,0 +1,66 @@
+/** Takes a caller's request from its first byte to the reducer. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { RefusalCode } from '@kingcupsill/core/direct';
+import type { Refusal } from '@kingcupsill/core/direct';
+import { readCallerHeaders } from '@kingcupsill/prepared-platform';
+import type { CallerHeaders } from '@kingcupsill/prepared-platform';
+import type { EdgeContext, EdgeParts } from '../types.js';
+import type { GateOutcome } from './caller-gate.js';
+import { createAnswerTarget, writeRefusal } from './exchange.js';
+import { readBody } from './read-body.js';
+import type { BodyOutcome } from './read-body.js';
+
+type ReceiveParts = Pick<EdgeParts, 'gate' | 'exchanges' | 'loop' | 'metrics' | 'state'>;
+
+const TOO_LARGE: Refusal = {
+  status: 413,
+  code: RefusalCode.BodyTooLarge,
+  ran: 'no',
+  retryAfterMs: undefined,
+};
+
+/** Creates the handler of callers' requests. */
+export function createReceiver(ctx: EdgeContext, parts: ReceiveParts) {
+  const { logger, clock, random } = ctx;
+  const { gate, exchanges, loop, metrics, state } = parts;
+  let numbered = 0;
+
+  function reject(res: ServerResponse, headers: CallerHeaders, refusal: Refusal): void {
+    metrics.refused(refusal.code);
+    logger.warn('request-rejected', {
+      attemptId: headers.attemptId,
+      status: refusal.status,
+      code: refusal.code,
+      configuration: state.table?.config.version,
+    });
+    writeRefusal(res, refusal);
+  }
+
+  function submit(
+    req: IncomingMessage,
+    res: ServerResponse,
+    headers: CallerHeaders,
+    checked: GateOutcome & { ok: true },
+    body: Buffer,
+  ): void {
+    numbered += 1;
+    const id = `${headers.attemptId ?? 'none'}-${numbered}`;
+    const { facts } = checked;
+    const target = createAnswerTarget(res);
+    exchanges.open({ id, req, res, headers, facts, body, target, held: undefined });
+    loop.dispatch({ kind: 'request', request: id, facts, draw: random(), nowMs: clock() });
+  }
+
+  return (req: IncomingMessage, res: ServerResponse): void => {
+    const headers = readCallerHeaders(req.headers);
+    const checked = gate.check(req, headers, clock());
+
+    function onBody(outcome: BodyOutcome): void {
+      if (!checked.ok) reject(res, headers, checked.refusal);
+      else if (outcome.ok) submit(req, res, headers, checked, outcome.body);
+      else if (outcome.reason === 'too-large') reject(res, headers, TOO_LARGE);
+    }
+
+    readBody(req, gate.maxBodyBytes(), onBody);
+  };
+}
--- /dev/null
+++ b/packages/edge/src/closable.ts
@@ -0,0 +1,10 @@
+/** Something that is closed at the end of the process. */
+export interface Closable {
+  close(): void;
+}
+
+/** Calls a function again and again until closed. */
+export function repeatEvery(periodMs: number, call: () => void): Closable {
+  const timer = setInterval(call, periodMs);
+  return { close: () => clearInterval(timer) };
+}
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,29 +1,29 @@
-/** The direct router as a process. */
-import { randomBytes } from 'node:crypto';
-import { createDirectState, createReporter } from '@kingcupsill/core/direct';
-import type { DirectState } from '@kingcupsill/core/direct';
+/** Composition of the direct router's process. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { createDirectState, createReporter, directReducer } from '@kingcupsill/core/direct';
+import type { DirectEffect, DirectEvent, DirectState } from '@kingcupsill/core/direct';
 import { createHasher } from '@kingcupsill/core/hash';
-import {
-  CONFIGURATION_NAME,
-  createStoreClient,
-  decodeConfiguration,
-  decodeServer,
-  StoreKind,
-} from '@kingcupsill/prepared-platform';
-import type { StoreObject } from '@kingcupsill/prepared-platform';
-import type { Logger, RunningProcess } from '@kingcupsill/runtime';
-import type { Registry } from 'prom-client';
+import type { Hasher } from '@kingcupsill/core/hash';
+import { createStoreClient } from '@kingcupsill/prepared-platform';
+import { composeProcess, createLoop } from '@kingcupsill/runtime';
+import type { Part, PartTable, RunningProcess } from '@kingcupsill/runtime';
+import { createCallerGate } from './callers/caller-gate.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
+import { createReceiver } from './callers/receive.js';
+import { repeatEvery } from './closable.js';
+import { createEffects } from './effects.js';
+import { createExchanges } from './exchanges.js';
 import { createEdgeMetrics } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
 import { createServerConnections } from './relay/server-connections.js';
-import { createRequests } from './requests.js';
 import { readZoneRegions, splitAddress } from './settings.js';
-import type { EdgeSettings } from './settings.js';
-import { createObjectFeed } from './store/object-feed.js';
-import { readRouterAddress, registerRouter } from './store/router-registration.js';
+import { createFeeds } from './store/feeds.js';
+import { registerRouter } from './store/router-registration.js';
 import { createStoreTransport } from './store/send-call.js';
+import type { EdgeContext, EdgeParts } from './types.js';
+
+type EdgePart<K extends keyof EdgeParts> = Part<EdgeParts, EdgeParts[K]>;
 
 /** Granularity of time-outs. */
 const TICK_MS = 50;
@@ -34,28 +34,74 @@
 /** Time kept from the grace period to end in order. */
 const EXIT_MARGIN_MS = 400;
 const DRAIN_POLL_MS = 50;
-/** Heartbeats of silence after which the store drops a server's entry. */
+/** Heartbeats of silence after which the store may have dropped the entries of live servers. */
 const LAPSE_HEARTBEATS = 2.5;
 /** Time in which live servers renew lapsed entries after the store's return. */
 const RENEW_MS = 2200;
 
-/** What a process needs to start. */
-export interface EdgeContext {
-  settings: EdgeSettings;
-  logger: Logger;
-  registry: Registry;
-  nowMs: () => number;
+/** Starts the router. Rejects when an address can't be listened on. */
+export async function startEdge(ctx: EdgeContext): Promise<RunningProcess> {
+  const { parts, close } = composeProcess<EdgeParts>(partTable(ctx, await createHasher()));
+  const { registration, ticking } = parts;
+  void [registration, ticking];
+  await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.reporting]);
+  ctx.logger.info('listening', { callers: ctx.settings().callers.address });
+  return { drain: () => drain(ctx, parts), close };
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
+/** Says not ready at once, listens on until new connections go elsewhere, then waits for the requests in hand. */
+async function drain(ctx: EdgeContext, parts: EdgeParts): Promise<void> {
+  const endMs = ctx.clock() + ctx.settings().shutdown.graceS * 1000 - EXIT_MARGIN_MS;
+  parts.phase.draining = true;
+  const callers = await parts.callers;
+  callers.startDrain();
+  const removed = parts.registration.remove();
+  await delay(LISTEN_AFTER_TERM_MS);
+  callers.stopListening();
+  while (callers.openRequests() > 0 && ctx.clock() < endMs) await delay(DRAIN_POLL_MS);
+  ctx.logger.info('drain-ended', { open: callers.openRequests() });
+  await removed;
+}
+
+function partTable(ctx: EdgeContext, hasher: Hasher): PartTable<EdgeParts> {
+  return {
+    state: { create: () => createState(ctx, hasher) },
+    phase: { create: () => ({ draining: false }) },
+    connections: {
+      create: () => createServerConnections(ctx.clock),
+      close: (connections) => connections.close(),
+    },
+    metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state) },
+    exchanges: exchangesPart(ctx),
+    loop: loopPart(ctx),
+    transport: transportPart(ctx),
+    store: { create: ({ transport }) => createStoreClient(transport.send) },
+    gate: { create: ({ state }) => createCallerGate(state, ctx.random) },
+    peers: peersPart(ctx),
+    feeds: {
+      create: async (parts) => createFeeds(ctx, parts, await parts.peers),
+      close: (feeds) => feeds.close(),
+    },
+    registration: registrationPart(ctx),
+    callers: callersPart(ctx),
+    readiness: readinessPart(ctx),
+    ticking: {
+      create: ({ loop }) =>
+        repeatEvery(TICK_MS, () => loop.dispatch({ kind: 'tick', nowMs: ctx.clock() })),
+      close: (ticking) => ticking.close(),
+    },
+    reporting: reportingPart(ctx),
+  };
+}
+
+function selfName(ctx: EdgeContext): string {
+  return `${ctx.settings().process.id}/${ctx.incarnation}`;
 }
 
-async function createState(settings: EdgeSettings): Promise<DirectState> {
+function createState(ctx: EdgeContext, hasher: Hasher): DirectState {
+  const settings = ctx.settings();
   return createDirectState({
-    hasher: await createHasher(),
+    hasher,
     zone: settings.process.zone,
     regions: readZoneRegions(settings.process.zoneRegions),
     registry: { lapseAfterMs: settings.store.heartbeatMs * LAPSE_HEARTBEATS, renewMs: RENEW_MS },
@@ -68,153 +114,93 @@
   });
 }
 
-/** Starts the router. Rejects when an address can't be listened on. */
-export async function startEdge(ctx: EdgeContext): Promise<RunningProcess> {
-  const { settings, logger, nowMs } = ctx;
-  const random = Math.random;
-  const incarnation = randomBytes(4).toString('hex');
-  const self = `${settings.process.id}/${incarnation}`;
-  const state = await createState(settings);
-  const connections = createServerConnections(nowMs);
-  const metrics = createEdgeMetrics(ctx.registry, state);
-  const requests = createRequests({ state, connections, logger, metrics, nowMs, random });
-  const { loop } = requests;
-  const storeAddress = splitAddress(settings.store.address);
-  const transport = createStoreTransport(storeAddress.host, storeAddress.port);
-  const store = createStoreClient(transport.send);
-  let draining = false;
+function exchangesPart({ clock }: EdgeContext): EdgePart<'exchanges'> {
+  return {
+    create: (parts) =>
+      createExchanges((request) =>
+        parts.loop.dispatch({ kind: 'caller-left', request, nowMs: clock() }),
+      ),
+  };
+}
 
-  const peers = await createPeerLinks({
-    ...splitAddress(settings.peers.address),
-    self,
-    nowMs,
-    logger,
-    onReport: (report) => loop.dispatch({ kind: 'peer-report', report, nowMs: nowMs() }),
-    onGone: (router) => loop.dispatch({ kind: 'peer-gone', router, nowMs: nowMs() }),
-  });
+function loopPart(ctx: EdgeContext): EdgePart<'loop'> {
+  return {
+    create: (parts) =>
+      createLoop<DirectState, DirectEvent, DirectEffect>({
+        initialState: parts.state,
+        reduce: directReducer,
+        handlers: createEffects(ctx, parts),
+      }),
+    close: (loop) => loop.close(),
+  };
+}
 
-  function configure(object: StoreObject): void {
-    if (object.name !== CONFIGURATION_NAME) return;
-    const decoded = decodeConfiguration(object.spec);
-    if (decoded.ok) loop.dispatch({ kind: 'configured', config: decoded.value, nowMs: nowMs() });
-    else logger.warn('configuration-unreadable', { revision: object.revision, ...decoded });
-  }
+function transportPart(ctx: EdgeContext): EdgePart<'transport'> {
+  return {
+    create: () => createStoreTransport(() => splitAddress(ctx.settings().store.address)),
+    close: (transport) => transport.close(),
+  };
+}
 
-  function readServer(object: StoreObject) {
-    const decoded = decodeServer(object.name, object.spec);
-    if (decoded.ok) return decoded.value;
-    logger.warn('server-entry-unreadable', { server: object.name, message: decoded.message });
-    return undefined;
-  }
+function peersPart(ctx: EdgeContext): EdgePart<'peers'> {
+  const { clock, logger } = ctx;
+  return {
+    create: ({ loop }) =>
+      createPeerLinks({
+        ...splitAddress(ctx.settings().peers.address),
+        clock,
+        logger,
+        onReport: (report) => loop.dispatch({ kind: 'peer-report', report, nowMs: clock() }),
+        onGone: (router) => loop.dispatch({ kind: 'peer-gone', router, nowMs: clock() }),
+      }),
+    close: (peers) => peers.close(),
+  };
+}
 
-  const routers = new Map<string, string>();
-  function linkRouters(): void {
-    const others = new Set(routers.values());
-    others.delete(settings.peers.address);
-    peers.setAddresses(others);
-    loop.dispatch({ kind: 'peers-counted', routers: others.size + 1, nowMs: nowMs() });
-  }
-  function noteRouter(object: StoreObject): void {
-    const router = readRouterAddress(object);
-    if (router !== undefined) routers.set(object.name, router.address);
-  }
+function registrationPart(ctx: EdgeContext): EdgePart<'registration'> {
+  const { process: own, peers } = ctx.settings();
+  const address = { address: peers.address, incarnation: ctx.incarnation };
+  return {
+    create: ({ store }) => registerRouter(store, own.id, address, ctx.logger),
+    close: (registration) => registration.close(),
+  };
+}
 
-  const common = {
-    client: store,
-    logger,
-    random,
-    onAnswered: () => loop.dispatch({ kind: 'store-answered', nowMs: nowMs() }),
+function callersPart(ctx: EdgeContext): EdgePart<'callers'> {
+  return {
+    create: (parts) =>
+      createCallerServer({
+        ...splitAddress(ctx.settings().callers.address),
+        limits: () => parts.state.table?.config.limits,
+        onRequest: createReceiver(ctx, parts),
+        clock: ctx.clock,
+        logger: ctx.logger,
+      }),
+    close: (server) => server.close(),
   };
-  const feeds = [
-    createObjectFeed({
-      ...common,
-      kind: StoreKind.Configuration,
-      onListed: (objects) => objects.forEach(configure),
-      onChanged: ({ object, removed }) => {
-        if (!removed) configure(object);
-      },
-    }),
-    createObjectFeed({
-      ...common,
-      kind: StoreKind.Servers,
-      onListed(objects) {
-        const entries = objects.flatMap((object) => readServer(object) ?? []);
-        loop.dispatch({ kind: 'servers-listed', entries, nowMs: nowMs() });
-      },
-      onChanged({ object, removed }) {
-        const entry = removed ? undefined : readServer(object);
-        if (entry !== undefined) {
-          loop.dispatch({ kind: 'server-changed', entry, nowMs: nowMs() });
-        } else {
-          loop.dispatch({ kind: 'server-removed', id: object.name, nowMs: nowMs() });
-        }
-      },
-    }),
-    createObjectFeed({
-      ...common,
-      kind: StoreKind.Routers,
-      onListed(objects) {
-        routers.clear();
-        objects.forEach(noteRouter);
-        linkRouters();
-      },
-      onChanged({ object, removed }) {
-        if (removed) routers.delete(object.name);
-        else noteRouter(object);
-        linkRouters();
-      },
-    }),
-  ];
-  const registration = registerRouter(
-    store,
-    settings.process.id,
-    { address: settings.peers.address, incarnation },
-    logger,
-  );
+}
 
-  const callers = await createCallerServer({
-    ...splitAddress(settings.callers.address),
-    limits: () => state.table?.config.limits,
-    onRequest: requests.onRequest,
-    nowMs,
-    logger,
-  });
-  const readiness = await createReadinessServer({
-    ...splitAddress(settings.callers.readinessAddress),
-    ready: () => !draining && state.table !== undefined && state.listed,
-  });
-  const reporter = createReporter(self);
-  const timers = [
-    setInterval(() => loop.dispatch({ kind: 'tick', nowMs: nowMs() }), TICK_MS),
-    setInterval(() => {
-      const report = reporter.compose(state);
-      if (report !== undefined) peers.broadcast(report);
-    }, REPORT_PERIOD_MS),
-  ];
-  logger.info('started', { incarnation });
+function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
+  return {
+    create: ({ state, phase }) =>
+      createReadinessServer({
+        ...splitAddress(ctx.settings().callers.readinessAddress),
+        ready: () => !phase.draining && state.table !== undefined && state.listed,
+      }),
+    close: (server) => server.close(),
+  };
+}
 
+function reportingPart(ctx: EdgeContext): EdgePart<'reporting'> {
+  const reporter = createReporter(selfName(ctx));
   return {
-    async drain() {
-      const endMs = nowMs() + settings.shutdown.graceS * 1000 - EXIT_MARGIN_MS;
-      draining = true;
-      callers.startDrain();
-      const removal = registration.remove();
-      await sleep(LISTEN_AFTER_TERM_MS);
-      callers.stopListening();
-      while (callers.openRequests() > 0 && nowMs() < endMs) await sleep(DRAIN_POLL_MS);
-      logger.info('drain-ended', { open: callers.openRequests() });
-      await removal;
-    },
-    async close() {
-      timers.forEach(clearInterval);
-      feeds.forEach((feed) => feed.close());
-      registration.close();
-      readiness.close();
-      peers.close();
-      await callers.close();
-      transport.close();
-      connections.close();
-      loop.close();
+    async create(parts) {
+      const peers = await parts.peers;
+      return repeatEvery(REPORT_PERIOD_MS, () => {
+        const report = reporter.compose(parts.state);
+        if (report !== undefined) peers.broadcast(report);
+      });
     },
+    close: (reporting) => reporting.close(),
   };
 }
--- /dev/null
+++ b/packages/edge/src/effects.ts
@@ -0,0 +1,108 @@
+/** Runs the reducer's effects. */
+import { AttemptEnd, RepeatRule } from '@kingcupsill/core/direct';
+import type { DirectEffect } from '@kingcupsill/core/direct';
+import { toServerHeaders } from '@kingcupsill/prepared-platform';
+import type { Exchange } from './callers/exchange.js';
+import { writeAnswer, writeRefusal } from './callers/exchange.js';
+import { startAttempt } from './relay/attempt.js';
+import type { AttemptListener, AttemptRequest, RunningAttempt } from './relay/types.js';
+import type { EdgeContext, EdgeParts } from './types.js';
+
+type SendEffect = Extract<DirectEffect, { kind: 'send' }>;
+type EffectParts = Pick<EdgeParts, 'exchanges' | 'connections' | 'metrics' | 'loop'>;
+
+/**
+ * A request that must not be repeated takes only a connection that was used this recently, so that it isn't lost to a server's
+ * idle close.
+ */
+const FRESH_CONNECTION_MS = 1000;
+
+function toAttempt(effect: SendEffect, exchange: Exchange): AttemptRequest {
+  const { req, facts, headers, body } = exchange;
+  const own = {
+    leftMs: effect.leftMs,
+    serverId: effect.serverId,
+    account: facts.account,
+    lastEventId: effect.lastEventId ?? headers.lastEventId,
+    fetchFrom: effect.fetchFrom,
+  };
+  return {
+    method: req.method!,
+    path: req.url!,
+    headers: toServerHeaders(req.rawHeaders, req.headers.connection, own, body.length),
+    body,
+    attemptId: headers.attemptId,
+    streaming: facts.route.streaming,
+    host: effect.host,
+    port: effect.port,
+    freshMs: facts.route.repeat === RepeatRule.Any ? undefined : FRESH_CONNECTION_MS,
+  };
+}
+
+/** Creates the handlers, one for each kind of effect. `parts` is read when effects run. */
+export function createEffects(ctx: EdgeContext, parts: EffectParts) {
+  const { logger, clock, random } = ctx;
+  // Apart from the exchanges: an attempt is cancelled after its caller has gone.
+  const running = new Map<string, RunningAttempt>();
+
+  function listen({ attempt, request }: SendEffect, exchange: Exchange): AttemptListener {
+    return {
+      begun: () => parts.loop.dispatch({ kind: 'attempt-begun', attempt, nowMs: clock() }),
+      delivered(lastId) {
+        const lastEventId = lastId ?? exchange.headers.lastEventId ?? '';
+        parts.loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
+      },
+      ended(end, detail, held) {
+        running.delete(attempt);
+        exchange.held = held;
+        parts.metrics.ended(end);
+        if (end !== AttemptEnd.Complete) {
+          logger.warn('attempt-ended', { request, attempt, end, detail });
+        }
+        parts.loop.dispatch({
+          kind: 'attempt-ended',
+          attempt,
+          end,
+          detail,
+          draw: random(),
+          nowMs: clock(),
+        });
+      },
+    };
+  }
+
+  function send(effect: SendEffect): void {
+    const exchange = parts.exchanges.get(effect.request);
+    if (exchange === undefined) return;
+    const { request, attempt, repeat, why } = effect;
+    logger.info('request-sent', { request, attempt, repeat, ...why });
+    parts.metrics.sent(repeat);
+    exchange.held = undefined;
+    const toSend = toAttempt(effect, exchange);
+    const listener = listen(effect, exchange);
+    running.set(attempt, startAttempt(parts.connections, toSend, exchange.target, listener));
+  }
+
+  return {
+    send,
+    cancel({ attempt }: Extract<DirectEffect, { kind: 'cancel' }>) {
+      running.get(attempt)?.cancel();
+      running.delete(attempt);
+    },
+    finish({ request }: Extract<DirectEffect, { kind: 'finish' }>) {
+      const exchange = parts.exchanges.take(request);
+      if (exchange === undefined) return;
+      writeAnswer(exchange.res, exchange.held);
+      parts.metrics.answered(exchange.res.statusCode);
+    },
+    refuse({ request, refusal, why }: Extract<DirectEffect, { kind: 'refuse' }>) {
+      const exchange = parts.exchanges.take(request);
+      logger.warn('request-refused', { request, ...refusal, ...why });
+      parts.metrics.refused(refusal.code);
+      if (exchange !== undefined) writeRefusal(exchange.res, refusal);
+    },
+    note({ event, fields }: Extract<DirectEffect, { kind: 'note' }>) {
+      logger.info(event, fields);
+    },
+  };
+}
--- a/packages/edge/src/logs/bounded-logger.ts
+++ b/packages/edge/src/logs/bounded-logger.ts
@@ -1,5 +1,5 @@
 /** Bounds the lines of each kind of event, and counts what is left out. */
-import type { LogFields, Logger } from '@kingcupsill/runtime';
+import type { Clock, LogFields, Logger } from '@kingcupsill/runtime';
 
 /** Lines a second, and at once, of one kind of event. */
 export interface LineRate {
@@ -20,16 +20,16 @@
 /** Options of a bounded logger. */
 export interface BoundedLoggerOptions {
   logger: Logger;
-  nowMs: () => number;
+  clock: Clock;
 }
 
 /** Creates a logger whose lines name how many of their kind were left out before them. */
 export function createBoundedLogger(options: BoundedLoggerOptions): Logger {
-  const { logger, nowMs } = options;
+  const { logger, clock } = options;
   const buckets = new Map<string, Bucket>();
 
   function take(event: string, rate: LineRate): Bucket | undefined {
-    const now = nowMs();
+    const now = clock();
     let bucket = buckets.get(event);
     if (bucket === undefined) {
       bucket = { tokens: rate.burst, filledAtMs: now, leftOut: 0 };
--- a/packages/edge/src/logs/log-sink.ts
+++ b/packages/edge/src/logs/log-sink.ts
@@ -6,7 +6,7 @@
   write(line: string): void;
   /** Lines that were dropped as nobody read. */
   dropped(): number;
-  /** Writes what is held, at exit. */
+  /** Hands over what is held, at the end of the process. */
   flush(): void;
 }
 
@@ -17,15 +17,16 @@
 export function createLogSink(fd: number): LogSink {
   const out = new SonicBoom({ fd, sync: false, maxLength: MOST_HELD_BYTES });
   let dropped = 0;
-  out.on('drop', () => {
+  const count = (): void => {
     dropped += 1;
-  });
-  // A reader that has gone is no reason to end; the lines are lost and count as dropped.
-  out.on('error', () => {
-    dropped += 1;
-  });
+  };
+  out.on('drop', count);
+  // A reader that has gone is no reason to end; its lines count as dropped.
+  out.on('error', count);
   return {
-    write: (line) => void out.write(line),
+    write(line) {
+      out.write(line);
+    },
     dropped: () => dropped,
     flush() {
       out.flush();
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -52,7 +52,9 @@
     const stated = statedTimeoutMs(socket) ?? DEFAULT_IDLE_MS + IDLE_MARGIN_MS;
     const idleMs = stated - IDLE_MARGIN_MS;
     if (idleMs <= 0) return false;
-    const end = (): void => void socket.destroy();
+    const end = (): void => {
+      socket.destroy();
+    };
     kept.set(socket, { idleSinceMs: nowMs(), end });
     socket.on('data', end);
     socket.setTimeout(idleMs, end);
--- /dev/null
+++ b/packages/edge/src/store/feeds.ts
@@ -0,0 +1,110 @@
+/** What the router follows in the platform's store: configuration, backend servers and the other routers. */
+import {
+  CONFIGURATION_NAME,
+  decodeConfiguration,
+  decodeServer,
+  StoreKind,
+} from '@kingcupsill/prepared-platform';
+import type { StoreObject } from '@kingcupsill/prepared-platform';
+import type { Closable } from '../closable.js';
+import type { PeerLinks } from '../peers/peer-links.js';
+import type { EdgeContext, EdgeParts } from '../types.js';
+import { createObjectFeed } from './object-feed.js';
+import type { ObjectFeedOptions } from './object-feed.js';
+import { readRouterAddress } from './router-registration.js';
+
+type FeedParts = Pick<EdgeParts, 'loop' | 'store'>;
+type Handlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'>;
+
+function configurationHandlers(ctx: EdgeContext, { loop }: FeedParts): Handlers {
+  function configure(object: StoreObject): void {
+    if (object.name !== CONFIGURATION_NAME) return;
+    const decoded = decodeConfiguration(object.spec);
+    if (decoded.ok) {
+      loop.dispatch({ kind: 'configured', config: decoded.value, nowMs: ctx.clock() });
+    } else {
+      const { revision } = object;
+      ctx.logger.warn('configuration-unreadable', { revision, message: decoded.message });
+    }
+  }
+
+  return {
+    kind: StoreKind.Configuration,
+    onListed: (objects) => objects.forEach(configure),
+    onChanged({ object, removed }) {
+      if (!removed) configure(object);
+    },
+  };
+}
+
+function serverHandlers(ctx: EdgeContext, { loop }: FeedParts): Handlers {
+  function read(object: StoreObject) {
+    const decoded = decodeServer(object.name, object.spec);
+    if (decoded.ok) return decoded.value;
+    const { name, revision } = object;
+    ctx.logger.warn('server-unreadable', { server: name, revision, message: decoded.message });
+    return undefined;
+  }
+
+  return {
+    kind: StoreKind.Servers,
+    onListed(objects) {
+      const entries = objects.flatMap((object) => read(object) ?? []);
+      loop.dispatch({ kind: 'servers-listed', entries, nowMs: ctx.clock() });
+    },
+    onChanged({ object, removed }) {
+      const entry = removed ? undefined : read(object);
+      const nowMs = ctx.clock();
+      if (entry !== undefined) loop.dispatch({ kind: 'server-changed', entry, nowMs });
+      else loop.dispatch({ kind: 'server-removed', id: object.name, nowMs });
+    },
+  };
+}
+
+function routerHandlers(ctx: EdgeContext, { loop }: FeedParts, peers: PeerLinks): Handlers {
+  const addresses = new Map<string, string>();
+
+  function note(object: StoreObject): void {
+    const router = readRouterAddress(object);
+    if (router !== undefined) addresses.set(object.name, router.address);
+  }
+
+  function link(): void {
+    const others = new Set(addresses.values());
+    others.delete(ctx.settings().peers.address);
+    peers.setAddresses(others);
+    loop.dispatch({ kind: 'peers-counted', routers: others.size + 1, nowMs: ctx.clock() });
+  }
+
+  return {
+    kind: StoreKind.Routers,
+    onListed(objects) {
+      addresses.clear();
+      objects.forEach(note);
+      link();
+    },
+    onChanged({ object, removed }) {
+      if (removed) addresses.delete(object.name);
+      else note(object);
+      link();
+    },
+  };
+}
+
+/** Starts following. */
+export function createFeeds(ctx: EdgeContext, parts: FeedParts, peers: PeerLinks): Closable {
+  const feeds = [
+    configurationHandlers(ctx, parts),
+    serverHandlers(ctx, parts),
+    routerHandlers(ctx, parts, peers),
+  ].map((handlers) =>
+    createObjectFeed({
+      ...handlers,
+      client: parts.store,
+      logger: ctx.logger,
+      random: ctx.random,
+      onAnswered: () => parts.loop.dispatch({ kind: 'store-answered', nowMs: ctx.clock() }),
+    }),
+  );
+  return { close: () => feeds.forEach((feed) => feed.close()) };
+}
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -45,7 +45,7 @@
       logger.info('registered', { revision: outcome.value.revision });
     } else {
       logger.debug('registration-failed', { failure: outcome.failure, detail: outcome.detail });
-      timer = setTimeout(() => void write(), RETRY_MS);
+      timer = setTimeout(write, RETRY_MS);
     }
   }
 
--- a/packages/edge/src/store/send-call.ts
+++ b/packages/edge/src/store/send-call.ts
@@ -11,11 +11,14 @@
 type Answer = Awaited<ReturnType<SendStoreCall>>;
 
 /** Creates the transport. A call without an answer in time takes its connection with it: what comes there later is nobody's. */
-export function createStoreTransport(host: string, port: number): StoreTransport {
+export function createStoreTransport(
+  address: () => { host: string; port: number },
+): StoreTransport {
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 4, noDelay: true });
 
   function send(call: StoreCall): Promise<Answer> {
     return new Promise((resolve) => {
+      const { host, port } = address();
       const body = call.body === undefined ? undefined : Buffer.from(call.body);
       const headers: Record<string, string | number> = { Host: `${host}:${port}` };
       if (body !== undefined) {
--- /dev/null
+++ b/packages/edge/src/types.ts
@@ -0,0 +1,53 @@
+/** Types of the direct router's process. */
+import type { DirectEvent, DirectState } from '@kingcupsill/core/direct';
+import type { StoreClient } from '@kingcupsill/prepared-platform';
+import type { Clock, Logger, Loop } from '@kingcupsill/runtime';
+import type { Registry } from 'prom-client';
+import type { CallerServer } from './callers/caller-server.js';
+import type { CallerGate } from './callers/caller-gate.js';
+import type { Exchanges } from './exchanges.js';
+import type { EdgeMetrics } from './metrics.js';
+import type { PeerLinks } from './peers/peer-links.js';
+import type { Closable } from './closable.js';
+import type { ServerConnections } from './relay/server-connections.js';
+import type { EdgeSettings } from './settings.js';
+import type { RouterRegistration } from './store/router-registration.js';
+import type { StoreTransport } from './store/send-call.js';
+
+/** What a process needs to start. */
+export interface EdgeContext {
+  /** Settings in force; a reload replaces them. */
+  settings: () => EdgeSettings;
+  logger: Logger;
+  registry: Registry;
+  clock: Clock;
+  /** Random number from 0 up to, not including, 1. */
+  random: () => number;
+  /** Random id of this run of the process. */
+  incarnation: string;
+}
+
+/** Whether the process is leaving. */
+export interface Phase {
+  draining: boolean;
+}
+
+/** Parts of the process. */
+export interface EdgeParts {
+  state: DirectState;
+  phase: Phase;
+  loop: Loop<DirectState, DirectEvent>;
+  exchanges: Exchanges;
+  connections: ServerConnections;
+  metrics: EdgeMetrics;
+  transport: StoreTransport;
+  store: StoreClient;
+  gate: CallerGate;
+  peers: Promise<PeerLinks>;
+  feeds: Promise<Closable>;
+  registration: RouterRegistration;
+  callers: Promise<CallerServer>;
+  readiness: Promise<Closable>;
+  ticking: Closable;
+  reporting: Promise<Closable>;
+}
