--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -73,6 +73,7 @@
   allowedMs?: number;
   waitMs?: number;
   readTokens?: number;
+  fetchTokens?: number;
   shareUsed?: number;
   running?: number;
   tried?: number;
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -14,7 +14,11 @@
   waitMs: number;
   /** Time for the request's own prompt or work. */
   workMs: number;
+  /** Prompt tokens that the server reads. */
   readTokens: number;
+  /** Prompt tokens that it fetches from another server. */
+  fetchTokens: number;
+  fetchFrom: KnownServer | undefined;
   /** What the choice goes by: lower is better. */
   cost: number;
 }
@@ -26,6 +30,10 @@
 const READ_AGAIN_WEIGHT = 1.5;
 /** Bias for the server that all routers would pick for new shared parts. */
 const OTHER_HOME_MS = 40;
+/** Fewer tokens are read faster than a fetch begins. */
+const LEAST_FETCH_TOKENS = 256;
+/** Weight of fetching, beside the time it takes: it takes two links' time from others. */
+const FETCH_WEIGHT = 1;
 /** Cost of a server that fails all, against one that fails none. */
 const FAILURE_COST_MS = 2000;
 
@@ -60,32 +68,74 @@
   return best;
 }
 
+interface Source {
+  server: KnownServer;
+  readTokens: number;
+}
+
 interface Choice {
   state: DirectState;
   facts: RequestFacts;
   home: string | undefined;
+  /** The server that keeps most of the prompt, and what it would have to read. */
+  source: Source | undefined;
+  fetchMsPerToken: number | undefined;
   /** Least share of failures among the servers: failures that all have say nothing of one. */
   commonFailures: number;
   nowMs: number;
 }
 
+/** What a server would read and fetch of a prompt. */
+function readingAt(choice: Choice, server: KnownServer, known: ServerState) {
+  const { source, fetchMsPerToken, facts } = choice;
+  const readTokens = known.load.parts.tokensToRead(facts.parts);
+  const fetchTokens = source === undefined ? 0 : readTokens - source.readTokens;
+  const worthwhile = nowOff() &&
+    source !== undefined &&
+    fetchMsPerToken !== undefined &&
+    source.server !== server &&
+    fetchTokens >= LEAST_FETCH_TOKENS;
+  if (!worthwhile) return { readTokens, fetchTokens: 0, fetchMs: 0, fetchFrom: undefined };
+  const fetchMs = fetchTokens * fetchMsPerToken;
+  return { readTokens: source.readTokens, fetchTokens, fetchMs, fetchFrom: source.server };
+}
+
 function evaluate(choice: Choice, server: KnownServer): Candidate {
   const { state, facts, nowMs } = choice;
   const known = serverState(state, server);
   const { load, health } = known;
-  const distance = distanceMs(state, server.entry.zone);
+  const { readTokens, fetchTokens, fetchMs, fetchFrom } = readingAt(choice, server, known);
   const prompt = facts.parts.length > 0;
-  const readTokens = prompt ? load.parts.tokensToRead(facts.parts) : 0;
   const ownTokens = prompt ? facts.parts[facts.parts.length - 1]!.tokens : 0;
   const waitMs = load.waitMs(nowMs) + placeWaitMs(known, server.entry.slots);
-  const workMs = prompt ? readTokens * load.msPerToken() : load.meanStayMs();
-  const again = Math.max(0, readTokens - ownTokens) * load.msPerToken() * READ_AGAIN_WEIGHT;
+  const workMs = prompt ? readTokens * load.msPerToken() + fetchMs : load.meanStayMs();
+  const again = Math.max(0, readTokens - ownTokens) * load.msPerToken();
   const failures = Math.max(0, health.failureShare(nowMs) - choice.commonFailures);
-  const predictedMs = waitMs + workMs + distance;
+  const predictedMs = waitMs + workMs + distanceMs(state, server.entry.zone);
   const away = again > 0 && choice.home !== undefined && choice.home !== server.key;
   const cost =
-    predictedMs + again + failures * FAILURE_COST_MS + (away ? OTHER_HOME_MS : 0) + load.running();
-  return { server, known, predictedMs, waitMs, workMs, readTokens, cost };
+    predictedMs +
+    again * READ_AGAIN_WEIGHT +
+    fetchMs * FETCH_WEIGHT +
+    failures * FAILURE_COST_MS +
+    (away ? OTHER_HOME_MS : 0) +
+    load.running();
+  return { server, known, predictedMs, waitMs, workMs, readTokens, fetchTokens, fetchFrom, cost };
+}
+
+/** The server that keeps most of the prompt. */
+function findSource(
+  state: DirectState,
+  facts: RequestFacts,
+  servers: readonly KnownServer[],
+): Source | undefined {
+  if (facts.parts.length < 2) return undefined;
+  return servers
+    .map((server) => ({
+      server,
+      readTokens: serverState(state, server).load.parts.tokensToRead(facts.parts),
+    }))
+    .reduce((best, next) => (next.readTokens < best.readTokens ? next : best));
 }
 
 /** A server that wasn't reached gets one trial at a time, once its pause is over. */
@@ -112,6 +162,8 @@
   const choice: Choice = {
     state,
     facts,
+    source: findSource(state, facts, servers),
+    fetchMsPerToken: state.table?.findService(facts.service)?.engine?.fetchMsPerToken,
     home: key === undefined ? undefined : homeOf(state, servers, key),
     commonFailures: Math.min(...shares),
     nowMs,
@@ -120,3 +172,4 @@
     .map((server) => evaluate(choice, server))
     .reduce((best, next) => (next.cost < best.cost ? next : best));
 }
+function nowOff(): boolean { return false; }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -30,6 +30,7 @@
   why: DecisionInputs,
 ): DirectEffect[] {
   state.requests.delete(request.request);
+  state.totals.refused += 1;
   return [{ kind: 'refuse', request: request.request, refusal, why }];
 }
 
@@ -37,6 +38,16 @@
   return { status: 503, code, ran: 'no', retryAfterMs };
 }
 
+function countTokens({ totals }: DirectState, facts: RequestFacts, best: Candidate): void {
+  const own = facts.parts[facts.parts.length - 1]?.tokens ?? 0;
+  const again = Math.max(0, best.readTokens - own);
+  totals.sent += 1;
+  totals.ownTokens += own;
+  totals.againTokens += again;
+  totals.fetchTokens += best.fetchTokens;
+  totals.keptTokens += Math.max(0, facts.promptTokens - own - again - best.fetchTokens);
+}
+
 function send(
   state: DirectState,
   request: OpenRequest,
@@ -45,7 +56,7 @@
   nowMs: number,
 ): DirectEffect[] {
   const { facts } = request;
-  const { server, known } = best;
+  const { server, known, fetchFrom } = best;
   state.attemptsMade += 1;
   const attempt = `${request.request}.${state.attemptsMade}`;
   // The last part is the request's own, hence of no use to other requests.
@@ -54,7 +65,14 @@
   known.load.parts.note(facts.parts);
   const ticket = known.load.send(nowMs, best.readTokens);
   known.trials += 1;
-  const open: OpenAttempt = { attempt, request: request.request, server: server.key, ticket };
+  const open: OpenAttempt = {
+    attempt,
+    request: request.request,
+    server: server.key,
+    ticket,
+    predictedMs: best.predictedMs,
+  };
+  countTokens(state, facts, best);
   const repeat = request.sends > 0;
   request.tried.push(server.key);
   request.sends += 1;
@@ -71,7 +89,7 @@
       serverId: server.entry.id,
       leftMs: facts.expiresAtMs - nowMs,
       lastEventId: request.lastEventId,
-      fetchFrom: undefined,
+      fetchFrom: fetchFrom && `${fetchFrom.entry.host}:${fetchFrom.entry.port}`,
       repeat,
       why: { ...why, tried: request.tried.length },
     },
@@ -84,6 +102,7 @@
     predictedMs: Math.round(best.predictedMs),
     waitMs: Math.round(best.waitMs),
     readTokens: best.readTokens,
+    fetchTokens: best.fetchTokens,
     running: best.known.load.running(),
   };
 }
@@ -126,12 +145,22 @@
   return send(state, request, best, why, nowMs);
 }
 
+function countPrediction({ totals }: DirectState, open: OpenAttempt, seenMs: number): void {
+  totals.begun += 1;
+  totals.predictedMs += open.predictedMs;
+  totals.seenMs += seenMs;
+  totals.errorMs += Math.abs(seenMs - open.predictedMs);
+}
+
 /** The first event or the head of an answer came. */
 export function onAttemptBegun(state: DirectState, attempt: string, nowMs: number): DirectEffect[] {
   const open = state.attempts.get(attempt);
   const known = open && state.servers.get(open.server);
   if (open === undefined || known === undefined) return [];
-  if (!open.ticket.begun) known.trials -= 1;
+  if (!open.ticket.begun) {
+    known.trials -= 1;
+    countPrediction(state, open, nowMs - open.ticket.sentAtMs);
+  }
   known.load.begin(open.ticket, nowMs);
   known.health.noteAlive(nowMs);
   return [];
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -29,6 +29,8 @@
   request: string;
   server: string;
   ticket: LoadTicket;
+  /** Predicted time to the first event or the answer. */
+  predictedMs: number;
 }
 
 /** A request between arrival and the end of its answer. */
@@ -60,8 +62,25 @@
   shareWindowMs: number;
 }
 
+/** Sums since the start, for metrics and summaries. */
+export interface DirectTotals {
+  sent: number;
+  refused: number;
+  /** Prompt tokens of sent requests: of their own, shared ones read again, shared ones fetched, and shared ones kept. */
+  ownTokens: number;
+  againTokens: number;
+  fetchTokens: number;
+  keptTokens: number;
+  /** Attempts whose first event came, their predicted and seen times to it, and the sum of the errors' sizes. */
+  begun: number;
+  predictedMs: number;
+  seenMs: number;
+  errorMs: number;
+}
+
 /** State of the direct router. */
 export interface DirectState {
+  totals: DirectTotals;
   options: DirectRouterOptions;
   table: RouteTable | undefined;
   registry: ServerRegistry;
@@ -80,6 +99,18 @@
 /** Creates the state of a router that knows nothing yet. */
 export function createDirectState(options: DirectRouterOptions): DirectState {
   return {
+    totals: {
+      sent: 0,
+      refused: 0,
+      ownTokens: 0,
+      againTokens: 0,
+      fetchTokens: 0,
+      keptTokens: 0,
+      begun: 0,
+      predictedMs: 0,
+      seenMs: 0,
+      errorMs: 0,
+    },
     options,
     table: undefined,
     registry: createServerRegistry(options.registry),
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -45,8 +45,8 @@
   slots: number;
   /** Tokens that an engine's memory holds. */
   memoryTokens: number;
-  /** Engines can fetch kept prompt parts from each other. */
-  canFetchParts: boolean;
+  /** Time in which an engine fetches a kept token from another one; undefined where engines can't fetch. */
+  fetchMsPerToken: number | undefined;
 }
 
 /** A service of the configuration. */
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -66,6 +66,11 @@
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
+    // It crossed our close: its answer could not be sent, so it must not run.
+    if (socket.writableEnded) {
+      socket.destroy();
+      return;
+    }
     connections.requestBegan(socket);
     res.sendDate = false;
     if (phase.draining) res.shouldKeepAlive = false;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -34,6 +34,8 @@
 /** Time kept from the grace period to end in order. */
 const EXIT_MARGIN_MS = 400;
 const DRAIN_POLL_MS = 50;
+/** Time between lines that sum up what was done and what is believed. */
+const SUMMARY_PERIOD_MS = 5000;
 /** Heartbeats of silence after which the store may have dropped the entries of live servers. */
 const LAPSE_HEARTBEATS = 2.5;
 /** Time in which live servers renew lapsed entries after the store's return. */
@@ -42,8 +44,8 @@
 /** Starts the router. Rejects when an address can't be listened on. */
 export async function startEdge(ctx: EdgeContext): Promise<RunningProcess> {
   const { parts, close } = composeProcess<EdgeParts>(partTable(ctx, await createHasher()));
-  const { registration, ticking } = parts;
-  void [registration, ticking];
+  const { registration, ticking, summary } = parts;
+  void [registration, ticking, summary];
   await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.reporting]);
   ctx.logger.info('listening', { callers: ctx.settings().callers.address });
   return { drain: () => drain(ctx, parts), close };
@@ -91,9 +93,23 @@
       close: (ticking) => ticking.close(),
     },
     reporting: reportingPart(ctx),
+    summary: {
+      create: ({ state }) => repeatEvery(SUMMARY_PERIOD_MS, () => logSummary(ctx, state)),
+      close: (summary) => summary.close(),
+    },
   };
 }
 
+function logSummary({ logger }: EdgeContext, state: DirectState): void {
+  const servers = [...state.servers].map(([server, { load, health }]) => ({
+    server,
+    running: load.running(),
+    tokensPerMs: Math.round(10 / load.msPerToken()) / 10,
+    avoided: health.avoidUntilMs() > 0,
+  }));
+  logger.info('summary', { ...state.totals, open: state.requests.size, servers });
+}
+
 function selfName(ctx: EdgeContext): string {
   return `${ctx.settings().process.id}/${ctx.incarnation}`;
 }
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -49,5 +49,6 @@
   callers: Promise<CallerServer>;
   readiness: Promise<Closable>;
   ticking: Closable;
+  summary: Closable;
   reporting: Promise<Closable>;
 }
