--- a/packages/core/src/direct/engine-load.ts
+++ b/packages/core/src/direct/engine-load.ts
@@ -1,4 +1,5 @@
 /** Predicts when an engine would begin to answer a new request, from what this router and its peers have sent there. */
+import { createLineFit } from './line-fit.js';
 import { createPartCache } from './part-cache.js';
 import type { PartCache } from './part-cache.js';
 
@@ -24,6 +25,8 @@
   /** Wait until prompt tokens that are sent now begin to be read. */
   waitMs(nowMs: number): number;
   msPerToken(): number;
+  /** Time to a first event besides reading: a step of the batch and the way there and back. */
+  baseMs(): number;
   /** Mean time a request stays. */
   meanStayMs(): number;
   send(nowMs: number, readTokens: number): LoadTicket;
@@ -44,22 +47,16 @@
   memoryTokens: number;
 }
 
-/** Time that an answer takes besides reading the prompt: a step of the batch and the way. */
-const FIRST_EVENT_BASE_MS = 25;
-/** Weight of the initial assumption, in tokens that were read at that speed. */
-const PRIOR_TOKENS = 20_000;
-/** Part of the learned sums that each new observation replaces. */
-const FORGET = 0.03;
-/** Least tokens for an observation; below, fixed times hide the speed. */
-const LEAST_OBSERVED_TOKENS = 800;
+/** Fixed part of the time to a first event before anything is observed: a step of the batch and the way. */
+const ASSUMED_BASE_MS = 25;
+/** A learned speed stays within these factors of the assumption. */
+const SLOWEST = 20;
+const FASTEST = 0.4;
 /** Part of a prediction's error by which the backlog is corrected. */
 const CORRECTION = 0.4;
 const STAY_GAIN = 0.1;
 /** Part of an engine's memory that kept parts may use beside running requests. */
 const KEPT_PART = 0.7;
-/** A learned speed stays within these factors of the assumption. */
-const SLOWEST = 20;
-const FASTEST = 0.4;
 
 /** Creates the load of a server that nothing is known of. */
 export function createServerLoad(options: ServerLoadOptions): ServerLoad {
@@ -70,20 +67,15 @@
   let sent = 0;
   let freeAtMs = 0;
   let stayMs = options.meanStayMs;
-  let seenTokens = PRIOR_TOKENS;
-  let seenMs = PRIOR_TOKENS * options.msPerToken;
-  let perToken = options.msPerToken;
-
-  function learn(ticket: LoadTicket, tookMs: number): void {
-    if (ticket.tokensAhead < LEAST_OBSERVED_TOKENS) return;
-    seenTokens = seenTokens * (1 - FORGET) + ticket.tokensAhead;
-    seenMs = seenMs * (1 - FORGET) + Math.max(0, tookMs - FIRST_EVENT_BASE_MS);
-    const least = options.msPerToken * FASTEST;
-    perToken = Math.min(options.msPerToken * SLOWEST, Math.max(least, seenMs / seenTokens));
-  }
+  const fit = createLineFit({
+    slope: options.msPerToken,
+    base: ASSUMED_BASE_MS,
+    leastSlope: options.msPerToken * FASTEST,
+    mostSlope: options.msPerToken * SLOWEST,
+  });
 
   function addBacklog(nowMs: number, tokens: number): void {
-    freeAtMs = Math.max(nowMs, freeAtMs) + tokens * perToken;
+    freeAtMs = Math.max(nowMs, freeAtMs) + tokens * fit.slope();
   }
 
   function waitMs(nowMs: number): number {
@@ -95,20 +87,21 @@
     ownRunning: () => own,
     running: () => own + peersRunning,
     waitMs,
-    msPerToken: () => perToken,
+    msPerToken: fit.slope,
+    baseMs: fit.base,
     meanStayMs: () => stayMs,
     send(nowMs, readTokens) {
-      const tokensAhead = waitMs(nowMs) / perToken + readTokens;
+      const tokensAhead = waitMs(nowMs) / fit.slope() + readTokens;
       addBacklog(nowMs, readTokens);
       own += 1;
       sent += readTokens;
-      const firstAtMs = freeAtMs + FIRST_EVENT_BASE_MS;
+      const firstAtMs = freeAtMs + fit.base();
       return { sentAtMs: nowMs, readTokens, tokensAhead, firstAtMs, begun: false };
     },
     begin(ticket, nowMs) {
       if (ticket.begun) return;
       ticket.begun = true;
-      learn(ticket, nowMs - ticket.sentAtMs);
+      fit.observe(ticket.tokensAhead, nowMs - ticket.sentAtMs);
       freeAtMs += CORRECTION * (nowMs - ticket.firstAtMs);
     },
     end(ticket, nowMs, whole) {
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -73,7 +73,6 @@
   allowedMs?: number;
   waitMs?: number;
   readTokens?: number;
-  fetchTokens?: number;
   shareUsed?: number;
   running?: number;
   tried?: number;
@@ -94,8 +93,6 @@
       leftMs: number;
       /** Last event that the caller has; undefined to start at the request's own place. */
       lastEventId: string | undefined;
-      /** Address of an engine that keeps parts of the prompt. */
-      fetchFrom: string | undefined;
       repeat: boolean;
       why: DecisionInputs;
     }
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -16,9 +16,6 @@
   workMs: number;
   /** Prompt tokens that the server reads. */
   readTokens: number;
-  /** Prompt tokens that it fetches from another server. */
-  fetchTokens: number;
-  fetchFrom: KnownServer | undefined;
   /** What the choice goes by: lower is better. */
   cost: number;
 }
@@ -27,13 +24,9 @@
 const OTHER_ZONE_MS = 2;
 const OTHER_REGION_MS = 16;
 /** Weight of reading shared parts again, beside the time it takes: it takes the engine's time from others. */
-const READ_AGAIN_WEIGHT = 1.5;
+const READ_AGAIN_WEIGHT = 2.5;
 /** Bias for the server that all routers would pick for new shared parts. */
 const OTHER_HOME_MS = 40;
-/** Fewer tokens are read faster than a fetch begins. */
-const LEAST_FETCH_TOKENS = 256;
-/** Weight of fetching, beside the time it takes: it takes two links' time from others. */
-const FETCH_WEIGHT = 1;
 /** Cost of a server that fails all, against one that fails none. */
 const FAILURE_COST_MS = 2000;
 
@@ -68,74 +61,37 @@
   return best;
 }
 
-interface Source {
-  server: KnownServer;
-  readTokens: number;
-}
-
 interface Choice {
   state: DirectState;
   facts: RequestFacts;
   home: string | undefined;
-  /** The server that keeps most of the prompt, and what it would have to read. */
-  source: Source | undefined;
-  fetchMsPerToken: number | undefined;
   /** Least share of failures among the servers: failures that all have say nothing of one. */
   commonFailures: number;
   nowMs: number;
 }
 
-/** What a server would read and fetch of a prompt. */
-function readingAt(choice: Choice, server: KnownServer, known: ServerState) {
-  const { source, fetchMsPerToken, facts } = choice;
-  const readTokens = known.load.parts.tokensToRead(facts.parts);
-  const fetchTokens = source === undefined ? 0 : readTokens - source.readTokens;
-  const worthwhile = nowOff() &&
-    source !== undefined &&
-    fetchMsPerToken !== undefined &&
-    source.server !== server &&
-    fetchTokens >= LEAST_FETCH_TOKENS;
-  if (!worthwhile) return { readTokens, fetchTokens: 0, fetchMs: 0, fetchFrom: undefined };
-  const fetchMs = fetchTokens * fetchMsPerToken;
-  return { readTokens: source.readTokens, fetchTokens, fetchMs, fetchFrom: source.server };
-}
-
 function evaluate(choice: Choice, server: KnownServer): Candidate {
   const { state, facts, nowMs } = choice;
   const known = serverState(state, server);
   const { load, health } = known;
-  const { readTokens, fetchTokens, fetchMs, fetchFrom } = readingAt(choice, server, known);
   const prompt = facts.parts.length > 0;
+  const readTokens = prompt ? load.parts.tokensToRead(facts.parts) : 0;
   const ownTokens = prompt ? facts.parts[facts.parts.length - 1]!.tokens : 0;
   const waitMs = load.waitMs(nowMs) + placeWaitMs(known, server.entry.slots);
-  const workMs = prompt ? readTokens * load.msPerToken() + fetchMs : load.meanStayMs();
+  const distance = distanceMs(state, server.entry.zone);
+  const workMs = prompt ? readTokens * load.msPerToken() : load.meanStayMs() + distance;
   const again = Math.max(0, readTokens - ownTokens) * load.msPerToken();
   const failures = Math.max(0, health.failureShare(nowMs) - choice.commonFailures);
-  const predictedMs = waitMs + workMs + distanceMs(state, server.entry.zone);
+  const predictedMs = waitMs + workMs + (prompt ? load.baseMs() : 0);
   const away = again > 0 && choice.home !== undefined && choice.home !== server.key;
   const cost =
     predictedMs +
     again * READ_AGAIN_WEIGHT +
-    fetchMs * FETCH_WEIGHT +
+    distance +
     failures * FAILURE_COST_MS +
     (away ? OTHER_HOME_MS : 0) +
     load.running();
-  return { server, known, predictedMs, waitMs, workMs, readTokens, fetchTokens, fetchFrom, cost };
-}
-
-/** The server that keeps most of the prompt. */
-function findSource(
-  state: DirectState,
-  facts: RequestFacts,
-  servers: readonly KnownServer[],
-): Source | undefined {
-  if (facts.parts.length < 2) return undefined;
-  return servers
-    .map((server) => ({
-      server,
-      readTokens: serverState(state, server).load.parts.tokensToRead(facts.parts),
-    }))
-    .reduce((best, next) => (next.readTokens < best.readTokens ? next : best));
+  return { server, known, predictedMs, waitMs, workMs, readTokens, cost };
 }
 
 /** A server that wasn't reached gets one trial at a time, once its pause is over. */
@@ -162,8 +118,6 @@
   const choice: Choice = {
     state,
     facts,
-    source: findSource(state, facts, servers),
-    fetchMsPerToken: state.table?.findService(facts.service)?.engine?.fetchMsPerToken,
     home: key === undefined ? undefined : homeOf(state, servers, key),
     commonFailures: Math.min(...shares),
     nowMs,
@@ -172,4 +126,3 @@
     .map((server) => evaluate(choice, server))
     .reduce((best, next) => (next.cost < best.cost ? next : best));
 }
-function nowOff(): boolean { return false; }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -44,8 +44,7 @@
   totals.sent += 1;
   totals.ownTokens += own;
   totals.againTokens += again;
-  totals.fetchTokens += best.fetchTokens;
-  totals.keptTokens += Math.max(0, facts.promptTokens - own - again - best.fetchTokens);
+  totals.keptTokens += Math.max(0, facts.promptTokens - own - again);
 }
 
 function send(
@@ -56,7 +55,7 @@
   nowMs: number,
 ): DirectEffect[] {
   const { facts } = request;
-  const { server, known, fetchFrom } = best;
+  const { server, known } = best;
   state.attemptsMade += 1;
   const attempt = `${request.request}.${state.attemptsMade}`;
   // The last part is the request's own, hence of no use to other requests.
@@ -89,7 +88,6 @@
       serverId: server.entry.id,
       leftMs: facts.expiresAtMs - nowMs,
       lastEventId: request.lastEventId,
-      fetchFrom: fetchFrom && `${fetchFrom.entry.host}:${fetchFrom.entry.port}`,
       repeat,
       why: { ...why, tried: request.tried.length },
     },
@@ -102,7 +100,6 @@
     predictedMs: Math.round(best.predictedMs),
     waitMs: Math.round(best.waitMs),
     readTokens: best.readTokens,
-    fetchTokens: best.fetchTokens,
     running: best.known.load.running(),
   };
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -66,10 +66,9 @@
 export interface DirectTotals {
   sent: number;
   refused: number;
-  /** Prompt tokens of sent requests: of their own, shared ones read again, shared ones fetched, and shared ones kept. */
+  /** Prompt tokens of sent requests: of their own, shared ones read again, and shared ones kept. */
   ownTokens: number;
   againTokens: number;
-  fetchTokens: number;
   keptTokens: number;
   /** Attempts whose first event came, their predicted and seen times to it, and the sum of the errors' sizes. */
   begun: number;
@@ -104,7 +103,6 @@
       refused: 0,
       ownTokens: 0,
       againTokens: 0,
-      fetchTokens: 0,
       keptTokens: 0,
       begun: 0,
       predictedMs: 0,
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -45,8 +45,6 @@
   slots: number;
   /** Tokens that an engine's memory holds. */
   memoryTokens: number;
-  /** Time in which an engine fetches a kept token from another one; undefined where engines can't fetch. */
-  fetchMsPerToken: number | undefined;
 }
 
 /** A service of the configuration. */
--- a/packages/edge/src/effects.ts
+++ b/packages/edge/src/effects.ts
@@ -24,7 +24,6 @@
     serverId: effect.serverId,
     account: facts.account,
     lastEventId: effect.lastEventId ?? headers.lastEventId,
-    fetchFrom: effect.fetchFrom,
   };
   return {
     method: req.method!,
