--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -3,6 +3,7 @@
   AttemptEnd,
   BackendServerEntry,
   FleetConfig,
+  PromptPart,
   RefusalCode,
   RequestFacts,
 } from './types.js';
@@ -51,6 +52,8 @@
         draw: number;
       }
     | { kind: 'caller-left'; request: string }
+    /** An engine told which prompt parts it keeps. */
+    | { kind: 'kept-listed'; server: string; parts: PromptPart[] }
     | { kind: 'peer-report'; report: RouterReport }
     | { kind: 'peer-gone'; router: string }
     | { kind: 'peers-counted'; routers: number }
@@ -96,6 +99,8 @@
       repeat: boolean;
       why: DecisionInputs;
     }
+  /** Ask an engine which prompt parts it keeps. */
+  | { kind: 'list-kept'; server: string; host: string; port: number }
   /** Drop the attempt; nothing more is wanted of it. */
   | { kind: 'cancel'; attempt: string }
   /** Give the caller the answer that the attempt holds, or end its stream. */
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -11,6 +11,7 @@
   onRequest,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
+import { serverState } from './state.js';
 import type { DirectState } from './state.js';
 
 type EventOf<TKind extends DirectEvent['kind']> = Extract<DirectEvent, { kind: TKind }>;
@@ -41,6 +42,27 @@
   return [...forgetServers(state, gone), { kind: 'note', event: 'server-changed', fields }];
 }
 
+/**
+ * A router that starts asks each engine once what it keeps: engines outlive routers, and a router that believes their memories
+ * empty would predict late first events and refuse.
+ */
+function askKept(state: DirectState): DirectEffect[] {
+  const { table } = state;
+  if (state.askedKept || table === undefined || !state.listed) return [];
+  state.askedKept = true;
+  return state.registry
+    .all()
+    .filter(({ entry }) => table.findService(entry.service)?.engine !== undefined)
+    .map(({ key, entry: { host, port } }) => ({ kind: 'list-kept', server: key, host, port }));
+}
+
+function noteKept(state: DirectState, { server, parts }: EventOf<'kept-listed'>): DirectEffect[] {
+  const known = state.registry.get(server);
+  if (known !== undefined) serverState(state, known).load.parts.note(parts);
+  const fields = { server, parts: parts.length };
+  return [{ kind: 'note', event: 'kept-listed', fields }];
+}
+
 const HANDLERS: Handlers = {
   configured: configure,
   'servers-listed': (state, { entries, nowMs }) => {
@@ -62,6 +84,7 @@
   'attempt-ended': (state, { attempt, end, detail, nowMs }) =>
     onAttemptEnded(state, attempt, end, detail, nowMs),
   'caller-left': (state, { request, nowMs }) => onCallerLeft(state, request, nowMs),
+  'kept-listed': noteKept,
   'peer-report': (state, { report, nowMs }) => {
     applyReport(state, report, nowMs);
     return [];
@@ -75,6 +98,7 @@
     return [];
   },
   tick: (state, { nowMs }) => [
+    ...askKept(state),
     ...forgetServers(state, state.registry.expire(nowMs)),
     ...expireRequests(state, nowMs),
   ],
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -85,6 +85,8 @@
   registry: ServerRegistry;
   /** Whether a listing of servers has been seen. */
   listed: boolean;
+  /** Whether the engines that ran before this router were asked what they keep. */
+  askedKept: boolean;
   servers: Map<string, ServerState>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
@@ -113,6 +115,7 @@
     table: undefined,
     registry: createServerRegistry(options.registry),
     listed: false,
+    askedKept: false,
     servers: new Map(),
     requests: new Map(),
     attempts: new Map(),
--- a/packages/edge/src/effects.ts
+++ b/packages/edge/src/effects.ts
@@ -5,6 +5,7 @@
 import type { Exchange } from './callers/exchange.js';
 import { writeAnswer, writeRefusal } from './callers/exchange.js';
 import { startAttempt } from './relay/attempt.js';
+import { listKept } from './relay/list-kept.js';
 import type { AttemptListener, AttemptRequest, RunningAttempt } from './relay/types.js';
 import type { EdgeContext, EdgeParts } from './types.js';
 
@@ -84,6 +85,15 @@
 
   return {
     send,
+    'list-kept': async ({ server, host, port }: Extract<DirectEffect, { kind: 'list-kept' }>) => {
+      const outcome = await listKept(parts.connections, host, port);
+      if (outcome.ok) {
+        const event = { kind: 'kept-listed' as const, server, parts: outcome.value };
+        parts.loop.dispatch({ ...event, nowMs: clock() });
+      } else {
+        logger.info('kept-not-listed', { server, reason: outcome.message });
+      }
+    },
     cancel({ attempt }: Extract<DirectEffect, { kind: 'cancel' }>) {
       running.get(attempt)?.cancel();
       running.delete(attempt);
