Test the direct router's decisions, the platform's decoders and the whole path against stand-ins

A finding of the tests: an account's first request was counted as asked for before the decision, so at the start everybody seemed above its share. Now the share is read before the request counts.

--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -125,12 +125,13 @@
   };
   const tokens = requestTokens(facts);
   state.repeats.noteRequest(facts.service, nowMs);
+  // Before this request counts as asked for: it is not short until it is refused.
+  const shareUsed = facts.account === undefined ? 0 : state.usage.shareUsed(facts.account, nowMs);
   if (facts.account !== undefined) state.usage.noteAsked(facts.account, tokens, nowMs);
   const best = chooseServer(state, facts, [], nowMs);
   if (best === undefined) {
     return refuse(state, request, notRun(RefusalCode.NoServer, NO_SERVER_RETRY_MS), {});
   }
-  const shareUsed = facts.account === undefined ? 0 : state.usage.shareUsed(facts.account, nowMs);
   const admission = admit(facts, best, shareUsed, draw);
   const why = { ...describe(best), allowedMs: Math.round(admission.allowedMs), shareUsed };
   if (!admission.admitted) {
--- /dev/null
+++ b/packages/core/test/direct/sample.ts
@@ -0,0 +1,143 @@
+/** A direct router with a sample configuration, fed event by event. */
+import { createDirectState, directReducer, RepeatRule } from '../../src/direct/index.js';
+import type {
+  BackendServerEntry,
+  DirectEffect,
+  DirectEvent,
+  DirectState,
+  FleetConfig,
+  RequestFacts,
+  Route,
+} from '../../src/direct/index.js';
+
+type Untimed<T> = T extends DirectEvent ? Omit<T, 'nowMs'> : never;
+
+const hasher = {
+  hash32: (text: string) =>
+    [...text].reduce((hash, char) => (hash * 31 + char.charCodeAt(0)) % 4_294_967_296, 7),
+};
+
+export function sampleRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'reviews',
+    host: 'a.example',
+    pathPrefix: '/reviews/',
+    streaming: true,
+    repeat: RepeatRule.Resume,
+    timeoutMs: 10_000,
+    objectiveMs: 800,
+    maxAttempts: 2,
+    priority: 1,
+    public: false,
+    services: [{ service: 'engines', weight: 1 }],
+    ...overrides,
+  };
+}
+
+export function sampleConfig(version = 1, routes: Route[] = [sampleRoute()]): FleetConfig {
+  return {
+    version,
+    routes,
+    services: [
+      { name: 'engines', maxConnections: 100, engine: { slots: 64, memoryTokens: 500_000 } },
+      { name: 'orders', maxConnections: 100, engine: undefined },
+    ],
+    accounts: [{ name: 'kingston', apiKeys: ['key-1'], priority: undefined }],
+    limits: {
+      maxHeaderBytes: 8192,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    engineTokensPerSecond: 200_000,
+  };
+}
+
+export function sampleEntry(
+  id: string,
+  overrides: Partial<BackendServerEntry> = {},
+): BackendServerEntry {
+  return {
+    id,
+    service: 'engines',
+    host: '127.0.0.1',
+    port: 1000,
+    zone: 'z1',
+    slots: 64,
+    draining: false,
+    bornMs: 1,
+    ...overrides,
+  };
+}
+
+export interface SampleRouter {
+  state: DirectState;
+  now(): number;
+  /** Lets time pass without an event. */
+  pass(ms: number): void;
+  feed(event: Untimed<DirectEvent>): DirectEffect[];
+  /** Feeds a request with these facts. */
+  request(id: string, overrides?: Partial<RequestFacts>): DirectEffect[];
+}
+
+export function createSampleRouter(
+  entries: BackendServerEntry[] = [sampleEntry('e1'), sampleEntry('e2')],
+  config: FleetConfig = sampleConfig(),
+): SampleRouter {
+  let nowMs = 1000;
+  const state = createDirectState({
+    hasher,
+    zone: 'z1',
+    regions: new Map([['z1', 'r1']]),
+    registry: { lapseAfterMs: 3000, renewMs: 2200 },
+    repeats: { ratio: 0.2, burst: 50, windowMs: 10_000 },
+    shareWindowMs: 4000,
+  });
+  const feed = (event: Untimed<DirectEvent>): DirectEffect[] =>
+    directReducer(state, { ...event, nowMs }).effects;
+  feed({ kind: 'configured', config });
+  feed({ kind: 'servers-listed', entries });
+
+  return {
+    state,
+    now: () => nowMs,
+    pass(ms) {
+      nowMs += ms;
+    },
+    feed,
+    request(id, overrides = {}) {
+      const route = overrides.route ?? config.routes[0]!;
+      const facts: RequestFacts = {
+        route,
+        service: route.services[0]!.service,
+        account: 'kingston',
+        priority: 1,
+        expiresAtMs: nowMs + route.timeoutMs,
+        parts: [
+          { id: 'shared', tokens: 4000 },
+          { id: id.padEnd(8, '0'), tokens: 1000 },
+        ],
+        promptTokens: 5000,
+        outputTokens: 100,
+        ...overrides,
+      };
+      return feed({ kind: 'request', request: id, facts, draw: 0.5 });
+    },
+  };
+}
+
+/** The only `send` among the effects. */
+export function sentOf(effects: DirectEffect[]): Extract<DirectEffect, { kind: 'send' }> {
+  const [sent, ...more] = effects.filter((effect) => effect.kind === 'send');
+  if (sent === undefined || more.length > 0)
+    throw new Error(`expected one send: ${JSON.stringify(effects)}`);
+  return sent;
+}
+
+/** The only `refuse` among the effects. */
+export function refusedOf(effects: DirectEffect[]): Extract<DirectEffect, { kind: 'refuse' }> {
+  const [refused, ...more] = effects.filter((effect) => effect.kind === 'refuse');
+  if (refused === undefined || more.length > 0)
+    throw new Error(`expected one refusal: ${JSON.stringify(effects)}`);
+  return refused;
+}
--- a/packages/edge/src/logs/log-sink.ts
+++ b/packages/edge/src/logs/log-sink.ts
@@ -1,5 +1,5 @@
 /** Writes log lines without ever waiting for their reader. */
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 
 /** Where log lines go. */
 export interface LogSink {
@@ -15,7 +15,7 @@
 
 /** Creates a sink on a file descriptor. */
 export function createLogSink(fd: number): LogSink {
-  const out = new SonicBoom({ fd, sync: false, maxLength: MOST_HELD_BYTES });
+  const out = new sonicBoom.SonicBoom({ fd, sync: false, maxLength: MOST_HELD_BYTES });
   let dropped = 0;
   const count = (): void => {
     dropped += 1;
--- /dev/null
+++ b/packages/edge/test/logs/logs.test.ts
@@ -0,0 +1,56 @@
+/** Logs are bounded and never wait for their reader. */
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import type { Logger } from '@kingcupsill/runtime';
+import { createBoundedLogger } from '../../src/logs/bounded-logger.js';
+
+test('lines of one kind are bounded, failures less than routine, and what is left out is counted', () => {
+  const lines: { event: string; leftOut: number | undefined }[] = [];
+  const write = (event: string, fields: Record<string, unknown> = {}) => {
+    lines.push({ event, leftOut: fields.leftOut as number | undefined });
+  };
+  const inner: Logger = {
+    trace: write,
+    debug: write,
+    info: write,
+    warn: write,
+    error: write,
+    level: () => 'info',
+    setLevel: () => undefined,
+  };
+  let nowMs = 0;
+  const logger = createBoundedLogger({ logger: inner, clock: () => nowMs });
+  for (let index = 0; index < 1000; index += 1) {
+    logger.info('request-sent', {});
+    logger.warn('request-refused', {});
+  }
+  const count = (event: string) => lines.filter((line) => line.event === event).length;
+  assert.ok(count('request-sent') < count('request-refused'));
+  assert.ok(count('request-refused') < 1000);
+  const kept = count('request-sent');
+  nowMs = 10_000;
+  logger.info('request-sent', {});
+  assert.equal(lines[lines.length - 1]?.leftOut, 1000 - kept);
+});
+
+test('a reader that stops reading stops nothing but its lines', async () => {
+  const program = fileURLToPath(new URL('./write-much.ts', import.meta.url));
+  const child = spawn(process.execPath, ['--import', 'tsx', program], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  child.stdout.pause();
+  let report = '';
+  child.stderr.on('data', (chunk: Buffer) => {
+    report += chunk.toString();
+  });
+  await new Promise((resolve) => {
+    child.stderr.on('end', resolve);
+    setTimeout(() => child.kill('SIGKILL'), 20_000).unref();
+  });
+  child.kill('SIGKILL');
+  const { dropped, longestMs } = JSON.parse(report) as { dropped: number; longestMs: number };
+  assert.ok(dropped > 0);
+  assert.ok(longestMs < 1000, `the loop stood still for ${longestMs} ms`);
+});
--- /dev/null
+++ b/packages/edge/test/relay/answers.test.ts
@@ -0,0 +1,175 @@
+/** Callers get their own whole answers, whatever backend servers do. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createDeployment, until } from '../standins/deployment.js';
+import type { Deployment } from '../standins/deployment.js';
+import { answerWith, signed, writeRaw } from '../standins/server-standin.js';
+import type { Arrival } from '../standins/server-standin.js';
+
+async function withDeployment(
+  handlers: ((arrival: Arrival) => void)[],
+  run: (deployment: Deployment) => Promise<void>,
+): Promise<void> {
+  const deployment = await createDeployment(handlers);
+  try {
+    await run(deployment);
+  } finally {
+    await deployment.close();
+  }
+}
+
+const arrivalsOf = ({ servers }: Deployment) => servers.flatMap(({ arrivals }) => arrivals);
+
+test('a request goes through unchanged, with the account in place of the key', async () => {
+  await withDeployment([(arrival) => answerWith(arrival, 'whole')], async (deployment) => {
+    const headers = { 'X-Other': 'kept', Tenant: 'forged' };
+    const answer = await deployment.call('/once/a?b=%20', {
+      method: 'POST',
+      body: 'text',
+      headers,
+    });
+    assert.deepEqual(
+      [answer.status, answer.body, answer.headers['response-signature']],
+      [200, 'whole', 'sig'],
+    );
+    const [arrival] = arrivalsOf(deployment);
+    assert.equal(arrival?.req.url, '/once/a?b=%20');
+    assert.equal(arrival?.body, 'text');
+    assert.equal(arrival?.header('tenant'), 't1');
+    assert.equal(arrival?.header('credential'), undefined);
+    assert.equal(arrival?.header('target-instance'), 'i-0');
+    assert.equal(arrival?.header('x-other'), 'kept');
+    assert.ok(Number(arrival?.header('deadline-ms')) <= 4000);
+  });
+});
+
+test('an answer without length that ends with its connection is whole', async () => {
+  const handle = (arrival: Arrival) => {
+    writeRaw(arrival, ['Connection: close'], 'whole').end();
+  };
+  await withDeployment([handle], async ({ call }) => {
+    const answer = await call('/once/1', { method: 'POST' });
+    assert.deepEqual([answer.status, answer.body], [200, 'whole']);
+  });
+});
+
+test('an answer without length that is reset right behind its data is not whole', async () => {
+  const handle = (arrival: Arrival) => {
+    const socket = writeRaw(arrival, ['Connection: close'], 'par');
+    socket.write('t', () => socket.resetAndDestroy());
+  };
+  await withDeployment([handle], async (deployment) => {
+    for (let index = 0; index < 20; index += 1) {
+      const answer = await deployment.call('/once/1', { method: 'POST' });
+      assert.equal(answer.status, 502);
+      assert.equal(answer.headers['response-signature'], undefined);
+    }
+    assert.equal(arrivalsOf(deployment).length, 20);
+  });
+});
+
+test('an answer to another request is nobody’s, and what comes behind an answer either', async () => {
+  const wrong = (arrival: Arrival) => {
+    arrival.res.writeHead(200, signed(arrival, { 'Attempt-Id': 'other', 'Content-Length': '5' }));
+    arrival.res.end('wrong');
+  };
+  await withDeployment([wrong], async ({ call }) => {
+    assert.equal((await call('/once/1', { method: 'POST' })).status, 502);
+  });
+  const twice = (arrival: Arrival) => {
+    const stale = 'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nstale';
+    writeRaw(arrival, ['Content-Length: 5'], `right${stale}`);
+  };
+  await withDeployment([twice], async ({ call }) => {
+    for (let index = 0; index < 5; index += 1) {
+      assert.equal((await call('/any/1')).body, 'right');
+    }
+  });
+});
+
+test('an unsigned, encoded or unexplained answer is no success and no promise', async () => {
+  const bad = [
+    (arrival: Arrival) => arrival.res.end('unsigned'),
+    (arrival: Arrival) => {
+      arrival.res.writeHead(200, signed(arrival, { 'Content-Encoding': 'gzip' }));
+      arrival.res.end('encoded');
+    },
+    (arrival: Arrival) => {
+      arrival.res.writeHead(503, signed(arrival));
+      arrival.res.end('ran');
+    },
+  ];
+  for (const handle of bad) {
+    await withDeployment([handle], async ({ call }) => {
+      const answer = await call('/once/1', { method: 'POST' });
+      assert.equal(answer.status, 502);
+      assert.deepEqual(JSON.parse(answer.body), { code: 'outcome_unknown', ran: 'unknown' });
+    });
+  }
+});
+
+test('a server that says it did not run a request leaves it to another one', async () => {
+  const full = (arrival: Arrival) => {
+    arrival.res.writeHead(503, { 'Not-Executed': '1' });
+    arrival.res.end();
+  };
+  await withDeployment([full, (arrival) => answerWith(arrival, 'ran')], async ({ call }) => {
+    for (let index = 0; index < 5; index += 1) {
+      assert.equal((await call('/once/1', { method: 'POST' })).body, 'ran');
+    }
+  });
+});
+
+const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+
+test('a resumable stream that is cut inside an event goes on at another server, whole', async () => {
+  const cut = (arrival: Arrival) => {
+    const from = Number(arrival.header('last-event-id') ?? 0);
+    arrival.res.writeHead(200, signed(arrival, { 'Content-Type': 'text/event-stream' }));
+    if (from > 0) {
+      arrival.res.end(event(from + 1) + event(from + 2));
+      return;
+    }
+    arrival.res.write(`${event(1)}${event(2)}id: 3\nda`, () =>
+      arrival.req.socket.resetAndDestroy(),
+    );
+  };
+  await withDeployment([cut, cut], async (deployment) => {
+    const answer = await deployment.call('/stream/1', { method: 'POST' });
+    assert.equal(answer.whole, true);
+    assert.equal(answer.body, [1, 2, 3, 4].map(event).join(''));
+    const [first, second] = arrivalsOf(deployment).sort(
+      (a, b) => Number(a.header('last-event-id') ?? 0) - Number(b.header('last-event-id') ?? 0),
+    );
+    assert.equal(first?.header('last-event-id'), undefined);
+    assert.equal(second?.header('last-event-id'), '2');
+  });
+});
+
+test('when a caller leaves, the server’s work stops', async () => {
+  await withDeployment([() => undefined], async ({ call, servers }) => {
+    await assert.rejects(call('/stream/1', { method: 'POST', leaveAfterMs: 50 }));
+    await until(() => servers[0]!.dropped.length === 1);
+  });
+});
+
+test('a request that is not answered within its route’s time gets its failure then', async () => {
+  await withDeployment([() => undefined], async ({ call, servers }) => {
+    const answer = await call('/short/1');
+    assert.equal(answer.status, 504);
+    await until(() => servers[0]!.dropped.length === 1);
+  });
+});
+
+test('routes, keys and sizes that are not allowed are refused, and the connection stays sound', async () => {
+  await withDeployment([(arrival) => answerWith(arrival)], async (deployment) => {
+    const { call } = deployment;
+    assert.equal((await call('/none/1')).status, 404);
+    assert.equal((await call('/any/1', { headers: { Credential: 'none' } })).status, 401);
+    const large = 'x'.repeat(100_001);
+    assert.equal((await call('/once/1', { method: 'POST', body: large })).status, 413);
+    assert.equal((await call('/any/1', { headers: { 'X-Long': 'x'.repeat(9000) } })).status, 431);
+    assert.equal((await call('/any/1')).status, 200);
+    assert.equal(arrivalsOf(deployment).length, 1);
+  });
+});
--- /dev/null
+++ b/packages/edge/test/standins/deployment.ts
@@ -0,0 +1,200 @@
+/** A router, its store and backend servers on loopback. */
+import { Agent, request } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import type { Logger, RunningProcess } from '@kingcupsill/runtime';
+import { Registry } from 'prom-client';
+import { startEdge } from '../../src/index.js';
+import type { EdgeSettings } from '../../src/index.js';
+import { createServerStandin } from './server-standin.js';
+import type { Arrival, ServerStandin } from './server-standin.js';
+import { createStoreStandin } from './store-standin.js';
+import type { StoreStandin } from './store-standin.js';
+
+export interface CallerAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  /** False where the connection ended in the middle of the answer. */
+  whole: boolean;
+}
+
+export interface Deployment {
+  store: StoreStandin;
+  servers: ServerStandin[];
+  router: RunningProcess;
+  settings: EdgeSettings;
+  logged: { event: string; fields: Record<string, unknown> }[];
+  call(path: string, options?: CallOptions): Promise<CallerAnswer>;
+  ready(): Promise<boolean>;
+  close(): Promise<void>;
+}
+
+export interface CallOptions {
+  method?: string;
+  body?: string;
+  headers?: Record<string, string>;
+  agent?: Agent;
+  /** Leaves after this time. */
+  leaveAfterMs?: number;
+}
+
+export function sampleDocument(version = 1, more: Record<string, unknown> = {}) {
+  const base = {
+    host: 'a.example',
+    timeoutMs: 4000,
+    sloMs: 1000,
+    priority: 1,
+    maxAttempts: 2,
+    service: 's1',
+  };
+  return {
+    version,
+    routes: [
+      { ...base, name: 'once', pathPrefix: '/once/', type: 'unsafe' },
+      { ...base, name: 'any', pathPrefix: '/any/', type: 'safe' },
+      { ...base, name: 'stream', pathPrefix: '/stream/', type: 'streaming', resumable: true },
+      { ...base, name: 'short', pathPrefix: '/short/', type: 'safe', timeoutMs: 300 },
+    ],
+    services: [{ name: 's1', maxConns: 100 }],
+    limits: {
+      maxHeaderBytes: 8192,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [{ name: 't1', apiKeys: ['key-1'] }],
+    ...more,
+  };
+}
+
+export function sampleEntry(port: number, more: Record<string, unknown> = {}) {
+  return {
+    service: 's1',
+    address: `127.0.0.1:${port}`,
+    zone: 'z1',
+    slots: 8,
+    state: 'ready',
+    born: 1,
+    ...more,
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+async function createSettings(storePort: number): Promise<EdgeSettings> {
+  const address = async () => `127.0.0.1:${await freePort()}`;
+  return {
+    process: { id: 'router-1', zone: 'z1', zoneRegions: 'z1=r1', logLevel: 'info' },
+    callers: { address: await address(), readinessAddress: await address() },
+    peers: { address: await address() },
+    store: { address: `127.0.0.1:${storePort}`, heartbeatMs: 1200 },
+    shutdown: { graceS: 5 },
+    repeats: { ratio: 0.2, burst: 50, windowS: 10 },
+    shares: { windowS: 4 },
+  };
+}
+
+export async function until(check: () => boolean | Promise<boolean>): Promise<void> {
+  const deadline = Date.now() + 10_000;
+  while (!(await check())) {
+    if (Date.now() > deadline) throw new Error('condition not met in 10 s');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+}
+
+function createCall(address: string) {
+  const [host, port] = address.split(':');
+  let numbered = 0;
+  return (path: string, options: CallOptions = {}): Promise<CallerAnswer> => {
+    numbered += 1;
+    const headers = {
+      Host: 'a.example',
+      'Attempt-Id': `a${numbered}`,
+      Credential: 'key-1',
+      'Deadline-Ms': '4000',
+      ...options.headers,
+    };
+    return new Promise((resolve, reject) => {
+      const { method = 'GET', agent = new Agent() } = options;
+      const req = request({ host, port, path, method, headers, agent }, (res) => {
+        let body = '';
+        res.on('data', (chunk: Buffer) => {
+          body += chunk.toString();
+        });
+        // The end of a broken answer shows as an error besides.
+        res.on('error', () => undefined);
+        res.on('close', () => {
+          resolve({ status: res.statusCode!, headers: res.headers, body, whole: res.complete });
+        });
+      });
+      req.on('error', reject);
+      req.end(options.body);
+      if (options.leaveAfterMs !== undefined) setTimeout(() => req.destroy(), options.leaveAfterMs);
+    });
+  };
+}
+
+function createRecorder(logged: Deployment['logged']): Logger {
+  const write = (event: string, fields: Record<string, unknown> = {}) => {
+    logged.push({ event, fields });
+  };
+  return {
+    trace: write,
+    debug: write,
+    info: write,
+    warn: write,
+    error: write,
+    level: () => 'info',
+    setLevel: () => undefined,
+  };
+}
+
+/** Starts one router with a backend server for each handler, and waits until it is ready. */
+export async function createDeployment(
+  handlers: ((arrival: Arrival) => void)[],
+): Promise<Deployment> {
+  const store = await createStoreStandin();
+  const servers = await Promise.all(handlers.map((handle) => createServerStandin(handle)));
+  store.put('config', 'main', sampleDocument());
+  servers.forEach(({ port }, index) => store.put('servers', `i-${index}`, sampleEntry(port)));
+  const settings = await createSettings(store.port);
+  const logged: Deployment['logged'] = [];
+  const router = await startEdge({
+    settings: () => settings,
+    logger: createRecorder(logged),
+    registry: new Registry(),
+    clock: () => performance.now(),
+    random: Math.random,
+    incarnation: 'i1',
+  });
+  const readiness = createCall(settings.callers.readinessAddress);
+  const ready = async () => (await readiness('/readyz')).status === 200;
+  await until(ready);
+  return {
+    store,
+    servers,
+    router,
+    settings,
+    logged,
+    call: createCall(settings.callers.address),
+    ready,
+    async close() {
+      await router.close();
+      servers.forEach((server) => server.close());
+      store.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/edge/test/standins/server-standin.ts
@@ -0,0 +1,76 @@
+/** Stand-in of a backend server on the platform: each test says how it answers. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+/** One request that arrived. */
+export interface Arrival {
+  req: IncomingMessage;
+  res: ServerResponse;
+  body: string;
+  header(name: string): string | undefined;
+}
+
+export interface ServerStandin {
+  port: number;
+  arrivals: Arrival[];
+  /** Arrivals whose connection closed before they were answered. */
+  dropped: Arrival[];
+  close(): void;
+}
+
+/** Headers of a right answer. */
+export function signed(
+  { header }: Arrival,
+  more: Record<string, string> = {},
+): Record<string, string> {
+  return { 'Response-Signature': 'sig', 'Attempt-Id': header('attempt-id') ?? '', ...more };
+}
+
+/** Answers with a small body. */
+export function answerWith(arrival: Arrival, body = 'answer'): void {
+  arrival.res.writeHead(200, signed(arrival, { 'Content-Length': String(body.length) }));
+  arrival.res.end(body);
+}
+
+/** Writes an answer byte by byte as the test wants it, past the HTTP library. */
+export function writeRaw(arrival: Arrival, head: string[], body: string): Socket {
+  const { socket } = arrival.req;
+  const headers = Object.entries(signed(arrival)).map(([name, value]) => `${name}: ${value}`);
+  socket.write(`HTTP/1.1 200 OK\r\n${[...headers, ...head].join('\r\n')}\r\n\r\n${body}`);
+  return socket;
+}
+
+export async function createServerStandin(
+  onArrival: (arrival: Arrival) => void,
+): Promise<ServerStandin> {
+  const arrivals: Arrival[] = [];
+  const dropped: Arrival[] = [];
+  const server = createServer((req, res) => {
+    let body = '';
+    req.on('data', (chunk: Buffer) => {
+      body += chunk.toString();
+    });
+    req.on('end', () => {
+      const header = (name: string) => req.headers[name] as string | undefined;
+      const arrival = { req, res, body, header };
+      arrivals.push(arrival);
+      res.on('close', () => {
+        if (!res.writableFinished) dropped.push(arrival);
+      });
+      onArrival(arrival);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    arrivals,
+    dropped,
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/edge/test/standins/store-standin.ts
@@ -0,0 +1,170 @@
+/** Stand-in of the platform's store: objects by kind, listings, watches, and the ways in which it fails. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface StoredObject {
+  metadata: { name: string; revision: number };
+  spec: unknown;
+}
+
+interface Change {
+  kind: string;
+  revision: number;
+  event: { object: StoredObject; deleted: boolean };
+}
+
+export interface StoreStandin {
+  port: number;
+  put(kind: string, name: string, spec: unknown): void;
+  remove(kind: string, name: string): void;
+  names(kind: string): string[];
+  /** While down, connections are reset. */
+  setDown(down: boolean): void;
+  /** Forgets all changes; watches are cut. */
+  forgetHistory(): void;
+  close(): void;
+}
+
+const PAGE = 2;
+
+async function readText(req: IncomingMessage): Promise<string> {
+  let text = '';
+  for await (const chunk of req) text += String(chunk);
+  return text;
+}
+
+function answer(res: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(text),
+  });
+  res.end(text);
+}
+
+export async function createStoreStandin(): Promise<StoreStandin> {
+  const kinds = new Map<string, Map<string, StoredObject>>();
+  const waiting = new Set<() => void>();
+  let changes: Change[] = [];
+  let historyFrom = 0;
+  let revision = 1;
+  let down = false;
+
+  const objectsOf = (kind: string): Map<string, StoredObject> => {
+    const objects = kinds.get(kind) ?? new Map<string, StoredObject>();
+    kinds.set(kind, objects);
+    return objects;
+  };
+
+  function change(kind: string, object: StoredObject, deleted: boolean): void {
+    changes.push({ kind, revision, event: { object, deleted } });
+    [...waiting].forEach((wake) => wake());
+  }
+
+  function put(kind: string, name: string, spec: unknown): StoredObject {
+    revision += 1;
+    const object = { metadata: { name, revision }, spec };
+    objectsOf(kind).set(name, object);
+    change(kind, object, false);
+    return object;
+  }
+
+  function remove(kind: string, name: string): void {
+    const object = objectsOf(kind).get(name);
+    if (object === undefined) return;
+    revision += 1;
+    objectsOf(kind).delete(name);
+    change(kind, object, true);
+  }
+
+  function list(res: ServerResponse, kind: string, after: string): void {
+    const rest = [...objectsOf(kind).values()]
+      .filter(({ metadata }) => metadata.name > after)
+      .sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1));
+    answer(res, 200, { entries: rest.slice(0, PAGE), hasMore: rest.length > PAGE, at: revision });
+  }
+
+  async function watch(
+    res: ServerResponse,
+    kind: string,
+    from: number,
+    waitMs: number,
+  ): Promise<void> {
+    const found = () => changes.filter((each) => each.kind === kind && each.revision > from);
+    if (from < historyFrom) return answer(res, 410, {});
+    if (found().length === 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(done, waitMs);
+        function done(): void {
+          clearTimeout(timer);
+          waiting.delete(done);
+          resolve();
+        }
+        waiting.add(done);
+      });
+    }
+    return from < historyFrom
+      ? answer(res, 410, {})
+      : answer(res, 200, { events: found().map(({ event }) => event), at: revision });
+  }
+
+  async function write(
+    req: IncomingMessage,
+    res: ServerResponse,
+    kind: string,
+    name?: string,
+  ): Promise<void> {
+    if (req.method === 'DELETE') {
+      remove(kind, name!);
+      return answer(res, 200, {});
+    }
+    const body = JSON.parse(await readText(req)) as StoredObject;
+    const current = objectsOf(kind).get(body.metadata.name);
+    const clash =
+      req.method === 'POST'
+        ? current !== undefined
+        : current?.metadata.revision !== body.metadata.revision;
+    if (clash) return answer(res, 409, current ?? {});
+    return answer(res, 200, put(kind, body.metadata.name, body.spec));
+  }
+
+  const server = createServer((req, res) => {
+    if (down) {
+      req.socket.resetAndDestroy();
+      return;
+    }
+    const url = new URL(req.url!, 'http://store');
+    const [, , kind, name] = url.pathname.split('/');
+    const query = url.searchParams;
+    if (req.method !== 'GET') void write(req, res, kind!, name);
+    else if (query.has('watch')) {
+      void watch(res, kind!, Number(query.get('watch')), Number(query.get('waitMs')));
+    } else list(res, kind!, query.get('afterRevision') ?? '');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+
+  return {
+    port: (server.address() as AddressInfo).port,
+    put(kind, name, spec) {
+      put(kind, name, spec);
+    },
+    remove,
+    names: (kind) => [...objectsOf(kind).keys()],
+    setDown(next) {
+      down = next;
+      if (down) server.closeAllConnections();
+    },
+    forgetHistory() {
+      historyFrom = revision;
+      changes = [];
+      [...waiting].forEach((wake) => wake());
+    },
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
