--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -1,6 +1,7 @@
 export * from './account-usage.js';
 export * from './admission.js';
 export * from './engine-load.js';
+export * from './describe-state.js';
 export type * from './events.js';
 export * from './part-cache.js';
 export * from './placement.js';
--- /dev/null
+++ b/packages/edge/src/admin/admin-server.ts
@@ -0,0 +1,57 @@
+/** Metrics and the state dump, for operators. */
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import { describeState } from '@kingcupsill/core/direct';
+import type { Closable } from '../closable.js';
+import { listenOn } from '../listen.js';
+import { splitAddress } from '../settings.js';
+import type { EdgeContext, EdgeParts } from '../types.js';
+
+interface Page {
+  type: string;
+  text: string;
+}
+
+function write(res: ServerResponse, status: number, { type, text }: Page): void {
+  res.writeHead(status, { 'Content-Type': type, 'Content-Length': Buffer.byteLength(text) });
+  res.end(text);
+}
+
+const NOT_FOUND: Page = { type: 'application/json', text: '{"code":"not_found"}' };
+
+/** Listens on the address of the settings. */
+export async function createAdminServer(
+  ctx: EdgeContext,
+  { state }: Pick<EdgeParts, 'state'>,
+): Promise<Closable> {
+  const pages: Record<string, () => Page | Promise<Page>> = {
+    '/metrics': async () => ({
+      type: ctx.registry.contentType,
+      text: await ctx.registry.metrics(),
+    }),
+    '/debug/state': () => ({
+      type: 'application/json',
+      text: JSON.stringify(describeState(state, ctx.clock())),
+    }),
+  };
+
+  async function answer(url: string | undefined, res: ServerResponse): Promise<void> {
+    const page = pages[url ?? ''];
+    if (page === undefined) write(res, 404, NOT_FOUND);
+    else write(res, 200, await page());
+  }
+
+  const server = createServer((req, res) => {
+    answer(req.url, res).catch((err: unknown) => {
+      ctx.logger.error('admin-call-failed', { url: req.url, err });
+      res.destroy();
+    });
+  });
+  await listenOn(server, splitAddress(ctx.settings().admin.address));
+  return {
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -13,6 +13,9 @@
   headers: CallerHeaders;
   facts: RequestFacts;
   body: Buffer;
+  /** Steady time at which the request was whole. */
+  arrivedAtMs: number;
+  begun: boolean;
   target: AnswerTarget;
   /** Whole answer of the last attempt, until the reducer decides on it. */
   held: HeldAnswer | undefined;
--- a/packages/edge/src/callers/receive.ts
+++ b/packages/edge/src/callers/receive.ts
@@ -46,9 +46,20 @@
     numbered += 1;
     const id = `${headers.attemptId ?? 'none'}-${numbered}`;
     const { facts } = checked;
-    const target = createAnswerTarget(res);
-    exchanges.open({ id, req, res, headers, facts, body, target, held: undefined });
-    loop.dispatch({ kind: 'request', request: id, facts, draw: random(), nowMs: clock() });
+    const nowMs = clock();
+    exchanges.open({
+      id,
+      req,
+      res,
+      headers,
+      facts,
+      body,
+      arrivedAtMs: nowMs,
+      begun: false,
+      target: createAnswerTarget(res),
+      held: undefined,
+    });
+    loop.dispatch({ kind: 'request', request: id, facts, draw: random(), nowMs });
   }
 
   return (req: IncomingMessage, res: ServerResponse): void => {
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,12 +1,18 @@
 /** Composition of the direct router's process. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { createDirectState, createReporter, directReducer } from '@kingcupsill/core/direct';
+import {
+  createDirectState,
+  createReporter,
+  describeState,
+  directReducer,
+} from '@kingcupsill/core/direct';
 import type { DirectEffect, DirectEvent, DirectState } from '@kingcupsill/core/direct';
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { createStoreClient } from '@kingcupsill/prepared-platform';
 import { composeProcess, createLoop } from '@kingcupsill/runtime';
 import type { Part, PartTable, RunningProcess } from '@kingcupsill/runtime';
+import { createAdminServer } from './admin/admin-server.js';
 import { createCallerGate } from './callers/caller-gate.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
@@ -46,7 +52,7 @@
   const { parts, close } = composeProcess<EdgeParts>(partTable(ctx, await createHasher()));
   const { registration, ticking, summary } = parts;
   void [registration, ticking, summary];
-  await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.reporting]);
+  await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.reporting, parts.admin]);
   ctx.logger.info('listening', { callers: ctx.settings().callers.address });
   return { drain: () => drain(ctx, parts), close };
 }
@@ -87,6 +93,10 @@
     registration: registrationPart(ctx),
     callers: callersPart(ctx),
     readiness: readinessPart(ctx),
+    admin: {
+      create: (parts) => createAdminServer(ctx, parts),
+      close: (server) => server.close(),
+    },
     ticking: {
       create: ({ loop }) =>
         repeatEvery(TICK_MS, () => loop.dispatch({ kind: 'tick', nowMs: ctx.clock() })),
@@ -100,14 +110,9 @@
   };
 }
 
-function logSummary({ logger }: EdgeContext, state: DirectState): void {
-  const servers = [...state.servers].map(([server, { load, health }]) => ({
-    server,
-    running: load.running(),
-    tokensPerMs: Math.round(10 / load.msPerToken()) / 10,
-    avoided: health.avoidUntilMs() > 0,
-  }));
-  logger.info('summary', { ...state.totals, open: state.requests.size, servers });
+function logSummary({ logger, clock }: EdgeContext, state: DirectState): void {
+  const { totals, open, servers } = describeState(state, clock());
+  logger.info('summary', { ...totals, open, servers });
 }
 
 function selfName(ctx: EdgeContext): string {
--- a/packages/edge/src/effects.ts
+++ b/packages/edge/src/effects.ts
@@ -47,7 +47,14 @@
 
   function listen({ attempt, request }: SendEffect, exchange: Exchange): AttemptListener {
     return {
-      begun: () => parts.loop.dispatch({ kind: 'attempt-begun', attempt, nowMs: clock() }),
+      begun() {
+        const nowMs = clock();
+        if (!exchange.begun) {
+          parts.metrics.began(exchange.facts.service, nowMs - exchange.arrivedAtMs);
+        }
+        exchange.begun = true;
+        parts.loop.dispatch({ kind: 'attempt-begun', attempt, nowMs });
+      },
       delivered(lastId) {
         const lastEventId = lastId ?? exchange.headers.lastEventId ?? '';
         parts.loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
@@ -103,6 +110,7 @@
       if (exchange === undefined) return;
       writeAnswer(exchange.res, exchange.held);
       parts.metrics.answered(exchange.res.statusCode);
+      parts.metrics.finished(exchange.facts.service, clock() - exchange.arrivedAtMs);
     },
     refuse({ request, refusal, why }: Extract<DirectEffect, { kind: 'refuse' }>) {
       const exchange = parts.exchanges.take(request);
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -1,6 +1,6 @@
-/** Metrics of the direct router. */
-import type { AttemptEnd, DirectState, RefusalCode } from '@kingcupsill/core/direct';
-import { Counter, Gauge } from 'prom-client';
+/** Metrics of the direct router. Labels are bounded: codes, ends, services of the configuration. */
+import type { AttemptEnd, DirectState, DirectTotals, RefusalCode } from '@kingcupsill/core/direct';
+import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
 
 /** Counts as things happen. */
@@ -9,48 +9,88 @@
   ended(end: AttemptEnd): void;
   answered(status: number): void;
   refused(code: RefusalCode): void;
+  /** Time from the whole request to the first event or the answer. */
+  began(service: string, tookMs: number): void;
+  /** Time from the whole request to the end of its answer. */
+  finished(service: string, tookMs: number): void;
+  /** A call to the store ended, by outcome. */
+  storeCalled(outcome: string): void;
 }
 
-/** Registers the metrics; gauges read the state when they are scraped. */
-export function createEdgeMetrics(registry: Registry, state: DirectState): EdgeMetrics {
-  const registers = [registry];
-  const sent = new Counter({
-    name: 'kingcupsill_attempts_total',
-    help: 'Attempts sent to backend servers.',
-    labelNames: ['repeat'],
-    registers,
-  });
-  const ended = new Counter({
-    name: 'kingcupsill_attempt_ends_total',
-    help: 'Ends of attempts.',
-    labelNames: ['end'],
-    registers,
-  });
-  const answered = new Counter({
-    name: 'kingcupsill_answers_total',
-    help: 'Answers of backend servers given to callers, by HTTP status.',
-    labelNames: ['status'],
-    registers,
-  });
-  const refused = new Counter({
-    name: 'kingcupsill_refusals_total',
-    help: 'Failures of the router itself, by code.',
-    labelNames: ['code'],
-    registers,
-  });
-  const open = new Gauge({
-    name: 'kingcupsill_requests_held',
-    help: 'Requests between arrival and the end of their answer.',
-    registers,
+/** Bounds in seconds: from a plain server's answer to the longest deadline. */
+const BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/** Gauges that read the totals of the reducer. */
+const TOTALS: Record<keyof DirectTotals, string> = {
+  sent: 'Attempts sent.',
+  refused: 'Requests refused or failed by the router.',
+  ownTokens: 'Prompt tokens of requests themselves.',
+  againTokens: 'Shared prompt tokens that engines were expected to read.',
+  keptTokens: 'Shared prompt tokens that engines were expected to keep.',
+  begun: 'Attempts whose answer began.',
+  predictedMs: 'Sum of predicted times to the first event, in milliseconds.',
+  seenMs: 'Sum of seen times to the first event, in milliseconds.',
+  errorMs: 'Sum of the sizes of prediction errors, in milliseconds.',
+};
+
+function snakeCase(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
+
+function registerGauge(registry: Registry, name: string, help: string, read: () => number): void {
+  const gauge = new Gauge({
+    name,
+    help,
+    registers: [registry],
     collect() {
-      this.set(state.requests.size);
+      this.set(read());
     },
   });
-  void open;
+  // The registry holds it.
+  void gauge;
+}
+
+function registerState(registry: Registry, state: DirectState): void {
+  Object.entries(TOTALS).forEach(([key, help]) => {
+    const name = `kingcupsill_total_${snakeCase(key)}`;
+    registerGauge(registry, name, help, () => state.totals[key as keyof DirectTotals]);
+  });
+  registerGauge(
+    registry,
+    'kingcupsill_requests_held',
+    'Requests between arrival and the end of their answer.',
+    () => state.requests.size,
+  );
+  registerGauge(
+    registry,
+    'kingcupsill_configuration_version',
+    'Version of the configuration in force; 0 before one is known.',
+    () => state.table?.config.version ?? 0,
+  );
+}
+
+/** Registers the metrics; gauges read the state when they are scraped. */
+export function createEdgeMetrics(registry: Registry, state: DirectState): EdgeMetrics {
+  const registers = [registry];
+  const counter = (name: string, help: string, label: string) =>
+    new Counter({ name, help, labelNames: [label], registers });
+  const histogram = (name: string, help: string) =>
+    new Histogram({ name, help, labelNames: ['service'], buckets: BUCKETS_S, registers });
+  const sent = counter('kingcupsill_attempts_total', 'Attempts sent.', 'repeat');
+  const ended = counter('kingcupsill_attempt_ends_total', 'Ends of attempts.', 'end');
+  const answered = counter('kingcupsill_answers_total', 'Answers of backend servers.', 'status');
+  const refused = counter('kingcupsill_refusals_total', 'Failures of the router itself.', 'code');
+  const stored = counter('kingcupsill_store_calls_total', 'Calls to the store.', 'outcome');
+  const began = histogram('kingcupsill_first_event_seconds', 'Time to the first event.');
+  const finished = histogram('kingcupsill_answer_seconds', 'Time to the end of the answer.');
+  registerState(registry, state);
   return {
     sent: (repeat) => sent.inc({ repeat: String(repeat) }),
     ended: (end) => ended.inc({ end }),
     answered: (status) => answered.inc({ status: String(status) }),
     refused: (code) => refused.inc({ code }),
+    began: (service, tookMs) => began.observe({ service }, tookMs / 1000),
+    finished: (service, tookMs) => finished.observe({ service }, tookMs / 1000),
+    storeCalled: (outcome) => stored.inc({ outcome }),
   };
 }
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -17,6 +17,9 @@
     address: address.describe('address for callers'),
     readiness_address: address.describe('address of the readiness check'),
   }),
+  admin: z.strictObject({
+    address: address.describe('address of metrics and the state dump'),
+  }),
   peers: z.strictObject({ address: address.describe('address for other routers') }),
   store: z.strictObject({
     address: address.describe("address of the platform's store"),
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -13,7 +13,7 @@
 import type { ObjectFeedOptions } from './object-feed.js';
 import { readRouterAddress } from './router-registration.js';
 
-type FeedParts = Pick<EdgeParts, 'loop' | 'store'>;
+type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'metrics'>;
 type Handlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'>;
 
 function configurationHandlers(ctx: EdgeContext, { loop }: FeedParts): Handlers {
@@ -103,6 +103,7 @@
       client: parts.store,
       logger: ctx.logger,
       random: ctx.random,
+      onCalled: parts.metrics.storeCalled,
       onAnswered: () => parts.loop.dispatch({ kind: 'store-answered', nowMs: ctx.clock() }),
     }),
   );
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -16,6 +16,8 @@
   logger: Logger;
   /** Random number from 0 up to 1, for jitter. */
   random: () => number;
+  /** A call ended: `ok`, or why it failed. */
+  onCalled: (outcome: string) => void;
   /** The store answered. */
   onAnswered: () => void;
   onListed: (objects: StoreObject[]) => void;
@@ -54,6 +56,7 @@
 
   /** Notes how a call went; one line for a loss and one for the return. */
   function note(outcome: StoreOutcome<unknown>): void {
+    options.onCalled(outcome.ok ? 'ok' : outcome.failure);
     if (outcome.ok || outcome.failure === StoreFailure.HistoryGone) {
       if (failures > 0) logger.info('store-regained', { kind, failures });
       failures = 0;
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -48,6 +48,7 @@
   registration: RouterRegistration;
   callers: Promise<CallerServer>;
   readiness: Promise<Closable>;
+  admin: Promise<Closable>;
   ticking: Closable;
   summary: Closable;
   reporting: Promise<Closable>;
--- /dev/null
+++ b/packages/edge/test/admin/admin.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createDeployment } from '../standins/deployment.js';
+import { answerWith } from '../standins/server-standin.js';
+
+test('metrics and the state dump tell what was served and what is believed', async () => {
+  const deployment = await createDeployment([(arrival) => answerWith(arrival)]);
+  await deployment.call('/any/1');
+  await deployment.call('/none/1');
+  const page = async (path: string) =>
+    (await fetch(`http://${deployment.settings.admin.address}${path}`)).text();
+  const metrics = await page('/metrics');
+  assert.match(metrics, /kingcupsill_answers_total\{status="200"\} 1/);
+  assert.match(metrics, /kingcupsill_refusals_total\{code="unknown_route"\} 1/);
+  assert.match(metrics, /kingcupsill_first_event_seconds_count\{service="s1"\} 1/);
+  const state = JSON.parse(await page('/debug/state')) as {
+    configuration: number;
+    servers: { server: string }[];
+  };
+  assert.equal(state.configuration, 1);
+  assert.deepEqual(
+    state.servers.map(({ server }) => server),
+    ['i-0@1'],
+  );
+  await deployment.close();
+});
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -97,6 +97,7 @@
   return {
     process: { id: 'router-1', zone: 'z1', zoneRegions: 'z1=r1', logLevel: 'info' },
     callers: { address: await address(), readinessAddress: await address() },
+    admin: { address: await address() },
     peers: { address: await address() },
     store: { address: `127.0.0.1:${storePort}`, heartbeatMs: 1200 },
     shutdown: { graceS: 5 },
