--- a/packages/core/src/direct/admission.ts
+++ b/packages/core/src/direct/admission.ts
@@ -11,22 +11,24 @@
   retryAfterMs: number;
 }
 
-/** Part of the objective that a prediction may use while nothing is short; the rest covers its error and the way to the caller. */
+/** Part of the objective that a prediction may use while engines have capacity; the rest covers its error and the way. */
 const CALM_PART = 0.75;
-/** A share used, and the part of the objective that is allowed there. */
+/** A share used, and the part of the objective that a prediction may use there while engines are busy. */
 interface SharePoint {
   shareUsed: number;
   part: number;
 }
 /**
- * While something is short, accounts far below their share go first, and the further one is above it, the less may wait in
- * front of its requests. At the end, only idle engines take them, so nothing idles while they ask.
+ * While engines are busy, accounts far below their share go first, and the further one is above it, the less may be predicted
+ * for its requests.
  */
 const SHARE_POINTS: readonly SharePoint[] = [
   { shareUsed: 0.8, part: 0.9 },
   { shareUsed: 1.1, part: 0.3 },
   { shareUsed: 1.5, part: 0.05 },
 ];
+/** Mean wait at a service's engines, as a part of the objective, at which they count as wholly busy. */
+const BUSY_WAIT_PART = 0.15;
 /**
  * Part of the objective that a request's own work counts for at most. Without it, large prompts would be refused whenever
  * anything waits, and none of them would be served under load.
@@ -38,7 +40,7 @@
 /** Callers that were refused together come back spread over this part of the time more. */
 const RETRY_SPREAD = 0.5;
 
-function allowedPart(shareUsed: number): number {
+function busyPart(shareUsed: number): number {
   if (shareUsed === 0) return CALM_PART;
   const next = SHARE_POINTS.findIndex((point) => shareUsed < point.shareUsed);
   if (next === 0) return SHARE_POINTS[0]!.part;
@@ -48,6 +50,12 @@
   return from.part + way * (to.part - from.part);
 }
 
+/** Part of the objective that a prediction may use: shares matter only as far as engines are busy. */
+function allowedPart(shareUsed: number, meanWaitMs: number, objectiveMs: number): number {
+  const busy = Math.min(1, meanWaitMs / (objectiveMs * BUSY_WAIT_PART));
+  return CALM_PART + busy * (busyPart(shareUsed) - CALM_PART);
+}
+
 /**
  * Admits a request if its predicted first event is within the part of its objective that its account's share allows.
  * @param draw random, from 0 up to 1, spreads returns
@@ -59,7 +67,7 @@
   draw: number,
 ): Admission {
   const { objectiveMs } = facts.route;
-  const allowedMs = objectiveMs * allowedPart(shareUsed);
+  const allowedMs = objectiveMs * allowedPart(shareUsed, best.meanWaitMs, objectiveMs);
   const overWork = Math.max(0, best.workMs - objectiveMs * OWN_WORK_PART);
   const countedMs = best.predictedMs - overWork;
   const over = Math.max(countedMs - allowedMs, LEAST_RETRY_MS);
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -75,6 +75,7 @@
   predictedMs?: number;
   allowedMs?: number;
   waitMs?: number;
+  meanWaitMs?: number;
   readTokens?: number;
   shareUsed?: number;
   running?: number;
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -12,6 +12,8 @@
   /** Time until its first event, or its answer, would come. */
   predictedMs: number;
   waitMs: number;
+  /** Mean wait at all servers that could take it. */
+  meanWaitMs: number;
   /** Time for the request's own prompt or work. */
   workMs: number;
   /** Prompt tokens that the server reads. */
@@ -70,7 +72,7 @@
   nowMs: number;
 }
 
-function evaluate(choice: Choice, server: KnownServer): Candidate {
+function evaluate(choice: Choice, server: KnownServer): Omit<Candidate, 'meanWaitMs'> {
   const { state, facts, nowMs } = choice;
   const known = serverState(state, server);
   const { load, health } = known;
@@ -122,7 +124,8 @@
     commonFailures: Math.min(...shares),
     nowMs,
   };
-  return servers
-    .map((server) => evaluate(choice, server))
-    .reduce((best, next) => (next.cost < best.cost ? next : best));
+  const candidates = servers.map((server) => evaluate(choice, server));
+  const best = candidates.reduce((least, next) => (next.cost < least.cost ? next : least));
+  const waits = candidates.reduce((sum, { waitMs }) => sum + waitMs, 0);
+  return { ...best, meanWaitMs: waits / candidates.length };
 }
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -1,7 +1,7 @@
 /** Reports of a router's own load to its peers, and what they change. */
 import type { ReportedLoad, RouterReport } from './events.js';
 import { serverState } from './state.js';
-import type { DirectState } from './state.js';
+import type { DirectState, ServerState } from './state.js';
 
 /** Applies a peer's report. Servers that this router doesn't know yet are left out; their totals come again. */
 export function applyReport(state: DirectState, report: RouterReport, nowMs: number): void {
@@ -25,44 +25,65 @@
 
 /** Composes reports; each holds what changed since the last one. */
 export interface Reporter {
-  compose(state: DirectState): RouterReport | undefined;
+  /** Undefined where nothing needs telling yet. */
+  compose(state: DirectState, nowMs: number): RouterReport | undefined;
+}
+
+/**
+ * Time between reports of what is of less weight: requests that ended, and accounts' totals. Prompts that were sent are told at
+ * once, since all routers would send the next ones to the same engine.
+ */
+const WHOLE_REPORT_MS = 150;
+
+interface ToldLoad {
+  running: number;
+  sentTokens: number;
 }
 
 /** Creates the reporter of one router. */
 export function createReporter(router: string): Reporter {
-  const lastLoads = new Map<string, { running: number; sentTokens: number }>();
-  const lastAccounts = new Map<string, number>();
+  const toldLoads = new Map<string, ToldLoad>();
+  const toldAccounts = new Map<string, number>();
+  let wholeAtMs = Number.NEGATIVE_INFINITY;
 
-  function changedLoads(state: DirectState): ReportedLoad[] {
-    const loads: ReportedLoad[] = [];
-    state.servers.forEach(({ load, unreportedParts }, server) => {
-      const running = load.ownRunning();
-      const sentTokens = load.sentTokens();
-      const before = lastLoads.get(server);
-      if (before?.running === running && before.sentTokens === sentTokens) return;
-      lastLoads.set(server, { running, sentTokens });
-      const parts = unreportedParts
-        .splice(0)
-        .map(({ id, tokens }): [string, number] => [id, tokens]);
-      loads.push({ server, running, sentTokens: sentTokens - (before?.sentTokens ?? 0), parts });
-    });
-    return loads;
+  function loadOf(server: string, known: ServerState, whole: boolean): ReportedLoad[] {
+    const { load, unreportedParts } = known;
+    const now: ToldLoad = { running: load.ownRunning(), sentTokens: load.sentTokens() };
+    const told = toldLoads.get(server) ?? { running: 0, sentTokens: 0 };
+    const sentTokens = now.sentTokens - told.sentTokens;
+    const changed = sentTokens > 0 || (whole && now.running !== told.running);
+    if (!changed) return [];
+    toldLoads.set(server, now);
+    const parts = unreportedParts.splice(0).map(({ id, tokens }): [string, number] => [id, tokens]);
+    return [{ server, running: now.running, sentTokens, parts }];
   }
 
   function changedAccounts(state: DirectState): RouterReport['accounts'] {
     const accounts: RouterReport['accounts'] = [];
     state.usage.ownTotals().forEach(({ asked, served }, account) => {
-      if (lastAccounts.get(account) === asked + served) return;
-      lastAccounts.set(account, asked + served);
+      if (toldAccounts.get(account) === asked + served) return;
+      toldAccounts.set(account, asked + served);
       accounts.push([account, Math.round(asked), Math.round(served)]);
     });
     return accounts;
   }
 
+  /** Servers that are gone may come again under the same key only with all they did before. */
+  function forgetGone(state: DirectState): void {
+    toldLoads.forEach((_told, server) => {
+      if (!state.servers.has(server)) toldLoads.delete(server);
+    });
+  }
+
   return {
-    compose(state) {
-      const loads = changedLoads(state);
-      const accounts = changedAccounts(state);
+    compose(state, nowMs) {
+      const whole = nowMs - wholeAtMs >= WHOLE_REPORT_MS;
+      if (whole) {
+        wholeAtMs = nowMs;
+        forgetGone(state);
+      }
+      const loads = [...state.servers].flatMap(([key, known]) => loadOf(key, known, whole));
+      const accounts = whole ? changedAccounts(state) : [];
       return loads.length + accounts.length > 0 ? { router, loads, accounts } : undefined;
     },
   };
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -99,6 +99,7 @@
     server: best.server.key,
     predictedMs: Math.round(best.predictedMs),
     waitMs: Math.round(best.waitMs),
+    meanWaitMs: Math.round(best.meanWaitMs),
     readTokens: best.readTokens,
     running: best.known.load.running(),
   };
@@ -133,7 +134,11 @@
     return refuse(state, request, notRun(RefusalCode.NoServer, NO_SERVER_RETRY_MS), {});
   }
   const admission = admit(facts, best, shareUsed, draw);
-  const why = { ...describe(best), allowedMs: Math.round(admission.allowedMs), shareUsed };
+  const why = {
+    ...describe(best),
+    allowedMs: Math.round(admission.allowedMs),
+    shareUsed,
+  };
   if (!admission.admitted) {
     const code = shareUsed > 1 ? RefusalCode.AccountOverShare : RefusalCode.Overloaded;
     return refuse(state, request, notRun(code, admission.retryAfterMs), why);
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -13,8 +13,8 @@
 import { createSampleRouter, refusedOf, sampleRoute } from './sample.js';
 
 const facts = { route: sampleRoute({ objectiveMs: 800 }) } as RequestFacts;
-const candidate = (waitMs: number, workMs: number) =>
-  ({ predictedMs: waitMs + workMs, waitMs, workMs }) as Candidate;
+const candidate = (waitMs: number, workMs: number, meanWaitMs = 500) =>
+  ({ predictedMs: waitMs + workMs, waitMs, workMs, meanWaitMs }) as Candidate;
 
 test('the max-min level fills the capacity, and nobody below it is cut', () => {
   const amounts = fc.array(fc.integer({ min: 0, max: 1000 }), { minLength: 1, maxLength: 20 });
@@ -51,6 +51,11 @@
   }
 });
 
+test('while engines have capacity, an account far above its share is served like any other', () => {
+  assert.equal(admit(facts, candidate(0, 500, 0), 5, 0).admitted, true);
+  assert.equal(admit(facts, candidate(0, 500, 200), 5, 0).admitted, false);
+});
+
 test('while nothing is short no account is held back', () => {
   const usage = createAccountUsage(4000);
   usage.noteAsked('a', 1000, 0);
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -33,8 +33,8 @@
 
 /** Granularity of time-outs. */
 const TICK_MS = 50;
-/** Time between reports to peers: short against the time that prompts wait at engines. */
-const REPORT_PERIOD_MS = 100;
+/** Granularity of reports to peers: about the longest way between regions, which delays them anyway. */
+const REPORT_PERIOD_MS = 20;
 /** After SIGTERM, new connections still come until the platform has missed two readiness checks, a second apart. */
 const LISTEN_AFTER_TERM_MS = 3000;
 /** Time kept from the grace period to end in order. */
@@ -218,7 +218,7 @@
     async create(parts) {
       const peers = await parts.peers;
       return repeatEvery(REPORT_PERIOD_MS, () => {
-        const report = reporter.compose(parts.state);
+        const report = reporter.compose(parts.state, ctx.clock());
         if (report !== undefined) peers.broadcast(report);
       });
     },
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -1,10 +1,10 @@
 /** Links between routers: each sends its reports over links that it dials, and takes those of others. */
 import type { RouterReport } from '@kingcupsill/core/direct';
-import { Packr } from 'msgpackr';
 import { repeatEvery } from '../closable.js';
 import { createIncomingLinks } from './incoming.js';
 import type { IncomingLinksOptions } from './incoming.js';
 import { createOutgoingLinks } from './outgoing.js';
+import { createReportCodec } from './report-codec.js';
 
 /** Links to all other routers. */
 export interface PeerLinks {
@@ -20,9 +20,8 @@
 export async function createPeerLinks(
   options: Omit<IncomingLinksOptions, 'decode'>,
 ): Promise<PeerLinks> {
-  const packr = new Packr({ useRecords: false });
-  const decode = (bytes: Buffer): RouterReport => packr.unpack(bytes) as RouterReport;
-  const incoming = await createIncomingLinks({ ...options, decode });
+  const codec = createReportCodec();
+  const incoming = await createIncomingLinks({ ...options, decode: codec.decode });
   const outgoing = createOutgoingLinks(options.clock, options.logger);
   const checking = repeatEvery(CHECK_PERIOD_MS, () => {
     incoming.check();
@@ -34,7 +33,7 @@
     broadcast(report) {
       let packed: Buffer | undefined;
       outgoing.send(() => {
-        packed ??= packr.pack(report);
+        packed ??= codec.encode(report);
         return packed;
       });
     },
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -14,7 +14,12 @@
 import { readRouterAddress } from './router-registration.js';
 
 type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'metrics'>;
-type Handlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'>;
+type Handlers = Pick<ObjectFeedOptions, 'kind' | 'watchMs' | 'onListed' | 'onChanged'>;
+
+/** Silence shows well within the time in which a leaving server must get no new work. */
+const URGENT_WATCH_MS = 1500;
+/** Routers come and go without a bound, and links notice by themselves; each call is paid. */
+const ROUTERS_WATCH_MS = 15_000;
 
 function configurationHandlers(ctx: EdgeContext, { loop }: FeedParts): Handlers {
   function configure(object: StoreObject): void {
@@ -30,6 +35,7 @@
 
   return {
     kind: StoreKind.Configuration,
+    watchMs: URGENT_WATCH_MS,
     onListed: (objects) => objects.forEach(configure),
     onChanged({ object, removed }) {
       if (!removed) configure(object);
@@ -48,6 +54,7 @@
 
   return {
     kind: StoreKind.Servers,
+    watchMs: URGENT_WATCH_MS,
     onListed(objects) {
       const entries = objects.flatMap((object) => read(object) ?? []);
       loop.dispatch({ kind: 'servers-listed', entries, nowMs: ctx.clock() });
@@ -78,6 +85,7 @@
 
   return {
     kind: StoreKind.Routers,
+    watchMs: ROUTERS_WATCH_MS,
     onListed(objects) {
       addresses.clear();
       objects.forEach(note);
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -14,6 +14,8 @@
   client: StoreClient;
   kind: StoreKind;
   logger: Logger;
+  /** Wait of one watch: a connection that went silent shows after it. */
+  watchMs: number;
   /** Random number from 0 up to 1, for jitter. */
   random: () => number;
   /** A call ended: `ok`, or why it failed. */
@@ -29,11 +31,16 @@
   close(): void;
 }
 
-/** Wait of one watch. A connection that went silent shows after it, well within the time in which changes must be in force. */
-const WATCH_MS = 1500;
+/**
+ * Waits for an answer, in turn while calls fail: short ones, so that the store's return is seen within half a second, and a
+ * long one in case that it is only slow.
+ */
+const ANSWER_WAITS_MS = [1000, 300, 300, 1500];
+/** Wait of a watch while calls fail: any answer tells that the store is back. */
+const FAILING_WATCH_MS = 0;
 /** First pause after a failure; it doubles up to the longest. The store's rates leave room for each router to ask this often. */
 const FIRST_PAUSE_MS = 50;
-const LONGEST_PAUSE_MS = 400;
+const LONGEST_PAUSE_MS = 200;
 
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
@@ -42,6 +49,10 @@
   let failures = 0;
   let wake: (() => void) | undefined;
 
+  function answerMs(): number {
+    return ANSWER_WAITS_MS[failures % ANSWER_WAITS_MS.length]!;
+  }
+
   function pause(): Promise<void> {
     const base = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(failures, 10));
     const ms = base * (0.5 + options.random() / 2);
@@ -73,7 +84,7 @@
     let after: string | undefined;
     let revision: number | undefined;
     do {
-      const page = await client.listPage(kind, after);
+      const page = await client.listPage(kind, after, answerMs());
       if (closed) return undefined;
       note(page);
       if (!page.ok) return undefined;
@@ -87,7 +98,8 @@
   }
 
   async function watch(from: number): Promise<number | undefined> {
-    const outcome = await client.watch(kind, from, WATCH_MS);
+    const waitMs = failures > 0 ? FAILING_WATCH_MS : options.watchMs;
+    const outcome = await client.watch(kind, from, waitMs, answerMs());
     if (closed) return undefined;
     note(outcome);
     if (outcome.ok) {
--- a/packages/edge/src/store/send-call.ts
+++ b/packages/edge/src/store/send-call.ts
@@ -22,7 +22,15 @@
     noDelay: true,
   });
   return {
-    send: (call) => sendHttpCall({ ...call, ...address(), agent }),
+    async send(call) {
+      const answer = await sendHttpCall({ ...call, ...address(), agent });
+      // Where one connection went silent, the idle ones have too.
+      if (!answer.ok)
+        Object.values(agent.freeSockets)
+          .flat()
+          .forEach((socket) => socket?.destroy());
+      return answer;
+    },
     close: () => agent.destroy(),
   };
 }
