--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -145,6 +145,8 @@
   UnknownKey: 'unknown_key',
   NoServer: 'no_backend_server',
   Overloaded: 'overloaded',
+  /** This router's own processor can't keep up; others may. */
+  RouterBusy: 'router_busy',
   AccountOverShare: 'account_over_share',
   Draining: 'draining',
   OutcomeUnknown: 'outcome_unknown',
--- a/packages/edge/src/callers/receive.ts
+++ b/packages/edge/src/callers/receive.ts
@@ -10,7 +10,7 @@
 import { readBody } from './read-body.js';
 import type { BodyOutcome } from './read-body.js';
 
-type ReceiveParts = Pick<EdgeParts, 'gate' | 'exchanges' | 'loop' | 'metrics' | 'state'>;
+type ReceiveParts = Pick<EdgeParts, 'gate' | 'exchanges' | 'lag' | 'loop' | 'metrics' | 'state'>;
 
 const TOO_LARGE: Refusal = {
   status: 413,
@@ -19,10 +19,25 @@
   retryAfterMs: undefined,
 };
 
+const BUSY: Refusal = {
+  status: 503,
+  code: RefusalCode.RouterBusy,
+  ran: 'no',
+  // Another try reaches another router; this one needs about as long to catch up.
+  retryAfterMs: 300,
+};
+/** Lateness of the loop, as a part of a request's objective, from which the request is better off at another router. */
+const BUSY_LAG_PART = 0.25;
+
+/** Calls back after the loop has seen what is ready now, closed connections included. */
+function afterNextPoll(call: () => void): void {
+  setImmediate(() => setImmediate(call));
+}
+
 /** Creates the handler of callers' requests. */
 export function createReceiver(ctx: EdgeContext, parts: ReceiveParts) {
   const { logger, clock, random } = ctx;
-  const { gate, exchanges, loop, metrics, state } = parts;
+  const { gate, exchanges, lag, loop, metrics, state } = parts;
   let numbered = 0;
 
   function reject(res: ServerResponse, headers: CallerHeaders, refusal: Refusal): void {
@@ -62,13 +77,29 @@
     loop.dispatch({ kind: 'request', request: id, facts, draw: random(), nowMs });
   }
 
+  /** Requests of callers that left before they were read go no further; while the loop is late, the others are refused in time. */
+  function submitFresh(
+    req: IncomingMessage,
+    res: ServerResponse,
+    headers: CallerHeaders,
+    checked: GateOutcome & { ok: true },
+    body: Buffer,
+  ): void {
+    afterNextPoll(() => {
+      if (res.destroyed || req.socket.destroyed) return;
+      const busy = lag.lagMs() > checked.facts.route.objectiveMs * BUSY_LAG_PART;
+      if (busy) reject(res, headers, BUSY);
+      else submit(req, res, headers, checked, body);
+    });
+  }
+
   return (req: IncomingMessage, res: ServerResponse): void => {
     const headers = readCallerHeaders(req.headers);
     const checked = gate.check(req, headers, clock());
 
     function onBody(outcome: BodyOutcome): void {
       if (!checked.ok) reject(res, headers, checked.refusal);
-      else if (outcome.ok) submit(req, res, headers, checked, outcome.body);
+      else if (outcome.ok) submitFresh(req, res, headers, checked, outcome.body);
       else if (outcome.reason === 'too-large') reject(res, headers, TOO_LARGE);
     }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -20,6 +20,7 @@
 import { repeatEvery } from './closable.js';
 import { createEffects } from './effects.js';
 import { createExchanges } from './exchanges.js';
+import { createLoopLag } from './loop-lag.js';
 import { createEdgeMetrics } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
 import { createServerConnections } from './relay/server-connections.js';
@@ -34,7 +35,9 @@
 /** Granularity of time-outs. */
 const TICK_MS = 50;
 /** Granularity of reports to peers: about the longest way between regions, which delays them anyway. */
-const REPORT_PERIOD_MS = 20;
+const REPORT_TICK_MS = 20;
+/** Reports that a router sends in a second, to all peers together: what it costs stays the same when the fleet grows. */
+const REPORTS_PER_SECOND = 150;
 /** After SIGTERM, new connections still come until the platform has missed two readiness checks, a second apart. */
 const LISTEN_AFTER_TERM_MS = 3000;
 /** Time kept from the grace period to end in order. */
@@ -84,6 +87,7 @@
     loop: loopPart(ctx),
     transport: transportPart(ctx),
     store: { create: ({ transport }) => createStoreClient(transport.send) },
+    lag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
     gate: { create: ({ state }) => createCallerGate(state, ctx.random) },
     peers: peersPart(ctx),
     feeds: {
@@ -217,9 +221,14 @@
   return {
     async create(parts) {
       const peers = await parts.peers;
-      return repeatEvery(REPORT_PERIOD_MS, () => {
-        const report = reporter.compose(parts.state, ctx.clock());
-        if (report !== undefined) peers.broadcast(report);
+      let nextAtMs = 0;
+      return repeatEvery(REPORT_TICK_MS, () => {
+        const nowMs = ctx.clock();
+        if (nowMs < nextAtMs) return;
+        const report = reporter.compose(parts.state, nowMs);
+        if (report === undefined) return;
+        nextAtMs = nowMs + ((parts.state.routers - 1) * 1000) / REPORTS_PER_SECOND;
+        peers.broadcast(report);
       });
     },
     close: (reporting) => reporting.close(),
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -6,6 +6,7 @@
 import type { CallerServer } from './callers/caller-server.js';
 import type { CallerGate } from './callers/caller-gate.js';
 import type { Exchanges } from './exchanges.js';
+import type { LoopLag } from './loop-lag.js';
 import type { EdgeMetrics } from './metrics.js';
 import type { PeerLinks } from './peers/peer-links.js';
 import type { Closable } from './closable.js';
@@ -42,6 +43,7 @@
   metrics: EdgeMetrics;
   transport: StoreTransport;
   store: StoreClient;
+  lag: LoopLag;
   gate: CallerGate;
   peers: Promise<PeerLinks>;
   feeds: Promise<Closable>;
