--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -5,12 +5,14 @@
 import {
   admit,
   createAccountUsage,
+  AttemptEnd,
   createRepeatBudget,
+  createReporter,
   maxMinLevel,
   RefusalCode,
 } from '../../src/direct/index.js';
 import type { Candidate, RequestFacts } from '../../src/direct/index.js';
-import { createSampleRouter, refusedOf, sampleRoute } from './sample.js';
+import { createSampleRouter, refusedOf, sampleRoute, sentOf } from './sample.js';
 
 const facts = { route: sampleRoute({ objectiveMs: 800 }) } as RequestFacts;
 const candidate = (waitMs: number, workMs: number, meanWaitMs = 500) =>
@@ -129,3 +131,35 @@
     { seed: 20261204, numRuns: 100 },
   );
 });
+
+test('a burst at two routers: what one has sent is believed by the other, so both don’t pick the same engine', () => {
+  const [first, second] = [createSampleRouter(), createSampleRouter()];
+  const reporter = createReporter('first/1');
+  const parts = [{ id: 'own', tokens: 10_000 }];
+  const prompt = { parts, promptTokens: 10_000 };
+  const chosen = sentOf(first.request('1', prompt)).serverId;
+  const report = reporter.compose(first.state, 0);
+  assert.ok(report !== undefined);
+  second.feed({ kind: 'peer-report', report });
+  assert.notEqual(sentOf(second.request('1', prompt)).serverId, chosen);
+});
+
+test('sent prompts are reported at once, ends and accounts in turn, and nothing twice', () => {
+  const router = createSampleRouter();
+  const reporter = createReporter('r/1');
+  const { attempt } = sentOf(router.request('1'));
+  const first = reporter.compose(router.state, 0);
+  assert.equal(first?.loads[0]?.sentTokens, 5000);
+  assert.equal(first?.accounts.length, 1);
+  assert.equal(reporter.compose(router.state, 10), undefined);
+  const ended = {
+    kind: 'attempt-ended',
+    attempt,
+    end: AttemptEnd.Complete,
+    detail: '',
+    draw: 0,
+  } as const;
+  router.feed(ended);
+  assert.equal(reporter.compose(router.state, 20), undefined);
+  assert.equal(reporter.compose(router.state, 200)?.loads[0]?.running, 0);
+});
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -80,7 +80,7 @@
   };
 }
 
-async function freePort(): Promise<number> {
+export async function freePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
