--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -47,46 +47,56 @@
   totals.keptTokens += Math.max(0, facts.promptTokens - own - again);
 }
 
-function send(
+/** Books an attempt at the chosen server. */
+function openAttempt(
   state: DirectState,
   request: OpenRequest,
   best: Candidate,
-  why: DecisionInputs,
   nowMs: number,
-): DirectEffect[] {
+): OpenAttempt {
   const { facts } = request;
-  const { server, known } = best;
-  state.attemptsMade += 1;
-  const attempt = `${request.request}.${state.attemptsMade}`;
+  const { server, known, predictedMs, readTokens } = best;
   // The last part is the request's own, hence of no use to other requests.
   const shared = facts.parts.slice(0, -1);
   if (!known.load.parts.keepsAll(shared)) known.unreportedParts.push(...shared);
   known.load.parts.note(facts.parts);
-  const ticket = known.load.send(nowMs, best.readTokens);
   known.trials += 1;
+  state.attemptsMade += 1;
   const open: OpenAttempt = {
-    attempt,
+    attempt: `${request.request}.${state.attemptsMade}`,
     request: request.request,
     server: server.key,
-    ticket,
-    predictedMs: best.predictedMs,
+    ticket: known.load.send(nowMs, readTokens),
+    predictedMs,
   };
+  state.attempts.set(open.attempt, open);
   countTokens(state, facts, best);
+  return open;
+}
+
+function send(
+  state: DirectState,
+  request: OpenRequest,
+  best: Candidate,
+  why: DecisionInputs,
+  nowMs: number,
+): DirectEffect[] {
+  const { entry } = best.server;
+  const open = openAttempt(state, request, best, nowMs);
   const repeat = request.sends > 0;
-  request.tried.push(server.key);
+  request.tried.push(open.server);
   request.sends += 1;
   request.current = open;
-  state.attempts.set(attempt, open);
   return [
     {
       kind: 'send',
       request: request.request,
-      attempt,
-      server: server.key,
-      host: server.entry.host,
-      port: server.entry.port,
-      serverId: server.entry.id,
-      leftMs: facts.expiresAtMs - nowMs,
+      attempt: open.attempt,
+      server: open.server,
+      host: entry.host,
+      port: entry.port,
+      serverId: entry.id,
+      leftMs: request.facts.expiresAtMs - nowMs,
       lastEventId: request.lastEventId,
       repeat,
       why: { ...why, tried: request.tried.length },
@@ -165,7 +175,7 @@
     countPrediction(state, open, nowMs - open.ticket.sentAtMs);
   }
   known.load.begin(open.ticket, nowMs);
-  known.health.noteAlive(nowMs);
+  known.health.noteAlive();
   return [];
 }
 
--- a/packages/core/src/direct/server-health.ts
+++ b/packages/core/src/direct/server-health.ts
@@ -5,7 +5,7 @@
 export interface ServerHealth {
   note(end: AttemptEnd, nowMs: number): void;
   /** An answer began. */
-  noteAlive(nowMs: number): void;
+  noteAlive(): void;
   /** Recent share of failed attempts, 0 to 1. */
   failureShare(nowMs: number): number;
   /** Until when no new work goes there but for one trial; 0 when it is open. */
@@ -59,7 +59,7 @@
         avoidUntil = 0;
       }
     },
-    noteAlive(_nowMs) {
+    noteAlive() {
       failuresInRow = 0;
       avoidUntil = 0;
     },
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -97,7 +97,7 @@
   assert.ok(first > 0);
   health.note(AttemptEnd.Unsent, 1000);
   assert.ok(health.avoidUntilMs() - 1000 > first);
-  health.noteAlive(2000);
+  health.noteAlive();
   assert.equal(health.avoidUntilMs(), 0);
 });
 
--- a/packages/edge/test/logs/logs.test.ts
+++ b/packages/edge/test/logs/logs.test.ts
@@ -3,25 +3,14 @@
 import { spawn } from 'node:child_process';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
-import type { Logger } from '@kingcupsill/runtime';
 import { createBoundedLogger } from '../../src/logs/bounded-logger.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
+import type { LoggedLine } from '../standins/recording-logger.js';
 
 test('lines of one kind are bounded, failures less than routine, and what is left out is counted', () => {
-  const lines: { event: string; leftOut: number | undefined }[] = [];
-  const write = (event: string, fields: Record<string, unknown> = {}) => {
-    lines.push({ event, leftOut: fields.leftOut as number | undefined });
-  };
-  const inner: Logger = {
-    trace: write,
-    debug: write,
-    info: write,
-    warn: write,
-    error: write,
-    level: () => 'info',
-    setLevel: () => undefined,
-  };
+  const lines: LoggedLine[] = [];
   let nowMs = 0;
-  const logger = createBoundedLogger({ logger: inner, clock: () => nowMs });
+  const logger = createBoundedLogger({ logger: createRecordingLogger(lines), clock: () => nowMs });
   for (let index = 0; index < 1000; index += 1) {
     logger.info('request-sent', {});
     logger.warn('request-refused', {});
@@ -32,7 +21,7 @@
   const kept = count('request-sent');
   nowMs = 10_000;
   logger.info('request-sent', {});
-  assert.equal(lines[lines.length - 1]?.leftOut, 1000 - kept);
+  assert.equal(lines[lines.length - 1]?.fields.leftOut, 1000 - kept);
 });
 
 test('a reader that stops reading stops nothing but its lines', async () => {
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -1,27 +1,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { RouterReport } from '@kingcupsill/core/direct';
-import type { Logger } from '@kingcupsill/runtime';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
 import { createReportCodec } from '../../src/peers/report-codec.js';
 import { freePort, until } from '../standins/deployment.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
 
 const report: RouterReport = {
   router: 'r1/1',
   loads: [{ server: 'e1@1', running: 3, sentTokens: 900, parts: [['ab', 300]] }],
   accounts: [['kingston', 1000, 800]],
 };
-const quiet: Logger = {
-  trace: () => undefined,
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-  level: () => 'error',
-  setLevel: () => undefined,
-};
-
 test('a report comes out as it went in', () => {
   const codec = createReportCodec();
   assert.deepEqual(codec.decode(codec.encode(report)), report);
@@ -37,7 +27,7 @@
       host: '127.0.0.1',
       port,
       clock: () => performance.now(),
-      logger: quiet,
+      logger: createRecordingLogger(),
       onReport: (each) => seen.push(each),
       onGone: (router) => gone.push(router),
     });
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -1,11 +1,12 @@
 /** A router, its store and backend servers on loopback. */
 import { Agent, request } from 'node:http';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
-import type { Logger, RunningProcess } from '@kingcupsill/runtime';
+import type { RunningProcess } from '@kingcupsill/runtime';
 import { Registry } from 'prom-client';
 import { startEdge } from '../../src/index.js';
 import type { EdgeSettings } from '../../src/index.js';
+import { createRecordingLogger } from './recording-logger.js';
+import type { LoggedLine } from './recording-logger.js';
 import { createServerStandin } from './server-standin.js';
 import type { Arrival, ServerStandin } from './server-standin.js';
 import { createStoreStandin } from './store-standin.js';
@@ -24,7 +25,7 @@
   servers: ServerStandin[];
   router: RunningProcess;
   settings: EdgeSettings;
-  logged: { event: string; fields: Record<string, unknown> }[];
+  logged: LoggedLine[];
   call(path: string, options?: CallOptions): Promise<CallerAnswer>;
   ready(): Promise<boolean>;
   close(): Promise<void>;
@@ -80,16 +81,26 @@
   };
 }
 
-export async function freePort(): Promise<number> {
+/** Below the range from which the system takes ports of outgoing connections, so that no test's connection takes one meanwhile. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+const PORTS_PER_PROCESS = 97;
+let portsTaken = 0;
+
+function canListen(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
+}
+
+export async function freePort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + ((process.pid * PORTS_PER_PROCESS + portsTaken) % PORTS);
+    portsTaken += 1;
+    if (await canListen(port)) return port;
+  }
 }
 
 async function createSettings(storePort: number): Promise<EdgeSettings> {
@@ -148,21 +159,6 @@
   };
 }
 
-function createRecorder(logged: Deployment['logged']): Logger {
-  const write = (event: string, fields: Record<string, unknown> = {}) => {
-    logged.push({ event, fields });
-  };
-  return {
-    trace: write,
-    debug: write,
-    info: write,
-    warn: write,
-    error: write,
-    level: () => 'info',
-    setLevel: () => undefined,
-  };
-}
-
 /** Starts one router with a backend server for each handler, and waits until it is ready. */
 export async function createDeployment(
   handlers: ((arrival: Arrival) => void)[],
@@ -173,13 +169,21 @@
   servers.forEach(({ port }, index) => store.put('servers', `i-${index}`, sampleEntry(port)));
   const settings = await createSettings(store.port);
   const logged: Deployment['logged'] = [];
+  const closeStandins = () => {
+    servers.forEach((server) => server.close());
+    store.close();
+  };
   const router = await startEdge({
     settings: () => settings,
-    logger: createRecorder(logged),
+    logger: createRecordingLogger(logged),
     registry: new Registry(),
     clock: () => performance.now(),
     random: Math.random,
     incarnation: 'i1',
+  }).catch((err: unknown) => {
+    // Open stand-ins would keep a failed test's process alive.
+    closeStandins();
+    throw err;
   });
   const readiness = createCall(settings.callers.readinessAddress);
   const ready = async () => (await readiness('/readyz')).status === 200;
@@ -194,8 +198,7 @@
     ready,
     async close() {
       await router.close();
-      servers.forEach((server) => server.close());
-      store.close();
+      closeStandins();
     },
   };
 }
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -2,8 +2,8 @@
 import { test } from 'node:test';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
-import type { Logger } from '@kingcupsill/runtime';
 import { createObjectFeed } from '../../src/store/object-feed.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
 
 interface Asked {
   call: 'list' | 'watch';
@@ -11,16 +11,6 @@
   answerMs: number;
 }
 
-const quiet: Logger = {
-  trace: () => undefined,
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-  level: () => 'error',
-  setLevel: () => undefined,
-};
-
 /** A store that answers its first calls, then fails `failures` times, then lost its history. */
 async function follow(failures: number): Promise<Asked[]> {
   const asked: Asked[] = [];
@@ -44,7 +34,7 @@
       client: client as StoreClient,
       kind: StoreKind.Servers,
       watchMs: 1500,
-      logger: quiet,
+      logger: createRecordingLogger(),
       random: () => 0,
       onCalled: () => undefined,
       onAnswered: () => undefined,
