Choose servers with the shared rendezvous hash; look at each server once; drop what nothing reads

homeOf was rendezvousPick again; each request asked for a server's state three times and its failures twice; a prompt's own and shared parts were told apart in four places. Unread: the draw of ended attempts, the attempt of a finish, a request's priority and arrival, a ticket's tokens, a cache's clear, one refusal code. Behaviour as before.

--- a/packages/core/src/direct/engine-load.ts
+++ b/packages/core/src/direct/engine-load.ts
@@ -6,8 +6,6 @@
 /** One request at a server, as the prediction knows it. */
 export interface LoadTicket {
   sentAtMs: number;
-  /** Prompt tokens that the server reads for it. */
-  readTokens: number;
   /** Prompt tokens that were ahead of it, its own included. */
   tokensAhead: number;
   /** Predicted time of the first event. */
@@ -96,7 +94,7 @@
       own += 1;
       sent += readTokens;
       const firstAtMs = freeAtMs + fit.base();
-      return { sentAtMs: nowMs, readTokens, tokensAhead, firstAtMs, begun: false };
+      return { sentAtMs: nowMs, tokensAhead, firstAtMs, begun: false };
     },
     begin(ticket, nowMs) {
       if (ticket.begun) return;
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -49,7 +49,6 @@
         end: AttemptEnd;
         /** For logs: what was seen. */
         detail: string;
-        draw: number;
       }
     | { kind: 'caller-left'; request: string }
     /** An engine told which prompt parts it keeps. */
@@ -105,7 +104,7 @@
   /** Drop the attempt; nothing more is wanted of it. */
   | { kind: 'cancel'; attempt: string }
   /** Give the caller the answer that the attempt holds, or end its stream. */
-  | { kind: 'finish'; request: string; attempt: string }
+  | { kind: 'finish'; request: string }
   /** Answer with a failure of the router's own, or break off an answer that has begun. */
   | { kind: 'refuse'; request: string; refusal: Refusal; why: DecisionInputs }
   /** A belief has changed. */
--- a/packages/core/src/direct/part-cache.ts
+++ b/packages/core/src/direct/part-cache.ts
@@ -9,7 +9,6 @@
   note(parts: readonly PromptPart[]): void;
   /** Whether the engine keeps all of these parts. */
   keepsAll(parts: readonly PromptPart[]): boolean;
-  clear(): void;
   keptTokens(): number;
 }
 
@@ -46,10 +45,6 @@
       evict();
     },
     keepsAll: (parts) => parts.every(({ id }) => kept.has(id)),
-    clear() {
-      kept.clear();
-      total = 0;
-    },
     keptTokens: () => total,
   };
 }
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses a backend server for a request. */
-import { rendezvousWeight } from '../hash/index.js';
+import { rendezvousPick } from '../hash/index.js';
+import { ownTokens, sharedParts } from './prompt.js';
 import type { KnownServer } from './server-registry.js';
 import { serverState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
@@ -18,6 +19,8 @@
   workMs: number;
   /** Prompt tokens that the server reads. */
   readTokens: number;
+  /** Those of them that are shared: another server may keep them. */
+  againTokens: number;
   /** What the choice goes by: lower is better. */
   cost: number;
 }
@@ -45,22 +48,23 @@
   return over > 0 ? (over * known.load.meanStayMs()) / slots : 0;
 }
 
-/** Key by which requests with the same shared parts find the same server; the last part is the request's own. */
-function sharedKey(facts: RequestFacts): string | undefined {
-  return facts.parts.length > 1 ? facts.parts[facts.parts.length - 2]!.id : undefined;
+/** A server that takes new work, with what is known of it. */
+interface OpenServer {
+  server: KnownServer;
+  known: ServerState;
+  failureShare: number;
 }
 
-function homeOf(state: DirectState, servers: readonly KnownServer[], key: string): string {
-  let best = '';
-  let bestWeight = -1;
-  servers.forEach((server) => {
-    const weight = rendezvousWeight(state.options.hasher, key, server.key);
-    if (weight > bestWeight) {
-      best = server.key;
-      bestWeight = weight;
-    }
-  });
-  return best;
+/** The server that all routers pick for these shared parts; undefined where nothing is shared. */
+function homeOf(
+  state: DirectState,
+  facts: RequestFacts,
+  open: readonly OpenServer[],
+): string | undefined {
+  const key = sharedParts(facts.parts).pop()?.id;
+  if (key === undefined) return undefined;
+  const keys = open.map(({ server }) => server.key);
+  return rendezvousPick(state.options.hasher, key, keys);
 }
 
 interface Choice {
@@ -72,37 +76,43 @@
   nowMs: number;
 }
 
-function evaluate(choice: Choice, server: KnownServer): Omit<Candidate, 'meanWaitMs'> {
+function evaluate(choice: Choice, open: OpenServer): Omit<Candidate, 'meanWaitMs'> {
   const { state, facts, nowMs } = choice;
-  const known = serverState(state, server);
-  const { load, health } = known;
+  const { server, known } = open;
+  const { load } = known;
   const prompt = facts.parts.length > 0;
   const readTokens = prompt ? load.parts.tokensToRead(facts.parts) : 0;
-  const ownTokens = prompt ? facts.parts[facts.parts.length - 1]!.tokens : 0;
+  const againTokens = Math.max(0, readTokens - ownTokens(facts.parts));
   const waitMs = load.waitMs(nowMs) + placeWaitMs(known, server.entry.slots);
   const distance = distanceMs(state, server.entry.zone);
   const workMs = prompt ? readTokens * load.msPerToken() : load.meanStayMs() + distance;
-  const again = Math.max(0, readTokens - ownTokens) * load.msPerToken();
-  const failures = Math.max(0, health.failureShare(nowMs) - choice.commonFailures);
+  const againMs = againTokens * load.msPerToken();
   const predictedMs = waitMs + workMs + (prompt ? load.baseMs() : 0);
-  const away = again > 0 && choice.home !== undefined && choice.home !== server.key;
+  const away = againTokens > 0 && choice.home !== undefined && choice.home !== server.key;
   const cost =
     predictedMs +
-    again * READ_AGAIN_WEIGHT +
+    againMs * READ_AGAIN_WEIGHT +
     distance +
-    failures * FAILURE_COST_MS +
+    (open.failureShare - choice.commonFailures) * FAILURE_COST_MS +
     (away ? OTHER_HOME_MS : 0) +
     load.running();
-  return { server, known, predictedMs, waitMs, workMs, readTokens, cost };
+  return { server, known, predictedMs, waitMs, workMs, readTokens, againTokens, cost };
 }
 
 /** A server that wasn't reached gets one trial at a time, once its pause is over. */
-function isOpen(state: DirectState, server: KnownServer, nowMs: number): boolean {
-  const { health, trials } = serverState(state, server);
+function isOpen({ health, trials }: ServerState, nowMs: number): boolean {
   const until = health.avoidUntilMs();
   return until === 0 || (nowMs >= until && trials === 0);
 }
 
+function openServers(state: DirectState, service: string, nowMs: number): OpenServer[] {
+  return state.registry
+    .open(service)
+    .map((server) => ({ server, known: serverState(state, server) }))
+    .filter(({ known }) => isOpen(known, nowMs))
+    .map((open) => ({ ...open, failureShare: open.known.health.failureShare(nowMs) }));
+}
+
 /** Best server for a request, or undefined where none can be used. Servers that had the request already come last. */
 export function chooseServer(
   state: DirectState,
@@ -110,18 +120,15 @@
   tried: readonly string[],
   nowMs: number,
 ): Candidate | undefined {
-  const all = state.registry.open(facts.service);
-  const open = all.filter((server) => isOpen(state, server, nowMs));
-  const fresh = open.filter((server) => !tried.includes(server.key));
+  const open = openServers(state, facts.service, nowMs);
+  const fresh = open.filter(({ server }) => !tried.includes(server.key));
   const servers = fresh.length > 0 ? fresh : open;
   if (servers.length === 0) return undefined;
-  const key = sharedKey(facts);
-  const shares = servers.map((each) => serverState(state, each).health.failureShare(nowMs));
   const choice: Choice = {
     state,
     facts,
-    home: key === undefined ? undefined : homeOf(state, servers, key),
-    commonFailures: Math.min(...shares),
+    home: homeOf(state, facts, servers),
+    commonFailures: Math.min(...servers.map(({ failureShare }) => failureShare)),
     nowMs,
   };
   const candidates = servers.map((server) => evaluate(choice, server));
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -3,6 +3,7 @@
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
 import { chooseServer } from './placement.js';
 import type { Candidate } from './placement.js';
+import { ownTokens, sharedParts } from './prompt.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
 import { AttemptEnd, RefusalCode, RepeatRule } from './types.js';
 import type { RequestFacts } from './types.js';
@@ -39,8 +40,8 @@
 }
 
 function countTokens({ totals }: DirectState, facts: RequestFacts, best: Candidate): void {
-  const own = facts.parts[facts.parts.length - 1]?.tokens ?? 0;
-  const again = Math.max(0, best.readTokens - own);
+  const own = ownTokens(facts.parts);
+  const again = best.againTokens;
   totals.sent += 1;
   totals.ownTokens += own;
   totals.againTokens += again;
@@ -56,8 +57,7 @@
 ): OpenAttempt {
   const { facts } = request;
   const { server, known, predictedMs, readTokens } = best;
-  // The last part is the request's own, hence of no use to other requests.
-  const shared = facts.parts.slice(0, -1);
+  const shared = sharedParts(facts.parts);
   if (!known.load.parts.keepsAll(shared)) known.unreportedParts.push(...shared);
   known.load.parts.note(facts.parts);
   known.trials += 1;
@@ -126,7 +126,6 @@
   const request: OpenRequest = {
     request: id,
     facts,
-    arrivedAtMs: nowMs,
     tried: [],
     runs: 0,
     sends: 0,
@@ -251,17 +250,17 @@
   if (request === undefined || request.current !== open) return [];
   request.current = undefined;
   if (!NOT_RUN.has(end)) request.runs += 1;
-  if (end === AttemptEnd.Complete) return finish(state, request, attempt);
+  if (end === AttemptEnd.Complete) return finish(state, request);
   const repeated = repeatElsewhere(state, request, end, nowMs);
   if (repeated !== undefined) return repeated;
-  if (end === AttemptEnd.Failed && !request.delivering) return finish(state, request, attempt);
+  if (end === AttemptEnd.Failed && !request.delivering) return finish(state, request);
   const why = { server: open.server, detail, tried: request.tried.length };
   return refuse(state, request, finalRefusal(end, request.runs === 0), why);
 }
 
-function finish(state: DirectState, request: OpenRequest, attempt: string): DirectEffect[] {
+function finish(state: DirectState, request: OpenRequest): DirectEffect[] {
   state.requests.delete(request.request);
-  return [{ kind: 'finish', request: request.request, attempt }];
+  return [{ kind: 'finish', request: request.request }];
 }
 
 function cancelCurrent(state: DirectState, request: OpenRequest, nowMs: number): DirectEffect[] {
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -37,7 +37,6 @@
 export interface OpenRequest {
   request: string;
   facts: RequestFacts;
-  arrivedAtMs: number;
   /** Servers that had it, by key. */
   tried: string[];
   /** Attempts that may have run. */
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -109,7 +109,6 @@
   service: string;
   /** Client account; undefined on public routes. */
   account: string | undefined;
-  priority: number;
   /** Steady time at which the caller or the route gives up. */
   expiresAtMs: number;
   /** Parts of the prompt in order; empty where the request has no prompt. */
@@ -148,7 +147,6 @@
   /** This router's own processor can't keep up; others may. */
   RouterBusy: 'router_busy',
   AccountOverShare: 'account_over_share',
-  Draining: 'draining',
   OutcomeUnknown: 'outcome_unknown',
   TimedOut: 'timed_out',
   BodyTooLarge: 'body_too_large',
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -157,7 +157,6 @@
     attempt,
     end: AttemptEnd.Complete,
     detail: '',
-    draw: 0,
   } as const;
   router.feed(ended);
   assert.equal(reporter.compose(router.state, 20), undefined);
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -30,7 +30,6 @@
   attempt,
   end,
   detail: '',
-  draw: 0.5,
 });
 
 test('a request that may have run and must not be repeated fails with an unknown outcome', () => {
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -111,7 +111,6 @@
         route,
         service: route.services[0]!.service,
         account: 'kingston',
-        priority: 1,
         expiresAtMs: nowMs + route.timeoutMs,
         parts: [
           { id: 'shared', tokens: 4000 },
--- a/packages/edge/src/callers/caller-gate.ts
+++ b/packages/edge/src/callers/caller-gate.ts
@@ -50,7 +50,6 @@
     route,
     service,
     account: account?.name,
-    priority: account?.priority ?? route.priority,
     expiresAtMs: arrivedMs + patienceMs,
     parts: headers.parts,
     promptTokens: headers.promptTokens,
--- a/packages/edge/src/effects.ts
+++ b/packages/edge/src/effects.ts
@@ -41,7 +41,7 @@
 
 /** Creates the handlers, one for each kind of effect. `parts` is read when effects run. */
 export function createEffects(ctx: EdgeContext, parts: EffectParts) {
-  const { logger, clock, random } = ctx;
+  const { logger, clock } = ctx;
   // Apart from the exchanges: an attempt is cancelled after its caller has gone.
   const running = new Map<string, RunningAttempt>();
 
@@ -71,7 +71,6 @@
           attempt,
           end,
           detail,
-          draw: random(),
           nowMs: clock(),
         });
       },
