--- /dev/null
+++ b/packages/core/src/backoff/index.ts
@@ -0,0 +1,1 @@
+export * from './doubling.js';
--- a/packages/core/src/config/watchers.ts
+++ b/packages/core/src/config/watchers.ts
@@ -1,4 +1,5 @@
 /** Which processes call the object service for the configuration, and how often. */
+import { doublingMs } from '../backoff/index.js';
 import { rendezvousOrder } from '../hash/index.js';
 import type { Hasher } from '../hash/index.js';
 import { Role } from '../protocol/index.js';
@@ -13,8 +14,7 @@
 /** All slow reads of the routers together, per second; in larger fleets each router reads less often. */
 export const FLEET_SLOW_POLLS_PER_SECOND = 5;
 
-const FIRST_RETRY_MS = 500;
-const LAST_RETRY_MS = 10_000;
+const RETRY = { firstMs: 500, longestMs: 10_000 };
 /** Share of a delay by which it may be shortened or lengthened. */
 const JITTER = 0.2;
 
@@ -34,8 +34,7 @@
   return delayMs * (1 + JITTER * (2 * fraction - 1));
 };
 
-const retryDelayMs = (failures: number): number =>
-  Math.min(LAST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures - 1, 10));
+const retryDelayMs = (failures: number): number => doublingMs(failures - 1, RETRY);
 
 const slowPollMs = (state: ConfigState): number =>
   Math.max(SLOW_POLL_MS, (state.routersInFleet / FLEET_SLOW_POLLS_PER_SECOND) * 1000);
--- a/packages/core/src/direct/server-health.ts
+++ b/packages/core/src/direct/server-health.ts
@@ -1,4 +1,5 @@
 /** Evidence from this router's own attempts on whether a backend server can be used. */
+import { doublingMs } from '../backoff/index.js';
 import { AttemptEnd } from './types.js';
 
 /** Health of one backend server as this router sees it. */
@@ -17,8 +18,7 @@
 /** Good attempts assumed at the start, so that one failure does not condemn a server. */
 const PRIOR_GOOD = 2;
 /** First time without new work after a server couldn't be reached; it doubles with each failure in a row. */
-const FIRST_AVOID_MS = 300;
-const LONGEST_AVOID_MS = 3000;
+const AVOID = { firstMs: 300, longestMs: 3000 };
 
 /** Ends that say that the server or the path to it is broken rather than that it is busy. */
 const UNREACHABLE = new Set<AttemptEnd>([AttemptEnd.Unsent, AttemptEnd.Unknown]);
@@ -42,8 +42,7 @@
   function noteUnreachable(nowMs: number): void {
     failuresInRow += 1;
     if (failuresInRow < 2) return;
-    const backoff = FIRST_AVOID_MS * 2 ** (failuresInRow - 2);
-    avoidUntil = nowMs + Math.min(LONGEST_AVOID_MS, backoff);
+    avoidUntil = nowMs + doublingMs(failuresInRow - 2, AVOID);
   }
 
   return {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Coordination library of the router fleet: pure reducers and data types, no I/O. */
+export * from './backoff/index.js';
 export * from './claims/index.js';
 export * from './config/index.js';
 export * from './fairness/index.js';
--- a/packages/edge/src/admin/admin-server.ts
+++ b/packages/edge/src/admin/admin-server.ts
@@ -2,8 +2,8 @@
 import { createServer } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { describeState } from '@kingcupsill/core/direct';
+import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
-import { listenOn } from '../listen.js';
 import { splitAddress } from '../settings.js';
 import type { EdgeContext, EdgeParts } from '../types.js';
 
@@ -48,10 +48,5 @@
     });
   });
   await listenOn(server, splitAddress(ctx.settings().admin.address));
-  return {
-    close() {
-      server.close();
-      server.closeAllConnections();
-    },
-  };
+  return { close: () => closeServer(server) };
 }
--- a/packages/edge/src/bin/edge.ts
+++ b/packages/edge/src/bin/edge.ts
@@ -5,6 +5,7 @@
 import {
   createLogger,
   createMonotonicClock,
+  exitOnBrokenInvariant,
   ExitCode,
   shutDownOnSignals,
 } from '@kingcupsill/runtime';
@@ -42,15 +43,7 @@
   clock,
 });
 
-/** A broken invariant may have left any state behind, so the process ends at once. */
-const fail = (event: string) => (err: unknown) => {
-  logger.error(event, { err });
-  sink.flush();
-  process.exit(ExitCode.Internal);
-};
-process.on('uncaughtException', fail('uncaught-exception'));
-process.on('unhandledRejection', fail('unhandled-rejection'));
-
+exitOnBrokenInvariant(logger, sink.flush);
 logger.info('starting', { node: process.version });
 const starting = startEdge({
   settings: source.current,
@@ -63,4 +56,8 @@
 shutDownOnSignals(starting, logger);
 process.on('SIGHUP', () => source.reload(logger));
 setInterval(() => source.reloadIfChanged(logger), SETTINGS_CHECK_MS).unref();
-starting.catch(fail('start-failed'));
+starting.catch((err: unknown) => {
+  logger.error('start-failed', { err });
+  sink.flush();
+  process.exit(ExitCode.Internal);
+});
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -3,9 +3,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@kingcupsill/core/direct';
+import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { repeatEvery } from '../closable.js';
-import { listenOn } from '../listen.js';
 import { createConnectionTable } from './connection-table.js';
 
 /** Options of the server. */
@@ -37,6 +37,12 @@
 /** Longest time for a header and a body to come in; it includes the idle time before a connection's first byte. */
 const RECEIVE_TIMEOUT_MS = 30_000;
 
+/**
+ * Connections that wait to be accepted. The event loop accepts one in each turn, so on a busy processor a long queue only ages:
+ * its callers have left before they are read. What doesn't fit goes to another router within a second.
+ */
+const BACKLOG = 50;
+
 const SERVER_OPTIONS = {
   // Idle connections are closed by the sweep, whose time-out follows the configuration.
   keepAliveTimeout: 0,
@@ -93,7 +99,7 @@
   const server = createServer(SERVER_OPTIONS, onRequest);
   server.on('connection', connections.opened);
   server.on('clientError', onClientError);
-  await listenOn(server, options);
+  await listenOn(server, { host: options.host, port: options.port, backlog: BACKLOG });
   const sweeping = repeatEvery(SWEEP_PERIOD_MS, () => {
     const idleMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_MS;
     connections.closeIdle(idleMs + IDLE_MARGIN_MS);
@@ -111,8 +117,7 @@
     openRequests: connections.openRequests,
     async close() {
       sweeping.close();
-      server.close();
-      server.closeAllConnections();
+      await closeServer(server);
     },
   };
 }
--- a/packages/edge/src/callers/readiness-server.ts
+++ b/packages/edge/src/callers/readiness-server.ts
@@ -1,8 +1,8 @@
 /** Answers the platform's readiness check. */
 import { createServer } from 'node:http';
 import { READINESS_PATH } from '@kingcupsill/prepared-platform';
+import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
-import { listenOn } from '../listen.js';
 
 /** Kept connections of the platform's checks stay open between them. */
 const KEEP_ALIVE_MS = 30_000;
@@ -20,11 +20,6 @@
     res.end();
   });
   server.keepAliveTimeout = KEEP_ALIVE_MS;
-  await listenOn(server, options);
-  return {
-    close() {
-      server.close();
-      server.closeAllConnections();
-    },
-  };
+  await listenOn(server, { host: options.host, port: options.port });
+  return { close: () => closeServer(server) };
 }
--- a/packages/edge/src/callers/receive.ts
+++ b/packages/edge/src/callers/receive.ts
@@ -5,13 +5,16 @@
 import { readCallerHeaders } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext, EdgeParts } from '../types.js';
-import type { GateOutcome } from './caller-gate.js';
 import { createAnswerTarget, writeRefusal } from './exchange.js';
+import type { Exchange } from './exchange.js';
 import { readBody } from './read-body.js';
 import type { BodyOutcome } from './read-body.js';
 
 type ReceiveParts = Pick<EdgeParts, 'gate' | 'exchanges' | 'lag' | 'loop' | 'metrics' | 'state'>;
 
+/** A request that was read to its end and may go on. */
+type WholeRequest = Pick<Exchange, 'req' | 'res' | 'headers' | 'facts' | 'body'>;
+
 const TOO_LARGE: Refusal = {
   status: 413,
   code: RefusalCode.BodyTooLarge,
@@ -51,45 +54,29 @@
     writeRefusal(res, refusal);
   }
 
-  function submit(
-    req: IncomingMessage,
-    res: ServerResponse,
-    headers: CallerHeaders,
-    checked: GateOutcome & { ok: true },
-    body: Buffer,
-  ): void {
+  function submit(request: WholeRequest): void {
     numbered += 1;
-    const id = `${headers.attemptId ?? 'none'}-${numbered}`;
-    const { facts } = checked;
+    const id = `${request.headers.attemptId ?? 'none'}-${numbered}`;
     const nowMs = clock();
     exchanges.open({
+      ...request,
       id,
-      req,
-      res,
-      headers,
-      facts,
-      body,
       arrivedAtMs: nowMs,
       begun: false,
-      target: createAnswerTarget(res),
+      target: createAnswerTarget(request.res),
       held: undefined,
     });
-    loop.dispatch({ kind: 'request', request: id, facts, draw: random(), nowMs });
+    loop.dispatch({ kind: 'request', request: id, facts: request.facts, draw: random(), nowMs });
   }
 
   /** Requests of callers that left before they were read go no further; while the loop is late, the others are refused in time. */
-  function submitFresh(
-    req: IncomingMessage,
-    res: ServerResponse,
-    headers: CallerHeaders,
-    checked: GateOutcome & { ok: true },
-    body: Buffer,
-  ): void {
+  function submitFresh(request: WholeRequest): void {
     afterNextPoll(() => {
+      const { req, res, headers, facts } = request;
       if (res.destroyed || req.socket.destroyed) return;
-      const busy = lag.lagMs() > checked.facts.route.objectiveMs * BUSY_LAG_PART;
+      const busy = lag.lagMs() > facts.route.objectiveMs * BUSY_LAG_PART;
       if (busy) reject(res, headers, BUSY);
-      else submit(req, res, headers, checked, body);
+      else submit(request);
     });
   }
 
@@ -99,7 +86,8 @@
 
     function onBody(outcome: BodyOutcome): void {
       if (!checked.ok) reject(res, headers, checked.refusal);
-      else if (outcome.ok) submitFresh(req, res, headers, checked, outcome.body);
+      else if (outcome.ok)
+        submitFresh({ req, res, headers, facts: checked.facts, body: outcome.body });
       else if (outcome.reason === 'too-large') reject(res, headers, TOO_LARGE);
     }
 
--- a/packages/edge/src/closable.ts
+++ b/packages/edge/src/closable.ts
@@ -1,6 +1,6 @@
 /** Something that is closed at the end of the process. */
 export interface Closable {
-  close(): void;
+  close(): void | Promise<void>;
 }
 
 /** Calls a function again and again until closed. */
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -1,4 +1,5 @@
 /** Follows one kind of objects in the platform's store: lists them, then waits for changes, through outages. */
+import { doublingMs } from '@kingcupsill/core/backoff';
 import { StoreFailure } from '@kingcupsill/prepared-platform';
 import type {
   StoreChange,
@@ -39,8 +40,7 @@
 /** Wait of a watch while calls fail: any answer tells that the store is back. */
 const FAILING_WATCH_MS = 0;
 /** First pause after a failure; it doubles up to the longest. The store's rates leave room for each router to ask this often. */
-const FIRST_PAUSE_MS = 50;
-const LONGEST_PAUSE_MS = 200;
+const PAUSE = { firstMs: 50, longestMs: 200 };
 
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
@@ -54,8 +54,7 @@
   }
 
   function pause(): Promise<void> {
-    const base = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(failures, 10));
-    const ms = base * (0.5 + options.random() / 2);
+    const ms = doublingMs(failures, PAUSE) * (0.5 + options.random() / 2);
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, ms);
       wake = () => {
--- a/packages/fleet/src/http-listener.ts
+++ b/packages/fleet/src/http-listener.ts
@@ -1,6 +1,7 @@
 /** Listens for HTTP and closes for good. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { closeServer } from '@kingcupsill/runtime';
 
 /** A listening HTTP server. */
 export interface HttpListener {
@@ -45,10 +46,3 @@
     await Promise.all(open.values());
   };
 }
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeAllConnections();
-  });
-}
--- a/packages/runtime/src/admin/create-admin-server.ts
+++ b/packages/runtime/src/admin/create-admin-server.ts
@@ -1,14 +1,13 @@
 /** HTTP server for operators: metrics, health, state dump and log level. */
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { promisify } from 'node:util';
+import type { IncomingMessage } from 'node:http';
 import Koa from 'koa';
 import type { Context, Middleware } from 'koa';
 import Router from '@koa/router';
 import VError from 'verror';
 import { z } from 'zod';
+import { closeServer, listenOn } from '../http-server/index.js';
 import { LogLevel } from '../logs/types.js';
 import { isLoopbackHost } from '../settings/sections.js';
 import { dumpState } from './dump-state.js';
@@ -99,20 +98,6 @@
   return app;
 }
 
-async function listen(server: Server, port: number, host: string): Promise<number> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-  return (server.address() as AddressInfo).port;
-}
-
-async function closeServer(server: Server): Promise<void> {
-  const closed = promisify(server.close.bind(server))();
-  server.closeAllConnections();
-  await closed;
-}
-
 /** Starts the admin server. Rejects when the address can't be listened on, or isn't loopback and no token is set. */
 export async function createAdminServer(options: AdminServerOptions): Promise<AdminServer> {
   const { host = '127.0.0.1', port = 0, token } = options;
@@ -123,6 +108,6 @@
   const server = createServer((req, res) => {
     void handle(req, res);
   });
-  const boundPort = await listen(server, port, host);
+  const boundPort = await listenOn(server, { host, port });
   return { port: boundPort, close: () => closeServer(server) };
 }
--- a/packages/runtime/src/binary/index.ts
+++ b/packages/runtime/src/binary/index.ts
@@ -1,3 +1,4 @@
+export { exitOnBrokenInvariant } from './broken-invariant.js';
 export { readPackageVersion } from './read-package-version.js';
 export { runBinary } from './run-binary.js';
 export { shutDownOnSignals } from './shut-down.js';
--- a/packages/runtime/src/binary/run-binary.ts
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -3,9 +3,10 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { createMonotonicClock } from '../clock/index.js';
 import { createLogger } from '../logs/index.js';
-import type { Logger, LogLevel } from '../logs/index.js';
+import type { LogLevel } from '../logs/index.js';
 import { describeSettings, loadSettings } from '../settings/index.js';
 import type { Settings, SettingsSchema } from '../settings/index.js';
+import { exitOnBrokenInvariant } from './broken-invariant.js';
 import { parseArguments } from './parse-arguments.js';
 import { shutDownOnSignals } from './shut-down.js';
 import { ExitCode } from './types.js';
@@ -33,16 +34,6 @@
   process.exit(ExitCode.Usage);
 }
 
-/** A broken invariant may have left any state behind, so the process ends at once. */
-function exitOnBrokenInvariant(logger: Logger): void {
-  const fail = (event: string) => (err: unknown) => {
-    logger.error(event, { err });
-    process.exit(ExitCode.Internal);
-  };
-  process.on('uncaughtException', fail('uncaught-exception'));
-  process.on('unhandledRejection', fail('unhandled-rejection'));
-}
-
 function createContext<TSchema extends SettingsSchema>(
   name: string,
   settings: Settings<TSchema>,
--- /dev/null
+++ b/packages/runtime/src/http-server/listen.ts
@@ -0,0 +1,29 @@
+/** Listening and closing of HTTP servers. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Where a server listens. */
+export interface ListenAddress {
+  host: string;
+  /** 0 takes a free port. */
+  port: number;
+  /** Connections that wait to be accepted. @default Node's own */
+  backlog?: number;
+}
+
+/** Resolves with the port when the server listens; rejects when the address can't be had. */
+export async function listenOn(server: Server, address: ListenAddress): Promise<number> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address, resolve);
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+/** Stops listening and ends open connections; resolves when all have ended. */
+export function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export * from './binary/index.js';
 export * from './clock/index.js';
 export * from './composition/index.js';
+export * from './http-server/index.js';
 export * from './logs/index.js';
 export * from './loop/index.js';
 export * from './settings/index.js';
--- a/packages/standins/src/common/http-host.ts
+++ b/packages/standins/src/common/http-host.ts
@@ -1,7 +1,7 @@
 /** Listening HTTP server. */
 import { createServer } from 'node:http';
 import type { RequestListener } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { closeServer, listenOn } from '@kingcupsill/runtime';
 
 /** Where a stand-in listens. */
 export interface ListenOptions {
@@ -29,20 +29,12 @@
   { host = '127.0.0.1', port = 0 }: ListenOptions,
 ): Promise<HttpHost> => {
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true }, listener);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-  const bound = (server.address() as AddressInfo).port;
+  const bound = await listenOn(server, { host, port });
 
   return {
     port: bound,
     url: `http://${host}:${bound}`,
     dropConnections: () => server.closeAllConnections(),
-    close: () =>
-      new Promise<void>((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: () => closeServer(server),
   };
 };
