--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,5 +10,6 @@
 export * from './process-hello.js';
 export * from './read-body.js';
 export * from './repeat.js';
+export * from './shared-parts.js';
 export * from './signal.js';
 export * from './state-gauges.js';
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -19,19 +19,15 @@
 import {
   attemptToken,
   baseHello,
-  createConfigPolls,
-  createLinkFeed,
-  createLinkTraffic,
-  createMembership,
   createSignal,
   linkOptions,
   listenHttp,
   processSelf,
   repeatTask,
+  sharedPartTable,
 } from '@kingcupsill/fleet';
 import type { LinkTls } from '@kingcupsill/link';
 import { createLinkDialer, createLinkServer, readTlsFiles } from '@kingcupsill/link';
-import { createConfigStore, createInstanceClient, createObjectClient } from '@kingcupsill/platform';
 import type { Part, PartTable, RunningProcess } from '@kingcupsill/runtime';
 import { composeProcess, createAdminServer, createLoop } from '@kingcupsill/runtime';
 
@@ -90,6 +86,7 @@
 ): PartTable<RouterParts> {
   const { registry, clock } = ctx;
   return {
+    ...sharedPartTable(ctx),
     heldRequests: { create: () => new Map() },
     directory: { create: () => ({ now: createDirectory(EMPTY_CONFIG) }) },
     stopped: { create: createSignal },
@@ -99,21 +96,9 @@
     metrics: {
       create: ({ loop }) => registerRouterMetrics(registry, () => loop.state().router),
     },
-    linkFeed: {
-      create: (parts) =>
-        createLinkFeed({
-          registry,
-          clock,
-          dispatch: (event) => parts.loop.dispatch(event),
-          traffic: () => parts.traffic,
-        }),
-    },
-    traffic: { create: ({ linkFeed }) => createLinkTraffic(registry, linkFeed.links) },
     linkServer: linkServerPart(ctx, tls),
     dialer: dialerPart(ctx, tls),
-    configPolls: configPollsPart(ctx),
     callerServer: callerServerPart(ctx),
-    membership: membershipPart(ctx),
     ticking: {
       create: ({ loop }) =>
         repeatTask(async () => loop.dispatch({ kind: 'tick', nowMs: clock() }), TICK_MS),
@@ -202,20 +187,6 @@
   };
 }
 
-function configPollsPart({ settings, logger, clock }: RouterContext): RouterPart<'configPolls'> {
-  const objects = createObjectClient({ url: settings.platform.url });
-  return {
-    create: (parts) =>
-      createConfigPolls({
-        store: createConfigStore({ objects }),
-        logger,
-        clock,
-        dispatch: (event) => parts.loop.dispatch(event),
-      }),
-    close: (polls) => polls.close(),
-  };
-}
-
 function callerServerPart({ settings, clock }: RouterContext): RouterPart<'callerServer'> {
   const { host, port, maxBodyBytes } = settings.callers;
   return {
@@ -244,17 +215,6 @@
   });
 }
 
-function membershipPart({ settings, clock }: RouterContext): RouterPart<'membership'> {
-  return {
-    create: ({ loop }) =>
-      createMembership({
-        instances: createInstanceClient({ url: settings.platform.url }),
-        onRouters: (routers) => loop.dispatch({ kind: 'routers-listed', nowMs: clock(), routers }),
-      }),
-    close: (membership) => membership.close(),
-  };
-}
-
 function adminPart(ctx: RouterContext): RouterPart<'adminServer'> {
   const { settings, registry, logger, clock } = ctx;
   return {
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -1,13 +1,6 @@
 /** Parts of the router process. */
 import type { RouterProcessEvent, RouterProcessState } from '@kingcupsill/core';
-import type {
-  ConfigPolls,
-  HttpListener,
-  LinkFeed,
-  LinkTraffic,
-  Repetition,
-  Signal,
-} from '@kingcupsill/fleet';
+import type { HttpListener, Repetition, SharedParts, Signal } from '@kingcupsill/fleet';
 import type { LinkDialer, LinkServer } from '@kingcupsill/link';
 import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
 
@@ -27,7 +20,7 @@
 }
 
 /** Parts by name; each is made on first use. */
-export interface RouterParts {
+export interface RouterParts extends Omit<SharedParts, 'loop'> {
   /** Callers' requests by id. */
   heldRequests: Map<string, HeldRequest>;
   directory: CurrentDirectory;
@@ -37,13 +30,9 @@
   claims: Claims;
   loop: Loop<RouterProcessState, RouterProcessEvent>;
   metrics: RouterMetrics;
-  linkFeed: LinkFeed;
-  traffic: LinkTraffic;
   linkServer: Promise<LinkServer>;
   dialer: LinkDialer;
-  configPolls: ConfigPolls;
   callerServer: Promise<HttpListener>;
-  membership: Repetition;
   ticking: Repetition;
   adminServer: Promise<AdminServer>;
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -14,20 +14,16 @@
 } from '@kingcupsill/core';
 import {
   baseHello,
-  createConfigPolls,
-  createLinkFeed,
-  createLinkTraffic,
-  createMembership,
   createSignal,
   createTokenCheck,
   linkOptions,
   listenHttp,
   processSelf,
   repeatTask,
+  sharedPartTable,
 } from '@kingcupsill/fleet';
 import type { LinkTls } from '@kingcupsill/link';
 import { createLinkDialer, readTlsFiles } from '@kingcupsill/link';
-import { createConfigStore, createInstanceClient, createObjectClient } from '@kingcupsill/platform';
 import type { Part, PartTable, RunningProcess } from '@kingcupsill/runtime';
 import { composeProcess, createAdminServer, createLoop } from '@kingcupsill/runtime';
 
@@ -73,8 +69,9 @@
   hasher: Hasher,
   tls: LinkTls | undefined,
 ): PartTable<SidecarParts> {
-  const { settings, registry, clock } = ctx;
+  const { settings, clock } = ctx;
   return {
+    ...sharedPartTable(ctx),
     ports: { create: () => ({ data: 0 }) },
     stopped: { create: createSignal },
     attempts: { create: createAttemptRegistry },
@@ -83,20 +80,8 @@
       close: (backend) => backend.close(),
     },
     loop: loopPart(ctx, hasher),
-    linkFeed: {
-      create: (parts) =>
-        createLinkFeed({
-          registry,
-          clock,
-          dispatch: (event) => parts.loop.dispatch(event),
-          traffic: () => parts.traffic,
-        }),
-    },
-    traffic: { create: ({ linkFeed }) => createLinkTraffic(registry, linkFeed.links) },
     dialer: dialerPart(ctx, tls),
-    configPolls: configPollsPart(ctx),
     dataServer: dataServerPart(ctx),
-    membership: membershipPart(ctx),
     ticking: {
       create: (parts) => repeatTask(() => tick(parts, clock()), TICK_MS),
       close: (ticking) => ticking.close(),
@@ -154,20 +139,6 @@
   };
 }
 
-function configPollsPart({ settings, logger, clock }: SidecarContext): SidecarPart<'configPolls'> {
-  const objects = createObjectClient({ url: settings.platform.url });
-  return {
-    create: (parts) =>
-      createConfigPolls({
-        store: createConfigStore({ objects }),
-        logger,
-        clock,
-        dispatch: (event) => parts.loop.dispatch(event),
-      }),
-    close: (polls) => polls.close(),
-  };
-}
-
 function dataServerPart(ctx: SidecarContext): SidecarPart<'dataServer'> {
   const { data, link } = ctx.settings;
   const { fleetKey, fleetKeyPrevious } = link;
@@ -188,17 +159,6 @@
   };
 }
 
-function membershipPart({ settings, clock }: SidecarContext): SidecarPart<'membership'> {
-  return {
-    create: ({ loop }) =>
-      createMembership({
-        instances: createInstanceClient({ url: settings.platform.url }),
-        onRouters: (routers) => loop.dispatch({ kind: 'routers-listed', nowMs: clock(), routers }),
-      }),
-    close: (membership) => membership.close(),
-  };
-}
-
 async function tick({ linkFeed, loop }: SidecarParts, nowMs: number): Promise<void> {
   const roundTrips = linkFeed.links().map((open) => ({ link: open.id, rttMs: open.rttMs() }));
   loop.dispatch({ kind: 'round-trips', nowMs, roundTrips });
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -1,13 +1,6 @@
 /** Parts of the sidecar process. */
 import type { SidecarProcessEvent, SidecarProcessState } from '@kingcupsill/core';
-import type {
-  ConfigPolls,
-  HttpListener,
-  LinkFeed,
-  LinkTraffic,
-  Repetition,
-  Signal,
-} from '@kingcupsill/fleet';
+import type { HttpListener, Repetition, SharedParts, Signal } from '@kingcupsill/fleet';
 import type { LinkDialer } from '@kingcupsill/link';
 import type { AdminServer, BinaryContext, Loop } from '@kingcupsill/runtime';
 
@@ -24,18 +17,14 @@
 }
 
 /** Parts by name; each is made on first use. */
-export interface SidecarParts {
+export interface SidecarParts extends Omit<SharedParts, 'loop'> {
   ports: SidecarPorts;
   stopped: Signal;
   attempts: AttemptRegistry;
   backend: BackendClient;
   loop: Loop<SidecarProcessState, SidecarProcessEvent>;
-  linkFeed: LinkFeed;
-  traffic: LinkTraffic;
   dialer: LinkDialer;
-  configPolls: ConfigPolls;
   dataServer: Promise<HttpListener>;
-  membership: Repetition;
   ticking: Repetition;
   syncing: Repetition;
   adminServer: Promise<AdminServer>;
