--- a/packages/bench/src/run/types.ts
+++ b/packages/bench/src/run/types.ts
@@ -1,5 +1,5 @@
 /** Results of a run, as `bench run --json` prints them and as result files keep them. */
-import type { Utilisation } from '../measure/index.js';
+import type { Utilisation, Verdicts } from '../measure/index.js';
 import type { Policy } from '../scenarios/index.js';
 
 /** The bench's figures of one run. A figure that the scenario does not measure is null. */
@@ -11,16 +11,7 @@
   routers: number;
   backendServers: number;
   accounts: number;
-  requests: {
-    sent: number;
-    completed: number;
-    refused: number;
-    failed: number;
-    wrongAnswers: number;
-    incompleteAnswers: number;
-    ranTwice: number;
-    falseRefusals: number;
-  };
+  requests: Verdicts;
   fairnessGapSlotSeconds: number | null;
   largestRequestSlotSeconds: number | null;
   utilisation: number | null;
--- a/packages/core/src/direct/line-fit.ts
+++ b/packages/core/src/direct/line-fit.ts
@@ -20,7 +20,7 @@
 /** The assumption stands as observations at these places, of this weight each. */
 const ASSUMED_XS = [0, 10_000];
 const ASSUMED_WEIGHT = 2;
-/** The assumption keeps this weight for good, so that observations that are all alike leave the slope in reason. */
+/** Least weight of the assumption; it bounds the slope where all observations are alike. */
 const KEPT_WEIGHT = 0.2;
 
 interface Sums {
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -10,7 +10,7 @@
 
 /** Retry-After where no server can be reached: trial requests find out about as often. */
 const NO_SERVER_RETRY_MS = 500;
-/** Times a request is offered to servers in all; most offers that are turned down by several servers are turned down by all. */
+/** Most attempts for one request: where several servers reject it, the others mostly do too. */
 const MOST_SENDS = 3;
 /** Least time that is left for a repeat to be worth sending. */
 const LEAST_LEFT_MS = 50;
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -84,7 +84,7 @@
   engineTokensPerSecond: number | undefined;
 }
 
-/** What a backend server says of itself in the store. */
+/** Entry of a backend server in the store. */
 export interface BackendServerEntry {
   id: string;
   service: string;
--- a/packages/edge/src/effects.ts
+++ b/packages/edge/src/effects.ts
@@ -66,13 +66,7 @@
         if (end !== AttemptEnd.Complete) {
           logger.warn('attempt-ended', { request, attempt, end, detail });
         }
-        parts.loop.dispatch({
-          kind: 'attempt-ended',
-          attempt,
-          end,
-          detail,
-          nowMs: clock(),
-        });
+        parts.loop.dispatch({ kind: 'attempt-ended', attempt, end, detail, nowMs: clock() });
       },
     };
   }
--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -17,8 +17,7 @@
 export type HttpAnswer = { ok: true; status: number; body: string } | { ok: false; detail: string };
 
 /**
- * Sends a call; never rejects. A call without an answer in time takes its connection with it: what comes there later is
- * nobody's.
+ * Sends a call; never rejects. A time-out closes the connection, so that a late answer is not taken for the next call's.
  */
 export function sendHttpCall(call: HttpCall): Promise<HttpAnswer> {
   return new Promise((resolve) => {
--- a/packages/edge/src/logs/log-sink.ts
+++ b/packages/edge/src/logs/log-sink.ts
@@ -4,7 +4,7 @@
 /** Where log lines go. */
 export interface LogSink {
   write(line: string): void;
-  /** Lines that were dropped as nobody read. */
+  /** Lines that were dropped since the reader was too slow. */
   dropped(): number;
   /** Hands over what is held, at the end of the process. */
   flush(): void;
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -40,8 +40,8 @@
     const timer = setTimeout(onLate, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       connected = true;
+      clearTimeout(timer);
     });
-    socket.once('connect', () => clearTimeout(timer));
     socket.once('close', () => clearTimeout(timer));
   });
   return () => connected;
--- a/packages/edge/src/relay/judge-head.ts
+++ b/packages/edge/src/relay/judge-head.ts
@@ -3,7 +3,7 @@
 import { AttemptEnd } from '@kingcupsill/core/direct';
 import { readAnswerHeaders } from '@kingcupsill/prepared-platform';
 
-/** Statuses that promise that nothing ran; a backend server's own word for that is another header. */
+/** Statuses that promise callers that nothing ran. From a backend server only its not-run header says so. */
 const PROMISES = new Set([408, 421, 429, 503]);
 
 /** Ends for which the body doesn't matter. */
--- a/packages/edge/src/relay/take-answer.ts
+++ b/packages/edge/src/relay/take-answer.ts
@@ -11,7 +11,7 @@
 export interface TakenAnswer {
   whole: (held: HeldAnswer | undefined) => void;
   broken: (detail: string) => void;
-  /** The attempt has ended, or was cancelled: what still comes is nobody's. */
+  /** The attempt has ended or was cancelled: bytes that still arrive are dropped. */
   isOver: () => boolean;
 }
 
