Fewer calls to the store: one feed asks for all in an outage, changes gather, watches as long as the notice time allows

Cause: each router watched two kinds with waits of 1.5 s, woke at every single change, and in an outage all three feeds asked up to seven times a second each. The wait of a watch follows a setting (notice_ms) that the platform fills in.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -108,15 +108,18 @@
     },
     reporting: reportingPart(ctx),
     summary: {
-      create: ({ state }) => repeatEvery(SUMMARY_PERIOD_MS, () => logSummary(ctx, state)),
+      create: (parts) => repeatEvery(SUMMARY_PERIOD_MS, () => logSummary(ctx, parts)),
       close: (summary) => summary.close(),
     },
   };
 }
 
-function logSummary({ logger, clock }: EdgeContext, state: DirectState): void {
+function logSummary(
+  { logger, clock }: EdgeContext,
+  { state, metrics }: Pick<EdgeParts, 'state' | 'metrics'>,
+): void {
   const { totals, open, servers } = describeState(state, clock());
-  logger.info('summary', { ...totals, open, servers });
+  logger.info('summary', { ...totals, open, storeCalls: metrics.storeCalls(), servers });
 }
 
 function selfName(ctx: EdgeContext): string {
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -13,8 +13,10 @@
   began(service: string, tookMs: number): void;
   /** Time from the whole request to the end of its answer. */
   finished(service: string, tookMs: number): void;
-  /** A call to the store ended, by outcome. */
-  storeCalled(outcome: string): void;
+  /** A call to the store ended, by kind of object and outcome. */
+  storeCalled(kind: string, outcome: string): void;
+  /** Calls to the store since the start, by the same. */
+  storeCalls(): Record<string, number>;
 }
 
 /** Bounds in seconds: from a plain server's answer to the longest deadline. */
@@ -72,15 +74,16 @@
 /** Registers the metrics; gauges read the state when they are scraped. */
 export function createEdgeMetrics(registry: Registry, state: DirectState): EdgeMetrics {
   const registers = [registry];
-  const counter = (name: string, help: string, label: string) =>
-    new Counter({ name, help, labelNames: [label], registers });
+  const counter = (name: string, help: string, ...labelNames: string[]) =>
+    new Counter({ name, help, labelNames, registers });
   const histogram = (name: string, help: string) =>
     new Histogram({ name, help, labelNames: ['service'], buckets: BUCKETS_S, registers });
   const sent = counter('kingcupsill_attempts_total', 'Attempts sent.', 'repeat');
   const ended = counter('kingcupsill_attempt_ends_total', 'Ends of attempts.', 'end');
   const answered = counter('kingcupsill_answers_total', 'Answers of backend servers.', 'status');
   const refused = counter('kingcupsill_refusals_total', 'Failures of the router itself.', 'code');
-  const stored = counter('kingcupsill_store_calls_total', 'Calls to the store.', 'outcome');
+  const stored = counter('kingcupsill_store_calls_total', 'Calls to the store.', 'kind', 'outcome');
+  const storeCalls: Record<string, number> = {};
   const began = histogram('kingcupsill_first_event_seconds', 'Time to the first event.');
   const finished = histogram('kingcupsill_answer_seconds', 'Time to the end of the answer.');
   registerState(registry, state);
@@ -91,6 +94,11 @@
     refused: (code) => refused.inc({ code }),
     began: (service, tookMs) => began.observe({ service }, tookMs / 1000),
     finished: (service, tookMs) => finished.observe({ service }, tookMs / 1000),
-    storeCalled: (outcome) => stored.inc({ outcome }),
+    storeCalled(kind, outcome) {
+      stored.inc({ kind, outcome });
+      const name = `${kind} ${outcome}`;
+      storeCalls[name] = (storeCalls[name] ?? 0) + 1;
+    },
+    storeCalls: () => storeCalls,
   };
 }
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -24,6 +24,9 @@
   store: z.strictObject({
     address: address.describe("address of the platform's store"),
     heartbeat_ms: positive.describe('time between signs of life of backend servers in the store'),
+    notice_ms: positive
+      .default(3000)
+      .describe('time within which a connection that went silent must be noticed'),
   }),
   shutdown: z.strictObject({
     grace_s: positive.describe('time between SIGTERM and SIGKILL'),
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -8,18 +8,31 @@
 import type { StoreObject } from '@kingcupsill/prepared-platform';
 import type { Closable } from '../closable.js';
 import type { PeerLinks } from '../peers/peer-links.js';
+import type { EdgeSettings } from '../settings.js';
 import type { EdgeContext, EdgeParts } from '../types.js';
 import { createObjectFeed } from './object-feed.js';
 import type { ObjectFeedOptions } from './object-feed.js';
 import { readRouterAddress } from './router-registration.js';
+import { createStoreContact } from './store-contact.js';
 
 type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'metrics'>;
-type Handlers = Pick<ObjectFeedOptions, 'kind' | 'watchMs' | 'onListed' | 'onChanged'>;
+type Timing = Pick<ObjectFeedOptions, 'watchMs' | 'gatherMs'>;
+type Handlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & Timing;
 
-/** Silence shows well within the time in which a leaving server must get no new work. */
-const URGENT_WATCH_MS = 1500;
-/** Routers come and go without a bound, and links notice by themselves; each call is paid. */
-const ROUTERS_WATCH_MS = 15_000;
+/** Longest wait for the answer to the first call that fails. */
+const FIRST_ANSWER_MS = 1000;
+/** A tenth of the time in which a change must be in force or a leaving server gets no new work. */
+const URGENT_GATHER_MS = 250;
+/** Routers come and go without a bound, and links notice by themselves. */
+const ROUTERS_TIMING: Timing = { watchMs: 15_000, gatherMs: 1000 };
+
+/** A connection that went silent shows within the time that the deployment leaves for that. */
+function urgentTiming({ store }: EdgeSettings): Timing {
+  return {
+    watchMs: Math.max(FIRST_ANSWER_MS, store.noticeMs - FIRST_ANSWER_MS),
+    gatherMs: URGENT_GATHER_MS,
+  };
+}
 
 function configurationHandlers(ctx: EdgeContext, { loop }: FeedParts): Handlers {
   function configure(object: StoreObject): void {
@@ -35,7 +48,7 @@
 
   return {
     kind: StoreKind.Configuration,
-    watchMs: URGENT_WATCH_MS,
+    ...urgentTiming(ctx.settings()),
     onListed: (objects) => objects.forEach(configure),
     onChanged({ object, removed }) {
       if (!removed) configure(object);
@@ -54,7 +67,7 @@
 
   return {
     kind: StoreKind.Servers,
-    watchMs: URGENT_WATCH_MS,
+    ...urgentTiming(ctx.settings()),
     onListed(objects) {
       const entries = objects.flatMap((object) => read(object) ?? []);
       loop.dispatch({ kind: 'servers-listed', entries, nowMs: ctx.clock() });
@@ -85,7 +98,7 @@
 
   return {
     kind: StoreKind.Routers,
-    watchMs: ROUTERS_WATCH_MS,
+    ...ROUTERS_TIMING,
     onListed(objects) {
       addresses.clear();
       objects.forEach(note);
@@ -101,6 +114,7 @@
 
 /** Starts following. */
 export function createFeeds(ctx: EdgeContext, parts: FeedParts, peers: PeerLinks): Closable {
+  const contact = createStoreContact();
   const feeds = [
     configurationHandlers(ctx, parts),
     serverHandlers(ctx, parts),
@@ -109,11 +123,17 @@
     createObjectFeed({
       ...handlers,
       client: parts.store,
+      contact,
       logger: ctx.logger,
       random: ctx.random,
       onCalled: parts.metrics.storeCalled,
       onAnswered: () => parts.loop.dispatch({ kind: 'store-answered', nowMs: ctx.clock() }),
     }),
   );
-  return { close: () => feeds.forEach((feed) => feed.close()) };
+  return {
+    close() {
+      feeds.forEach((feed) => feed.close());
+      contact.close();
+    },
+  };
 }
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -9,18 +9,22 @@
   StoreOutcome,
 } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
+import type { StoreContact } from './store-contact.js';
 
 /** Options of a feed. */
 export interface ObjectFeedOptions {
   client: StoreClient;
+  contact: StoreContact;
   kind: StoreKind;
   logger: Logger;
   /** Wait of one watch: a connection that went silent shows after it. */
   watchMs: number;
+  /** Pause after changes, in which further ones gather: a watch returns at the first one, and each call is paid. */
+  gatherMs: number;
   /** Random number from 0 up to 1, for jitter. */
   random: () => number;
   /** A call ended: `ok`, or why it failed. */
-  onCalled: (outcome: string) => void;
+  onCalled: (kind: StoreKind, outcome: string) => void;
   /** The store answered. */
   onAnswered: () => void;
   onListed: (objects: StoreObject[]) => void;
@@ -39,37 +43,33 @@
 const ANSWER_WAITS_MS = [1000, 300, 300, 1500];
 /** Wait of a watch while calls fail: any answer tells that the store is back. */
 const FAILING_WATCH_MS = 0;
-/** First pause after a failure; it doubles up to the longest. The store's rates leave room for each router to ask this often. */
-const PAUSE = { firstMs: 50, longestMs: 200 };
+/** Pause after a failure; it doubles up to the longest, so that the store's return is seen within half a second. */
+const PAUSE = { firstMs: 50, longestMs: 400 };
+/** Pause of a feed while another one asks for all: it asks by itself too, in case that only the other one's calls fail. */
+const OTHERS_PAUSE_MS = 1500;
 
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
-  const { client, kind, logger } = options;
+  const { client, contact, kind, logger } = options;
   let closed = false;
   let failures = 0;
-  let wake: (() => void) | undefined;
 
   function answerMs(): number {
     return ANSWER_WAITS_MS[failures % ANSWER_WAITS_MS.length]!;
   }
 
-  function pause(): Promise<void> {
-    const ms = doublingMs(failures, PAUSE) * (0.5 + options.random() / 2);
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, ms);
-      wake = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
+  function pauseMs(): number {
+    const ms = contact.failed(kind) ? doublingMs(failures, PAUSE) : OTHERS_PAUSE_MS;
+    return ms * (0.5 + options.random() / 2);
   }
 
   /** Notes how a call went; one line for a loss and one for the return. */
   function note(outcome: StoreOutcome<unknown>): void {
-    options.onCalled(outcome.ok ? 'ok' : outcome.failure);
+    options.onCalled(kind, outcome.ok ? 'ok' : outcome.failure);
     if (outcome.ok || outcome.failure === StoreFailure.HistoryGone) {
       if (failures > 0) logger.info('store-regained', { kind, failures });
       failures = 0;
+      contact.answered();
       options.onAnswered();
       return;
     }
@@ -102,8 +102,10 @@
     if (closed) return undefined;
     note(outcome);
     if (outcome.ok) {
-      outcome.value.changes.forEach(options.onChanged);
-      return outcome.value.revision;
+      const { changes, revision } = outcome.value;
+      changes.forEach(options.onChanged);
+      if (changes.length > 0) await contact.pause(options.gatherMs);
+      return revision;
     }
     if (outcome.failure === StoreFailure.HistoryGone) {
       logger.info('store-history-gone', { kind, revision: from });
@@ -116,7 +118,7 @@
     let revision: number | undefined;
     while (!closed) {
       revision = revision === undefined ? await list() : await watch(revision);
-      if (failures > 0 && !closed) await pause();
+      if (failures > 0 && !closed) await contact.pause(pauseMs());
     }
   }
 
@@ -124,7 +126,6 @@
   return {
     close() {
       closed = true;
-      wake?.();
     },
   };
 }
--- /dev/null
+++ b/packages/edge/src/store/store-contact.ts
@@ -0,0 +1,45 @@
+/** Whether the store answers. While it doesn't, one feed asks often and the others rarely: each call is paid, and all would fail alike. */
+
+/** Shared by the feeds of one process. */
+export interface StoreContact {
+  /** A call of this feed failed. True where this feed is the one that asks for all. */
+  failed(feed: string): boolean;
+  /** The store answered a call; waiting feeds go on at once. */
+  answered(): void;
+  /** Waits up to `ms`, less if the store answers another feed or the contact is closed. */
+  pause(ms: number): Promise<void>;
+  close(): void;
+}
+
+/** Creates the contact of a store that is thought to answer. */
+export function createStoreContact(): StoreContact {
+  const waiting = new Set<() => void>();
+  let asking: string | undefined;
+
+  function wakeAll(): void {
+    [...waiting].forEach((wake) => wake());
+  }
+
+  return {
+    failed(feed) {
+      asking ??= feed;
+      return asking === feed;
+    },
+    answered() {
+      if (asking === undefined) return;
+      asking = undefined;
+      wakeAll();
+    },
+    pause: (ms) =>
+      new Promise((resolve) => {
+        const wake = (): void => {
+          clearTimeout(timer);
+          waiting.delete(wake);
+          resolve();
+        };
+        const timer = setTimeout(wake, ms);
+        waiting.add(wake);
+      }),
+    close: wakeAll,
+  };
+}
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -110,7 +110,7 @@
     callers: { address: await address(), readinessAddress: await address() },
     admin: { address: await address() },
     peers: { address: await address() },
-    store: { address: `127.0.0.1:${storePort}`, heartbeatMs: 1200 },
+    store: { address: `127.0.0.1:${storePort}`, heartbeatMs: 1200, noticeMs: 2500 },
     shutdown: { graceS: 5 },
     repeats: { ratio: 0.2, burst: 50, windowS: 10 },
     shares: { windowS: 4 },
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -3,6 +3,7 @@
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
+import { createStoreContact } from '../../src/store/store-contact.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
 
 interface Asked {
@@ -32,8 +33,10 @@
     };
     const feed = createObjectFeed({
       client: client as StoreClient,
+      contact: createStoreContact(),
       kind: StoreKind.Servers,
       watchMs: 1500,
+      gatherMs: 0,
       logger: createRecordingLogger(),
       random: () => 0,
       onCalled: () => undefined,
