--- a/packages/core/src/direct/engine-load.ts
+++ b/packages/core/src/direct/engine-load.ts
@@ -1,5 +1,6 @@
 /** Predicts when an engine would begin to answer a new request, from what this router and its peers have sent there. */
 import { createLineFit } from './line-fit.js';
+import type { Line } from './line-fit.js';
 import { createPartCache } from './part-cache.js';
 import type { PartCache } from './part-cache.js';
 
@@ -40,22 +41,48 @@
 
 /** Assumptions before anything has been observed. */
 export interface ServerLoadOptions {
-  msPerToken: number;
+  /** What the servers of its service have shown so far. */
+  pool: PoolSpeed;
   meanStayMs: number;
   memoryTokens: number;
 }
 
+/** Time to a first event by the prompt tokens ahead of it, learned from all servers of one service. */
+export interface PoolSpeed {
+  observe(tokensAhead: number, tookMs: number): void;
+  line(): Line;
+}
+
 /** Fixed part of the time to a first event before anything is observed: a step of the batch and the way. */
 const ASSUMED_BASE_MS = 25;
-/** A learned speed stays within these factors of the assumption. */
-const SLOWEST = 20;
-const FASTEST = 0.4;
+/** One server's speed stays within these factors of its service's, which counts as this many of its own observations at first. */
+const OF_SERVER = { leastFactor: 0.4, mostFactor: 20, assumedWeight: 2 };
+/**
+ * The speed of a service stays within wide factors of what its configuration states: that is what all engines together are
+ * meant to produce, and says little of one engine where they are many.
+ */
+const OF_POOL = { leastFactor: 0.01, mostFactor: 20, assumedWeight: 1 };
+/** An observation counts for at most this many times what the service's line says: one server that hangs says little of the others. */
+const MOST_OF_POOL = 3;
 /** Part of a prediction's error by which the backlog is corrected. */
 const CORRECTION = 0.4;
 const STAY_GAIN = 0.1;
 /** Part of an engine's memory that kept parts may use beside running requests. */
 const KEPT_PART = 0.7;
 
+/** Creates the speed of a service of which only the configured speed is known. */
+export function createPoolSpeed(msPerToken: number): PoolSpeed {
+  const assumed = { slope: msPerToken, base: ASSUMED_BASE_MS };
+  const fit = createLineFit({ ...OF_POOL, assumed: () => assumed });
+  return {
+    observe(tokensAhead, tookMs) {
+      const { slope, base } = fit.line();
+      fit.observe(tokensAhead, Math.min(tookMs, MOST_OF_POOL * (base + slope * tokensAhead)));
+    },
+    line: fit.line,
+  };
+}
+
 /** Creates the load of a server that nothing is known of. */
 export function createServerLoad(options: ServerLoadOptions): ServerLoad {
   const parts = createPartCache(options.memoryTokens * KEPT_PART);
@@ -65,15 +92,12 @@
   let sent = 0;
   let freeAtMs = 0;
   let stayMs = options.meanStayMs;
-  const fit = createLineFit({
-    slope: options.msPerToken,
-    base: ASSUMED_BASE_MS,
-    leastSlope: options.msPerToken * FASTEST,
-    mostSlope: options.msPerToken * SLOWEST,
-  });
+  const fit = createLineFit({ ...OF_SERVER, assumed: options.pool.line });
+  const msPerToken = (): number => fit.line().slope;
+  const baseMs = (): number => fit.line().base;
 
   function addBacklog(nowMs: number, tokens: number): void {
-    freeAtMs = Math.max(nowMs, freeAtMs) + tokens * fit.slope();
+    freeAtMs = Math.max(nowMs, freeAtMs) + tokens * msPerToken();
   }
 
   function waitMs(nowMs: number): number {
@@ -85,21 +109,23 @@
     ownRunning: () => own,
     running: () => own + peersRunning,
     waitMs,
-    msPerToken: fit.slope,
-    baseMs: fit.base,
+    msPerToken,
+    baseMs,
     meanStayMs: () => stayMs,
     send(nowMs, readTokens) {
-      const tokensAhead = waitMs(nowMs) / fit.slope() + readTokens;
+      const tokensAhead = waitMs(nowMs) / msPerToken() + readTokens;
       addBacklog(nowMs, readTokens);
       own += 1;
       sent += readTokens;
-      const firstAtMs = freeAtMs + fit.base();
+      const firstAtMs = freeAtMs + baseMs();
       return { sentAtMs: nowMs, tokensAhead, firstAtMs, begun: false };
     },
     begin(ticket, nowMs) {
       if (ticket.begun) return;
       ticket.begun = true;
-      fit.observe(ticket.tokensAhead, nowMs - ticket.sentAtMs);
+      const tookMs = nowMs - ticket.sentAtMs;
+      options.pool.observe(ticket.tokensAhead, tookMs);
+      fit.observe(ticket.tokensAhead, tookMs);
       freeAtMs += CORRECTION * (nowMs - ticket.firstAtMs);
     },
     end(ticket, nowMs, whole) {
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -28,6 +28,11 @@
 /** Added round trip to a server in another availability zone of the region, and in another region. */
 const OTHER_ZONE_MS = 2;
 const OTHER_REGION_MS = 16;
+/**
+ * What a server in another region must be better by for a prompt: its bytes between regions are paid. 40 and 80 ms measured alike,
+ * both above no such cost.
+ */
+const BETWEEN_REGIONS_COST_MS = 40;
 /** Weight of reading shared parts again, beside the time it takes: it takes the engine's time from others. */
 const READ_AGAIN_WEIGHT = 2.5;
 /** Bias for the server that all routers would pick for new shared parts. */
@@ -35,8 +40,8 @@
 /** Cost of a server that fails all, against one that fails none. */
 const FAILURE_COST_MS = 2000;
 
-function distanceMs(state: DirectState, zone: string): number {
-  const { options } = state;
+/** Added round trip to a server in `zone`. */
+export function distanceMs({ options }: DirectState, zone: string): number {
   if (zone === options.zone) return 0;
   const sameRegion = options.regions.get(zone) === options.regions.get(options.zone);
   return sameRegion ? OTHER_ZONE_MS : OTHER_REGION_MS;
@@ -88,11 +93,13 @@
   const workMs = prompt ? readTokens * load.msPerToken() : load.meanStayMs() + distance;
   const againMs = againTokens * load.msPerToken();
   const predictedMs = waitMs + workMs + (prompt ? load.baseMs() : 0);
+  const regionCost = prompt && distance >= OTHER_REGION_MS ? BETWEEN_REGIONS_COST_MS : 0;
   const away = againTokens > 0 && choice.home !== undefined && choice.home !== server.key;
   const cost =
     predictedMs +
     againMs * READ_AGAIN_WEIGHT +
     distance +
+    regionCost +
     (open.failureShare - choice.commonFailures) * FAILURE_COST_MS +
     (away ? OTHER_HOME_MS : 0) +
     load.running();
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -1,6 +1,7 @@
 /** Reducer of the direct router: one table of handlers over all events. */
 import type { Step } from '../loop/index.js';
 import type { DirectEffect, DirectEvent } from './events.js';
+import { distanceMs } from './placement.js';
 import { applyReport, forgetPeer } from './reports.js';
 import {
   expireRequests,
@@ -42,6 +43,9 @@
   return [...forgetServers(state, gone), { kind: 'note', event: 'server-changed', fields }];
 }
 
+/** Engines that a starting router asks at most: where there are many, routers ask those that are near. */
+const MOST_ASKED = 64;
+
 /**
  * A router that starts asks each engine once what it keeps: engines outlive routers, and a router that believes their memories
  * empty would predict late first events and refuse.
@@ -53,6 +57,8 @@
   return state.registry
     .all()
     .filter(({ entry }) => table.findService(entry.service)?.engine !== undefined)
+    .sort((a, b) => distanceMs(state, a.entry.zone) - distanceMs(state, b.entry.zone))
+    .slice(0, MOST_ASKED)
     .map(({ key, entry: { host, port } }) => ({ kind: 'list-kept', server: key, host, port }));
 }
 
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -2,8 +2,8 @@
 import type { Hasher } from '../hash/index.js';
 import { createAccountUsage } from './account-usage.js';
 import type { AccountUsage } from './account-usage.js';
-import { createServerLoad } from './engine-load.js';
-import type { LoadTicket, ServerLoad } from './engine-load.js';
+import { createPoolSpeed, createServerLoad } from './engine-load.js';
+import type { LoadTicket, PoolSpeed, ServerLoad } from './engine-load.js';
 import { createRepeatBudget } from './repeat-budget.js';
 import type { RepeatBudget, RepeatBudgetOptions } from './repeat-budget.js';
 import type { RouteTable } from './route-table.js';
@@ -87,6 +87,8 @@
   /** Whether the engines that ran before this router were asked what they keep. */
   askedKept: boolean;
   servers: Map<string, ServerState>;
+  /** Speed of each service's servers. */
+  pools: Map<string, PoolSpeed>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
   usage: AccountUsage;
@@ -116,6 +118,7 @@
     listed: false,
     askedKept: false,
     servers: new Map(),
+    pools: new Map(),
     requests: new Map(),
     attempts: new Map(),
     usage: createAccountUsage(options.shareWindowMs),
@@ -139,13 +142,23 @@
   return 1000 / ((tokensPerSecond / engines) * PROMPT_SPEED_FACTOR);
 }
 
+function poolSpeed(state: DirectState, server: KnownServer): PoolSpeed {
+  const { service } = server.entry;
+  let pool = state.pools.get(service);
+  if (pool === undefined) {
+    pool = createPoolSpeed(assumedMsPerToken(state, server));
+    state.pools.set(service, pool);
+  }
+  return pool;
+}
+
 /** State of a server; made when it is first needed. */
 export function serverState(state: DirectState, server: KnownServer): ServerState {
   let known = state.servers.get(server.key);
   if (known === undefined) {
     const spec = state.table?.findService(server.entry.service)?.engine;
     const load = createServerLoad({
-      msPerToken: assumedMsPerToken(state, server),
+      pool: poolSpeed(state, server),
       meanStayMs: DEFAULT_STAY_MS,
       memoryTokens: spec?.memoryTokens ?? 0,
     });
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -119,7 +119,7 @@
   { state, metrics }: Pick<EdgeParts, 'state' | 'metrics'>,
 ): void {
   const { totals, open, servers } = describeState(state, clock());
-  logger.info('summary', { ...totals, open, storeCalls: metrics.storeCalls(), servers });
+  logger.info('summary', { ...totals, open, ...metrics.control(), servers });
 }
 
 function selfName(ctx: EdgeContext): string {
@@ -231,7 +231,7 @@
         const report = reporter.compose(parts.state, nowMs);
         if (report === undefined) return;
         nextAtMs = nowMs + ((parts.state.routers - 1) * 1000) / REPORTS_PER_SECOND;
-        peers.broadcast(report);
+        parts.metrics.reported(peers.broadcast(report));
       });
     },
     close: (reporting) => reporting.close(),
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -3,6 +3,15 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
 
+/** What control cost since the start. */
+export interface ControlTotals {
+  /** Calls by kind of object and outcome. */
+  storeCalls: Record<string, number>;
+  reports: number;
+  /** Bytes of reports over all links, without frames. */
+  reportBytes: number;
+}
+
 /** Counts as things happen. */
 export interface EdgeMetrics {
   sent(repeat: boolean): void;
@@ -15,8 +24,10 @@
   finished(service: string, tookMs: number): void;
   /** A call to the store ended, by kind of object and outcome. */
   storeCalled(kind: string, outcome: string): void;
-  /** Calls to the store since the start, by the same. */
-  storeCalls(): Record<string, number>;
+  /** A report went to all peers, `bytes` over all links together. */
+  reported(bytes: number): void;
+  /** What control cost since the start. */
+  control(): ControlTotals;
 }
 
 /** Bounds in seconds: from a plain server's answer to the longest deadline. */
@@ -83,7 +94,12 @@
   const answered = counter('kingcupsill_answers_total', 'Answers of backend servers.', 'status');
   const refused = counter('kingcupsill_refusals_total', 'Failures of the router itself.', 'code');
   const stored = counter('kingcupsill_store_calls_total', 'Calls to the store.', 'kind', 'outcome');
-  const storeCalls: Record<string, number> = {};
+  const reportBytes = new Counter({
+    name: 'kingcupsill_report_bytes_total',
+    help: 'Bytes of reports to peers, without frames.',
+    registers,
+  });
+  const control: ControlTotals = { storeCalls: {}, reports: 0, reportBytes: 0 };
   const began = histogram('kingcupsill_first_event_seconds', 'Time to the first event.');
   const finished = histogram('kingcupsill_answer_seconds', 'Time to the end of the answer.');
   registerState(registry, state);
@@ -97,8 +113,13 @@
     storeCalled(kind, outcome) {
       stored.inc({ kind, outcome });
       const name = `${kind} ${outcome}`;
-      storeCalls[name] = (storeCalls[name] ?? 0) + 1;
+      control.storeCalls[name] = (control.storeCalls[name] ?? 0) + 1;
+    },
+    reported(bytes) {
+      reportBytes.inc(bytes);
+      control.reports += 1;
+      control.reportBytes += bytes;
     },
-    storeCalls: () => storeCalls,
+    control: () => control,
   };
 }
--- a/packages/edge/src/peers/outgoing.ts
+++ b/packages/edge/src/peers/outgoing.ts
@@ -7,7 +7,8 @@
 export interface OutgoingLinks {
   /** Sets the addresses to keep links to. */
   setAddresses(addresses: ReadonlySet<string>): void;
-  send(bytes: () => Buffer): void;
+  /** Sends to all links that keep up; returns how many those are. */
+  send(bytes: () => Buffer): number;
   /** Ends links that are silent, and asks the others for a sign of life. */
   check(): void;
   close(): void;
@@ -90,9 +91,11 @@
       addresses.forEach(add);
     },
     send(bytes) {
-      openSockets()
-        .filter(({ socket }) => socket.bufferedAmount <= MOST_BUFFERED_BYTES)
-        .forEach(({ socket }) => socket.send(bytes()));
+      const ready = openSockets().filter(
+        ({ socket }) => socket.bufferedAmount <= MOST_BUFFERED_BYTES,
+      );
+      ready.forEach(({ socket }) => socket.send(bytes()));
+      return ready.length;
     },
     check() {
       const silentBefore = clock() - SILENT_AFTER_MS;
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -10,7 +10,8 @@
 export interface PeerLinks {
   /** Sets the addresses to keep links to. */
   setAddresses(addresses: ReadonlySet<string>): void;
-  broadcast(report: RouterReport): void;
+  /** Sends a report over all links; returns the bytes of it, over all links together. */
+  broadcast(report: RouterReport): number;
   close(): void;
 }
 
@@ -32,10 +33,11 @@
     setAddresses: outgoing.setAddresses,
     broadcast(report) {
       let packed: Buffer | undefined;
-      outgoing.send(() => {
+      const links = outgoing.send(() => {
         packed ??= codec.encode(report);
         return packed;
       });
+      return links * (packed?.length ?? 0);
     },
     close() {
       checking.close();
--- a/packages/edge/src/store/store-contact.ts
+++ b/packages/edge/src/store/store-contact.ts
@@ -32,13 +32,14 @@
     },
     pause: (ms) =>
       new Promise((resolve) => {
+        const pausing: { timer?: NodeJS.Timeout } = {};
         const wake = (): void => {
-          clearTimeout(timer);
+          clearTimeout(pausing.timer);
           waiting.delete(wake);
           resolve();
         };
-        const timer = setTimeout(wake, ms);
         waiting.add(wake);
+        pausing.timer = setTimeout(wake, ms);
       }),
     close: wakeAll,
   };
