--- a/packages/core/src/direct/engine-load.ts
+++ b/packages/core/src/direct/engine-load.ts
@@ -47,7 +47,10 @@
   memoryTokens: number;
 }
 
-/** Time to a first event by the prompt tokens ahead of it, learned from all servers of one service. */
+/**
+ * Time to a first event by the prompt tokens ahead of it: as configured, or shorter where the servers of the service have shown
+ * that. Slower ones are found out one by one.
+ */
 export interface PoolSpeed {
   observe(tokensAhead: number, tookMs: number): void;
   line(): Line;
@@ -79,7 +82,7 @@
       const { slope, base } = fit.line();
       fit.observe(tokensAhead, Math.min(tookMs, MOST_OF_POOL * (base + slope * tokensAhead)));
     },
-    line: fit.line,
+    line: () => ({ ...assumed, slope: Math.min(msPerToken, fit.line().slope) }),
   };
 }
 
