--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,24 +1,46 @@
-/** Checks a configuration document in a file. */
-import { Args } from '@oclif/core';
+/** Checks a configuration or settings in a file. */
+import { Args, Flags } from '@oclif/core';
 
 import { commonFlags, FleetCommand } from '../fleet-command.js';
-import { checkConfig } from '../operations/check.js';
-import { ExitCode } from '../outcome.js';
+import { checkConfig, checkEdgeSettings, checkPlatformConfig } from '../operations/check.js';
+import { ExitCode, fail } from '../outcome.js';
+import type { CommandOutcome } from '../outcome.js';
 import { readJson } from '../read-json.js';
 
+async function checkDocument(
+  file: string,
+  check: (candidate: unknown) => CommandOutcome,
+): Promise<CommandOutcome> {
+  const read = await readJson(file);
+  return read.ok ? check(read.value) : fail(ExitCode.Usage, 'unreadable', read.message);
+}
+
+/** What a file may hold. */
+const CHECKS = {
+  configuration: (file: string) => checkDocument(file, checkConfig),
+  'platform-configuration': (file: string) => checkDocument(file, checkPlatformConfig),
+  'edge-settings': checkEdgeSettings,
+};
+const KINDS = Object.keys(CHECKS) as (keyof typeof CHECKS)[];
+
 export class Check extends FleetCommand {
-  static override summary = 'Checks a configuration document in a file.';
+  static override summary = 'Checks a configuration document or settings in a file.';
 
   static override args = {
-    file: Args.string({ description: 'document, - for standard input', required: true }),
+    file: Args.string({ description: 'file, - for standard input', required: true }),
   };
 
-  static override flags = { ...commonFlags };
+  static override flags = {
+    ...commonFlags,
+    as: Flags.option({
+      options: KINDS,
+      default: 'configuration' as const,
+      description: 'what the file holds',
+    })(),
+  };
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(Check);
-    const read = await readJson(args.file);
-    if (!read.ok) this.error(read.message, { exit: ExitCode.Usage });
-    this.finish(flags, checkConfig(read.value));
+    this.finish(flags, await CHECKS[flags.as](args.file));
   }
 }
--- a/packages/cli/src/operations/check.ts
+++ b/packages/cli/src/operations/check.ts
@@ -1,5 +1,8 @@
-/** Check of a configuration in a file. */
+/** Checks of configurations and settings in files. */
 import { validateConfig } from '@kingcupsill/core';
+import { edgeSchema } from '@kingcupsill/edge';
+import { decodeConfiguration } from '@kingcupsill/prepared-platform';
+import { loadSettings } from '@kingcupsill/runtime';
 
 import { ExitCode, fail, succeed } from '../outcome.js';
 import type { CommandOutcome } from '../outcome.js';
@@ -17,3 +20,22 @@
   const { warnings } = outcome;
   return succeed({ warnings }, ['the configuration is valid', ...warnings.map(describeWarning)]);
 };
+
+/** Checks a configuration as the prepared platform's operator writes it. */
+export const checkPlatformConfig = (candidate: unknown): CommandOutcome => {
+  const decoded = decodeConfiguration(candidate);
+  if (!decoded.ok) {
+    return fail(ExitCode.Invalid, 'invalid', `the configuration is not valid: ${decoded.message}`);
+  }
+  const { version, routes, services } = decoded.value;
+  const data = { version, routes: routes.length, services: services.length };
+  return succeed(data, ['the configuration is valid']);
+};
+
+/** Checks a settings file of `kingcupsill-edge`; the first fault is named by file, section and key. */
+export const checkEdgeSettings = (file: string): CommandOutcome => {
+  const loaded = loadSettings({ schema: edgeSchema, file, env: {} });
+  return loaded.ok
+    ? succeed({}, ['the settings are valid'])
+    : fail(ExitCode.Invalid, 'invalid', loaded.message);
+};
--- a/packages/cli/test/binary/kingcupsill.test.ts
+++ b/packages/cli/test/binary/kingcupsill.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { mkdtemp, writeFile } from 'node:fs/promises';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { after, afterEach, before, beforeEach, test } from 'node:test';
 
 import { drainBackend } from '../../src/index.js';
@@ -76,6 +79,28 @@
   ]);
 });
 
+test('settings and configurations of the prepared platform are checked, faults by section and key', async () => {
+  env = {};
+  const file = join(await mkdtemp(join(tmpdir(), 'kingcupsill-check-')), 'edge.ini');
+  const settings = [
+    '[process]\nid = r\nzone = z',
+    '[callers]\naddress = 127.0.0.1:1\nreadiness_address = 127.0.0.1:2',
+    '[peers]\naddress = 127.0.0.1:3\n[admin]\naddress = 127.0.0.1:4',
+    '[store]\naddress = 127.0.0.1:5\nheartbeat_ms = 1200\n[shutdown]\ngrace_s = 8',
+    '[repeats]\nratio = 0.2\nburst = 50\nwindow_s = 10\n[shares]\nwindow_s = 4',
+  ].join('\n');
+  await writeFile(file, settings);
+  assert.equal((await run(`check ${file} --as edge-settings`)).code, 0);
+  await writeFile(file, settings.replace('grace_s = 8', 'grace_s = soon'));
+  const wrong = await run(`check ${file} --as edge-settings --json`);
+  assert.equal(wrong.code, 4);
+  assert.match(String(json(wrong).message), /edge\.ini.*shutdown.*grace_s/s);
+  const document = JSON.stringify({ version: 1, routes: 'none' });
+  const invalid = await run('check - --as platform-configuration --json', document);
+  assert.equal(invalid.code, 4);
+  assert.match(String(json(invalid).message), /field limits/);
+});
+
 /** State of a process that is behind. */
 const state = {
   status: {
--- a/packages/edge/src/bin/edge.ts
+++ b/packages/edge/src/bin/edge.ts
@@ -48,6 +48,7 @@
 const starting = startEdge({
   settings: source.current,
   logger,
+  droppedLines: sink.dropped,
   registry: new Registry(),
   clock,
   random: Math.random,
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -82,7 +82,7 @@
       create: () => createServerConnections(ctx.clock),
       close: (connections) => connections.close(),
     },
-    metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state) },
+    metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
     exchanges: exchangesPart(ctx),
     loop: loopPart(ctx),
     transport: transportPart(ctx),
@@ -115,11 +115,12 @@
 }
 
 function logSummary(
-  { logger, clock }: EdgeContext,
+  { logger, clock, droppedLines }: EdgeContext,
   { state, metrics }: Pick<EdgeParts, 'state' | 'metrics'>,
 ): void {
   const { totals, open, servers } = describeState(state, clock());
-  logger.info('summary', { ...totals, open, ...metrics.control(), servers });
+  const control = { ...metrics.control(), droppedLines: droppedLines() };
+  logger.info('summary', { ...totals, open, ...control, servers });
 }
 
 function selfName(ctx: EdgeContext): string {
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -83,7 +83,11 @@
 }
 
 /** Registers the metrics; gauges read the state when they are scraped. */
-export function createEdgeMetrics(registry: Registry, state: DirectState): EdgeMetrics {
+export function createEdgeMetrics(
+  registry: Registry,
+  state: DirectState,
+  droppedLines: () => number,
+): EdgeMetrics {
   const registers = [registry];
   const counter = (name: string, help: string, ...labelNames: string[]) =>
     new Counter({ name, help, labelNames, registers });
@@ -103,6 +107,12 @@
   const began = histogram('kingcupsill_first_event_seconds', 'Time to the first event.');
   const finished = histogram('kingcupsill_answer_seconds', 'Time to the end of the answer.');
   registerState(registry, state);
+  registerGauge(
+    registry,
+    'kingcupsill_log_lines_dropped',
+    'Log lines that were dropped since their reader was too slow.',
+    droppedLines,
+  );
   return {
     sent: (repeat) => sent.inc({ repeat: String(repeat) }),
     ended: (end) => ended.inc({ end }),
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -20,6 +20,8 @@
   /** Settings in force; a reload replaces them. */
   settings: () => EdgeSettings;
   logger: Logger;
+  /** Log lines that were dropped since their reader was too slow. */
+  droppedLines: () => number;
   registry: Registry;
   clock: Clock;
   /** Random number from 0 up to, not including, 1. */
--- a/packages/edge/test/admin/admin.test.ts
+++ b/packages/edge/test/admin/admin.test.ts
@@ -13,6 +13,8 @@
   assert.match(metrics, /kingcupsill_answers_total\{status="200"\} 1/);
   assert.match(metrics, /kingcupsill_refusals_total\{code="unknown_route"\} 1/);
   assert.match(metrics, /kingcupsill_first_event_seconds_count\{service="s1"\} 1/);
+  assert.match(metrics, /kingcupsill_log_lines_dropped 3/);
+  assert.match(metrics, /kingcupsill_store_calls_total\{kind="servers",outcome="ok"\} \d/);
   const state = JSON.parse(await page('/debug/state')) as {
     configuration: number;
     servers: { server: string }[];
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -176,6 +176,7 @@
   const router = await startEdge({
     settings: () => settings,
     logger: createRecordingLogger(logged),
+    droppedLines: () => 3,
     registry: new Registry(),
     clock: () => performance.now(),
     random: Math.random,
