--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -5,6 +5,8 @@
 import type { Router } from './routers.js';
 import type { StoreStandin } from '../standins/store-standin.js';
 import type { Operator } from './operator.js';
+import { openSpan } from './types.js';
+import type { Disturbance, Leaving } from './types.js';
 
 /** What faults act on. */
 export interface Targets {
@@ -12,6 +14,9 @@
   backends: readonly Backend[];
   store: StoreStandin;
   operator: Operator;
+  /** Spans in which some router's way to the store, or the store itself, was disturbed. */
+  storeDisturbances: Disturbance[];
+  leavings: Leaving[];
 }
 
 /** One fault of the schedule. */
@@ -45,12 +50,14 @@
 }
 
 function passing(mode: ProxyMode, of: 'store' | 'server'): Handler {
-  return async ({ routers, backends }, fault) => {
+  return async ({ routers, backends, storeDisturbances }, fault) => {
     const proxy =
       of === 'store' ? pickOf(routers, fault).storeProxy : pickOf(backends, fault).proxy;
+    const close = of === 'store' ? openSpan(storeDisturbances, {}) : undefined;
     proxy.setMode(mode);
     await wait(fault.forMs);
     proxy.setMode(ProxyMode.Pass);
+    close?.();
   };
 }
 
@@ -67,6 +74,20 @@
   };
 }
 
+/** Servers leave for longer than the bound, so that work after it can be seen. */
+const LEAVING_MS = 3500;
+
+function leaving(leave: (backend: Backend) => void): Handler {
+  return async ({ backends, leavings }, fault) => {
+    const backend = pickOf(backends, fault);
+    const close = openSpan(leavings, { server: backend.id });
+    leave(backend);
+    await wait(LEAVING_MS + fault.forMs);
+    close();
+    backend.register();
+  };
+}
+
 const HANDLERS = {
   'router-killed': taking(async (router) => {
     await router.kill();
@@ -82,12 +103,15 @@
     router.resume();
   }),
   'settings-signal': taking(async (router) => router.hangUp()),
-  'store-down': async ({ store }, { forMs }) => {
+  'store-down': async ({ store, storeDisturbances }, { forMs }) => {
+    const close = openSpan(storeDisturbances, {});
     store.setDown(true);
     await wait(forMs);
     store.setDown(false);
+    close();
   },
-  'store-lapse': async ({ store, backends }, { forMs }) => {
+  'store-lapse': async ({ store, backends, storeDisturbances }, { forMs }) => {
+    const close = openSpan(storeDisturbances, {});
     store.setDown(true);
     // All entries lapse; live servers renew them within two seconds of the return.
     backends.forEach((backend) => backend.deregister());
@@ -95,6 +119,7 @@
     store.setDown(false);
     await wait(1000);
     backends.forEach((backend) => backend.register());
+    close();
   },
   'store-history-lost': async ({ store }) => store.forgetHistory(),
   'store-delayed': passing(ProxyMode.Delay, 'store'),
@@ -111,19 +136,15 @@
   'server-hangs': behaving(Behaviour.Hang),
   'server-resets': behaving(Behaviour.Reset),
   'server-breaks': behaving(Behaviour.Break),
-  'server-born-again': async ({ backends }, fault) => pickOf(backends, fault).bearAgain(),
-  'server-drains': async ({ backends }, fault) => {
+  'server-born-again': async ({ backends, leavings }, fault) => {
     const backend = pickOf(backends, fault);
-    backend.register('draining');
-    await wait(fault.forMs);
-    backend.register();
-  },
-  'server-leaves': async ({ backends }, fault) => {
-    const backend = pickOf(backends, fault);
-    backend.deregister();
-    await wait(fault.forMs);
-    backend.register();
+    const away = leavings.some(
+      ({ server, untilMs }) => server === backend.id && untilMs > performance.now(),
+    );
+    if (!away) backend.bearAgain();
   },
+  'server-drains': leaving((backend) => backend.register('draining')),
+  'server-leaves': leaving((backend) => backend.deregister()),
   'configuration-changed': async ({ operator }) => operator.change(),
 } satisfies Record<string, Handler>;
 
--- a/packages/edge/test/soak/promises.ts
+++ b/packages/edge/test/soak/promises.ts
@@ -2,7 +2,7 @@
 import { answerBody, STREAM_EVENTS, streamEvent } from './backends.js';
 import { DEADLINE_MS } from './callers.js';
 import { RouteKind } from './types.js';
-import type { Breach, Call, Disturbance, Run } from './types.js';
+import type { Breach, Call, Disturbance, Leaving, Run } from './types.js';
 
 /** Everything that was seen. */
 export interface Seen {
@@ -10,8 +10,16 @@
   runs: readonly Run[];
   /** Spans of disturbance by router name. */
   disturbances: ReadonlyMap<string, readonly Disturbance[]>;
+  /** Spans in which the store or a way to it was disturbed. */
+  storeDisturbances: readonly Disturbance[];
+  leavings: readonly Leaving[];
 }
 
+/** Time after which a leaving server gets no new work, as the platform's deployments state it. */
+const LEAVING_BOUND_MS = 2500;
+/** Time after a disturbance in which a router may still not know better: the notice time of its settings. */
+const NOTICE_MS = 3000;
+
 /** A request may take this much longer than its deadline: the way, and a loaded machine. */
 const LATE_MS = 1000;
 /** Callers that a router takes over from a pause see it this much later. */
@@ -78,6 +86,29 @@
   return 'connection closed without an answer after the request ran';
 }
 
+function overlaps(spans: readonly Disturbance[], fromMs: number, untilMs: number): boolean {
+  return spans.some((span) => span.fromMs <= untilMs && span.untilMs + NOTICE_MS >= fromMs);
+}
+
+/** Work that a leaving server got after its bound, from a router that could know. Faults of the store in another stay excuse. */
+export function findWorkAfterLeaving(seen: Seen): Breach[] {
+  const calls = new Map(seen.calls.map((call) => [call.attemptId, call]));
+  return seen.leavings.flatMap(({ server, fromMs, untilMs }) =>
+    seen.runs.flatMap((run) => {
+      const call = calls.get(run.attemptId);
+      const late = call !== undefined && call.sentAtMs > fromMs + LEAVING_BOUND_MS;
+      if (run.server !== server || !late || run.atMs > untilMs) return [];
+      const ofRouter = seen.disturbances.get(call.router.split('#')[0]!) ?? [];
+      const excused = [ofRouter, seen.storeDisturbances].some((spans) =>
+        overlaps(spans, fromMs, run.atMs),
+      );
+      if (excused) return [];
+      const detail = `${server}, ${Math.round(run.atMs - fromMs)} ms later (${call.attemptId} at ${call.router})`;
+      return [{ promise: 'a leaving server gets no new work', detail }];
+    }),
+  );
+}
+
 /** All promises about single requests that were broken. */
 export function findBreaches(seen: Seen): Breach[] {
   const counts = countRuns(seen.runs);
--- a/packages/edge/test/soak/proxy.ts
+++ b/packages/edge/test/soak/proxy.ts
@@ -24,6 +24,12 @@
 
 const DELAY_MS = 150;
 
+/** A socket that has ended its side can't be reset: its handle would stay open. */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Starts a proxy to a port of loopback. Bytes held when silence ends are lost with their connections. */
 export async function createProxy(targetPort: number): Promise<Proxy> {
   let mode: ProxyMode = ProxyMode.Pass;
@@ -47,7 +53,7 @@
 
   function destroy(pair: Socket[]): void {
     pairs.delete(pair);
-    pair.forEach((socket) => socket.resetAndDestroy());
+    pair.forEach(reset);
   }
 
   const server = createServer({ allowHalfOpen: true }, (inner) => {
--- a/packages/edge/test/soak/run-soak.ts
+++ b/packages/edge/test/soak/run-soak.ts
@@ -8,9 +8,9 @@
 import { startCallers } from './callers.js';
 import type { Callers } from './callers.js';
 import { drawSchedule, playFault } from './faults.js';
-import type { Fault } from './faults.js';
+import type { Fault, Targets } from './faults.js';
 import { createOperator } from './operator.js';
-import { findBreaches } from './promises.js';
+import { findBreaches, findWorkAfterLeaving } from './promises.js';
 import { createRouter } from './routers.js';
 import type { Breach, Run } from './types.js';
 
@@ -69,7 +69,14 @@
   }
   callers = startCallers({ routers, count, random: createRandom(seed, 'callers') });
   const faults = drawSchedule(createRandom(seed, 'faults'), lengthMs);
-  const targets = { routers, backends, store, operator };
+  const targets: Targets = {
+    routers,
+    backends,
+    store,
+    operator,
+    storeDisturbances: [],
+    leavings: [],
+  };
   const playing = faults.map(async (fault) => {
     await wait(fault.atMs);
     options.onFault?.(fault);
@@ -98,10 +105,10 @@
   const { calls } = callers;
   const disturbances = new Map(routers.map(({ name, disturbances: spans }) => [name, spans]));
   const probes = /^\/added-/;
-  const breaches = [
-    ...findBreaches({ calls: calls.filter(({ path }) => !probes.test(path)), runs, disturbances }),
-    ...operator.breaches,
-  ];
+  const { storeDisturbances, leavings } = targets;
+  const own = calls.filter(({ path }) => !probes.test(path));
+  const seen = { calls: own, runs, disturbances, storeDisturbances, leavings };
+  const breaches = [...findBreaches(seen), ...findWorkAfterLeaving(seen), ...operator.breaches];
   const calm = calls.filter(({ sentAtMs }) => sentAtMs >= calmFromMs && sentAtMs <= calmUntilMs);
   const servedCalm = calm.filter(({ status, whole }) => status === 200 && whole).length;
   if (servedCalm < calm.length * SERVED_AFTER) {
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -4,7 +4,7 @@
 import { createRandom } from '@kingcupsill/bench';
 import { answerBody, STREAM_EVENTS, streamEvent } from './backends.js';
 import { drawSchedule, FAULT_KINDS } from './faults.js';
-import { findBreaches } from './promises.js';
+import { findBreaches, findWorkAfterLeaving } from './promises.js';
 import { runSoak } from './run-soak.js';
 import { RouteKind } from './types.js';
 import type { Call, Disturbance, Run } from './types.js';
@@ -33,7 +33,8 @@
 
 function promisesBroken(one: Call, runs: Run[] = [run], spans: Disturbance[] = []): string[] {
   const disturbances = new Map([['router-0', spans]]);
-  return findBreaches({ calls: [one], runs, disturbances }).map(({ promise }) => promise);
+  const seen = { calls: [one], runs, disturbances, storeDisturbances: [], leavings: [] };
+  return findBreaches(seen).map(({ promise }) => promise);
 }
 
 test('a right answer breaks no promise', () => {
@@ -65,6 +66,22 @@
   assert.deepEqual(promisesBroken(call({ status: undefined }), [run], [span]), []);
 });
 
+test('work of a server that left is found after its bound, unless the router could not know', () => {
+  const leavings = [{ server: 'i-0', fromMs: 1000, untilMs: 9000 }];
+  const find = (sentAtMs: number, storeDisturbances: Disturbance[] = []) =>
+    findWorkAfterLeaving({
+      calls: [call({ sentAtMs })],
+      runs: [{ ...run, atMs: sentAtMs + 10 }],
+      disturbances: new Map(),
+      storeDisturbances,
+      leavings,
+    }).length;
+  assert.equal(find(3400), 0);
+  assert.equal(find(3600), 1);
+  assert.equal(find(3600, [{ fromMs: 2000, untilMs: 2100 }]), 0);
+  assert.equal(find(9100), 0);
+});
+
 test('a seed draws the same faults again, and all kinds come', () => {
   const draw = (seed: number) => drawSchedule(createRandom(seed, 'faults'), 600_000);
   assert.deepEqual(draw(5), draw(5));
--- a/packages/edge/test/soak/types.ts
+++ b/packages/edge/test/soak/types.ts
@@ -48,3 +48,20 @@
   promise: string;
   detail: string;
 }
+
+/** A backend server that left, or said that it leaves, and the time until it was back. */
+export interface Leaving extends Disturbance {
+  server: string;
+}
+
+/** Opens a span that lasts until the returned function is called. */
+export function openSpan<T extends Disturbance>(
+  spans: T[],
+  more: Omit<T, keyof Disturbance>,
+): () => void {
+  const span = { ...more, fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY } as T;
+  spans.push(span);
+  return () => {
+    span.untilMs = performance.now();
+  };
+}
