--- a/packages/core/src/direct/line-fit.ts
+++ b/packages/core/src/direct/line-fit.ts
@@ -1,32 +1,25 @@
 /** Fits a line through observations, old ones counting less and less. */
 
 /** A line y = base + slope x. */
-export interface Line {
-  slope: number;
-  base: number;
-}
-
-/** A line that follows what is observed. */
 export interface LineFit {
   observe(x: number, y: number): void;
-  line(): Line;
+  slope(): number;
+  base(): number;
 }
 
-/** What is assumed before anything is observed, and how far observations may move the slope from it. */
+/** What is assumed before anything is observed, and the bounds of the slope. */
 export interface LineFitOptions {
-  /** Read anew at each observation, since it may be learned elsewhere. */
-  assumed: () => Line;
-  /** Bounds of the slope, as factors of the assumed one. */
-  leastFactor: number;
-  mostFactor: number;
-  /** Observations that the assumption counts as at first. */
-  assumedWeight: number;
+  slope: number;
+  base: number;
+  leastSlope: number;
+  mostSlope: number;
 }
 
 /** Part of its weight that an observation loses with each later one. */
 const FORGET = 0.04;
-/** The assumption stands as observations at these places. */
+/** The assumption stands as observations at these places, of this weight each. */
 const ASSUMED_XS = [0, 10_000];
+const ASSUMED_WEIGHT = 2;
 /** Least weight of the assumption; it bounds the slope where all observations are alike. */
 const KEPT_WEIGHT = 0.2;
 
@@ -48,22 +41,20 @@
 
 /** Creates a fit that begins with the assumption. */
 export function createLineFit(options: LineFitOptions): LineFit {
-  const { assumed, leastFactor, mostFactor } = options;
+  const { leastSlope, mostSlope } = options;
   const seen: Sums = { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
-  let fitted: Line | undefined;
-  let { assumedWeight } = options;
+  let { slope, base } = options;
+  let assumedWeight = ASSUMED_WEIGHT;
 
-  function solve(): Line {
+  function solve(): void {
     const sums = { ...seen };
-    const { slope, base } = assumed();
-    ASSUMED_XS.forEach((x) => add(sums, x, base + slope * x, assumedWeight));
+    ASSUMED_XS.forEach((x) => add(sums, x, options.base + options.slope * x, assumedWeight));
     const meanX = sums.x / sums.weight;
     const meanY = sums.y / sums.weight;
     const variance = sums.xx / sums.weight - meanX * meanX;
     const covariance = sums.xy / sums.weight - meanX * meanY;
-    const bounded = Math.max(slope * leastFactor, covariance / variance);
-    const fittedSlope = Math.min(slope * mostFactor, bounded);
-    return { slope: fittedSlope, base: Math.max(0, meanY - fittedSlope * meanX) };
+    slope = Math.min(mostSlope, Math.max(leastSlope, covariance / variance));
+    base = Math.max(0, meanY - slope * meanX);
   }
 
   return {
@@ -76,8 +67,9 @@
       seen.xy *= keep;
       assumedWeight = KEPT_WEIGHT + (assumedWeight - KEPT_WEIGHT) * keep;
       add(seen, x, y, 1);
-      fitted = solve();
+      solve();
     },
-    line: () => fitted ?? assumed(),
+    slope: () => slope,
+    base: () => base,
   };
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -2,8 +2,8 @@
 import type { Hasher } from '../hash/index.js';
 import { createAccountUsage } from './account-usage.js';
 import type { AccountUsage } from './account-usage.js';
-import { createPoolSpeed, createServerLoad } from './engine-load.js';
-import type { LoadTicket, PoolSpeed, ServerLoad } from './engine-load.js';
+import { createServerLoad } from './engine-load.js';
+import type { LoadTicket, ServerLoad } from './engine-load.js';
 import { createRepeatBudget } from './repeat-budget.js';
 import type { RepeatBudget, RepeatBudgetOptions } from './repeat-budget.js';
 import type { RouteTable } from './route-table.js';
@@ -87,8 +87,6 @@
   /** Whether the engines that ran before this router were asked what they keep. */
   askedKept: boolean;
   servers: Map<string, ServerState>;
-  /** Speed of each service's servers. */
-  pools: Map<string, PoolSpeed>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
   usage: AccountUsage;
@@ -118,7 +116,6 @@
     listed: false,
     askedKept: false,
     servers: new Map(),
-    pools: new Map(),
     requests: new Map(),
     attempts: new Map(),
     usage: createAccountUsage(options.shareWindowMs),
@@ -132,6 +129,11 @@
 const DEFAULT_MS_PER_TOKEN = 0.03;
 /** The work that the configuration states is a mean over long spans; prompts alone are read faster by about this factor. */
 const PROMPT_SPEED_FACTOR = 1.3;
+/**
+ * Slowest speed assumed: where engines are many, the rate that the configuration states for all of them says little of one. An
+ * engine that is believed too fast is found out by its first answer; one that is believed too slow gets no work that could show it.
+ */
+const SLOWEST_MS_PER_TOKEN = 0.03;
 /** First assumption of how long a request stays. */
 const DEFAULT_STAY_MS = 100;
 
@@ -139,17 +141,8 @@
   const tokensPerSecond = state.table?.config.engineTokensPerSecond;
   if (tokensPerSecond === undefined) return DEFAULT_MS_PER_TOKEN;
   const engines = Math.max(1, state.registry.open(server.entry.service).length);
-  return 1000 / ((tokensPerSecond / engines) * PROMPT_SPEED_FACTOR);
-}
-
-function poolSpeed(state: DirectState, server: KnownServer): PoolSpeed {
-  const { service } = server.entry;
-  let pool = state.pools.get(service);
-  if (pool === undefined) {
-    pool = createPoolSpeed(assumedMsPerToken(state, server));
-    state.pools.set(service, pool);
-  }
-  return pool;
+  const stated = 1000 / ((tokensPerSecond / engines) * PROMPT_SPEED_FACTOR);
+  return Math.min(SLOWEST_MS_PER_TOKEN, stated);
 }
 
 /** State of a server; made when it is first needed. */
@@ -158,7 +151,7 @@
   if (known === undefined) {
     const spec = state.table?.findService(server.entry.service)?.engine;
     const load = createServerLoad({
-      pool: poolSpeed(state, server),
+      msPerToken: assumedMsPerToken(state, server),
       meanStayMs: DEFAULT_STAY_MS,
       memoryTokens: spec?.memoryTokens ?? 0,
     });
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -4,7 +4,6 @@
 import {
   AttemptEnd,
   createPartCache,
-  createPoolSpeed,
   createRouteTable,
   createServerHealth,
   createServerLoad,
@@ -14,16 +13,7 @@
 import { createLineFit } from '../../src/direct/line-fit.js';
 import { sampleConfig, sampleRoute } from './sample.js';
 
-const load = () =>
-  createServerLoad({ pool: createPoolSpeed(0.03), meanStayMs: 100, memoryTokens: 100_000 });
-
-const fitOfAssumption = () =>
-  createLineFit({
-    assumed: () => ({ slope: 0.03, base: 25 }),
-    leastFactor: 0.4,
-    mostFactor: 30,
-    assumedWeight: 2,
-  });
+const load = () => createServerLoad({ msPerToken: 0.03, meanStayMs: 100, memoryTokens: 100_000 });
 
 test('a sliding sum holds what was added within its window, as a naive sum does to a tenth of it', () => {
   const steps = fc.array(
@@ -51,19 +41,19 @@
 });
 
 test('a fitted line finds the fixed time and the speed', () => {
-  const fit = fitOfAssumption();
+  const fit = createLineFit({ slope: 0.03, base: 25, leastSlope: 0.01, mostSlope: 1 });
   for (let index = 0; index < 200; index += 1) {
     const x = (index * 997) % 20_000;
     fit.observe(x, 60 + 0.05 * x);
   }
-  assert.ok(Math.abs(fit.line().slope - 0.05) < 0.005);
-  assert.ok(Math.abs(fit.line().base - 60) < 30);
+  assert.ok(Math.abs(fit.slope() - 0.05) < 0.005);
+  assert.ok(Math.abs(fit.base() - 60) < 30);
 });
 
 test('observations that are all alike leave the speed within its bounds', () => {
-  const fit = fitOfAssumption();
+  const fit = createLineFit({ slope: 0.03, base: 25, leastSlope: 0.01, mostSlope: 1 });
   for (let index = 0; index < 1000; index += 1) fit.observe(0, 5000);
-  assert.ok(fit.line().slope >= 0.01 && fit.line().slope <= 1);
+  assert.ok(fit.slope() >= 0.01 && fit.slope() <= 1);
 });
 
 test('a part counts as kept only behind kept parts, and the least recently used ones leave', () => {
