--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -10,7 +10,7 @@
 import type { PeerLinks } from '../peers/peer-links.js';
 import type { EdgeSettings } from '../settings.js';
 import type { EdgeContext, EdgeParts } from '../types.js';
-import { createObjectFeed } from './object-feed.js';
+import { createObjectFeed, FIRST_ANSWER_MS } from './object-feed.js';
 import type { ObjectFeedOptions } from './object-feed.js';
 import { readRouterAddress } from './router-registration.js';
 import { createStoreContact } from './store-contact.js';
@@ -19,8 +19,6 @@
 type Timing = Pick<ObjectFeedOptions, 'watchMs' | 'gatherMs'>;
 type Handlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & Timing;
 
-/** Longest wait for the answer to the first call that fails. */
-const FIRST_ANSWER_MS = 1000;
 /** A tenth of the time in which a change must be in force or a leaving server gets no new work. */
 const URGENT_GATHER_MS = 250;
 /** Routers come and go without a bound, and links notice by themselves. */
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -36,11 +36,13 @@
   close(): void;
 }
 
+/** Wait for the answer to a call while the store is thought to be well. */
+export const FIRST_ANSWER_MS = 1000;
 /**
  * Waits for an answer, in turn while calls fail: short ones, so that the store's return is seen within half a second, and a
  * long one in case that it is only slow.
  */
-const ANSWER_WAITS_MS = [1000, 300, 300, 1500];
+const ANSWER_WAITS_MS = [FIRST_ANSWER_MS, 300, 300, 1500];
 /** Wait of a watch while calls fail: any answer tells that the store is back. */
 const FAILING_WATCH_MS = 0;
 /** Pause after a failure; it doubles up to the longest, so that the store's return is seen within half a second. */
