--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -27,7 +27,7 @@
   static override summary = 'Checks a configuration document or settings in a file.';
 
   static override args = {
-    file: Args.string({ description: 'file, - for standard input', required: true }),
+    file: Args.string({ description: 'file; of documents, - for standard input', required: true }),
   };
 
   static override flags = {
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -125,13 +125,12 @@
   };
 }
 
-/** Speed assumed where the configuration says nothing of the engines' work. */
-const DEFAULT_MS_PER_TOKEN = 0.03;
 /** The work that the configuration states is a mean over long spans; prompts alone are read faster by about this factor. */
 const PROMPT_SPEED_FACTOR = 1.3;
 /**
- * Slowest speed assumed: where engines are many, the rate that the configuration states for all of them says little of one. An
- * engine that is believed too fast is found out by its first answer; one that is believed too slow gets no work that could show it.
+ * Speed assumed where the configuration says nothing of the engines' work, and the slowest one assumed at all: where engines are
+ * many, the rate that it states for all of them says little of one. An engine that is believed too fast is found out by its first
+ * answer; one that is believed too slow gets no work that could show it.
  */
 const SLOWEST_MS_PER_TOKEN = 0.03;
 /** First assumption of how long a request stays. */
@@ -139,7 +138,7 @@
 
 function assumedMsPerToken(state: DirectState, server: KnownServer): number {
   const tokensPerSecond = state.table?.config.engineTokensPerSecond;
-  if (tokensPerSecond === undefined) return DEFAULT_MS_PER_TOKEN;
+  if (tokensPerSecond === undefined) return SLOWEST_MS_PER_TOKEN;
   const engines = Math.max(1, state.registry.open(server.entry.service).length);
   const stated = 1000 / ((tokensPerSecond / engines) * PROMPT_SPEED_FACTOR);
   return Math.min(SLOWEST_MS_PER_TOKEN, stated);
--- a/packages/core/test/direct/membership.test.ts
+++ b/packages/core/test/direct/membership.test.ts
@@ -44,7 +44,7 @@
   );
 });
 
-test('the same id born again is another server, of which nothing is known', () => {
+test('the same id started again is another server, of which nothing is known', () => {
   const registry = create();
   registry.put(sampleEntry('e1'));
   assert.deepEqual(registry.put(sampleEntry('e1', { bornMs: 2 })), ['e1@1']);
--- a/packages/edge/src/store/store-contact.ts
+++ b/packages/edge/src/store/store-contact.ts
@@ -32,14 +32,14 @@
     },
     pause: (ms) =>
       new Promise((resolve) => {
-        const pausing: { timer?: NodeJS.Timeout } = {};
-        const wake = (): void => {
-          clearTimeout(pausing.timer);
+        let timer: NodeJS.Timeout;
+        function wake(): void {
+          clearTimeout(timer);
           waiting.delete(wake);
           resolve();
-        };
+        }
         waiting.add(wake);
-        pausing.timer = setTimeout(wake, ms);
+        timer = setTimeout(wake, ms);
       }),
     close: wakeAll,
   };
--- a/packages/edge/test/soak/backends.ts
+++ b/packages/edge/test/soak/backends.ts
@@ -32,7 +32,7 @@
   /** Takes its entry out; it serves on, as a leaving server does. */
   deregister(): void;
   /** A new run under the same id, which knows nothing of before. */
-  bearAgain(): void;
+  restart(): void;
   close(): void;
 }
 
@@ -135,7 +135,7 @@
     },
     register,
     deregister: () => store.remove('servers', id),
-    bearAgain() {
+    restart() {
       born += 1;
       proxy.resetAll();
       register();
--- a/packages/edge/test/soak/callers.ts
+++ b/packages/edge/test/soak/callers.ts
@@ -1,5 +1,6 @@
 /** Callers of the soak: they keep connections until the process is gone, and record what they see. */
 import { Agent, request } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Router } from './routers.js';
 import { RouteKind } from './types.js';
 import type { Call } from './types.js';
@@ -36,7 +37,7 @@
       attemptId,
       kind,
       path,
-      router: `${router.name}#${router.incarnation()}`,
+      router: router.processName(),
       sentAtMs: performance.now(),
       endedAtMs: 0,
       status: undefined,
@@ -83,9 +84,7 @@
       const router = routers[Math.floor(random() * routers.length)]!;
       const kind = KINDS[Math.floor(random() * KINDS.length)]!;
       await ask(router, `/${kind}/${numbered}`, kind, agent);
-      await new Promise((resolve) => {
-        setTimeout(resolve, random() * 2 * MEAN_PAUSE_MS);
-      });
+      await delay(random() * 2 * MEAN_PAUSE_MS);
     }
     agent.destroy();
   }
--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -1,4 +1,5 @@
 /** Faults of the soak: one handler each, and a seeded schedule in which they overlap. */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Backend } from './backends.js';
 import { Behaviour } from './backends.js';
 import { ProxyMode } from './proxy.js';
@@ -30,11 +31,6 @@
 
 type Handler = (targets: Targets, fault: Fault) => Promise<void>;
 
-const wait = (ms: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 function pickOf<T>(list: readonly T[], { pick }: Fault): T {
   return list[Math.floor(pick * list.length)]!;
 }
@@ -44,7 +40,7 @@
   return async ({ backends }, fault) => {
     const backend = pickOf(backends, fault);
     backend.behave(behaviour);
-    await wait(fault.forMs);
+    await delay(fault.forMs);
     backend.behave(Behaviour.Serve);
   };
 }
@@ -55,7 +51,7 @@
       of === 'store' ? pickOf(routers, fault).storeProxy : pickOf(backends, fault).proxy;
     const close = of === 'store' ? openSpan(storeDisturbances, {}) : undefined;
     proxy.setMode(mode);
-    await wait(fault.forMs);
+    await delay(fault.forMs);
     proxy.setMode(ProxyMode.Pass);
     close?.();
   };
@@ -82,7 +78,7 @@
     const backend = pickOf(backends, fault);
     const close = openSpan(leavings, { server: backend.id });
     leave(backend);
-    await wait(LEAVING_MS + fault.forMs);
+    await delay(LEAVING_MS + fault.forMs);
     close();
     backend.register();
   };
@@ -99,14 +95,14 @@
   }),
   'router-paused': taking(async (router, { forMs }) => {
     router.pause();
-    await wait(forMs);
+    await delay(forMs);
     router.resume();
   }),
   'settings-signal': taking(async (router) => router.hangUp()),
   'store-down': async ({ store, storeDisturbances }, { forMs }) => {
     const close = openSpan(storeDisturbances, {});
     store.setDown(true);
-    await wait(forMs);
+    await delay(forMs);
     store.setDown(false);
     close();
   },
@@ -115,9 +111,9 @@
     store.setDown(true);
     // All entries lapse; live servers renew them within two seconds of the return.
     backends.forEach((backend) => backend.deregister());
-    await wait(Math.max(forMs, 3200));
+    await delay(Math.max(forMs, 3200));
     store.setDown(false);
-    await wait(1000);
+    await delay(1000);
     backends.forEach((backend) => backend.register());
     close();
   },
@@ -136,12 +132,12 @@
   'server-hangs': behaving(Behaviour.Hang),
   'server-resets': behaving(Behaviour.Reset),
   'server-breaks': behaving(Behaviour.Break),
-  'server-born-again': async ({ backends, leavings }, fault) => {
+  'server-restarted': async ({ backends, leavings }, fault) => {
     const backend = pickOf(backends, fault);
     const away = leavings.some(
       ({ server, untilMs }) => server === backend.id && untilMs > performance.now(),
     );
-    if (!away) backend.bearAgain();
+    if (!away) backend.restart();
   },
   'server-drains': leaving((backend) => backend.register('draining')),
   'server-leaves': leaving((backend) => backend.deregister()),
--- a/packages/edge/test/soak/operator.ts
+++ b/packages/edge/test/soak/operator.ts
@@ -16,14 +16,8 @@
   breaches: Breach[];
 }
 
-const HOST = {
-  host: 'a.example',
-  timeoutMs: 2500,
-  sloMs: 1000,
-  priority: 1,
-  maxAttempts: 2,
-  service: 's1',
-};
+/** Below the deadline of callers, so that the router's own time-out is played too. */
+const TIMEOUT_MS = 2500;
 
 /** Creates the operator and writes the first configuration. */
 export function createOperator(
@@ -37,12 +31,12 @@
 
   function write(): void {
     const { routes } = sampleDocument();
-    const talk = { ...HOST, name: 'talk', pathPrefix: '/talk/', type: 'streaming' };
+    const any = { ...routes.find(({ name }) => name === 'any')!, timeoutMs: TIMEOUT_MS };
+    const talk = { ...any, name: 'talk', pathPrefix: '/talk/', type: 'streaming' };
     const added = Array.from({ length: version - 1 }, (_none, index) => ({
-      ...HOST,
+      ...any,
       name: `added-${index + 2}`,
       pathPrefix: `/added-${index + 2}/`,
-      type: 'safe',
     }));
     store.put('config', 'main', sampleDocument(version, { routes: [...routes, talk, ...added] }));
   }
@@ -53,14 +47,10 @@
   }
 
   async function lookAt(router: Router): Promise<void> {
-    const name = `${router.name}#${router.incarnation()}`;
+    const name = router.processName();
     const wanted = version;
     const seen = shown.get(name) ?? 1;
-    if (
-      seen > 1 &&
-      (await shows(router, seen)) === false &&
-      router.incarnation() === Number(name.split('#')[1])
-    ) {
+    if (seen > 1 && (await shows(router, seen)) === false && router.processName() === name) {
       breaches.push({ promise: 'configurations never revert', detail: `${name}, version ${seen}` });
     }
     if (wanted > 1 && (await shows(router, wanted)) === true) shown.set(name, wanted);
--- a/packages/edge/test/soak/promises.ts
+++ b/packages/edge/test/soak/promises.ts
@@ -1,7 +1,7 @@
 /** What the fleet promises, checked from what callers and backend servers saw. */
 import { answerBody, STREAM_EVENTS, streamEvent } from './backends.js';
 import { DEADLINE_MS } from './callers.js';
-import { RouteKind } from './types.js';
+import { RouteKind, routerOf } from './types.js';
 import type { Breach, Call, Disturbance, Leaving, Run } from './types.js';
 
 /** Everything that was seen. */
@@ -64,12 +64,24 @@
   return counts;
 }
 
+/** Whether a disturbance, with what follows it for `afterMs`, meets a time. */
+function meets(
+  spans: readonly Disturbance[],
+  { fromMs, untilMs }: Disturbance,
+  afterMs: number,
+): boolean {
+  return spans.some((span) => span.fromMs <= untilMs && span.untilMs + afterMs >= fromMs);
+}
+
+/** Disturbances of the router that took a call. */
+function routerSpans(seen: Seen, call: Call): readonly Disturbance[] {
+  return seen.disturbances.get(routerOf(call.router)) ?? [];
+}
+
 /** Whether the router of a call was disturbed while it was open. */
-export function wasDisturbed(seen: Seen, call: Call, fromMs = call.sentAtMs): boolean {
-  const spans = seen.disturbances.get(call.router.split('#')[0]!) ?? [];
-  return spans.some(
-    (span) => span.fromMs <= call.endedAtMs && span.untilMs + AFTER_DISTURBANCE_MS >= fromMs,
-  );
+function wasDisturbed(seen: Seen, call: Call): boolean {
+  const open = { fromMs: call.sentAtMs, untilMs: call.endedAtMs };
+  return meets(routerSpans(seen, call), open, AFTER_DISTURBANCE_MS);
 }
 
 function checkTime(seen: Seen, call: Call): string | undefined {
@@ -86,11 +98,7 @@
   return 'connection closed without an answer after the request ran';
 }
 
-function overlaps(spans: readonly Disturbance[], fromMs: number, untilMs: number): boolean {
-  return spans.some((span) => span.fromMs <= untilMs && span.untilMs + NOTICE_MS >= fromMs);
-}
-
-/** Work that a leaving server got after its bound, from a router that could know. Faults of the store in another stay excuse. */
+/** Work that a leaving server got after its bound, from a router that could know. */
 export function findWorkAfterLeaving(seen: Seen): Breach[] {
   const calls = new Map(seen.calls.map((call) => [call.attemptId, call]));
   return seen.leavings.flatMap(({ server, fromMs, untilMs }) =>
@@ -98,9 +106,8 @@
       const call = calls.get(run.attemptId);
       const late = call !== undefined && call.sentAtMs > fromMs + LEAVING_BOUND_MS;
       if (run.server !== server || !late || run.atMs > untilMs) return [];
-      const ofRouter = seen.disturbances.get(call.router.split('#')[0]!) ?? [];
-      const excused = [ofRouter, seen.storeDisturbances].some((spans) =>
-        overlaps(spans, fromMs, run.atMs),
+      const excused = [routerSpans(seen, call), seen.storeDisturbances].some((spans) =>
+        meets(spans, { fromMs, untilMs: run.atMs }, NOTICE_MS),
       );
       if (excused) return [];
       const detail = `${server}, ${Math.round(run.atMs - fromMs)} ms later (${call.attemptId} at ${call.router})`;
--- a/packages/edge/test/soak/proxy.ts
+++ b/packages/edge/test/soak/proxy.ts
@@ -1,6 +1,7 @@
 /** A loopback proxy that delays, resets, silences or cuts one way. */
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { listenOn } from '@kingcupsill/runtime';
 
 /** How bytes pass. */
 export const ProxyMode = {
@@ -74,12 +75,10 @@
       });
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  const port = await listenOn(server, { host: '127.0.0.1', port: 0 });
 
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     setMode(next) {
       const lost = mode === ProxyMode.Silent || mode === ProxyMode.OneWay;
       mode = next;
--- a/packages/edge/test/soak/routers.ts
+++ b/packages/edge/test/soak/routers.ts
@@ -1,13 +1,13 @@
 /** Routers of the soak: real processes, each with its own way to the store. It ends only processes that it started, by id. */
-import { spawn } from 'node:child_process';
-import type { ChildProcess } from 'node:child_process';
-import { createWriteStream } from 'node:fs';
-import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { ProcessRole, startProcess } from '@kingcupsill/bench';
+import type { Settings } from '@kingcupsill/bench';
 import { freePort } from '../standins/deployment.js';
 import { createProxy } from './proxy.js';
 import type { Proxy } from './proxy.js';
+import { openSpan, processName } from './types.js';
 import type { Disturbance } from './types.js';
 
 export interface Router {
@@ -16,131 +16,109 @@
   storeProxy: Proxy;
   /** Spans in which its process did not run as it should. */
   disturbances: Disturbance[];
-  /** Number of its process, by which what one process has seen can be told from what the next one has. */
-  incarnation(): number;
+  processName(): string;
   kill(): Promise<void>;
   /** SIGTERM; resolves when it has ended. */
   stop(): Promise<void>;
   pause(): void;
   resume(): void;
   hangUp(): void;
+  /** Starts its next process; resolves when that is ready. */
   start(): Promise<void>;
-  ready(): Promise<boolean>;
   close(): Promise<void>;
 }
 
 /** Time in which the next process of a router must be ready. */
 const START_TIMEOUT_MS = 10_000;
-export const GRACE_S = 4;
+const GRACE_S = 4;
+/** The platform kills at the end of the grace period; a loaded machine gets a second more. */
+const KILL_AFTER_MS = GRACE_S * 1000 + 1000;
 
-function settingsText(name: string, addresses: Record<string, string>): string {
-  return [
-    `[process]\nid = ${name}\nzone = z1\nzone_regions = z1=r1`,
-    `[callers]\naddress = ${addresses.callers}\nreadiness_address = ${addresses.readiness}`,
-    `[peers]\naddress = ${addresses.peers}`,
-    `[admin]\naddress = ${addresses.admin}`,
-    `[store]\naddress = ${addresses.store}\nheartbeat_ms = 1200`,
-    `[shutdown]\ngrace_s = ${GRACE_S}`,
-    '[repeats]\nratio = 0.2\nburst = 50\nwindow_s = 10',
-    '[shares]\nwindow_s = 4\n',
-  ].join('\n');
+async function drawSettings(name: string, storePort: number): Promise<Settings> {
+  const own = async () => `127.0.0.1:${await freePort()}`;
+  return {
+    process: { id: name, zone: 'z1', zone_regions: 'z1=r1' },
+    callers: { address: await own(), readiness_address: await own() },
+    peers: { address: await own() },
+    admin: { address: await own() },
+    store: { address: `127.0.0.1:${storePort}`, heartbeat_ms: 1200 },
+    shutdown: { grace_s: GRACE_S },
+    repeats: { ratio: 0.2, burst: 50, window_s: 10 },
+    shares: { window_s: 4 },
+  };
 }
 
-function ended(child: ChildProcess): Promise<void> {
-  if (child.exitCode !== null || child.signalCode !== null) return Promise.resolve();
-  return new Promise((resolve) => {
-    child.once('exit', () => resolve());
-  });
+async function untilReady(address: string): Promise<void> {
+  const deadline = performance.now() + START_TIMEOUT_MS;
+  const ready = () =>
+    fetch(`http://${address}/readyz`, { signal: AbortSignal.timeout(500) })
+      .then(({ status }) => status === 200)
+      .catch(() => false);
+  while (!(await ready()) && performance.now() < deadline) await delay(50);
 }
 
 /** Starts a router; its log goes to a file in `dir`. */
 export async function createRouter(name: string, storePort: number, dir: string): Promise<Router> {
-  const script = fileURLToPath(new URL('../../dist/bin/edge.js', import.meta.url));
   const storeProxy = await createProxy(storePort);
-  const own = async () => `127.0.0.1:${await freePort()}`;
-  const addresses = {
-    callers: await own(),
-    readiness: await own(),
-    peers: await own(),
-    admin: await own(),
-    store: `127.0.0.1:${storeProxy.port}`,
-  };
-  const file = join(dir, `${name}.ini`);
-  await writeFile(file, settingsText(name, addresses));
-  const log = createWriteStream(join(dir, `${name}.log`));
+  const settings = await drawSettings(name, storeProxy.port);
   const disturbances: Disturbance[] = [];
-  let incarnation = 0;
-  let child: ChildProcess;
-
-  async function ready(): Promise<boolean> {
-    return fetch(`http://${addresses.readiness}/readyz`, { signal: AbortSignal.timeout(500) })
-      .then(({ status }) => status === 200)
-      .catch(() => false);
-  }
+  let incarnation = 1;
+  let calm: () => void = () => undefined;
 
   function disturbed(): void {
-    disturbances.push({ fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY });
+    calm = openSpan(disturbances, {});
   }
 
-  function calm(): void {
-    disturbances.forEach((span) => {
-      span.untilMs = Math.min(span.untilMs, performance.now());
-    });
-  }
-
-  async function start(): Promise<void> {
-    incarnation += 1;
-    child = spawn(process.execPath, [script, '--config', file], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
-    child.stdout?.pipe(log, { end: false });
-    child.stderr?.pipe(log, { end: false });
-    const deadline = performance.now() + START_TIMEOUT_MS;
-    while (!(await ready()) && performance.now() < deadline) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, 50);
-      });
-    }
-    calm();
-  }
-
-  async function end(signal: NodeJS.Signals): Promise<void> {
-    disturbed();
-    const last = child;
-    last.kill(signal);
-    // A paused process takes no signal but this one.
-    last.kill('SIGCONT');
-    const timer = setTimeout(() => last.kill('SIGKILL'), GRACE_S * 1000 + 1000);
-    await ended(last);
-    clearTimeout(timer);
-  }
+  const running = await startProcess({
+    name,
+    role: ProcessRole.Router,
+    zone: 'z1',
+    region: 'r1',
+    script: fileURLToPath(new URL('../../dist/bin/edge.js', import.meta.url)),
+    settings,
+    settingsFile: join(dir, `${name}.ini`),
+    portSettings: {},
+    logFile: join(dir, `${name}.log`),
+  });
+  const readiness = String(settings.callers!.readiness_address);
+  await untilReady(readiness);
 
-  await start();
   return {
     name,
-    address: addresses.callers,
+    address: String(settings.callers!.address),
     storeProxy,
     disturbances,
-    incarnation: () => incarnation,
-    kill: () => end('SIGKILL'),
-    stop: () => end('SIGTERM'),
+    processName: () => processName(name, incarnation),
+    async kill() {
+      disturbed();
+      await running.kill();
+    },
+    async stop() {
+      disturbed();
+      const timer = setTimeout(running.kill, KILL_AFTER_MS);
+      await running.drain();
+      clearTimeout(timer);
+    },
     pause() {
       disturbed();
-      child.kill('SIGSTOP');
+      running.pause();
     },
     resume() {
-      child.kill('SIGCONT');
+      running.resume();
       calm();
     },
     hangUp() {
-      child.kill('SIGHUP');
+      if (running.pid !== undefined) process.kill(running.pid, 'SIGHUP');
+    },
+    async start() {
+      incarnation += 1;
+      await running.restart();
+      await untilReady(readiness);
+      calm();
     },
-    start,
-    ready,
     async close() {
-      await end('SIGKILL');
+      await running.kill();
       storeProxy.close();
-      log.end();
     },
   };
 }
--- a/packages/edge/test/soak/run-soak.ts
+++ b/packages/edge/test/soak/run-soak.ts
@@ -2,6 +2,7 @@
 import { mkdtemp } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from '@kingcupsill/bench';
 import { createStoreStandin } from '../standins/store-standin.js';
 import { createBackend } from './backends.js';
@@ -44,11 +45,6 @@
 const SERVED_AFTER = 0.9;
 const CALM_MS = 1500;
 
-const wait = (ms: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Plays one seed to its end and closes all that it started. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, lengthMs, routers: routerCount = 3, servers = 6, callers: count = 24 } = options;
@@ -78,7 +74,7 @@
     leavings: [],
   };
   const playing = faults.map(async (fault) => {
-    await wait(fault.atMs);
+    await delay(fault.atMs);
     options.onFault?.(fault);
     await playFault(targets, fault);
   });
@@ -86,13 +82,13 @@
   const looks = (async () => {
     while (looking) {
       await operator.look();
-      await wait(LOOK_PERIOD_MS);
+      await delay(LOOK_PERIOD_MS);
     }
   })();
   await Promise.all(playing);
-  await wait(SETTLE_MS);
+  await delay(SETTLE_MS);
   const calmFromMs = performance.now();
-  await wait(CALM_MS);
+  await delay(CALM_MS);
   const calmUntilMs = performance.now();
   await operator.lookAtEnd();
   looking = false;
--- a/packages/edge/test/soak/types.ts
+++ b/packages/edge/test/soak/types.ts
@@ -20,11 +20,22 @@
 } as const;
 export type RouteKind = (typeof RouteKind)[keyof typeof RouteKind];
 
+/** Name of one process of a router: what it has seen can be told from what the next one has. */
+export function processName(router: string, incarnation: number): string {
+  return `${router}#${incarnation}`;
+}
+
+/** Name of the router that a process belongs to. */
+export function routerOf(process: string): string {
+  return process.slice(0, process.lastIndexOf('#'));
+}
+
 /** One request as its caller saw it. */
 export interface Call {
   attemptId: string;
   kind: RouteKind;
   path: string;
+  /** Process that it was sent to. */
   router: string;
   sentAtMs: number;
   endedAtMs: number;
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -1,6 +1,7 @@
 /** A router, its store and backend servers on loopback. */
 import { Agent, request } from 'node:http';
 import { createServer } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { RunningProcess } from '@kingcupsill/runtime';
 import { Registry } from 'prom-client';
 import { startEdge } from '../../src/index.js';
@@ -121,9 +122,7 @@
   const deadline = Date.now() + 10_000;
   while (!(await check())) {
     if (Date.now() > deadline) throw new Error('condition not met in 10 s');
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
+    await delay(10);
   }
 }
 
--- a/packages/edge/test/standins/server-standin.ts
+++ b/packages/edge/test/standins/server-standin.ts
@@ -1,7 +1,8 @@
 /** Stand-in of a backend server on the platform: each test says how it answers. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { listenOn } from '@kingcupsill/runtime';
 
 /** One request that arrived. */
 export interface Arrival {
@@ -61,11 +62,9 @@
       onArrival(arrival);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  const port = await listenOn(server, { host: '127.0.0.1', port: 0 });
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     arrivals,
     dropped,
     close() {
--- a/packages/edge/test/standins/store-standin.ts
+++ b/packages/edge/test/standins/store-standin.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the platform's store: objects by kind, listings, watches, and the ways in which it fails. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { listenOn } from '@kingcupsill/runtime';
 
 interface StoredObject {
   metadata: { name: string; revision: number };
@@ -142,12 +142,10 @@
       void watch(res, kind!, Number(query.get('watch')), Number(query.get('waitMs')));
     } else list(res, kind!, query.get('afterRevision') ?? '');
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
+  const port = await listenOn(server, { host: '127.0.0.1', port: 0 });
 
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     put(kind, name, spec) {
       put(kind, name, spec);
     },
--- a/packages/runtime/src/http-server/listen.ts
+++ b/packages/runtime/src/http-server/listen.ts
@@ -1,6 +1,6 @@
-/** Listening and closing of HTTP servers. */
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+/** Listening and closing of servers. */
+import type { Server as HttpServer } from 'node:http';
+import type { AddressInfo, Server } from 'node:net';
 
 /** Where a server listens. */
 export interface ListenAddress {
@@ -21,7 +21,7 @@
 }
 
 /** Stops listening and ends open connections; resolves when all have ended. */
-export function closeServer(server: Server): Promise<void> {
+export function closeServer(server: HttpServer): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
     server.closeAllConnections();
