Follow the new rules: a restored store, leaving servers, requested pauses, responses without end

Cause: positions in the store's changes carried no era, so changes after a restore from an older copy were missed and a draining server could be listed as ready again; what servers state about themselves (leaving, Retry-After) was ignored; an event without an end was searched in quadratic time without a bound, and rejections were drained without a limit.

Change: every answer of the store is checked against its era, which belongs to positions; a later era lists all kinds again, brings back no run that leaves, and keeps live servers until they write themselves again; a router registers again when its entry is gone. A server that states it leaves gets nothing new from this router and, by reports, from its peers; one that asks for a pause gets nothing until then, and a pool that is all paused refuses with the earliest time. Events, buffered and discarded bodies, interim responses and store answers have bounds in bytes; buffered responses share a budget.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -6,6 +6,7 @@
   PromptPart,
   RefusalCode,
   RequestAttributes,
+  ServerAnnouncement,
 } from './types.js';
 
 /** Load that a router has put on one backend server. */
@@ -26,6 +27,8 @@
   loads: ReportedServerLoad[];
   /** Requested and served tokens of each account since the router's start. */
   accounts: [account: string, requestedTokens: number, servedTokens: number][];
+  /** Keys of servers that have stated that they leave. */
+  leaving: string[];
 }
 
 interface Timed {
@@ -37,6 +40,9 @@
   (
     | { kind: 'configured'; config: FleetConfig }
     | { kind: 'servers-listed'; entries: BackendServerEntry[] }
+    /** The store has been restored from an older copy; listings may lack changes that it had acknowledged. */
+    | { kind: 'store-restored' }
+    | { kind: 'server-announced'; serverKey: string; announcement: ServerAnnouncement }
     | { kind: 'server-changed'; entry: BackendServerEntry }
     | { kind: 'server-removed'; id: string }
     | { kind: 'store-answered' }
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -120,8 +120,15 @@
   };
 }
 
-/** After failed connections, a server gets one probe request at a time once its backoff has elapsed. */
-function isAvailable({ health, unansweredAttempts }: ServerState, nowMs: number): boolean {
+/**
+ * A server gets nothing until the time that it has asked for is over. After failed connections, it gets one probe request at a
+ * time once its backoff has elapsed.
+ */
+function isAvailable(
+  { health, unansweredAttempts, deferredUntilMs }: ServerState,
+  nowMs: number,
+): boolean {
+  if (nowMs < deferredUntilMs) return false;
   const avoidUntilMs = health.avoidUntilMs();
   return avoidUntilMs === 0 || (nowMs >= avoidUntilMs && unansweredAttempts === 0);
 }
@@ -137,6 +144,19 @@
     }));
 }
 
+/** Time until the first server that has asked for a pause takes requests again; undefined if none has asked. */
+export function remainingDeferralMs(
+  state: DirectState,
+  service: string,
+  nowMs: number,
+): number | undefined {
+  const waitsMs = state.registry
+    .listAvailable(service)
+    .map(({ key }) => (state.servers.get(key)?.deferredUntilMs ?? 0) - nowMs)
+    .filter((waitMs) => waitMs > 0);
+  return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined;
+}
+
 /** Selects the server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort. */
 export function chooseServer(
   state: DirectState,
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -36,6 +36,11 @@
   return [{ kind: 'note', event: 'configuration-in-force', fields }];
 }
 
+/** @param source who stated it: the server's own answer or a peer */
+function noteLeaving(server: string, source: 'answer' | 'peer'): DirectEffect {
+  return { kind: 'note', event: 'server-leaving', fields: { server, source } };
+}
+
 function applyServerChange(state: DirectState, event: EventOf<'server-changed'>): DirectEffect[] {
   const { id, draining, service, zone } = event.entry;
   const removedKeys = state.registry.put(event.entry);
@@ -43,6 +48,35 @@
   return [...removeServers(state, removedKeys), { kind: 'note', event: 'server-changed', fields }];
 }
 
+/** Maximum time for which a server is left alone because it asked for it; a longer one is taken for a mistake. */
+const MAX_DEFERRAL_MS = 300_000;
+
+function applyAnnouncement(
+  state: DirectState,
+  { serverKey, announcement, nowMs }: EventOf<'server-announced'>,
+): DirectEffect[] {
+  const server = state.registry.get(serverKey);
+  if (server === undefined) return [];
+  const { leaving, retryAfterMs, invalidRetryAfter } = announcement;
+  const effects: DirectEffect[] = [];
+  if (leaving && state.registry.markLeaving(serverKey)) {
+    state.leavingNews.push(serverKey);
+    effects.push(noteLeaving(serverKey, 'answer'));
+  }
+  if (retryAfterMs !== undefined) {
+    const serverState = getServerState(state, server);
+    const deferralMs = Math.min(retryAfterMs, MAX_DEFERRAL_MS);
+    serverState.deferredUntilMs = Math.max(serverState.deferredUntilMs, nowMs + deferralMs);
+    const fields = { server: serverKey, retryAfterMs };
+    effects.push({ kind: 'note', event: 'server-deferred', fields });
+  }
+  if (invalidRetryAfter !== undefined) {
+    const fields = { server: serverKey, retryAfter: invalidRetryAfter };
+    effects.push({ kind: 'note', event: 'retry-after-malformed', fields });
+  }
+  return effects;
+}
+
 /** Maximum number of engines queried at startup; in larger pools, the nearest engines are queried. */
 const MAX_CACHE_QUERIES = 64;
 
@@ -79,6 +113,11 @@
     return removeServers(state, state.registry.replaceAll(entries, nowMs));
   },
   'server-changed': applyServerChange,
+  'server-announced': applyAnnouncement,
+  'store-restored': (state, { nowMs }) => {
+    state.registry.recordRestore(nowMs);
+    return [];
+  },
   'server-removed': (state, { id, nowMs }) =>
     removeServers(state, state.registry.remove(id, nowMs)),
   'store-answered': (state, { nowMs }) => {
@@ -94,10 +133,8 @@
     onAttemptEnded(state, attempt, outcome, detail, nowMs),
   'caller-left': (state, { request, nowMs }) => onCallerLeft(state, request, nowMs),
   'kept-listed': recordCacheContents,
-  'peer-report': (state, { report, nowMs }) => {
-    applyPeerReport(state, report, nowMs);
-    return [];
-  },
+  'peer-report': (state, { report, nowMs }) =>
+    applyPeerReport(state, report, nowMs).map((key) => noteLeaving(key, 'peer')),
   'peer-gone': (state, { router }) => {
     removePeer(state, router);
     return [];
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -3,8 +3,11 @@
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
 
-/** Applies a peer's report. Unregistered servers are skipped; later reports repeat their running requests. */
-export function applyPeerReport(state: DirectState, report: RouterReport, nowMs: number): void {
+/**
+ * Applies a peer's report. Unregistered servers are skipped; later reports repeat their running requests. Returns the keys of the
+ * servers that are now known to leave.
+ */
+export function applyPeerReport(state: DirectState, report: RouterReport, nowMs: number): string[] {
   report.loads.forEach((load) => {
     const server = state.registry.get(load.serverKey);
     if (server === undefined) return;
@@ -15,6 +18,7 @@
   report.accounts.forEach(([account, requested, served]) => {
     state.accountUsage.recordPeerTotals(report.router, account, { requested, served }, nowMs);
   });
+  return report.leaving.filter((serverKey) => state.registry.markLeaving(serverKey));
 }
 
 /** Removes a disconnected peer together with its running requests. */
@@ -92,7 +96,9 @@
         reportLoad(key, serverState, isFull),
       );
       const accounts = isFull ? reportAccounts(state) : [];
-      return loads.length + accounts.length > 0 ? { router, loads, accounts } : undefined;
+      const leaving = state.leavingNews.splice(0);
+      const hasNews = loads.length + accounts.length + leaving.length > 0;
+      return hasNews ? { router, loads, accounts, leaving } : undefined;
     },
   };
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,7 +1,7 @@
 /** Event handlers for requests and their attempts. */
 import { admit } from './admission.js';
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
-import { chooseServer } from './placement.js';
+import { chooseServer, remainingDeferralMs } from './placement.js';
 import type { Candidate } from './placement.js';
 import { ownTokens, sharedParts } from './prompt-parts.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
@@ -39,6 +39,20 @@
   return { status: 503, code, ran: 'no', retryAfterMs };
 }
 
+/** Jitter of `Retry-After` after a pause that servers asked for: callers that were refused together come back spread out. */
+const DEFERRAL_JITTER = 0.5;
+
+function createNoServerRefusal(
+  state: DirectState,
+  { service }: RequestAttributes,
+  draw: number,
+  nowMs: number,
+): Refusal {
+  const deferralMs = remainingDeferralMs(state, service, nowMs) ?? 0;
+  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, deferralMs * (1 + DEFERRAL_JITTER * draw));
+  return createNotRunRefusal(RefusalCode.NoServer, retryAfterMs);
+}
+
 function countTokens(
   { totals }: DirectState,
   attributes: RequestAttributes,
@@ -146,14 +160,8 @@
   if (attributes.account !== undefined)
     state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
   const best = chooseServer(state, attributes, [], nowMs);
-  if (best === undefined) {
-    return refuse(
-      state,
-      request,
-      createNotRunRefusal(RefusalCode.NoServer, NO_SERVER_RETRY_MS),
-      {},
-    );
-  }
+  if (best === undefined)
+    return refuse(state, request, createNoServerRefusal(state, attributes, draw, nowMs), {});
   const admission = admit(attributes, best, shareUsed, draw);
   const decisionInputs = {
     ...describeCandidate(best),
--- a/packages/core/src/direct/server-registry.ts
+++ b/packages/core/src/direct/server-registry.ts
@@ -1,4 +1,12 @@
-/** Registry of the backend servers and their availability, from the entries in the store; tolerates outages of the store. */
+/**
+ * Registry of the backend servers and their availability, from the entries in the store and from the servers' own statements.
+ * Precedence, highest first:
+ * 1. A run that has stated that it leaves gets no new requests, whatever the store lists later.
+ * 2. Entries removed before a restore of the store stay removed until their server writes them again.
+ * 3. Entries missing after an outage or a restore stay in use for the time in which live servers renew them.
+ * 4. The latest entry in the store.
+ */
+import { createBoundedSet } from './bounded-set.js';
 import type { BackendServerEntry } from './types.js';
 
 /** Registered run of a backend server. */
@@ -8,6 +16,8 @@
   entry: BackendServerEntry;
   /** Time at which a server whose entry is missing is removed; undefined while its entry is in the store. */
   removeAtMs: number | undefined;
+  /** True once the server has stated that it leaves; final for this run. */
+  leaving: boolean;
 }
 
 /** Options of the registry. */
@@ -29,6 +39,10 @@
   replaceAll(entries: readonly BackendServerEntry[], nowMs: number): string[];
   /** Records an answer of the store, which detects the end of an outage. */
   recordStoreAnswer(nowMs: number): void;
+  /** Records that the store was restored from an older copy; the next listing may be older than the known entries. */
+  recordRestore(nowMs: number): void;
+  /** Records that the server itself or a peer has stated that this run leaves. Returns whether that is new. */
+  markLeaving(key: string): boolean;
   /** Removes the servers whose grace period has ended. */
   expire(nowMs: number): string[];
   /** Returns the servers of a service that accept new requests. */
@@ -42,6 +56,9 @@
   return `${entry.id}@${entry.startedAtMs}`;
 }
 
+/** Number of removed and of leaving runs that are remembered, a few times those that leave within a store's copy age. */
+const MAX_REMEMBERED_KEYS = 4096;
+
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
   const { outageThresholdMs, renewalGraceMs } = options;
@@ -50,19 +67,34 @@
   const availableByService = new Map<string, RegisteredServer[]>();
   let lastAnswerMs: number | undefined;
   let graceEndMs = Number.NEGATIVE_INFINITY;
+  const leavingKeys = createBoundedSet(MAX_REMEMBERED_KEYS);
+  const removedKeys = createBoundedSet(MAX_REMEMBERED_KEYS);
+  let expectsOlderListing = false;
 
   function unregister(server: RegisteredServer): string {
     byId.delete(server.entry.id);
     byKey.delete(server.key);
     availableByService.clear();
+    removedKeys.add(server.key);
     return server.key;
   }
 
+  function markLeaving(key: string): boolean {
+    if (leavingKeys.has(key)) return false;
+    leavingKeys.add(key);
+    const server = byKey.get(key);
+    if (server !== undefined) server.leaving = true;
+    availableByService.clear();
+    return server !== undefined;
+  }
+
   function put(entry: BackendServerEntry): string[] {
     const key = serverKey(entry);
     const previous = byId.get(entry.id);
     const replaced = previous !== undefined && previous.key !== key ? [unregister(previous)] : [];
-    const server = { key, entry, removeAtMs: undefined };
+    removedKeys.remove(key);
+    if (entry.draining) leavingKeys.add(key);
+    const server = { key, entry, removeAtMs: undefined, leaving: leavingKeys.has(key) };
     byId.set(entry.id, server);
     byKey.set(key, server);
     availableByService.clear();
@@ -78,16 +110,27 @@
   }
 
   function replaceAll(entries: readonly BackendServerEntry[], nowMs: number): string[] {
-    const listedIds = new Set(entries.map(({ id }) => id));
+    const current = expectsOlderListing ? entries.filter((entry) => !isOutdated(entry)) : entries;
+    expectsOlderListing = false;
+    const listedIds = new Set(current.map(({ id }) => id));
     const missingIds = [...byId.keys()].filter((id) => !listedIds.has(id));
-    return [...missingIds.flatMap((id) => remove(id, nowMs)), ...entries.flatMap(put)];
+    return [...missingIds.flatMap((id) => remove(id, nowMs)), ...current.flatMap(put)];
+  }
+
+  /** Returns whether the entry of a restored store is older than what is known about its server. */
+  function isOutdated(entry: BackendServerEntry): boolean {
+    const known = byId.get(entry.id);
+    return (
+      removedKeys.has(serverKey(entry)) ||
+      (known !== undefined && known.entry.startedAtMs > entry.startedAtMs)
+    );
   }
 
   function listAvailable(service: string): readonly RegisteredServer[] {
     let servers = availableByService.get(service);
     if (servers === undefined) {
       servers = [...byId.values()].filter(
-        ({ entry }) => entry.service === service && !entry.draining,
+        ({ entry, leaving }) => entry.service === service && !leaving,
       );
       availableByService.set(service, servers);
     }
@@ -99,6 +142,11 @@
     remove,
     replaceAll,
     listAvailable,
+    markLeaving,
+    recordRestore(nowMs) {
+      expectsOlderListing = true;
+      graceEndMs = nowMs + renewalGraceMs;
+    },
     recordStoreAnswer(nowMs) {
       if (lastAnswerMs !== undefined && nowMs - lastAnswerMs >= outageThresholdMs) {
         graceEndMs = nowMs + renewalGraceMs;
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -19,6 +19,8 @@
   load: ServerLoad;
   /** Number of this router's attempts whose answer hasn't begun. */
   unansweredAttempts: number;
+  /** Time until which the server has asked this router to send nothing; 0 if it hasn't. */
+  deferredUntilMs: number;
   /** Prompt parts sent to the server since the last report to peers. */
   unreportedParts: PromptPart[];
 }
@@ -86,6 +88,8 @@
   hasServerList: boolean;
   /** True once the cache contents of the engines have been requested. */
   cachesRequested: boolean;
+  /** Keys of servers that have stated that they leave, until the next report to peers. */
+  leavingNews: string[];
   servers: Map<string, ServerState>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
@@ -115,6 +119,7 @@
     registry: createServerRegistry(options.registry),
     hasServerList: false,
     cachesRequested: false,
+    leavingNews: [],
     servers: new Map(),
     requests: new Map(),
     attempts: new Map(),
@@ -158,6 +163,7 @@
       health: createServerHealth(),
       load,
       unansweredAttempts: 0,
+      deferredUntilMs: 0,
       unreportedParts: [],
     };
     state.servers.set(server.key, serverState);
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -97,6 +97,16 @@
   startedAtMs: number;
 }
 
+/** What a backend server states about itself in a response. */
+export interface ServerAnnouncement {
+  /** The server is about to exit and wants no new requests. */
+  leaving: boolean;
+  /** Time in milliseconds for which the server wants no requests from this router. */
+  retryAfterMs: number | undefined;
+  /** Stated wait that could not be parsed, for logs. */
+  invalidRetryAfter: string | undefined;
+}
+
 /** Segment of a prompt that engines cache as a unit. */
 export interface PromptPart {
   id: string;
--- a/packages/core/test/direct/large-pool.test.ts
+++ b/packages/core/test/direct/large-pool.test.ts
@@ -55,7 +55,8 @@
       promptParts: [],
     }));
     if (peers.requestsPerStep > 0) {
-      router.dispatch({ kind: 'peer-report', report: { router: 'peer', loads, accounts: [] } });
+      const report = { router: 'peer', loads, accounts: [], leaving: [] };
+      router.dispatch({ kind: 'peer-report', report });
     }
     if ((atMs / stepMs) % peers.stepsPerOwnRequest === 0) {
       const promptParts = [{ id: `own-${atMs}`, tokens: 17_000 }];
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -31,6 +31,7 @@
 import { parseAddress, parseZoneRegions } from './settings.js';
 import { createFeeds } from './store/feeds.js';
 import { registerRouter } from './store/router-registration.js';
+import { createStoreEra } from './store/store-era.js';
 import { createStoreTransport } from './store/store-transport.js';
 import type { EdgeContext, EdgeParts } from './types.js';
 
@@ -93,6 +94,13 @@
     loop: loopPart(ctx),
     transport: transportPart(ctx),
     store: { create: ({ transport }) => createStoreClient(transport.send) },
+    storeEra: {
+      create: ({ loop }) =>
+        createStoreEra((era) => {
+          ctx.logger.warn('store-restored', { era });
+          loop.dispatch({ kind: 'store-restored', nowMs: ctx.clock() });
+        }),
+    },
     loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
     peers: peersPart(ctx),
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -51,8 +51,14 @@
   // Kept separately from the exchanges, since an attempt is cancelled after its exchange has been removed.
   const attempts = new Map<string, RunningAttempt>();
 
-  function createListener({ attempt, request }: SendEffect, exchange: Exchange): AttemptListener {
+  function createListener(
+    { attempt, request, serverKey }: SendEffect,
+    exchange: Exchange,
+  ): AttemptListener {
     return {
+      onAnnounced(announcement) {
+        parts.loop.dispatch({ kind: 'server-announced', serverKey, announcement, nowMs: clock() });
+      },
       onBegun() {
         const nowMs = clock();
         if (!exchange.responseStarted) {
@@ -100,6 +106,10 @@
       port,
     }: Extract<DirectEffect, { kind: 'list-kept' }>) => {
       const result = await listCachedParts(parts.connections, host, port);
+      const { announcement } = result;
+      if (announcement !== undefined) {
+        parts.loop.dispatch({ kind: 'server-announced', serverKey, announcement, nowMs: clock() });
+      }
       if (result.ok) {
         const event = { kind: 'kept-listed' as const, serverKey, promptParts: result.value };
         parts.loop.dispatch({ ...event, nowMs: clock() });
--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -1,6 +1,6 @@
 /** HTTP call with a timeout and a buffered response. */
 import { request } from 'node:http';
-import type { Agent } from 'node:http';
+import type { Agent, IncomingHttpHeaders } from 'node:http';
 
 /** HTTP call. */
 export interface HttpCall {
@@ -11,11 +11,14 @@
   path: string;
   body?: string | undefined;
   timeoutMs: number;
+  /** Maximum size of the response's body. */
+  maxBytes: number;
 }
 
 /** Response, or the reason why there is none. */
 export type HttpCallResult =
-  { ok: true; status: number; body: string } | { ok: false; detail: string };
+  | { ok: true; status: number; headers: IncomingHttpHeaders; body: string }
+  | { ok: false; detail: string };
 
 /**
  * Sends a call. The promise never rejects. A timeout closes the connection, so that a late response isn't taken for that of the
@@ -44,13 +47,18 @@
 
     req.on('response', (res) => {
       const chunks: Buffer[] = [];
-      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let receivedBytes = 0;
+      res.on('data', (chunk: Buffer) => {
+        receivedBytes += chunk.length;
+        if (receivedBytes > call.maxBytes) fail('response too large');
+        else chunks.push(chunk);
+      });
       res.on('error', (err) => fail(err.message));
       res.on('close', () => fail('response ended early'));
       res.on('end', () => {
         if (!res.complete) return;
         const bodyText = Buffer.concat(chunks).toString('utf8');
-        settle({ ok: true, status: res.statusCode!, body: bodyText });
+        settle({ ok: true, status: res.statusCode!, headers: res.headers, body: bodyText });
       });
     });
     req.on('error', (err) => fail(err.message));
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -8,7 +8,13 @@
   sentTokens: number,
   promptParts: [string, number][],
 ];
-type WireReport = [router: string, loads: WireLoad[], accounts: RouterReport['accounts']];
+type WireReport = [
+  router: string,
+  loads: WireLoad[],
+  accounts: RouterReport['accounts'],
+  /** Missing in reports of earlier builds. */
+  leaving?: string[],
+];
 
 /** Encoder and decoder of reports. Decoding throws if the bytes are not a report. */
 export interface ReportCodec {
@@ -28,13 +34,13 @@
 export function createReportCodec(): ReportCodec {
   const packr = new Packr({ useRecords: false });
   return {
-    encode({ router, loads, accounts }) {
-      const wire: WireReport = [router, loads.map(toWire), accounts];
+    encode({ router, loads, accounts, leaving }) {
+      const wire: WireReport = [router, loads.map(toWire), accounts, leaving];
       return packr.pack(wire);
     },
     decode(bytes) {
-      const [router, loads, accounts] = packr.unpack(bytes) as WireReport;
-      return { router, loads: loads.map(fromWire), accounts };
+      const [router, loads, accounts, leaving = []] = packr.unpack(bytes) as WireReport;
+      return { router, loads: loads.map(fromWire), accounts, leaving };
     },
   };
 }
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -4,7 +4,7 @@
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, isCloseDelimited } from './close-delimited.js';
-import { bufferResponse, relayEvents } from './read-response.js';
+import { bufferResponse, discardResponse, relayEvents } from './read-response.js';
 import type { ServerConnections } from './server-connections.js';
 import type {
   AttemptListener,
@@ -16,6 +16,8 @@
 
 /** Connect timeout: a few times the latency between regions, but below the one second after which TCP retransmits a lost SYN. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Maximum number of interim responses (status 1xx) before the final one. */
+const MAX_INTERIM_RESPONSES = 8;
 
 function openRequest(connections: ServerConnections, req: AttemptRequest): ClientRequest {
   if (req.maxIdleMs !== undefined) connections.prune(req.host, req.port, req.maxIdleMs);
@@ -57,6 +59,7 @@
   const clientReq = openRequest(connections, req);
   const isConnected = watchConnection(clientReq, () => fail('connect timeout'));
   let ended = false;
+  let interimResponses = 0;
 
   function end(outcome: AttemptOutcome, detail: string, response?: BufferedResponse): void {
     if (ended) return;
@@ -71,6 +74,8 @@
 
   function onResponse(res: IncomingMessage): void {
     const classification = classifyResponseHead(res, req.attemptId);
+    if (classification.announcement !== undefined)
+      listener.onAnnounced(classification.announcement);
     const detail = `status ${res.statusCode}`;
     if (isCloseDelimited(res)) enableResetDetection(res);
     res.on('error', (err) => fail(err.message));
@@ -78,7 +83,7 @@
     if (classification.isFinal) {
       end(classification.outcome, detail);
       if (classification.outcome === AttemptOutcome.Unknown) clientReq.destroy();
-      else res.resume();
+      else discardResponse(res, () => clientReq.destroy());
       return;
     }
     const handlers = {
@@ -94,11 +99,15 @@
       relayEvents(res, sink, listener, handlers);
     } else {
       listener.onBegun();
-      bufferResponse(res, handlers);
+      bufferResponse(res, connections.responseBudget, handlers);
     }
   }
 
   clientReq.on('response', onResponse);
+  clientReq.on('information', () => {
+    interimResponses += 1;
+    if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
+  });
   clientReq.on('error', (err) => fail(err.message));
   clientReq.on('close', () => fail('connection closed'));
   clientReq.end(req.body);
--- a/packages/edge/src/relay/classify-response-head.ts
+++ b/packages/edge/src/relay/classify-response-head.ts
@@ -1,7 +1,8 @@
 /** Classification of attempts by the head of the backend server's response. */
 import type { IncomingMessage } from 'node:http';
 import { AttemptOutcome } from '@kingcupsill/core/direct';
-import { parseResponseHeaders } from '@kingcupsill/prepared-platform';
+import type { ServerAnnouncement } from '@kingcupsill/core/direct';
+import { parseAnnouncement, parseResponseHeaders } from '@kingcupsill/prepared-platform';
 
 /** Statuses that guarantee callers that the request didn't run. From a backend server, only its not-executed header guarantees that. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -19,6 +20,8 @@
   outcome: AttemptOutcome;
   /** The outcome is certain without the body. */
   isFinal: boolean;
+  /** Undefined if the head states nothing about the server itself. */
+  announcement: ServerAnnouncement | undefined;
 }
 
 function determineOutcome(res: IncomingMessage, attemptId: string | undefined): AttemptOutcome {
@@ -38,5 +41,8 @@
   attemptId: string | undefined,
 ): HeadClassification {
   const outcome = determineOutcome(res, attemptId);
-  return { outcome, isFinal: FINAL_OUTCOMES.has(outcome) };
+  // Another server has taken over the address, so its statements don't concern this one.
+  const isOtherServer = outcome === AttemptOutcome.WrongServer;
+  const announcement = isOtherServer ? undefined : parseAnnouncement(res.statusCode!, res.headers);
+  return { outcome, isFinal: FINAL_OUTCOMES.has(outcome), announcement };
 }
--- a/packages/edge/src/relay/event-splitter.ts
+++ b/packages/edge/src/relay/event-splitter.ts
@@ -13,8 +13,11 @@
   push(chunk: Buffer): CompleteEvents | undefined;
   /** Returns the bytes after the last complete event. */
   remainder(): Buffer;
+  /** Number of bytes after the last complete event. */
+  pendingBytes(): number;
 }
 
+const NEWLINE = 0x0a;
 const EVENT_END = '\n\n';
 const ID_FIELD = '\nid:';
 
@@ -26,22 +29,38 @@
   return text.slice(valueStart, text.indexOf('\n', valueStart)).trim();
 }
 
-/** Creates a splitter. */
+/** Returns the offset behind the last event end in `chunk`, which follows the byte `previous`; 0 if it contains none. */
+function findEventsEnd(chunk: Buffer, previous: number | undefined): number {
+  const boundary = chunk.lastIndexOf(EVENT_END);
+  if (boundary >= 0) return boundary + EVENT_END.length;
+  return previous === NEWLINE && chunk[0] === NEWLINE ? 1 : 0;
+}
+
+/** Creates a splitter. Each byte is searched once and copied once, however long an event is. */
 export function createEventSplitter(): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0);
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
+
+  function keep(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    pending.push(bytes);
+    pendingBytes += bytes.length;
+  }
 
   return {
     push(chunk) {
-      const bytes = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const boundary = bytes.lastIndexOf(EVENT_END);
-      if (boundary < 0) {
-        pending = bytes;
+      const eventsEnd = findEventsEnd(chunk, pending.at(-1)?.at(-1));
+      if (eventsEnd === 0) {
+        keep(chunk);
         return undefined;
       }
-      const complete = bytes.subarray(0, boundary + EVENT_END.length);
-      pending = bytes.subarray(boundary + EVENT_END.length);
-      return { bytes: complete, lastEventId: findLastEventId(complete) };
+      const bytes = Buffer.concat([...pending, chunk.subarray(0, eventsEnd)]);
+      pending = [];
+      pendingBytes = 0;
+      keep(chunk.subarray(eventsEnd));
+      return { bytes, lastEventId: findLastEventId(bytes) };
     },
-    remainder: () => pending,
+    remainder: () => Buffer.concat(pending),
+    pendingBytes: () => pendingBytes,
   };
 }
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -1,11 +1,17 @@
 /** Reading of a backend server's response, either buffered or streamed to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
+import type { ByteBudget } from './byte-budget.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { AttemptListener, BufferedResponse, ResponseSink } from './types.js';
 
 /** Maximum size of a buffered response. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+/** Maximum size of one event of a stream. A server that exceeds it sends no event stream. */
+const MAX_EVENT_BYTES = 256 * 1024;
+/** Maximum size of a body whose content doesn't matter, and maximum time to receive it, before its connection is closed. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const MAX_DISCARD_MS = 1000;
 
 /** Callbacks for a response that is being read. */
 export interface ResponseHandlers {
@@ -15,17 +21,33 @@
   isEnded: () => boolean;
 }
 
+/** Reads and discards a response, so that its connection can be reused. Calls `onExceeded` if it is too large or too slow. */
+export function discardResponse(res: IncomingMessage, onExceeded: () => void): void {
+  let receivedBytes = 0;
+  const timer = setTimeout(onExceeded, MAX_DISCARD_MS);
+  res.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes > MAX_DISCARDED_BYTES) onExceeded();
+  });
+  res.on('close', () => clearTimeout(timer));
+}
+
 /** Buffers a response until it is complete. */
 export function bufferResponse(
   res: IncomingMessage,
-  { onComplete, onFailure }: ResponseHandlers,
+  budget: ByteBudget,
+  { onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
   const chunks: Buffer[] = [];
+  const account = budget.open();
   let receivedBytes = 0;
+  res.on('close', account.close);
   res.on('data', (chunk: Buffer) => {
+    if (isEnded()) return;
     chunks.push(chunk);
     receivedBytes += chunk.length;
     if (receivedBytes > MAX_BUFFERED_BYTES) onFailure('response too large');
+    else if (!account.add(chunk.length)) onFailure('response buffers full');
   });
   res.on('end', () => {
     if (!res.complete) {
@@ -58,6 +80,7 @@
     if (isEnded()) return;
     const events = splitter.push(chunk);
     if (events !== undefined) deliver(events.bytes, events.lastEventId);
+    if (splitter.pendingBytes() > MAX_EVENT_BYTES) onFailure('event too large');
   });
   res.on('end', () => {
     if (isEnded()) return;
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -2,15 +2,21 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
+import { createByteBudget } from './byte-budget.js';
+import type { ByteBudget } from './byte-budget.js';
 
 /** Connection pool. */
 export interface ServerConnections {
   agent: Agent;
+  /** Memory of all buffered responses. */
+  responseBudget: ByteBudget;
   /** Closes connections to a server that have been idle for longer than `idleMs`. */
   prune(host: string, port: number, idleMs: number): void;
   close(): void;
 }
 
+/** Limits of buffered responses: many servers at once may send bodies without end. */
+const RESPONSE_BUDGET = { maxBytes: 32 * 1024 * 1024, freeBytesPerBuffer: 64 * 1024 };
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -80,5 +86,6 @@
     });
   }
 
-  return { agent, prune, close: () => agent.destroy() };
+  const responseBudget = createByteBudget(RESPONSE_BUDGET);
+  return { agent, responseBudget, prune, close: () => agent.destroy() };
 }
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -1,5 +1,5 @@
 /** Types of the relay between callers and backend servers. */
-import type { AttemptOutcome } from '@kingcupsill/core/direct';
+import type { AttemptOutcome, ServerAnnouncement } from '@kingcupsill/core/direct';
 
 /** Complete response that is buffered until the reducer finishes or retries the request. */
 export interface BufferedResponse {
@@ -35,6 +35,8 @@
 
 /** Callbacks of an attempt. */
 export interface AttemptListener {
+  /** The head of a response states something about the server itself. */
+  onAnnounced(announcement: ServerAnnouncement): void;
   /** The response has begun, for a stream with its first event. */
   onBegun(): void;
   onDelivered(lastEventId: string | undefined): void;
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -15,7 +15,7 @@
 import { readRouterAddress } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
-type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'metrics'>;
+type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'storeEra' | 'metrics' | 'registration'>;
 type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs'>;
 type FeedHandlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & FeedTiming;
 
@@ -82,7 +82,12 @@
   };
 }
 
-function routerHandlers(ctx: EdgeContext, { loop }: FeedParts, peers: PeerLinks): FeedHandlers {
+function routerHandlers(
+  ctx: EdgeContext,
+  { loop, registration }: FeedParts,
+  peers: PeerLinks,
+): FeedHandlers {
+  const { id } = ctx.settings().process;
   const addresses = new Map<string, string>();
 
   function addAddress(object: StoreObject): void {
@@ -104,8 +109,10 @@
       addresses.clear();
       objects.forEach(addAddress);
       updateLinks();
+      registration.verify(objects.find(({ name }) => name === id));
     },
     onChanged({ object, removed }) {
+      if (object.name === id) registration.verify(removed ? undefined : object);
       if (removed) addresses.delete(object.name);
       else addAddress(object);
       updateLinks();
@@ -125,6 +132,7 @@
       ...handlers,
       client: parts.store,
       availability,
+      era: parts.storeEra,
       logger: ctx.logger,
       random: ctx.random,
       onCallEnded: parts.metrics.countStoreCall,
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -4,17 +4,21 @@
 import type {
   StoreChange,
   StoreClient,
+  StoreChangeBatch,
   StoreKind,
   StoreObject,
+  StorePosition,
   StoreResult,
 } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
 import type { StoreAvailability } from './store-availability.js';
+import type { StoreEra } from './store-era.js';
 
 /** Options of a feed. */
 export interface ObjectFeedOptions {
   client: StoreClient;
   availability: StoreAvailability;
+  era: StoreEra;
   kind: StoreKind;
   logger: Logger;
   /** Wait that a watch requests from the store; a silent connection is detected when it has passed. */
@@ -67,61 +71,92 @@
     return delayMs * (0.5 + options.random() / 2);
   }
 
-  /** Records the result of a call; logs one line at the first failure and one at the recovery. */
-  function recordResult(result: StoreResult<unknown>): void {
+  /**
+   * Records the result of a call; logs one line at the first failure and one at the recovery. Returns whether the result may be used:
+   * an answer of an era that has ended may not.
+   */
+  function recordResult(result: StoreResult<unknown>): boolean {
+    if (!options.era.observe(result.era)) {
+      options.onCallEnded(kind, 'era-ended');
+      failures += 1;
+      logger.info('store-answer-outdated', { kind, era: result.era });
+      return false;
+    }
     options.onCallEnded(kind, result.ok ? 'ok' : result.failure);
     if (result.ok || result.failure === StoreFailure.HistoryGone) {
       if (failures > 0) logger.info('store-regained', { kind, failures });
       failures = 0;
       availability.reportSuccess();
       options.onResponse();
-      return;
+      return true;
     }
     failures += 1;
     const { failure, detail } = result;
     if (failures === 1) logger.warn('store-lost', { kind, failure, detail });
+    return true;
   }
 
-  async function list(): Promise<number | undefined> {
+  async function list(): Promise<StorePosition | undefined> {
     const objects: StoreObject[] = [];
     let cursor: string | undefined;
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     do {
       const page = await client.listPage(kind, cursor, responseTimeoutMs());
       if (closed) return undefined;
-      recordResult(page);
-      if (!page.ok) return undefined;
-      // The watch starts at the first page's revision, so it returns the changes made during the listing.
-      revision ??= page.value.revision;
+      if (!recordResult(page) || !page.ok) return undefined;
+      // The watch starts at the first page's position, so it returns the changes made during the listing.
+      position ??= inCurrentEra(page.value.position);
+      if (position.era !== options.era.current()) return undefined;
       objects.push(...page.value.objects);
       cursor = page.value.nextCursor;
     } while (cursor !== undefined);
     options.onListed(objects);
-    return revision;
+    return position;
+  }
+
+  /** An answer that states no era is taken to be of the current one. */
+  function inCurrentEra({ era, revision }: StorePosition): StorePosition {
+    return { era: era ?? options.era.current(), revision };
   }
 
-  async function watch(fromRevision: number): Promise<number | undefined> {
+  /** Returns the result of a watch, or undefined if a new era of the store has begun meanwhile. */
+  async function requestChanges(
+    from: StorePosition,
+  ): Promise<StoreResult<StoreChangeBatch> | undefined> {
     const waitMs = failures > 0 ? FAILING_WATCH_WAIT_MS : options.watchWaitMs;
-    const result = await client.watch(kind, fromRevision, waitMs, responseTimeoutMs());
-    if (closed) return undefined;
-    recordResult(result);
+    const nextEra = options.era.waitForNext();
+    const call = client.watch(kind, from, waitMs, responseTimeoutMs());
+    const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
+    nextEra.stop();
+    return result;
+  }
+
+  async function watch(from: StorePosition): Promise<StorePosition | undefined> {
+    const result = await requestChanges(from);
+    if (closed || result === undefined || !recordResult(result)) return undefined;
     if (result.ok) {
-      const { changes, revision } = result.value;
+      const { changes } = result.value;
+      const position = inCurrentEra(result.value.position);
+      // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
+      if (position.era !== from.era) return undefined;
       changes.forEach(options.onChanged);
       if (changes.length > 0) await availability.pause(options.batchDelayMs);
-      return revision;
+      return position;
     }
     if (result.failure === StoreFailure.HistoryGone) {
-      logger.info('store-history-gone', { kind, revision: fromRevision });
+      logger.info('store-history-gone', { kind, revision: from.revision });
       return undefined;
     }
-    return fromRevision;
+    return from;
   }
 
   async function run(): Promise<void> {
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     while (!closed) {
-      revision = revision === undefined ? await list() : await watch(revision);
+      position =
+        position === undefined || position.era !== options.era.current()
+          ? await list()
+          : await watch(position);
       if (failures > 0 && !closed) await availability.pause(retryDelayMs());
     }
   }
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -11,6 +11,8 @@
 
 /** Registration of one router. */
 export interface RouterRegistration {
+  /** Registers again if the store's entry of this router is missing or differs. */
+  verify(stored: StoreObject | undefined): void;
   /** Removes the address from the store; called at the end of the process. */
   remove(): Promise<void>;
   close(): void;
@@ -35,11 +37,15 @@
   let closed = false;
   let retryTimer: NodeJS.Timeout | undefined;
 
+  let registering = false;
+
   async function register(): Promise<void> {
+    registering = true;
     let result = await client.create(StoreKind.Routers, name, ownAddress);
     if (!result.ok && result.failure === StoreFailure.Conflict && result.current) {
       result = await client.replace(StoreKind.Routers, result.current, ownAddress);
     }
+    registering = !result.ok;
     if (closed) return;
     if (result.ok) {
       logger.info('registered', { revision: result.value.revision });
@@ -54,8 +60,18 @@
     clearTimeout(retryTimer);
   }
 
+  function verify(stored: StoreObject | undefined): void {
+    const found = stored && readRouterAddress(stored);
+    const isCurrent =
+      found?.address === ownAddress.address && found.incarnation === ownAddress.incarnation;
+    if (isCurrent || registering || closed) return;
+    logger.info('registration-missing', { incarnation: found?.incarnation });
+    void register();
+  }
+
   void register();
   return {
+    verify,
     async remove() {
       close();
       const result = await client.remove(StoreKind.Routers, name);
--- a/packages/edge/src/store/store-transport.ts
+++ b/packages/edge/src/store/store-transport.ts
@@ -11,6 +11,8 @@
 
 /** One for each watch, and one for other calls. */
 const MAX_IDLE_CONNECTIONS = 4;
+/** Several times the largest page or batch of changes. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 /** Creates the transport. `address` is evaluated for each call, since the settings may change. */
 export function createStoreTransport(
@@ -23,7 +25,12 @@
   });
   return {
     async send(call) {
-      const result = await sendHttpCall({ ...call, ...address(), agent });
+      const result = await sendHttpCall({
+        ...call,
+        ...address(),
+        agent,
+        maxBytes: MAX_RESPONSE_BYTES,
+      });
       // If one connection has failed, the idle ones have probably failed too.
       if (!result.ok)
         Object.values(agent.freeSockets)
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -13,6 +13,7 @@
 import type { ServerConnections } from './relay/server-connections.js';
 import type { EdgeSettings } from './settings.js';
 import type { RouterRegistration } from './store/router-registration.js';
+import type { StoreEra } from './store/store-era.js';
 import type { StoreTransport } from './store/store-transport.js';
 
 /** Dependencies of the direct router's process. */
@@ -45,6 +46,7 @@
   metrics: EdgeMetrics;
   transport: StoreTransport;
   store: StoreClient;
+  storeEra: StoreEra;
   loopLag: LoopLag;
   validator: RequestValidator;
   peers: Promise<PeerLinks>;
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -11,6 +11,7 @@
   router: 'r1/1',
   loads: [{ serverKey: 'e1@1', running: 3, sentTokens: 900, promptParts: [['ab', 300]] }],
   accounts: [['kingston', 1000, 800]],
+  leaving: ['e2@1'],
 };
 test('decodes an encoded report unchanged and rejects malformed bytes', () => {
   const codec = createReportCodec();
--- a/packages/edge/test/standins/store-standin.ts
+++ b/packages/edge/test/standins/store-standin.ts
@@ -21,6 +21,10 @@
   listNames(kind: string): string[];
   /** Resets all connections while the store is down. */
   setDown(down: boolean): void;
+  /** Keeps a copy of all objects, for a later restore. */
+  keepCopy(): void;
+  /** Restores the copy: changes since then are lost, their revisions are given out again, and a new era begins. */
+  restoreCopy(): void;
   /** Discards all recorded changes; watches from older revisions fail with status 410. */
   discardHistory(): void;
   close(): void;
@@ -49,7 +53,9 @@
   let changes: Change[] = [];
   let oldestRevision = 0;
   let revision = 1;
+  let era = 1;
   let down = false;
+  let copy = { objects: new Map<string, Map<string, StoredObject>>(), revision: 1 };
 
   const objectsOf = (kind: string): Map<string, StoredObject> => {
     const objects = objectsByKind.get(kind) ?? new Map<string, StoredObject>();
@@ -97,7 +103,7 @@
   ): Promise<void> {
     const findChanges = () =>
       changes.filter((change) => change.kind === kind && change.revision > afterRevision);
-    if (afterRevision < oldestRevision) return sendJson(res, 410, {});
+    if (afterRevision < oldestRevision || afterRevision > revision) return sendJson(res, 410, {});
     if (findChanges().length === 0) {
       await new Promise<void>((resolve) => {
         const timer = setTimeout(finish, waitMs);
@@ -109,7 +115,8 @@
         pendingWatches.add(finish);
       });
     }
-    return afterRevision < oldestRevision
+    // The revision isn't known, or not any more.
+    return afterRevision < oldestRevision || afterRevision > revision
       ? sendJson(res, 410, {})
       : sendJson(res, 200, { events: findChanges().map(({ event }) => event), at: revision });
   }
@@ -139,6 +146,7 @@
       req.socket.resetAndDestroy();
       return;
     }
+    res.setHeader('Store-Era', String(era));
     const url = new URL(req.url!, 'http://store');
     const [, , kind, name] = url.pathname.split('/');
     const query = url.searchParams;
@@ -160,6 +168,21 @@
       down = next;
       if (down) server.closeAllConnections();
     },
+    keepCopy() {
+      const objects = [...objectsByKind].map(
+        ([kind, byName]): [string, Map<string, StoredObject>] => [kind, new Map(byName)],
+      );
+      copy = { objects: new Map(objects), revision };
+    },
+    restoreCopy() {
+      objectsByKind.clear();
+      copy.objects.forEach((objects, kind) => objectsByKind.set(kind, new Map(objects)));
+      revision = copy.revision;
+      changes = changes.filter((change) => change.revision <= revision);
+      era += 1;
+      // Connections break while the store is away.
+      server.closeAllConnections();
+    },
     discardHistory() {
       oldestRevision = revision;
       changes = [];
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -4,6 +4,7 @@
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
 import { createStoreAvailability } from '../../src/store/store-availability.js';
+import { createStoreEra } from '../../src/store/store-era.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
 
 interface StoreCall {
@@ -23,7 +24,8 @@
       async listPage(_kind, _after, answerTimeoutMs) {
         storeCalls.push({ call: 'list', waitMs: 0, answerTimeoutMs });
         if (storeCalls.length > 1) setImmediate(() => resolve(storeCalls));
-        return { ok: true, value: { objects: [], nextCursor: undefined, revision: 5 } };
+        const position = { era: undefined, revision: 5 };
+        return { ok: true, value: { objects: [], nextCursor: undefined, position } };
       },
       async watch(_kind, _revision, waitMs, answerTimeoutMs) {
         storeCalls.push({ call: 'watch', waitMs, answerTimeoutMs });
@@ -34,6 +36,7 @@
     const feed = createObjectFeed({
       client: client as StoreClient,
       availability: createStoreAvailability(),
+      era: createStoreEra(() => undefined),
       kind: StoreKind.Servers,
       watchWaitMs: 1500,
       batchDelayMs: 0,
--- a/packages/edge/test/store/store-calls.test.ts
+++ b/packages/edge/test/store/store-calls.test.ts
@@ -6,13 +6,16 @@
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
 import { createStoreAvailability } from '../../src/store/store-availability.js';
+import { createStoreEra } from '../../src/store/store-era.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
 
+const POSITION = { era: undefined, revision: 5 };
+
 /** Creates a client whose lists are empty and whose watches are supplied by the test. */
 function createClient(watch: () => ReturnType<StoreClient['watch']>): StoreClient {
   const client: Pick<StoreClient, 'listPage' | 'watch'> = {
     async listPage() {
-      return { ok: true, value: { objects: [], nextCursor: undefined, revision: 5 } };
+      return { ok: true, value: { objects: [], nextCursor: undefined, position: POSITION } };
     },
     watch,
   };
@@ -21,6 +24,7 @@
 
 function feedOptions() {
   return {
+    era: createStoreEra(() => undefined),
     watchWaitMs: 1500,
     batchDelayMs: 250,
     logger: createRecordingLogger(),
@@ -41,7 +45,7 @@
     callCount += 1;
     // Every watch returns another change.
     await delay(5);
-    return { ok: true, value: { changes: [change], revision: 6 } };
+    return { ok: true, value: { changes: [change], position: POSITION } };
   });
   const feed = createObjectFeed({
     ...feedOptions(),
@@ -77,7 +81,7 @@
           watchTimer = setTimeout(resolve, 10_000);
         });
       } else await delay(20);
-      return { ok: true, value: { changes: [], revision: 5 } };
+      return { ok: true, value: { changes: [], position: POSITION } };
     });
     const feed = createObjectFeed({
       ...feedOptions(),
