Exchange load reports through hubs of groups in place of links from every router to every other

Cause: a router sent at most 150 reports a second to all peers together, so at 68 routers each heard of another every 0.45 s only, over 67 links each way with a ping a second on each; period, links and wake-ups grew with the fleet.

Change: routers form groups of about the square root of the fleet within a zone; members report to their group's hub (the router with the largest processor share that is reachable), hubs exchange the sums of their groups. Sums are kept by link without what the recipient itself reported, so each router sees what all others together have sent. Up to 8 routers are linked directly as before. Tokens of accounts are reported as increments in place of totals per peer and account, which were kept for ever; the test of the totals' baseline is replaced by one of the increments (each counted once, none older than the window).

--- a/packages/core/src/direct/account-usage.ts
+++ b/packages/core/src/direct/account-usage.ts
@@ -2,7 +2,7 @@
 import { createSlidingSum } from './sliding-sum.js';
 import type { SlidingSum } from './sliding-sum.js';
 
-/** Totals of one account since the start of a router, in tokens. */
+/** Requested and served tokens of one account. */
 export interface AccountTotals {
   requested: number;
   served: number;
@@ -12,13 +12,12 @@
 export interface AccountUsage {
   recordRequested(account: string, tokens: number, nowMs: number): void;
   recordServed(account: string, tokens: number, nowMs: number): void;
-  /** Adds the difference between a peer's totals and its previous ones; its first totals are only a baseline. */
-  recordPeerTotals(peer: string, account: string, totals: AccountTotals, nowMs: number): void;
-  removePeer(peer: string): void;
+  /** Adds the tokens of other routers since their last report. */
+  recordPeerTokens(account: string, tokens: AccountTotals, nowMs: number): void;
   /** Ratio of served tokens to the account's max-min fair share; 0 while capacity is sufficient for all accounts. */
   shareUsed(account: string, nowMs: number): number;
-  /** This router's own totals by account, for reports. */
-  ownTotals(): ReadonlyMap<string, AccountTotals>;
+  /** Removes and returns this router's own tokens since the last call, for reports. */
+  takeOwnTokens(): Map<string, AccountTotals>;
 }
 
 interface AccountWindow {
@@ -46,8 +45,7 @@
 /** Creates the usage of all accounts over a window of `windowMs`. */
 export function createAccountUsage(windowMs: number): AccountUsage {
   const windows = new Map<string, AccountWindow>();
-  const ownTotals = new Map<string, AccountTotals>();
-  const totalsByPeer = new Map<string, Map<string, AccountTotals>>();
+  let ownTokens = new Map<string, AccountTotals>();
   let fairShare = Number.POSITIVE_INFINITY;
   let fairShareAtMs = Number.NEGATIVE_INFINITY;
 
@@ -60,13 +58,20 @@
     return window;
   }
 
-  function getOwnTotals(account: string): AccountTotals {
-    let totals = ownTotals.get(account);
-    if (totals === undefined) {
-      totals = { requested: 0, served: 0 };
-      ownTotals.set(account, totals);
+  function getOwnTokens(account: string): AccountTotals {
+    let tokens = ownTokens.get(account);
+    if (tokens === undefined) {
+      tokens = { requested: 0, served: 0 };
+      ownTokens.set(account, tokens);
     }
-    return totals;
+    return tokens;
+  }
+
+  /** Removes the windows in which nothing was requested, so that their number follows the accounts in use. */
+  function removeIdleWindows(nowMs: number): void {
+    windows.forEach(({ requested, served }, account) => {
+      if (requested.total(nowMs) === 0 && served.total(nowMs) === 0) windows.delete(account);
+    });
   }
 
   function computeFairShare(nowMs: number): number {
@@ -89,32 +94,28 @@
 
   return {
     recordRequested(account, tokens, nowMs) {
-      getOwnTotals(account).requested += tokens;
+      getOwnTokens(account).requested += tokens;
       add(account, tokens, 0, nowMs);
     },
     recordServed(account, tokens, nowMs) {
-      getOwnTotals(account).served += tokens;
+      getOwnTokens(account).served += tokens;
       add(account, 0, tokens, nowMs);
     },
-    recordPeerTotals(peer, account, totals, nowMs) {
-      const totalsByAccount = totalsByPeer.get(peer) ?? new Map<string, AccountTotals>();
-      const previous = totalsByAccount.get(account);
-      totalsByAccount.set(account, totals);
-      totalsByPeer.set(peer, totalsByAccount);
-      if (previous === undefined) return;
-      add(account, totals.requested - previous.requested, totals.served - previous.served, nowMs);
-    },
-    removePeer(peer) {
-      totalsByPeer.delete(peer);
-    },
+    recordPeerTokens: (account, { requested, served }, nowMs) =>
+      add(account, requested, served, nowMs),
     shareUsed(account, nowMs) {
       if (nowMs - fairShareAtMs >= FAIR_SHARE_PERIOD_MS) {
+        removeIdleWindows(nowMs);
         fairShare = computeFairShare(nowMs);
         fairShareAtMs = nowMs;
       }
       if (fairShare === Number.POSITIVE_INFINITY) return 0;
       return fairShare > 0 ? getWindow(account).served.total(nowMs) / fairShare : 1;
     },
-    ownTotals: () => ownTotals,
+    takeOwnTokens() {
+      const taken = ownTokens;
+      ownTokens = new Map();
+      return taken;
+    },
   };
 }
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -9,10 +9,10 @@
   ServerAnnouncement,
 } from './types.js';
 
-/** Load that a router has put on one backend server. */
+/** Load that a router, or the routers whose reports it passes on, have put on one backend server. */
 export interface ReportedServerLoad {
   serverKey: string;
-  /** Number of the router's requests in progress at the server. */
+  /** Number of requests in progress at the server. */
   running: number;
   /** Prompt tokens sent to the server since the router's last report. */
   sentTokens: number;
@@ -25,7 +25,7 @@
   /** Name and incarnation of the router. */
   router: string;
   loads: ReportedServerLoad[];
-  /** Requested and served tokens of each account since the router's start. */
+  /** Requested and served tokens of accounts since the last report. */
   accounts: [account: string, requestedTokens: number, servedTokens: number][];
   /** Keys of servers that have stated that they leave. */
   leaving: string[];
@@ -60,6 +60,7 @@
     /** Response of an engine with the prompt parts in its cache. */
     | { kind: 'kept-listed'; serverKey: string; promptParts: PromptPart[] }
     | { kind: 'peer-report'; report: RouterReport }
+    /** The reports of a link no longer hold; `router` is the name under which they were applied. */
     | { kind: 'peer-gone'; router: string }
     | { kind: 'peers-counted'; routerCount: number }
     | { kind: 'tick' }
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -23,6 +23,7 @@
 function removeServers(state: DirectState, keys: string[]): DirectEffect[] {
   return keys.map((key) => {
     state.servers.delete(key);
+    state.endedServerKeys.add(key);
     return { kind: 'note', event: 'server-gone', fields: { server: key } };
   });
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -89,6 +89,7 @@
     predictedMs,
   };
   state.attempts.set(attempt.id, attempt);
+  state.sentServerKeys.add(server.key);
   countTokens(state, attributes, candidate);
   return attempt;
 }
@@ -232,6 +233,7 @@
   const serverState = state.servers.get(attempt.serverKey);
   if (serverState === undefined) return;
   if (!attempt.prediction.hasBegun) serverState.unansweredAttempts -= 1;
+  state.endedServerKeys.add(attempt.serverKey);
   serverState.load.recordEnd(attempt.prediction, nowMs, outcome === AttemptOutcome.Complete);
   serverState.health.recordOutcome(outcome, nowMs);
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -91,6 +91,9 @@
   /** Keys of servers that have stated that they leave, until the next report to peers. */
   leavingNews: string[];
   servers: Map<string, ServerState>;
+  /** Keys of the servers to which prompts were sent since the last report, and of those at which requests ended. */
+  sentServerKeys: Set<string>;
+  endedServerKeys: Set<string>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
   accountUsage: AccountUsage;
@@ -121,6 +124,8 @@
     cachesRequested: false,
     leavingNews: [],
     servers: new Map(),
+    sentServerKeys: new Set(),
+    endedServerKeys: new Set(),
     requests: new Map(),
     attempts: new Map(),
     accountUsage: createAccountUsage(options.shareWindowMs),
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,11 +1,6 @@
 /** Composition of the direct router's process. */
 import { setTimeout as delay } from 'node:timers/promises';
-import {
-  createDirectState,
-  createReporter,
-  describeState,
-  directReducer,
-} from '@kingcupsill/core/direct';
+import { createDirectState, describeState, directReducer } from '@kingcupsill/core/direct';
 import type { DirectEffect, DirectEvent, DirectState } from '@kingcupsill/core/direct';
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
@@ -27,10 +22,11 @@
 import { createLoopLag } from './loop-lag.js';
 import { createEdgeMetrics } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
+import { createReporting } from './peers/reporting.js';
 import { createServerConnections } from './relay/server-connections.js';
 import { parseAddress, parseZoneRegions } from './settings.js';
 import { createFeeds } from './store/feeds.js';
-import { registerRouter } from './store/router-registration.js';
+import { ownRouterEntry, registerRouter } from './store/router-registration.js';
 import { createStoreEra } from './store/store-era.js';
 import { createStoreTransport } from './store/store-transport.js';
 import type { EdgeContext, EdgeParts } from './types.js';
@@ -39,10 +35,6 @@
 
 /** Granularity of timeouts. */
 const TICK_MS = 50;
-/** Granularity of reports to peers: about the longest latency between regions, which delays them in any case. */
-const REPORT_TICK_MS = 20;
-/** Reports that a router sends per second to all peers together, so that their cost doesn't grow with the fleet. */
-const REPORTS_PER_SECOND = 150;
 /** Time after SIGTERM in which new connections still arrive: until two readiness checks, one second apart, have failed. */
 const DRAIN_LISTEN_MS = 3000;
 /** Part of the grace period reserved for an orderly exit. */
@@ -62,7 +54,7 @@
   );
   const { registration, tickTimer, summaryTimer } = parts;
   void [registration, tickTimer, summaryTimer];
-  await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.reportTimer, parts.admin]);
+  await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.peers, parts.admin]);
   ctx.logger.info('listening', { callers: ctx.settings().callers.address });
   return { drain: () => drain(ctx, parts), close };
 }
@@ -103,7 +95,7 @@
     },
     loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
-    peers: peersPart(ctx),
+    peers: peersPart(ctx, hasher),
     feeds: {
       create: async (parts) => createFeeds(ctx, parts, await parts.peers),
       close: (feeds) => feeds.close(),
@@ -116,11 +108,14 @@
       close: (server) => server.close(),
     },
     tickTimer: {
-      create: ({ loop }) =>
-        repeatEvery(TICK_MS, () => loop.dispatch({ kind: 'tick', nowMs: ctx.clock() })),
+      create: ({ loop, reporting }) =>
+        repeatEvery(TICK_MS, () => {
+          loop.dispatch({ kind: 'tick', nowMs: ctx.clock() });
+          reporting.schedule();
+        }),
       close: (tickTimer) => tickTimer.close(),
     },
-    reportTimer: reportingPart(ctx),
+    reporting: { create: (parts) => createReporting(ctx, parts, routerName(ctx)) },
     summaryTimer: {
       create: (parts) => repeatEvery(SUMMARY_PERIOD_MS, () => logSummary(ctx, parts)),
       close: (summaryTimer) => summaryTimer.close(),
@@ -188,26 +183,29 @@
   };
 }
 
-function peersPart(ctx: EdgeContext): EdgePart<'peers'> {
+function peersPart(ctx: EdgeContext, hasher: Hasher): EdgePart<'peers'> {
   const { clock, logger } = ctx;
   return {
-    create: ({ loop }) =>
+    create: ({ loop, metrics }) =>
       createPeerLinks({
         ...parseAddress(ctx.settings().peers.address),
+        self: ctx.settings().process.id,
+        router: routerName(ctx),
+        hasher,
         clock,
         logger,
         onReport: (report) => loop.dispatch({ kind: 'peer-report', report, nowMs: clock() }),
         onPeerLost: (router) => loop.dispatch({ kind: 'peer-gone', router, nowMs: clock() }),
+        onSent: metrics.countReport,
       }),
     close: (peers) => peers.close(),
   };
 }
 
 function registrationPart(ctx: EdgeContext): EdgePart<'registration'> {
-  const { process: processSettings, peers } = ctx.settings();
-  const address = { address: peers.address, incarnation: ctx.incarnation };
+  const { id } = ctx.settings().process;
   return {
-    create: ({ store }) => registerRouter(store, processSettings.id, address, ctx.logger),
+    create: ({ store }) => registerRouter(store, id, ownRouterEntry(ctx), ctx.logger),
     close: (registration) => registration.close(),
   };
 }
@@ -236,22 +234,3 @@
     close: (server) => server.close(),
   };
 }
-
-function reportingPart(ctx: EdgeContext): EdgePart<'reportTimer'> {
-  const reporter = createReporter(routerName(ctx));
-  return {
-    async create(parts) {
-      const peers = await parts.peers;
-      let nextAtMs = 0;
-      return repeatEvery(REPORT_TICK_MS, () => {
-        const nowMs = ctx.clock();
-        if (nowMs < nextAtMs) return;
-        const report = reporter.compose(parts.state, nowMs);
-        if (report === undefined) return;
-        nextAtMs = nowMs + ((parts.state.routerCount - 1) * 1000) / REPORTS_PER_SECOND;
-        parts.metrics.countReport(peers.broadcast(report));
-      });
-    },
-    close: (reportTimer) => reportTimer.close(),
-  };
-}
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -11,7 +11,7 @@
 import type { AttemptRequest, RunningAttempt } from './relay/types.js';
 import type { EdgeContext, EdgeParts } from './types.js';
 
-type EffectParts = Pick<EdgeParts, 'exchanges' | 'connections' | 'metrics' | 'loop'>;
+type EffectParts = Pick<EdgeParts, 'exchanges' | 'connections' | 'metrics' | 'loop' | 'reporting'>;
 
 /**
  * Maximum idle time of a connection for a request that must not be retried, so that the request isn't lost when the server closes
@@ -63,6 +63,7 @@
     const listener = createAttemptListener(ctx, parts, effect, exchange, () =>
       attempts.delete(attempt),
     );
+    parts.reporting.schedule();
     attempts.set(attempt, startAttempt(parts.connections, attemptRequest, exchange.sink, listener));
   }
 
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -1,9 +1,9 @@
-/** Incoming links, over which other routers send their reports. */
-import type { RouterReport } from '@kingcupsill/core/direct';
+/** Links that other routers open to this one. */
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
-import { LINK_TIMEOUT_MS } from './outgoing.js';
+import { LINK_TIMEOUT_MS, LinkRole, MAX_BUFFERED_BYTES } from './types.js';
+import type { LinkListener, OpenLink } from './types.js';
 
 /** Options of the incoming links. */
 export interface IncomingLinksOptions {
@@ -11,30 +11,41 @@
   port: number;
   clock: Clock;
   logger: Logger;
-  decode: (bytes: Buffer) => RouterReport;
-  onReport: (report: RouterReport) => void;
-  /** Called when the link of a router that has sent a report closes or times out. */
-  onPeerLost: (router: string) => void;
+  /** Returns whether links of this role are accepted now. */
+  accepts: (role: LinkRole) => boolean;
+  listeners: Record<LinkRole, LinkListener>;
+  nextLinkNumber: () => number;
 }
 
-/** Links accepted from other routers. */
+/** Accepted links. */
 export interface IncomingLinks {
-  /** Terminates links that have timed out. */
-  checkLiveness(): void;
+  /** Terminates links that have timed out and those of roles that aren't accepted any more. */
+  check(): void;
   close(): void;
 }
 
 interface Peer {
-  router: string | undefined;
+  role: LinkRole;
+  link: OpenLink;
   lastTrafficMs: number;
 }
 
-/** Maximum size of a report, which has a few hundred bytes per backend server and account. */
+/** Maximum size of a report, which has a few dozen bytes per backend server and account. */
 const MAX_REPORT_BYTES = 1024 * 1024;
+/** Application-defined close code of WebSocket: this router isn't a hub. */
+const CLOSE_NOT_HUB = 4001;
+
+function parsePath(url: string | undefined): { role: LinkRole; router: string } {
+  const [, role, router] = (url ?? '').split('/');
+  return {
+    role: role === LinkRole.Member ? LinkRole.Member : LinkRole.Hub,
+    router: decodeURIComponent(router ?? ''),
+  };
+}
 
 /** Starts the listener. */
 export async function createIncomingLinks(options: IncomingLinksOptions): Promise<IncomingLinks> {
-  const { clock, logger } = options;
+  const { clock, logger, listeners } = options;
   const peers = new Map<WebSocket, Peer>();
   const server = new WebSocketServer({
     host: options.host,
@@ -43,38 +54,40 @@
     maxPayload: MAX_REPORT_BYTES,
   });
 
-  function receive(socket: WebSocket, peer: Peer, bytes: Buffer): void {
-    peer.lastTrafficMs = clock();
-    let report: RouterReport;
-    try {
-      report = options.decode(bytes);
-    } catch (err) {
-      logger.warn('peer-report-malformed', { err });
-      socket.terminate();
-      return;
-    }
-    if (peer.router === undefined) logger.info('peer-linked', { router: report.router });
-    peer.router = report.router;
-    options.onReport(report);
-  }
-
-  function removePeer(socket: WebSocket, { router }: Peer): void {
-    peers.delete(socket);
-    if (router === undefined) return;
-    logger.info('peer-lost', { router });
-    options.onPeerLost(router);
+  function createLink(socket: WebSocket, role: LinkRole, router: string): OpenLink {
+    return {
+      key: `from-${role}:${router}#${options.nextLinkNumber()}`,
+      send(bytes) {
+        if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
+        socket.send(bytes);
+        return true;
+      },
+    };
   }
 
-  server.on('connection', (socket) => {
-    const peer: Peer = { router: undefined, lastTrafficMs: clock() };
+  function accept(socket: WebSocket, role: LinkRole, router: string): void {
+    const peer: Peer = { role, link: createLink(socket, role, router), lastTrafficMs: clock() };
     peers.set(socket, peer);
     socket.on('ping', () => {
       peer.lastTrafficMs = clock();
     });
-    socket.on('message', (bytes: Buffer) => receive(socket, peer, bytes));
+    socket.on('message', (bytes: Buffer) => {
+      peer.lastTrafficMs = clock();
+      listeners[role].onMessage(peer.link, bytes);
+    });
+    socket.on('close', () => {
+      peers.delete(socket);
+      listeners[role].onClosed(peer.link);
+    });
+    listeners[role].onOpen(peer.link);
+  }
+
+  server.on('connection', (socket, req) => {
     // Each error is followed by a close event.
     socket.on('error', (err) => logger.debug('peer-link-failed', { reason: err.message }));
-    socket.on('close', () => removePeer(socket, peer));
+    const { role, router } = parsePath(req.url);
+    if (options.accepts(role)) accept(socket, role, router);
+    else socket.close(CLOSE_NOT_HUB);
   });
   await new Promise<void>((resolve, reject) => {
     server.once('listening', resolve);
@@ -82,10 +95,11 @@
   });
 
   return {
-    checkLiveness() {
+    check() {
       const timedOutBeforeMs = clock() - LINK_TIMEOUT_MS;
-      peers.forEach(({ lastTrafficMs }, socket) => {
+      peers.forEach(({ role, lastTrafficMs }, socket) => {
         if (lastTrafficMs < timedOutBeforeMs) socket.terminate();
+        else if (!options.accepts(role)) socket.close(CLOSE_NOT_HUB);
       });
     },
     close() {
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -16,10 +16,13 @@
   leaving?: string[],
 ];
 
-/** Encoder and decoder of reports. Decoding throws if the bytes are not a report. */
+/** Decoded report, or the reason why the bytes aren't one. */
+export type DecodedReport = { ok: true; value: RouterReport } | { ok: false; message: string };
+
+/** Encoder and decoder of reports. */
 export interface ReportCodec {
   encode(report: RouterReport): Buffer;
-  decode(bytes: Buffer): RouterReport;
+  decode(bytes: Buffer): DecodedReport;
 }
 
 function toWire({ serverKey, running, sentTokens, promptParts }: ReportedServerLoad): WireLoad {
@@ -39,8 +42,12 @@
       return packr.pack(wire);
     },
     decode(bytes) {
-      const [router, loads, accounts, leaving = []] = packr.unpack(bytes) as WireReport;
-      return { router, loads: loads.map(fromWire), accounts, leaving };
+      try {
+        const [router, loads, accounts, leaving = []] = packr.unpack(bytes) as WireReport;
+        return { ok: true, value: { router, loads: loads.map(fromWire), accounts, leaving } };
+      } catch (err) {
+        return { ok: false, message: (err as Error).message };
+      }
     },
   };
 }
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -11,6 +11,7 @@
     id: z.string().min(1).describe('name of this instance'),
     zone: z.string().min(1).describe('availability zone of this instance'),
     zone_regions: z.string().default('').describe('comma-separated zone=region pairs'),
+    cores: z.number().positive().default(1).describe('share of a processor core for this process'),
     log_level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
   }),
   callers: z.strictObject({
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -1,4 +1,5 @@
 /** Feeds from the platform's store: configuration, backend servers and the other routers. */
+import type { RouterInfo } from '@kingcupsill/core/direct';
 import {
   CONFIGURATION_NAME,
   decodeConfiguration,
@@ -13,7 +14,7 @@
 import { DEFAULT_RESPONSE_TIMEOUT_MS } from './call-results.js';
 import { createObjectFeed } from './object-feed.js';
 import type { ObjectFeedOptions } from './object-feed.js';
-import { readRouterAddress } from './router-registration.js';
+import { ownRouterEntry, readRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
 type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'storeEra' | 'metrics' | 'registration'>;
@@ -89,33 +90,35 @@
   peers: PeerLinks,
 ): FeedHandlers {
   const { id } = ctx.settings().process;
-  const addresses = new Map<string, string>();
+  const routers = new Map<string, RouterInfo>();
 
-  function addAddress(object: StoreObject): void {
-    const router = readRouterAddress(object);
-    if (router !== undefined) addresses.set(object.name, router.address);
+  function add(object: StoreObject): void {
+    const entry = readRouterEntry(object);
+    if (entry !== undefined) routers.set(object.name, { name: object.name, ...entry });
   }
 
   function updateLinks(): void {
-    const others = new Set(addresses.values());
-    others.delete(ctx.settings().peers.address);
-    peers.setAddresses(others);
-    loop.dispatch({ kind: 'peers-counted', routerCount: others.size + 1, nowMs: ctx.clock() });
+    // This router's own entry may still be that of an earlier run, or missing.
+    const self = { name: id, ...ownRouterEntry(ctx) };
+    const known = [...routers.values()].filter(({ name }) => name !== id);
+    peers.setRouters([...known, self]);
+    const routerCount = known.length + 1;
+    loop.dispatch({ kind: 'peers-counted', routerCount, nowMs: ctx.clock() });
   }
 
   return {
     kind: StoreKind.Routers,
     ...ROUTERS_TIMING,
     onListed(objects) {
-      addresses.clear();
-      objects.forEach(addAddress);
+      routers.clear();
+      objects.forEach(add);
       updateLinks();
       registration.verify(objects.find(({ name }) => name === id));
     },
     onChanged({ object, removed }) {
       if (object.name === id) registration.verify(removed ? undefined : object);
-      if (removed) addresses.delete(object.name);
-      else addAddress(object);
+      if (removed) routers.delete(object.name);
+      else add(object);
       updateLinks();
     },
   };
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -1,11 +1,12 @@
 /** Registration of the router's address in the platform's store, where the other routers find it. */
+import type { RouterInfo } from '@kingcupsill/core/direct';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreObject } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
+import type { EdgeContext } from '../types.js';
 
 /** Stored content of a router's registration. */
-export interface RouterAddress {
-  address: string;
+export interface RouterEntry extends Omit<RouterInfo, 'name'> {
   incarnation: string;
 }
 
@@ -20,18 +21,31 @@
 
 const RETRY_DELAY_MS = 700;
 
-/** Decodes a router's registration; returns undefined if it is invalid. */
-export function readRouterAddress(object: StoreObject): RouterAddress | undefined {
-  const spec = object.spec as Partial<RouterAddress> | null | undefined;
+/** Decodes a router's registration; returns undefined if it is invalid. Entries of earlier builds state neither zone nor cores. */
+export function readRouterEntry(object: StoreObject): RouterEntry | undefined {
+  const spec = object.spec as Partial<RouterEntry> | null | undefined;
   if (typeof spec?.address !== 'string' || typeof spec.incarnation !== 'string') return undefined;
-  return { address: spec.address, incarnation: spec.incarnation };
+  const { address, incarnation, zone, cores } = spec;
+  return {
+    address,
+    incarnation,
+    zone: typeof zone === 'string' ? zone : '',
+    cores: typeof cores === 'number' ? cores : 0,
+  };
+}
+
+/** Entry of this router. */
+export function ownRouterEntry({ settings, incarnation }: EdgeContext): RouterEntry {
+  const { process: processSettings, peers } = settings();
+  const { zone, cores } = processSettings;
+  return { address: peers.address, incarnation, zone, cores };
 }
 
 /** Registers the address and retries until the store has accepted it. */
 export function registerRouter(
   client: StoreClient,
   name: string,
-  ownAddress: RouterAddress,
+  ownEntry: RouterEntry,
   logger: Logger,
 ): RouterRegistration {
   let closed = false;
@@ -41,9 +55,9 @@
 
   async function register(): Promise<void> {
     registering = true;
-    let result = await client.create(StoreKind.Routers, name, ownAddress);
+    let result = await client.create(StoreKind.Routers, name, ownEntry);
     if (!result.ok && result.failure === StoreFailure.Conflict && result.current) {
-      result = await client.replace(StoreKind.Routers, result.current, ownAddress);
+      result = await client.replace(StoreKind.Routers, result.current, ownEntry);
     }
     registering = !result.ok;
     if (closed) return;
@@ -61,9 +75,9 @@
   }
 
   function verify(stored: StoreObject | undefined): void {
-    const found = stored && readRouterAddress(stored);
+    const found = stored && readRouterEntry(stored);
     const isCurrent =
-      found?.address === ownAddress.address && found.incarnation === ownAddress.incarnation;
+      found?.address === ownEntry.address && found.incarnation === ownEntry.incarnation;
     if (isCurrent || registering || closed) return;
     logger.info('registration-missing', { incarnation: found?.incarnation });
     void register();
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -10,6 +10,7 @@
 import type { LoopLag } from './loop-lag.js';
 import type { EdgeMetrics } from './metrics.js';
 import type { PeerLinks } from './peers/peer-links.js';
+import type { Reporting } from './peers/reporting.js';
 import type { ServerConnections } from './relay/server-connections.js';
 import type { EdgeSettings } from './settings.js';
 import type { RouterRegistration } from './store/router-registration.js';
@@ -57,5 +58,5 @@
   admin: Promise<Closable>;
   tickTimer: Closable;
   summaryTimer: Closable;
-  reportTimer: Promise<Closable>;
+  reporting: Reporting;
 }
