Let two routers watch the store for a grown fleet; the others follow their news

Change: the hubs of two groups watch with short waits and tell the position of the last change, and how old their answer is, with the reports between routers. A router whose news are at most 1.6 s old makes no calls; a later position makes it fetch the changes at once; older news, or none, make it watch the store itself as before. Registrations of routers are read as possibly stale.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -1,4 +1,5 @@
 /** Events and effects of the direct router. Events carry the monotonic time and random draws; effects are plain data. */
+import type { ReportedStoreNews } from './store-news.js';
 import type {
   AttemptOutcome,
   BackendServerEntry,
@@ -29,6 +30,8 @@
   accounts: [account: string, requestedTokens: number, servedTokens: number][];
   /** Keys of servers that have stated that they leave. */
   leaving: string[];
+  /** Later changes and confirmations of the store's content since the last report. */
+  storeNews: ReportedStoreNews[];
 }
 
 interface Timed {
--- a/packages/core/src/direct/exchange-topology.ts
+++ b/packages/core/src/direct/exchange-topology.ts
@@ -22,6 +22,8 @@
   hubCandidates: RouterInfo[];
   /** Candidates for the hub of each other group, by the key of the group. */
   otherGroups: Map<string, RouterInfo[]>;
+  /** Whether the hub of the own group watches the store for the fleet. In a small fleet each router watches for itself. */
+  watchesStore: boolean;
 }
 
 /** Up to this number of routers, each is a group of its own: direct links have the least delay. */
@@ -58,18 +60,30 @@
   return groups;
 }
 
+/** Number of groups whose hubs watch the store: if one of them fails, the others go on. */
+const WATCHING_GROUPS = 2;
+
 /** Plans the links of the router named `self`. */
 export function planExchange(
   hasher: Hasher,
   self: string,
   routers: readonly RouterInfo[],
 ): ExchangePlan {
-  const plan: ExchangePlan = { hubCandidates: [], otherGroups: new Map() };
-  formGroups(hasher, routers).forEach((group, key) => {
+  const groups = formGroups(hasher, routers);
+  const isGrouped = routers.length > MAX_ROUTERS_WITHOUT_GROUPS;
+  const watching = rendezvousOrder(hasher, 'store-watch', [...groups.keys()]).slice(
+    0,
+    isGrouped ? WATCHING_GROUPS : 0,
+  );
+  const plan: ExchangePlan = { hubCandidates: [], otherGroups: new Map(), watchesStore: false };
+  groups.forEach((group, key) => {
     const ranked = rankHubs(hasher, key, group);
     const ownIndex = ranked.findIndex(({ name }) => name === self);
     if (ownIndex < 0) plan.otherGroups.set(key, ranked);
-    else plan.hubCandidates = ranked.slice(0, ownIndex);
+    else {
+      plan.hubCandidates = ranked.slice(0, ownIndex);
+      plan.watchesStore = watching.includes(key);
+    }
   });
   return plan;
 }
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -15,4 +15,5 @@
 export * from './server-registry.js';
 export * from './sliding-sum.js';
 export * from './state.js';
+export * from './store-news.js';
 export * from './types.js';
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -3,6 +3,7 @@
  * what changed is sent with the next report of each link, so several changes of one server cost one entry.
  */
 import type { ReportedServerLoad, RouterReport } from './events.js';
+import type { StoreNews } from './store-news.js';
 
 /** Kind of a source or recipient of reports. */
 export const LinkKind = {
@@ -26,9 +27,11 @@
   /** Removes a link with everything that it has reported. */
   close(link: string): void;
   /** Applies a report from a link. */
-  receive(link: string, report: RouterReport): void;
+  receive(link: string, report: RouterReport, nowMs: number): void;
+  /** Passes on the latest news of the store, which this router has from its own calls. */
+  announceStoreNews(kind: string): void;
   /** Returns what has changed for a link since its last report, or undefined if nothing has. */
-  compose(link: string): RouterReport | undefined;
+  compose(link: string, nowMs: number): RouterReport | undefined;
   hasNews(link: string): boolean;
 }
 
@@ -51,6 +54,7 @@
   pendingLoads: Map<string, PendingLoad>;
   pendingAccounts: Map<string, { requested: number; served: number }>;
   pendingLeaving: Set<string>;
+  pendingStoreKinds: Set<string>;
 }
 
 interface RunningSums {
@@ -90,12 +94,27 @@
   leaving.forEach((serverKey) => link.pendingLeaving.add(serverKey));
 }
 
-function hasPending({ pendingLoads, pendingAccounts, pendingLeaving }: Link): boolean {
-  return pendingLoads.size + pendingAccounts.size + pendingLeaving.size > 0;
+function hasPending(link: Link): boolean {
+  const { pendingLoads, pendingAccounts, pendingLeaving, pendingStoreKinds } = link;
+  return (
+    pendingLoads.size + pendingAccounts.size + pendingLeaving.size + pendingStoreKinds.size > 0
+  );
+}
+
+/** Takes the news of the kinds that are pending for a link. */
+function takeStoreNews(link: Link, storeNews: StoreNews, nowMs: number): RouterReport['storeNews'] {
+  const news = [...link.pendingStoreKinds].flatMap((kind) => {
+    const entry = storeNews.get(kind);
+    if (entry === undefined) return [];
+    const { era, revision, confirmedAtMs } = entry;
+    return [{ kind, era, revision, ageMs: Math.max(0, Math.round(nowMs - confirmedAtMs)) }];
+  });
+  link.pendingStoreKinds.clear();
+  return news;
 }
 
 /** @param router name and incarnation that the reports carry */
-export function createReportExchange(router: string): ReportExchange {
+export function createReportExchange(router: string, storeNews: StoreNews): ReportExchange {
   const links = new Map<string, Link>();
   const sums: RunningSums = { inner: new Map(), outer: new Map() };
 
@@ -144,6 +163,7 @@
         pendingLoads: new Map(),
         pendingAccounts: new Map(),
         pendingLeaving: new Set(),
+        pendingStoreKinds: new Set(storeNews.all().keys()),
       };
       links.set(key, link);
       if (!RECIPIENT_KINDS.has(kind)) return;
@@ -161,20 +181,31 @@
         recipients.forEach((recipient) => addPendingLoad(recipient, serverKey));
       });
     },
-    receive(key, report) {
+    receive(key, report, nowMs) {
       const link = links.get(key);
       if (link === undefined) return;
       report.loads.forEach(({ serverKey, running }) => setRunning(link, serverKey, running));
-      recipientsOf(key, link.kind).forEach((recipient) => addPendingReport(recipient, report));
+      const laterKinds = report.storeNews.flatMap(({ kind, era, revision, ageMs }) =>
+        storeNews.record(kind, { era, revision, confirmedAtMs: nowMs - ageMs }) ? [kind] : [],
+      );
+      recipientsOf(key, link.kind).forEach((recipient) => {
+        addPendingReport(recipient, report);
+        laterKinds.forEach((kind) => recipient.pendingStoreKinds.add(kind));
+      });
+    },
+    announceStoreNews(kind) {
+      links.forEach((link) => {
+        if (RECIPIENT_KINDS.has(link.kind)) link.pendingStoreKinds.add(kind);
+      });
     },
-    compose(key) {
+    compose(key, nowMs) {
       const link = links.get(key);
       if (link === undefined || !hasPending(link)) return undefined;
       const loads = takeLoads(link);
       const accounts = takeAccounts(link);
       const leaving = [...link.pendingLeaving];
       link.pendingLeaving.clear();
-      return { router, loads, accounts, leaving };
+      return { router, loads, accounts, leaving, storeNews: takeStoreNews(link, storeNews, nowMs) };
     },
     hasNews(key) {
       const link = links.get(key);
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -88,7 +88,7 @@
       const accounts = isFull ? takeAccounts(state) : [];
       const leaving = state.leavingNews.splice(0);
       const hasNews = loads.length + accounts.length + leaving.length > 0;
-      return hasNews ? { router, loads, accounts, leaving } : undefined;
+      return hasNews ? { router, loads, accounts, leaving, storeNews: [] } : undefined;
     },
   };
 }
--- /dev/null
+++ b/packages/core/src/direct/store-news.ts
@@ -0,0 +1,57 @@
+/**
+ * What routers tell each other about the store: the position of the last change of each kind of objects, and how long ago a router
+ * that watches the store has confirmed it. A router that hears such news in time needs no watch of its own.
+ */
+
+/** Position of the last change of one kind. */
+export interface ChangePosition {
+  /** Undefined if the store states no era. */
+  era: number | undefined;
+  revision: number;
+}
+
+/** News of one kind, as sent between routers. */
+export interface ReportedStoreNews extends ChangePosition {
+  kind: string;
+  /** Time since the confirmation, in milliseconds. */
+  ageMs: number;
+}
+
+/** Latest news of one kind. */
+export interface StoreNewsEntry extends ChangePosition {
+  /** Monotonic time at which the store answered that there is no later change. */
+  confirmedAtMs: number;
+}
+
+/** Latest news of all kinds. */
+export interface StoreNews {
+  get(kind: string): StoreNewsEntry | undefined;
+  /** Records news. Returns whether it is later than what was known. */
+  record(kind: string, entry: StoreNewsEntry): boolean;
+  all(): ReadonlyMap<string, StoreNewsEntry>;
+}
+
+function isLaterChange(a: ChangePosition, b: ChangePosition): boolean {
+  const [eraA, eraB] = [a.era ?? 0, b.era ?? 0];
+  return eraA > eraB || (eraA === eraB && a.revision > b.revision);
+}
+
+/** Creates the news of a router that knows nothing of the store. */
+export function createStoreNews(): StoreNews {
+  const entries = new Map<string, StoreNewsEntry>();
+  return {
+    get: (kind) => entries.get(kind),
+    record(kind, entry) {
+      const known = entries.get(kind);
+      if (known === undefined || isLaterChange(entry, known)) {
+        entries.set(kind, entry);
+        return true;
+      }
+      // A confirmation of an earlier change says nothing about the later one.
+      if (isLaterChange(known, entry) || entry.confirmedAtMs <= known.confirmedAtMs) return false;
+      entries.set(kind, entry);
+      return true;
+    },
+    all: () => entries,
+  };
+}
--- a/packages/core/test/direct/large-pool.test.ts
+++ b/packages/core/test/direct/large-pool.test.ts
@@ -55,7 +55,7 @@
       promptParts: [],
     }));
     if (peers.requestsPerStep > 0) {
-      const report = { router: 'peer', loads, accounts: [], leaving: [] };
+      const report = { router: 'peer', loads, accounts: [], leaving: [], storeNews: [] };
       router.dispatch({ kind: 'peer-report', report });
     }
     if ((atMs / stepMs) % peers.stepsPerOwnRequest === 0) {
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -76,6 +76,7 @@
   assert.ok(usage.shareUsed('b', 120) > 1);
   assert.equal(usage.takeOwnTokens().size, 0, 'tokens of peers are not reported again');
   usage.recordRequested('a', 100, 6000);
+  usage.recordServed('a', 100, 6000);
   assert.equal(usage.shareUsed('b', 6000), 0);
 });
 
--- a/packages/core/test/direct/report-exchange.test.ts
+++ b/packages/core/test/direct/report-exchange.test.ts
@@ -2,7 +2,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { createReportExchange, LinkKind, planExchange } from '../../src/direct/index.js';
+import {
+  createReportExchange,
+  createStoreNews,
+  LinkKind,
+  planExchange,
+} from '../../src/direct/index.js';
 import type { ReportExchange, RouterInfo, RouterReport } from '../../src/direct/index.js';
 
 const hasher = {
@@ -76,7 +81,7 @@
 function createGroups(members: number): Map<string, SimulatedRouter> {
   const routers = new Map<string, SimulatedRouter>();
   const create = (name: string): void => {
-    const exchange = createReportExchange(name);
+    const exchange = createReportExchange(name, createStoreNews());
     exchange.open('own', LinkKind.Own);
     const router = {
       exchange,
@@ -112,9 +117,9 @@
   for (let round = 0; round < 10; round += 1) {
     routers.forEach(({ exchange, recipients }) => {
       recipients.forEach(({ router, link }, key) => {
-        const report = exchange.compose(key);
+        const report = exchange.compose(key, 0);
         if (report === undefined) return;
-        router.exchange.receive(link, report);
+        router.exchange.receive(link, report, 0);
         const bySever = router.seen.get(link) ?? new Map<string, number>();
         report.loads.forEach(({ serverKey, running, sentTokens }) => {
           bySever.set(serverKey, running);
@@ -138,6 +143,7 @@
   loads: [{ serverKey, running, sentTokens, promptParts: [] }],
   accounts: [['kingston', sentTokens, 0]],
   leaving: [],
+  storeNews: [],
 });
 
 test('whatever routers report in whatever order, each sees the exact sums of all others', () => {
@@ -154,7 +160,7 @@
       const running = new Map<string, number>();
       const tokens = new Map<string, number>();
       changes.forEach(({ router, server, running: count, tokens: sent, settles }) => {
-        routers.get(router)!.exchange.receive('own', ownReport(server, count, sent));
+        routers.get(router)!.exchange.receive('own', ownReport(server, count, sent), 0);
         running.set(`${router} ${server}`, count);
         tokens.set(router, (tokens.get(router) ?? 0) + sent);
         if (settles) settle(routers);
@@ -181,29 +187,29 @@
 });
 
 test('what a lost link has reported no longer counts, and a new link gets all current sums', () => {
-  const hub = createReportExchange('hub');
+  const hub = createReportExchange('hub', createStoreNews());
   hub.open('own', LinkKind.Own);
   hub.open('a', LinkKind.Member);
   hub.open('b', LinkKind.Member);
-  hub.receive('own', ownReport('e1', 1, 0));
-  hub.receive('a', ownReport('e1', 4, 0));
-  assert.equal(hub.compose('b')?.loads[0]?.running, 5);
+  hub.receive('own', ownReport('e1', 1, 0), 0);
+  hub.receive('a', ownReport('e1', 4, 0), 0);
+  assert.equal(hub.compose('b', 0)?.loads[0]?.running, 5);
   hub.close('a');
-  assert.equal(hub.compose('b')?.loads[0]?.running, 1);
+  assert.equal(hub.compose('b', 0)?.loads[0]?.running, 1);
   hub.open('c', LinkKind.Member);
-  assert.equal(hub.compose('c')?.loads[0]?.running, 1);
-  assert.equal(hub.compose('a'), undefined);
+  assert.equal(hub.compose('c', 0)?.loads[0]?.running, 1);
+  assert.equal(hub.compose('a', 0), undefined);
 });
 
 test('many changes of one server cost one entry, and a large report is split', () => {
-  const hub = createReportExchange('hub');
+  const hub = createReportExchange('hub', createStoreNews());
   hub.open('own', LinkKind.Own);
   hub.open('b', LinkKind.Member);
-  for (let index = 0; index < 50; index += 1) hub.receive('own', ownReport('e1', index, 10));
-  const report = hub.compose('b');
+  for (let index = 0; index < 50; index += 1) hub.receive('own', ownReport('e1', index, 10), 0);
+  const report = hub.compose('b', 0);
   assert.deepEqual([report?.loads.length, report?.loads[0]?.sentTokens], [1, 500]);
-  for (let index = 0; index < 300; index += 1) hub.receive('own', ownReport(`s${index}`, 1, 1));
-  const sizes = [hub.compose('b'), hub.compose('b'), hub.compose('b')].map(
+  for (let index = 0; index < 300; index += 1) hub.receive('own', ownReport(`s${index}`, 1, 1), 0);
+  const sizes = [hub.compose('b', 0), hub.compose('b', 0), hub.compose('b', 0)].map(
     (part) => part?.loads.length ?? 0,
   );
   assert.equal(
@@ -213,3 +219,31 @@
   assert.ok(Math.max(...sizes) <= 128);
   assert.equal(hub.hasNews('b'), false);
 });
+
+test('two groups watch the store for a grown fleet, whatever its size; in a small fleet each router watches for itself', () => {
+  [30, 300].forEach((size) => {
+    const hubs = [...planAll(createFleet(size)).values()].filter(
+      ({ watchesStore, hubCandidates }) => watchesStore && hubCandidates.length === 0,
+    );
+    assert.equal(hubs.length, 2);
+  });
+  planAll(createFleet(5)).forEach(({ watchesStore }) => assert.equal(watchesStore, false));
+});
+
+test('news of the store are passed on with their age, and an older change or confirmation says nothing', () => {
+  const news = createStoreNews();
+  assert.equal(news.record('servers', { era: 1, revision: 9, confirmedAtMs: 100 }), true);
+  assert.equal(news.record('servers', { era: 1, revision: 8, confirmedAtMs: 200 }), false);
+  assert.equal(news.record('servers', { era: 1, revision: 9, confirmedAtMs: 90 }), false);
+  const hub = createReportExchange('hub', news);
+  hub.open('member', LinkKind.Member);
+  hub.open('other', LinkKind.OtherHubIn);
+  assert.deepEqual(hub.compose('member', 150)?.storeNews, [
+    { kind: 'servers', era: 1, revision: 9, ageMs: 50 },
+  ]);
+  const storeNews = [{ kind: 'servers', era: 2, revision: 3, ageMs: 20 }];
+  hub.receive('other', { router: '', loads: [], accounts: [], leaving: [], storeNews }, 300);
+  assert.deepEqual(news.get('servers'), { era: 2, revision: 3, confirmedAtMs: 280 });
+  assert.deepEqual(hub.compose('member', 310)?.storeNews, [{ ...storeNews[0], ageMs: 30 }]);
+  assert.equal(hub.compose('member', 320), undefined);
+});
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,6 +1,11 @@
 /** Composition of the direct router's process. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { createDirectState, describeState, directReducer } from '@kingcupsill/core/direct';
+import {
+  createDirectState,
+  createStoreNews,
+  describeState,
+  directReducer,
+} from '@kingcupsill/core/direct';
 import type { DirectEffect, DirectEvent, DirectState } from '@kingcupsill/core/direct';
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
@@ -22,10 +27,12 @@
 import { createLoopLag } from './loop-lag.js';
 import { createEdgeMetrics } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
+import type { PeerLinks } from './peers/peer-links.js';
 import { createReporting } from './peers/reporting.js';
 import { createServerConnections } from './relay/server-connections.js';
 import { parseAddress, parseZoneRegions } from './settings.js';
 import { createFeeds } from './store/feeds.js';
+import { createFollowedNews } from './store/followed-news.js';
 import { ownRouterEntry, registerRouter } from './store/router-registration.js';
 import { createStoreEra } from './store/store-era.js';
 import { createStoreTransport } from './store/store-transport.js';
@@ -93,6 +100,8 @@
           loop.dispatch({ kind: 'store-restored', nowMs: ctx.clock() });
         }),
     },
+    storeNews: { create: createStoreNews },
+    followedNews: followedNewsPart(ctx),
     loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
     peers: peersPart(ctx, hasher),
@@ -186,7 +195,7 @@
 function peersPart(ctx: EdgeContext, hasher: Hasher): EdgePart<'peers'> {
   const { clock, logger } = ctx;
   return {
-    create: ({ loop, metrics }) =>
+    create: (parts) =>
       createPeerLinks({
         ...parseAddress(ctx.settings().peers.address),
         self: ctx.settings().process.id,
@@ -194,14 +203,35 @@
         hasher,
         clock,
         logger,
-        onReport: (report) => loop.dispatch({ kind: 'peer-report', report, nowMs: clock() }),
-        onPeerLost: (router) => loop.dispatch({ kind: 'peer-gone', router, nowMs: clock() }),
-        onSent: metrics.countReport,
+        storeNews: parts.storeNews,
+        onReport(report) {
+          parts.loop.dispatch({ kind: 'peer-report', report, nowMs: clock() });
+          parts.followedNews.wake(report.storeNews.map(({ kind }) => kind));
+        },
+        onPeerLost: (router) => parts.loop.dispatch({ kind: 'peer-gone', router, nowMs: clock() }),
+        onSent: parts.metrics.countReport,
       }),
     close: (peers) => peers.close(),
   };
 }
 
+function followedNewsPart({ clock }: EdgeContext): EdgePart<'followedNews'> {
+  return {
+    create({ storeNews, peers }) {
+      let links: PeerLinks | undefined;
+      void peers.then((created) => {
+        links = created;
+      });
+      return createFollowedNews({
+        news: storeNews,
+        clock,
+        isWatching: () => links?.watchesStore() ?? false,
+        announce: (kind) => links?.announceStoreNews(kind),
+      });
+    },
+  };
+}
+
 function registrationPart(ctx: EdgeContext): EdgePart<'registration'> {
   const { id } = ctx.settings().process;
   return {
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -1,6 +1,6 @@
 /** Exchange of load reports with the other routers over links to and from the hubs of groups. */
 import { createReportExchange, LinkKind, planExchange } from '@kingcupsill/core/direct';
-import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
+import type { RouterInfo, RouterReport, StoreNews } from '@kingcupsill/core/direct';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { repeatEvery } from '../closable.js';
 import { createIncomingLinks } from './incoming.js';
@@ -18,6 +18,7 @@
   hasher: Hasher;
   /** Name and incarnation of this router, which its reports carry. */
   router: string;
+  storeNews: StoreNews;
   /** Called with each received report; `router` in it names the link. */
   onReport: (report: RouterReport) => void;
   /** Called with the name of a link that was lost. */
@@ -32,6 +33,10 @@
   setRouters(routers: readonly RouterInfo[]): void;
   /** Passes on a report of this router's own load. */
   report(report: RouterReport): void;
+  /** Passes on news of the store that this router has from its own calls. */
+  announceStoreNews(kind: string): void;
+  /** Returns whether this router watches the store for others. */
+  watchesStore(): boolean;
   close(): void;
 }
 
@@ -51,7 +56,7 @@
     },
   };
   const codec = createReportCodec();
-  const exchange = createReportExchange(options.router);
+  const exchange = createReportExchange(options.router, options.storeNews);
   const sender = createReportSender({
     exchange,
     clock,
@@ -60,6 +65,7 @@
   });
   const otherHubs = new Map<string, PreferredLink>();
   let otherGroups: ReadonlyMap<string, RouterInfo[]> = new Map();
+  let watchingGroup = true;
   exchange.open(OWN, LinkKind.Own);
 
   function listen(kind: LinkKind, isRecipient: boolean): LinkListener {
@@ -76,7 +82,7 @@
           logger.warn('peer-report-malformed', { link: key, message: decoded.message });
           return;
         }
-        exchange.receive(key, decoded.value);
+        exchange.receive(key, decoded.value, clock());
         options.onReport({ ...decoded.value, router: key });
         sender.flush();
       },
@@ -135,11 +141,17 @@
     setRouters(routers) {
       const plan = planExchange(hasher, self, routers);
       otherGroups = plan.otherGroups;
+      watchingGroup = plan.watchesStore;
       hub.setCandidates(plan.hubCandidates);
       updateRole();
     },
+    announceStoreNews(kind) {
+      exchange.announceStoreNews(kind);
+      sender.flush();
+    },
+    watchesStore: () => watchingGroup && isHub(),
     report(report) {
-      exchange.receive(OWN, report);
+      exchange.receive(OWN, report, clock());
       sender.flush();
     },
     close() {
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -14,7 +14,9 @@
   accounts: RouterReport['accounts'],
   /** Missing in reports of earlier builds. */
   leaving?: string[],
+  storeNews?: WireStoreNews[],
 ];
+type WireStoreNews = [kind: string, era: number | null, revision: number, ageMs: number];
 
 /** Decoded report, or the reason why the bytes aren't one. */
 export type DecodedReport = { ok: true; value: RouterReport } | { ok: false; message: string };
@@ -37,14 +39,29 @@
 export function createReportCodec(): ReportCodec {
   const packr = new Packr({ useRecords: false });
   return {
-    encode({ router, loads, accounts, leaving }) {
-      const wire: WireReport = [router, loads.map(toWire), accounts, leaving];
+    encode({ router, loads, accounts, leaving, storeNews }) {
+      const news = storeNews.map(({ kind, era, revision, ageMs }): WireStoreNews => [
+        kind,
+        era ?? null,
+        revision,
+        ageMs,
+      ]);
+      const wire: WireReport = [router, loads.map(toWire), accounts, leaving, news];
       return packr.pack(wire);
     },
     decode(bytes) {
       try {
-        const [router, loads, accounts, leaving = []] = packr.unpack(bytes) as WireReport;
-        return { ok: true, value: { router, loads: loads.map(fromWire), accounts, leaving } };
+        const [router, loads, accounts, leaving = [], news = []] = packr.unpack(
+          bytes,
+        ) as WireReport;
+        const storeNews = news.map(([kind, era, revision, ageMs]) => ({
+          kind,
+          era: era ?? undefined,
+          revision,
+          ageMs,
+        }));
+        const value = { router, loads: loads.map(fromWire), accounts, leaving, storeNews };
+        return { ok: true, value };
       } catch (err) {
         return { ok: false, message: (err as Error).message };
       }
--- a/packages/edge/src/peers/report-sender.ts
+++ b/packages/edge/src/peers/report-sender.ts
@@ -38,7 +38,7 @@
   let timer: NodeJS.Timeout | undefined;
 
   function send(recipient: Recipient, nowMs: number): void {
-    const report = exchange.compose(recipient.link.key);
+    const report = exchange.compose(recipient.link.key, nowMs);
     if (report === undefined) return;
     const bytes = options.encode(report);
     const periodMs = Math.max(MIN_PERIOD_MS, (recipients.size * 1000) / REPORTS_PER_SECOND);
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -17,14 +17,21 @@
 import { ownRouterEntry, readRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
-type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'storeEra' | 'metrics' | 'registration'>;
-type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs'>;
+type FeedParts = Pick<
+  EdgeParts,
+  'loop' | 'store' | 'storeEra' | 'followedNews' | 'metrics' | 'registration'
+>;
+type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs' | 'allowsStale'>;
 type FeedHandlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & FeedTiming;
 
 /** A tenth of the maximum time until a change is in force, and until a draining server gets no more new requests. */
 const URGENT_BATCH_DELAY_MS = 250;
 /** No time limit applies to changes of the set of routers, and links detect lost routers on their own. */
-const ROUTERS_TIMING: FeedTiming = { watchWaitMs: 15_000, batchDelayMs: 1000 };
+const ROUTERS_TIMING: FeedTiming = {
+  watchWaitMs: 15_000,
+  batchDelayMs: 1000,
+  allowsStale: true,
+};
 
 /** Returns a timing that detects a silent connection within the deployment's limit. */
 function urgentTiming({ store }: EdgeSettings): FeedTiming {
@@ -34,6 +41,7 @@
       store.noticeMs - DEFAULT_RESPONSE_TIMEOUT_MS,
     ),
     batchDelayMs: URGENT_BATCH_DELAY_MS,
+    allowsStale: false,
   };
 }
 
@@ -137,6 +145,7 @@
       client: parts.store,
       availability,
       era: parts.storeEra,
+      news: handlers.allowsStale ? undefined : parts.followedNews,
       logger: ctx.logger,
       random: ctx.random,
       onCallEnded: parts.metrics.countStoreCall,
@@ -146,6 +155,7 @@
   return {
     close() {
       feeds.forEach((feed) => feed.close());
+      parts.followedNews.wake(Object.values(StoreKind));
       availability.close();
     },
   };
--- /dev/null
+++ b/packages/edge/src/store/followed-news.ts
@@ -0,0 +1,87 @@
+/** News of the store from other routers, which a feed follows in place of a watch of its own. */
+import type { StoreNews } from '@kingcupsill/core/direct';
+import type { StoreChange, StoreKind, StorePosition } from '@kingcupsill/prepared-platform';
+import type { Clock } from '@kingcupsill/runtime';
+
+/** Whether a feed may rely on the news, and what they say about its position. */
+export const NewsState = {
+  /** There is no recent news, or this router watches for others. */
+  Absent: 'absent',
+  /** Nothing has changed since the feed's position. */
+  Unchanged: 'unchanged',
+  /** There are later changes. */
+  Changed: 'changed',
+} as const;
+export type NewsState = (typeof NewsState)[keyof typeof NewsState];
+
+/** News of all kinds for the feeds of one process. */
+export interface FollowedNews {
+  /** Compares the news with the position of a feed. */
+  compare(kind: StoreKind, position: StorePosition): NewsState;
+  /** Records and passes on the answer of this router's own watch, if it watches for others. */
+  publish(kind: StoreKind, position: StorePosition, changes: readonly StoreChange[]): void;
+  /** Returns whether this router watches the store for others, with short waits so that its news stay recent. */
+  isWatching(): boolean;
+  /** Resolves when the news of a kind have been recorded or `ms` have passed. */
+  wait(kind: StoreKind, ms: number): Promise<void>;
+  /** Wakes the feeds that wait for news of these kinds. */
+  wake(kinds: readonly string[]): void;
+}
+
+/** Options of the news. */
+export interface FollowedNewsOptions {
+  news: StoreNews;
+  clock: Clock;
+  isWatching: () => boolean;
+  /** Passes on the latest news of a kind. */
+  announce: (kind: StoreKind) => void;
+}
+
+/** Wait that a watching router requests from the store, so that it confirms its news about every second. */
+export const WATCHING_WAIT_MS = 800;
+/** Age above which news isn't relied on; it leaves time for a call of the own within the shortest limits of changes. */
+export const MAX_NEWS_AGE_MS = 1600;
+
+/** Creates news to which no feed listens yet. */
+export function createFollowedNews(options: FollowedNewsOptions): FollowedNews {
+  const { news, clock } = options;
+  const waiters = new Map<string, Set<() => void>>();
+
+  return {
+    compare(kind, position) {
+      const latest = news.get(kind);
+      if (options.isWatching() || latest === undefined) return NewsState.Absent;
+      if (clock() - latest.confirmedAtMs > MAX_NEWS_AGE_MS) return NewsState.Absent;
+      const isSameEra = latest.era === position.era;
+      return isSameEra && latest.revision <= position.revision
+        ? NewsState.Unchanged
+        : NewsState.Changed;
+    },
+    publish(kind, { era, revision }, changes) {
+      if (!options.isWatching()) return;
+      const known = news.get(kind);
+      // The store's revision also rises with changes of other kinds, which are no news for this one.
+      const isNew = changes.length > 0 || known === undefined || known.era !== era;
+      const changedRevision = isNew ? revision : known.revision;
+      const entry = { era, revision: changedRevision, confirmedAtMs: clock() };
+      if (news.record(kind, entry)) options.announce(kind);
+    },
+    isWatching: options.isWatching,
+    wait(kind, ms) {
+      return new Promise((resolve) => {
+        const waiting = waiters.get(kind) ?? new Set();
+        waiters.set(kind, waiting);
+        const timer = setTimeout(finish, ms);
+        function finish(): void {
+          clearTimeout(timer);
+          waiting.delete(finish);
+          resolve();
+        }
+        waiting.add(finish);
+      });
+    },
+    wake(kinds) {
+      kinds.forEach((kind) => waiters.get(kind)?.forEach((finish) => finish()));
+    },
+  };
+}
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -1,5 +1,5 @@
 /** Feed of one kind of stored objects: lists them, then watches their changes, and retries through outages. */
-import { StoreFailure } from '@kingcupsill/prepared-platform';
+import { ReadMode, StoreFailure } from '@kingcupsill/prepared-platform';
 import type {
   StoreChange,
   StoreClient,
@@ -10,6 +10,8 @@
 } from '@kingcupsill/prepared-platform';
 import { createCallResults } from './call-results.js';
 import type { CallResultsOptions } from './call-results.js';
+import { MAX_NEWS_AGE_MS, NewsState, WATCHING_WAIT_MS } from './followed-news.js';
+import type { FollowedNews } from './followed-news.js';
 
 /** Options of a feed. */
 export interface ObjectFeedOptions extends CallResultsOptions {
@@ -18,6 +20,10 @@
   watchWaitMs: number;
   /** Delay after changes, so that one call returns several: a watch returns at the first change, and each call has a cost. */
   batchDelayMs: number;
+  /** Whether data may be seconds old, for which a call costs less. */
+  allowsStale: boolean;
+  /** News of other routers to follow; undefined for kinds that each router watches itself. */
+  news: FollowedNews | undefined;
   onListed: (objects: StoreObject[]) => void;
   onChanged: (change: StoreChange) => void;
 }
@@ -29,10 +35,14 @@
 
 /** Wait that a watch requests while calls fail: any response shows that the store has recovered. */
 const FAILING_WATCH_WAIT_MS = 0;
+/** Delay after changes that other routers have announced: the first change is fetched at once, and those that follow together. */
+const FOLLOWING_BATCH_DELAY_MS = 700;
+
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
   const { client, availability, kind, logger } = options;
   const results = createCallResults(options);
+  const readMode = options.allowsStale ? ReadMode.Stale : ReadMode.Current;
   let closed = false;
 
   async function list(): Promise<StorePosition | undefined> {
@@ -40,7 +50,7 @@
     let cursor: string | undefined;
     let position: StorePosition | undefined;
     do {
-      const page = await client.listPage(kind, cursor, results.responseTimeoutMs());
+      const page = await client.listPage(kind, cursor, results.responseTimeoutMs(), readMode);
       if (closed) return undefined;
       if (!results.record(page) || !page.ok) return undefined;
       // The watch starts at the first page's position, so it returns the changes made during the listing.
@@ -58,30 +68,47 @@
     return { era: era ?? options.era.current(), revision };
   }
 
+  function watchWaitMs(state: NewsState | undefined): number {
+    if (results.isFailing()) return FAILING_WATCH_WAIT_MS;
+    // The store answers at once, since there are changes.
+    if (state === NewsState.Changed) return 0;
+    return options.news?.isWatching() === true ? WATCHING_WAIT_MS : options.watchWaitMs;
+  }
+
   /** Returns the result of a watch, or undefined if a new era of the store has begun meanwhile. */
   async function requestChanges(
     from: StorePosition,
+    waitMs: number,
   ): Promise<StoreResult<StoreChangeBatch> | undefined> {
-    const waitMs = results.isFailing() ? FAILING_WATCH_WAIT_MS : options.watchWaitMs;
     const nextEra = options.era.waitForNext();
-    const call = client.watch(kind, from, waitMs, results.responseTimeoutMs());
+    const call = client.watch(kind, from, waitMs, results.responseTimeoutMs(), readMode);
     const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
     nextEra.stop();
     return result;
   }
 
-  async function watch(from: StorePosition): Promise<StorePosition | undefined> {
-    const result = await requestChanges(from);
+  async function applyChanges(
+    { changes, position }: StoreChangeBatch,
+    from: StorePosition,
+    state: NewsState | undefined,
+  ): Promise<StorePosition | undefined> {
+    const reached = inCurrentEra(position);
+    // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
+    if (reached.era !== from.era) return undefined;
+    changes.forEach(options.onChanged);
+    options.news?.publish(kind, reached, changes);
+    const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
+    if (changes.length > 0) await availability.pause(Math.max(options.batchDelayMs, followDelayMs));
+    return reached;
+  }
+
+  async function watch(
+    from: StorePosition,
+    state: NewsState | undefined,
+  ): Promise<StorePosition | undefined> {
+    const result = await requestChanges(from, watchWaitMs(state));
     if (closed || result === undefined || !results.record(result)) return undefined;
-    if (result.ok) {
-      const { changes } = result.value;
-      const position = inCurrentEra(result.value.position);
-      // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
-      if (position.era !== from.era) return undefined;
-      changes.forEach(options.onChanged);
-      if (changes.length > 0) await availability.pause(options.batchDelayMs);
-      return position;
-    }
+    if (result.ok) return applyChanges(result.value, from, state);
     if (result.failure === StoreFailure.HistoryGone) {
       logger.info('store-history-gone', { kind, revision: from.revision });
       return undefined;
@@ -89,13 +116,21 @@
     return from;
   }
 
+  /** Follows the changes from a position by the news of other routers, or else by a watch. */
+  async function follow(from: StorePosition): Promise<StorePosition | undefined> {
+    const state = results.isFailing() ? undefined : options.news?.compare(kind, from);
+    if (state !== NewsState.Unchanged) return watch(from, state);
+    // Another router has just had an answer of the store.
+    options.onResponse();
+    await options.news?.wait(kind, MAX_NEWS_AGE_MS);
+    return from;
+  }
+
   async function run(): Promise<void> {
     let position: StorePosition | undefined;
     while (!closed) {
-      position =
-        position === undefined || position.era !== options.era.current()
-          ? await list()
-          : await watch(position);
+      const needsList = position === undefined || position.era !== options.era.current();
+      position = needsList ? await list() : await follow(position!);
       if (results.isFailing() && !closed) await availability.pause(results.retryDelayMs());
     }
   }
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -1,5 +1,5 @@
 /** Types of the direct router's process. */
-import type { DirectEvent, DirectState } from '@kingcupsill/core/direct';
+import type { DirectEvent, DirectState, StoreNews } from '@kingcupsill/core/direct';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import type { Clock, Logger, Loop } from '@kingcupsill/runtime';
 import type { Registry } from 'prom-client';
@@ -13,6 +13,7 @@
 import type { Reporting } from './peers/reporting.js';
 import type { ServerConnections } from './relay/server-connections.js';
 import type { EdgeSettings } from './settings.js';
+import type { FollowedNews } from './store/followed-news.js';
 import type { RouterRegistration } from './store/router-registration.js';
 import type { StoreEra } from './store/store-era.js';
 import type { StoreTransport } from './store/store-transport.js';
@@ -48,6 +49,8 @@
   transport: StoreTransport;
   store: StoreClient;
   storeEra: StoreEra;
+  storeNews: StoreNews;
+  followedNews: FollowedNews;
   loopLag: LoopLag;
   validator: RequestValidator;
   peers: Promise<PeerLinks>;
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createHasher } from '@kingcupsill/core/hash';
+import { createStoreNews } from '@kingcupsill/core/direct';
 import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
@@ -14,6 +15,7 @@
   loads: [{ serverKey: 'e1@1', running: 3, sentTokens: 900, promptParts: [['ab', 300]] }],
   accounts: [['kingston', 1000, 800]],
   leaving: ['e2@1'],
+  storeNews: [],
 };
 
 test('decodes an encoded report unchanged and rejects malformed bytes', () => {
@@ -43,6 +45,7 @@
     onReport: (receivedReport) => received.push(receivedReport),
     onPeerLost: (link) => lost.push(link),
     onSent: () => undefined,
+    storeNews: createStoreNews(),
   });
   return { info, links, received, lost };
 }
--- a/packages/edge/test/store/era.test.ts
+++ b/packages/edge/test/store/era.test.ts
@@ -53,6 +53,8 @@
     kind: StoreKind.Servers,
     watchWaitMs: 1500,
     batchDelayMs: 0,
+    allowsStale: false,
+    news: undefined,
     logger: createRecordingLogger(),
     random: () => 0,
     onCallEnded: () => undefined,
--- /dev/null
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -0,0 +1,143 @@
+/** Guards against a store that every router of a growing fleet watches, and against news that hide a change. */
+import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
+import { test } from 'node:test';
+import { createStoreNews } from '@kingcupsill/core/direct';
+import { StoreKind } from '@kingcupsill/prepared-platform';
+import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
+import { createFollowedNews } from '../../src/store/followed-news.js';
+import { createObjectFeed } from '../../src/store/object-feed.js';
+import { createStoreAvailability } from '../../src/store/store-availability.js';
+import { createStoreEra } from '../../src/store/store-era.js';
+import { waitUntil } from '../standins/deployment.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
+
+const kind = StoreKind.Servers;
+
+/** A feed whose store holds `revision` and answers watches as soon as it is later than the watched one. */
+function createFollower(isWatching = false) {
+  const stored = { revision: 5 };
+  const calls: string[] = [];
+  const changed: number[] = [];
+  const announced: string[] = [];
+  let responses = 0;
+  const news = createStoreNews();
+  const clock = () => performance.now();
+  const followed = createFollowedNews({
+    news,
+    clock,
+    isWatching: () => isWatching,
+    announce: (announcedKind) => announced.push(announcedKind),
+  });
+  const client: Pick<StoreClient, 'listPage' | 'watch'> = {
+    async listPage() {
+      calls.push('list');
+      const position = { era: 1, revision: stored.revision };
+      return { ok: true, value: { objects: [], nextCursor: undefined, position }, era: 1 };
+    },
+    async watch(_kind, { revision }, waitMs) {
+      calls.push(`watch ${revision}`);
+      const deadlineMs = clock() + waitMs;
+      while (stored.revision <= revision && clock() < deadlineMs) await delay(5);
+      const position = { era: 1, revision: stored.revision };
+      const change: StoreChange = {
+        object: { name: 'i-1', revision: stored.revision, spec: {} },
+        removed: false,
+      };
+      const changes = stored.revision > revision ? [change] : [];
+      return { ok: true, value: { changes, position }, era: 1 };
+    },
+  };
+  const feed = createObjectFeed({
+    client: client as StoreClient,
+    availability: createStoreAvailability(),
+    era: createStoreEra(() => undefined),
+    kind,
+    watchWaitMs: 300,
+    batchDelayMs: 0,
+    allowsStale: false,
+    news: followed,
+    logger: createRecordingLogger(),
+    random: () => 0,
+    onCallEnded: () => undefined,
+    onResponse() {
+      responses += 1;
+    },
+    onListed: () => undefined,
+    onChanged: ({ object }) => changed.push(object.revision),
+  });
+  /** Delivers news as a report of a peer would. */
+  function hear(revision: number, era = 1): void {
+    news.record(kind, { era, revision, confirmedAtMs: clock() });
+    followed.wake([kind]);
+  }
+  return {
+    stored,
+    calls,
+    changed,
+    announced,
+    hear,
+    responseCount: () => responses,
+    close() {
+      feed.close();
+      followed.wake([kind]);
+    },
+  };
+}
+
+test('while peers confirm that nothing has changed, a router makes no calls, and its store counts as answering', async () => {
+  const follower = createFollower();
+  follower.hear(5);
+  for (let index = 0; index < 8; index += 1) {
+    await delay(100);
+    follower.hear(5);
+  }
+  assert.deepEqual(follower.calls, ['list']);
+  assert.ok(follower.responseCount() >= 8);
+  follower.close();
+});
+
+test('an announced change is fetched at once, with one call', async () => {
+  const follower = createFollower();
+  follower.hear(5);
+  await delay(50);
+  follower.stored.revision = 9;
+  follower.hear(8);
+  const announcedAtMs = performance.now();
+  await waitUntil(() => follower.changed.length > 0);
+  assert.ok(performance.now() - announcedAtMs < 200);
+  follower.hear(8);
+  await delay(100);
+  assert.deepEqual([follower.calls, follower.changed], [['list', 'watch 5'], [9]]);
+  follower.close();
+});
+
+test('a router whose peers fall silent watches the store itself', async () => {
+  const follower = createFollower();
+  follower.hear(5);
+  await delay(50);
+  follower.stored.revision = 6;
+  const silentSinceMs = performance.now();
+  await waitUntil(() => follower.changed.length > 0);
+  // Well within the shortest time in which a change must be in force.
+  assert.ok(performance.now() - silentSinceMs < 2000);
+  follower.close();
+});
+
+test('news of a later era make the router ask the store', async () => {
+  const follower = createFollower();
+  follower.hear(5);
+  await delay(50);
+  follower.hear(2, 2);
+  await waitUntil(() => follower.calls.length > 1);
+  assert.equal(follower.calls[1], 'watch 5');
+  follower.close();
+});
+
+test('a watching router announces what it confirms, and follows no one', async () => {
+  const follower = createFollower(true);
+  await waitUntil(() => follower.calls.length >= 2);
+  follower.stored.revision = 6;
+  await waitUntil(() => follower.announced.length >= 1);
+  follower.close();
+});
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -40,6 +40,8 @@
       kind: StoreKind.Servers,
       watchWaitMs: 1500,
       batchDelayMs: 0,
+      allowsStale: false,
+      news: undefined,
       logger: createRecordingLogger(),
       random: () => 0,
       onCallEnded: () => undefined,
--- a/packages/edge/test/store/store-calls.test.ts
+++ b/packages/edge/test/store/store-calls.test.ts
@@ -27,6 +27,8 @@
     era: createStoreEra(() => undefined),
     watchWaitMs: 1500,
     batchDelayMs: 250,
+    allowsStale: false,
+    news: undefined,
     logger: createRecordingLogger(),
     random: () => 0.5,
     onCallEnded: () => undefined,
