--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -1,4 +1,5 @@
 /** Events and effects of the direct router. Events carry the monotonic time and random draws; effects are plain data. */
+import type { ReportedStoreNews } from './store-news.js';
 import type {
   AttemptOutcome,
   BackendServerEntry,
@@ -6,12 +7,13 @@
   PromptPart,
   RefusalCode,
   RequestAttributes,
+  ServerAnnouncement,
 } from './types.js';
 
-/** Load that a router has put on one backend server. */
+/** Load that a router, or the routers whose reports it passes on, have put on one backend server. */
 export interface ReportedServerLoad {
   serverKey: string;
-  /** Number of the router's requests in progress at the server. */
+  /** Number of requests in progress at the server. */
   running: number;
   /** Prompt tokens sent to the server since the router's last report. */
   sentTokens: number;
@@ -24,8 +26,12 @@
   /** Name and incarnation of the router. */
   router: string;
   loads: ReportedServerLoad[];
-  /** Requested and served tokens of each account since the router's start. */
+  /** Requested and served tokens of accounts since the last report. */
   accounts: [account: string, requestedTokens: number, servedTokens: number][];
+  /** Keys of servers that have stated that they leave. */
+  leaving: string[];
+  /** Later changes and confirmations of the store's content since the last report. */
+  storeNews: ReportedStoreNews[];
 }
 
 interface Timed {
@@ -37,6 +43,9 @@
   (
     | { kind: 'configured'; config: FleetConfig }
     | { kind: 'servers-listed'; entries: BackendServerEntry[] }
+    /** The store has been restored from an older copy; listings may lack changes that it had acknowledged. */
+    | { kind: 'store-restored' }
+    | { kind: 'server-announced'; serverKey: string; announcement: ServerAnnouncement }
     | { kind: 'server-changed'; entry: BackendServerEntry }
     | { kind: 'server-removed'; id: string }
     | { kind: 'store-answered' }
@@ -54,6 +63,7 @@
     /** Response of an engine with the prompt parts in its cache. */
     | { kind: 'kept-listed'; serverKey: string; promptParts: PromptPart[] }
     | { kind: 'peer-report'; report: RouterReport }
+    /** The reports of a link no longer hold; `router` is the name under which they were applied. */
     | { kind: 'peer-gone'; router: string }
     | { kind: 'peers-counted'; routerCount: number }
     | { kind: 'tick' }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -19,6 +19,8 @@
   load: ServerLoad;
   /** Number of this router's attempts whose answer hasn't begun. */
   unansweredAttempts: number;
+  /** Time until which the server has asked this router to send nothing; 0 if it hasn't. */
+  deferredUntilMs: number;
   /** Prompt parts sent to the server since the last report to peers. */
   unreportedParts: PromptPart[];
 }
@@ -86,7 +88,12 @@
   hasServerList: boolean;
   /** True once the cache contents of the engines have been requested. */
   cachesRequested: boolean;
+  /** Keys of servers that have stated that they leave, until the next report to peers. */
+  leavingNews: string[];
   servers: Map<string, ServerState>;
+  /** Keys of the servers to which prompts were sent since the last report, and of those at which requests ended. */
+  sentServerKeys: Set<string>;
+  endedServerKeys: Set<string>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
   accountUsage: AccountUsage;
@@ -115,7 +122,10 @@
     registry: createServerRegistry(options.registry),
     hasServerList: false,
     cachesRequested: false,
+    leavingNews: [],
     servers: new Map(),
+    sentServerKeys: new Set(),
+    endedServerKeys: new Set(),
     requests: new Map(),
     attempts: new Map(),
     accountUsage: createAccountUsage(options.shareWindowMs),
@@ -158,6 +168,7 @@
       health: createServerHealth(),
       load,
       unansweredAttempts: 0,
+      deferredUntilMs: 0,
       unreportedParts: [],
     };
     state.servers.set(server.key, serverState);
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -8,12 +8,23 @@
   sentTokens: number,
   promptParts: [string, number][],
 ];
-type WireReport = [router: string, loads: WireLoad[], accounts: RouterReport['accounts']];
+type WireReport = [
+  router: string,
+  loads: WireLoad[],
+  accounts: RouterReport['accounts'],
+  /** Missing in reports of earlier builds. */
+  leaving?: string[],
+  storeNews?: WireStoreNews[],
+];
+type WireStoreNews = [kind: string, era: number | null, revision: number, ageMs: number];
+
+/** Decoded report, or the reason why the bytes aren't one. */
+export type DecodedReport = { ok: true; value: RouterReport } | { ok: false; message: string };
 
-/** Encoder and decoder of reports. Decoding throws if the bytes are not a report. */
+/** Encoder and decoder of reports. */
 export interface ReportCodec {
   encode(report: RouterReport): Buffer;
-  decode(bytes: Buffer): RouterReport;
+  decode(bytes: Buffer): DecodedReport;
 }
 
 function toWire({ serverKey, running, sentTokens, promptParts }: ReportedServerLoad): WireLoad {
@@ -28,13 +39,32 @@
 export function createReportCodec(): ReportCodec {
   const packr = new Packr({ useRecords: false });
   return {
-    encode({ router, loads, accounts }) {
-      const wire: WireReport = [router, loads.map(toWire), accounts];
+    encode({ router, loads, accounts, leaving, storeNews }) {
+      const news = storeNews.map(({ kind, era, revision, ageMs }): WireStoreNews => [
+        kind,
+        era ?? null,
+        revision,
+        ageMs,
+      ]);
+      const wire: WireReport = [router, loads.map(toWire), accounts, leaving, news];
       return packr.pack(wire);
     },
     decode(bytes) {
-      const [router, loads, accounts] = packr.unpack(bytes) as WireReport;
-      return { router, loads: loads.map(fromWire), accounts };
+      try {
+        const [router, loads, accounts, leaving = [], news = []] = packr.unpack(
+          bytes,
+        ) as WireReport;
+        const storeNews = news.map(([kind, era, revision, ageMs]) => ({
+          kind,
+          era: era ?? undefined,
+          revision,
+          ageMs,
+        }));
+        const value = { router, loads: loads.map(fromWire), accounts, leaving, storeNews };
+        return { ok: true, value };
+      } catch (err) {
+        return { ok: false, message: (err as Error).message };
+      }
     },
   };
 }
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -1,4 +1,5 @@
 /** Feeds from the platform's store: configuration, backend servers and the other routers. */
+import type { RouterInfo } from '@kingcupsill/core/direct';
 import {
   CONFIGURATION_NAME,
   decodeConfiguration,
@@ -10,19 +11,27 @@
 import type { PeerLinks } from '../peers/peer-links.js';
 import type { EdgeSettings } from '../settings.js';
 import type { EdgeContext, EdgeParts } from '../types.js';
-import { createObjectFeed, DEFAULT_RESPONSE_TIMEOUT_MS } from './object-feed.js';
+import { DEFAULT_RESPONSE_TIMEOUT_MS } from './call-results.js';
+import { createObjectFeed } from './object-feed.js';
 import type { ObjectFeedOptions } from './object-feed.js';
-import { readRouterAddress } from './router-registration.js';
+import { ownRouterEntry, readRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
-type FeedParts = Pick<EdgeParts, 'loop' | 'store' | 'metrics'>;
-type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs'>;
+type FeedParts = Pick<
+  EdgeParts,
+  'loop' | 'store' | 'storeEra' | 'followedNews' | 'metrics' | 'registration'
+>;
+type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs' | 'allowsStale'>;
 type FeedHandlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & FeedTiming;
 
 /** A tenth of the maximum time until a change is in force, and until a draining server gets no more new requests. */
 const URGENT_BATCH_DELAY_MS = 250;
 /** No time limit applies to changes of the set of routers, and links detect lost routers on their own. */
-const ROUTERS_TIMING: FeedTiming = { watchWaitMs: 15_000, batchDelayMs: 1000 };
+const ROUTERS_TIMING: FeedTiming = {
+  watchWaitMs: 15_000,
+  batchDelayMs: 1000,
+  allowsStale: true,
+};
 
 /** Returns a timing that detects a silent connection within the deployment's limit. */
 function urgentTiming({ store }: EdgeSettings): FeedTiming {
@@ -32,6 +41,7 @@
       store.noticeMs - DEFAULT_RESPONSE_TIMEOUT_MS,
     ),
     batchDelayMs: URGENT_BATCH_DELAY_MS,
+    allowsStale: false,
   };
 }
 
@@ -82,32 +92,41 @@
   };
 }
 
-function routerHandlers(ctx: EdgeContext, { loop }: FeedParts, peers: PeerLinks): FeedHandlers {
-  const addresses = new Map<string, string>();
+function routerHandlers(
+  ctx: EdgeContext,
+  { loop, registration }: FeedParts,
+  peers: PeerLinks,
+): FeedHandlers {
+  const { id } = ctx.settings().process;
+  const routers = new Map<string, RouterInfo>();
 
-  function addAddress(object: StoreObject): void {
-    const router = readRouterAddress(object);
-    if (router !== undefined) addresses.set(object.name, router.address);
+  function add(object: StoreObject): void {
+    const entry = readRouterEntry(object);
+    if (entry !== undefined) routers.set(object.name, { name: object.name, ...entry });
   }
 
   function updateLinks(): void {
-    const others = new Set(addresses.values());
-    others.delete(ctx.settings().peers.address);
-    peers.setAddresses(others);
-    loop.dispatch({ kind: 'peers-counted', routerCount: others.size + 1, nowMs: ctx.clock() });
+    // This router's own entry may still be that of an earlier run, or missing.
+    const self = { name: id, ...ownRouterEntry(ctx) };
+    const known = [...routers.values()].filter(({ name }) => name !== id);
+    peers.setRouters([...known, self]);
+    const routerCount = known.length + 1;
+    loop.dispatch({ kind: 'peers-counted', routerCount, nowMs: ctx.clock() });
   }
 
   return {
     kind: StoreKind.Routers,
     ...ROUTERS_TIMING,
     onListed(objects) {
-      addresses.clear();
-      objects.forEach(addAddress);
+      routers.clear();
+      objects.forEach(add);
       updateLinks();
+      registration.verify(objects.find(({ name }) => name === id));
     },
     onChanged({ object, removed }) {
-      if (removed) addresses.delete(object.name);
-      else addAddress(object);
+      if (object.name === id) registration.verify(removed ? undefined : object);
+      if (removed) routers.delete(object.name);
+      else add(object);
       updateLinks();
     },
   };
@@ -125,6 +144,8 @@
       ...handlers,
       client: parts.store,
       availability,
+      era: parts.storeEra,
+      news: handlers.allowsStale ? undefined : parts.followedNews,
       logger: ctx.logger,
       random: ctx.random,
       onCallEnded: parts.metrics.countStoreCall,
@@ -134,6 +155,7 @@
   return {
     close() {
       feeds.forEach((feed) => feed.close());
+      parts.followedNews.wake(Object.values(StoreKind));
       availability.close();
     },
   };
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -1,32 +1,29 @@
 /** Feed of one kind of stored objects: lists them, then watches their changes, and retries through outages. */
-import { exponentialBackoffMs } from '@kingcupsill/core/backoff';
-import { StoreFailure } from '@kingcupsill/prepared-platform';
+import { ReadMode, StoreFailure } from '@kingcupsill/prepared-platform';
 import type {
   StoreChange,
   StoreClient,
-  StoreKind,
+  StoreChangeBatch,
   StoreObject,
+  StorePosition,
   StoreResult,
 } from '@kingcupsill/prepared-platform';
-import type { Logger } from '@kingcupsill/runtime';
-import type { StoreAvailability } from './store-availability.js';
+import { createCallResults } from './call-results.js';
+import type { CallResultsOptions } from './call-results.js';
+import { MAX_NEWS_AGE_MS, NewsState, WATCHING_WAIT_MS } from './followed-news.js';
+import type { FollowedNews } from './followed-news.js';
 
 /** Options of a feed. */
-export interface ObjectFeedOptions {
+export interface ObjectFeedOptions extends CallResultsOptions {
   client: StoreClient;
-  availability: StoreAvailability;
-  kind: StoreKind;
-  logger: Logger;
   /** Wait that a watch requests from the store; a silent connection is detected when it has passed. */
   watchWaitMs: number;
   /** Delay after changes, so that one call returns several: a watch returns at the first change, and each call has a cost. */
   batchDelayMs: number;
-  /** Returns a random number in [0, 1) for jitter. */
-  random: () => number;
-  /** Called after each call with `ok` or the failure. */
-  onCallEnded: (kind: StoreKind, outcome: string) => void;
-  /** Called after each response of the store. */
-  onResponse: () => void;
+  /** Whether data may be seconds old, for which a call costs less. */
+  allowsStale: boolean;
+  /** News of other routers to follow; undefined for kinds that each router watches itself. */
+  news: FollowedNews | undefined;
   onListed: (objects: StoreObject[]) => void;
   onChanged: (change: StoreChange) => void;
 }
@@ -36,93 +33,105 @@
   close(): void;
 }
 
-/** Response timeout while calls succeed. */
-export const DEFAULT_RESPONSE_TIMEOUT_MS = 1000;
-/**
- * Response timeouts, used in rotation while calls fail: short ones detect the recovery of the store within half a second, and the
- * long one covers a store that is only slow.
- */
-const RESPONSE_TIMEOUTS_MS = [DEFAULT_RESPONSE_TIMEOUT_MS, 300, 300, 1500];
 /** Wait that a watch requests while calls fail: any response shows that the store has recovered. */
 const FAILING_WATCH_WAIT_MS = 0;
-/** Delays after failures, doubling up to a maximum that detects the recovery of the store within half a second. */
-const RETRY_DELAYS = { initialMs: 50, maxMs: 400 };
-/** Delay of a feed while another one probes the store. It still makes calls, in case only the other feed's calls fail. */
-const NON_PROBING_DELAY_MS = 1500;
+/** Delay after changes that other routers have announced: the first change is fetched at once, and those that follow together. */
+const FOLLOWING_BATCH_DELAY_MS = 700;
 
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
   const { client, availability, kind, logger } = options;
+  const results = createCallResults(options);
+  const readMode = options.allowsStale ? ReadMode.Stale : ReadMode.Current;
   let closed = false;
-  let failures = 0;
 
-  function responseTimeoutMs(): number {
-    return RESPONSE_TIMEOUTS_MS[failures % RESPONSE_TIMEOUTS_MS.length]!;
-  }
-
-  function retryDelayMs(): number {
-    const delayMs = availability.reportFailure(kind)
-      ? exponentialBackoffMs(failures, RETRY_DELAYS)
-      : NON_PROBING_DELAY_MS;
-    return delayMs * (0.5 + options.random() / 2);
-  }
-
-  /** Records the result of a call; logs one line at the first failure and one at the recovery. */
-  function recordResult(result: StoreResult<unknown>): void {
-    options.onCallEnded(kind, result.ok ? 'ok' : result.failure);
-    if (result.ok || result.failure === StoreFailure.HistoryGone) {
-      if (failures > 0) logger.info('store-regained', { kind, failures });
-      failures = 0;
-      availability.reportSuccess();
-      options.onResponse();
-      return;
-    }
-    failures += 1;
-    const { failure, detail } = result;
-    if (failures === 1) logger.warn('store-lost', { kind, failure, detail });
-  }
-
-  async function list(): Promise<number | undefined> {
+  async function list(): Promise<StorePosition | undefined> {
     const objects: StoreObject[] = [];
     let cursor: string | undefined;
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     do {
-      const page = await client.listPage(kind, cursor, responseTimeoutMs());
+      const page = await client.listPage(kind, cursor, results.responseTimeoutMs(), readMode);
       if (closed) return undefined;
-      recordResult(page);
-      if (!page.ok) return undefined;
-      // The watch starts at the first page's revision, so it returns the changes made during the listing.
-      revision ??= page.value.revision;
+      if (!results.record(page) || !page.ok) return undefined;
+      // The watch starts at the first page's position, so it returns the changes made during the listing.
+      position ??= inCurrentEra(page.value.position);
+      if (position.era !== options.era.current()) return undefined;
       objects.push(...page.value.objects);
       cursor = page.value.nextCursor;
     } while (cursor !== undefined);
     options.onListed(objects);
-    return revision;
+    return position;
   }
 
-  async function watch(fromRevision: number): Promise<number | undefined> {
-    const waitMs = failures > 0 ? FAILING_WATCH_WAIT_MS : options.watchWaitMs;
-    const result = await client.watch(kind, fromRevision, waitMs, responseTimeoutMs());
-    if (closed) return undefined;
-    recordResult(result);
-    if (result.ok) {
-      const { changes, revision } = result.value;
-      changes.forEach(options.onChanged);
-      if (changes.length > 0) await availability.pause(options.batchDelayMs);
-      return revision;
-    }
+  /** An answer that states no era is taken to be of the current one. */
+  function inCurrentEra({ era, revision }: StorePosition): StorePosition {
+    return { era: era ?? options.era.current(), revision };
+  }
+
+  function watchWaitMs(state: NewsState | undefined): number {
+    if (results.isFailing()) return FAILING_WATCH_WAIT_MS;
+    // The store answers at once, since there are changes.
+    if (state === NewsState.Changed) return 0;
+    return options.news?.isWatching() === true ? WATCHING_WAIT_MS : options.watchWaitMs;
+  }
+
+  /** Returns the result of a watch, or undefined if a new era of the store has begun meanwhile. */
+  async function requestChanges(
+    from: StorePosition,
+    waitMs: number,
+  ): Promise<StoreResult<StoreChangeBatch> | undefined> {
+    const nextEra = options.era.waitForNext();
+    const call = client.watch(kind, from, waitMs, results.responseTimeoutMs(), readMode);
+    const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
+    nextEra.stop();
+    return result;
+  }
+
+  async function applyChanges(
+    { changes, position }: StoreChangeBatch,
+    from: StorePosition,
+    state: NewsState | undefined,
+  ): Promise<StorePosition | undefined> {
+    const reached = inCurrentEra(position);
+    // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
+    if (reached.era !== from.era) return undefined;
+    changes.forEach(options.onChanged);
+    options.news?.publish(kind, reached, changes);
+    const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
+    if (changes.length > 0) await availability.pause(Math.max(options.batchDelayMs, followDelayMs));
+    return reached;
+  }
+
+  async function watch(
+    from: StorePosition,
+    state: NewsState | undefined,
+  ): Promise<StorePosition | undefined> {
+    const result = await requestChanges(from, watchWaitMs(state));
+    if (closed || result === undefined || !results.record(result)) return undefined;
+    if (result.ok) return applyChanges(result.value, from, state);
     if (result.failure === StoreFailure.HistoryGone) {
-      logger.info('store-history-gone', { kind, revision: fromRevision });
+      logger.info('store-history-gone', { kind, revision: from.revision });
       return undefined;
     }
-    return fromRevision;
+    return from;
+  }
+
+  /** Follows the changes from a position by the news of other routers, or else by a watch. */
+  async function follow(from: StorePosition): Promise<StorePosition | undefined> {
+    const state = results.isFailing() ? undefined : options.news?.compare(kind, from);
+    if (state !== NewsState.Unchanged) return watch(from, state);
+    // Another router has just had an answer of the store.
+    options.onResponse();
+    await options.news?.wait(kind, MAX_NEWS_AGE_MS);
+    return from;
   }
 
   async function run(): Promise<void> {
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     while (!closed) {
-      revision = revision === undefined ? await list() : await watch(revision);
-      if (failures > 0 && !closed) await availability.pause(retryDelayMs());
+      const needsList = position === undefined || position.era !== options.era.current();
+      position = needsList ? await list() : await follow(position!);
+      if (results.isFailing() && !closed) await availability.pause(results.retryDelayMs());
     }
   }
 
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -1,16 +1,19 @@
 /** Registration of the router's address in the platform's store, where the other routers find it. */
+import type { RouterInfo } from '@kingcupsill/core/direct';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreObject } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
+import type { EdgeContext } from '../types.js';
 
 /** Stored content of a router's registration. */
-export interface RouterAddress {
-  address: string;
+export interface RouterEntry extends Omit<RouterInfo, 'name'> {
   incarnation: string;
 }
 
 /** Registration of one router. */
 export interface RouterRegistration {
+  /** Registers again if the store's entry of this router is missing or differs. */
+  verify(stored: StoreObject | undefined): void;
   /** Removes the address from the store; called at the end of the process. */
   remove(): Promise<void>;
   close(): void;
@@ -18,28 +21,45 @@
 
 const RETRY_DELAY_MS = 700;
 
-/** Decodes a router's registration; returns undefined if it is invalid. */
-export function readRouterAddress(object: StoreObject): RouterAddress | undefined {
-  const spec = object.spec as Partial<RouterAddress> | null | undefined;
+/** Decodes a router's registration; returns undefined if it is invalid. Entries of earlier builds state neither zone nor cores. */
+export function readRouterEntry(object: StoreObject): RouterEntry | undefined {
+  const spec = object.spec as Partial<RouterEntry> | null | undefined;
   if (typeof spec?.address !== 'string' || typeof spec.incarnation !== 'string') return undefined;
-  return { address: spec.address, incarnation: spec.incarnation };
+  const { address, incarnation, zone, cores } = spec;
+  return {
+    address,
+    incarnation,
+    zone: typeof zone === 'string' ? zone : '',
+    cores: typeof cores === 'number' ? cores : 0,
+  };
+}
+
+/** Entry of this router. */
+export function ownRouterEntry({ settings, incarnation }: EdgeContext): RouterEntry {
+  const { process: processSettings, peers } = settings();
+  const { zone, cores } = processSettings;
+  return { address: peers.address, incarnation, zone, cores };
 }
 
 /** Registers the address and retries until the store has accepted it. */
 export function registerRouter(
   client: StoreClient,
   name: string,
-  ownAddress: RouterAddress,
+  ownEntry: RouterEntry,
   logger: Logger,
 ): RouterRegistration {
   let closed = false;
   let retryTimer: NodeJS.Timeout | undefined;
 
+  let registering = false;
+
   async function register(): Promise<void> {
-    let result = await client.create(StoreKind.Routers, name, ownAddress);
+    registering = true;
+    let result = await client.create(StoreKind.Routers, name, ownEntry);
     if (!result.ok && result.failure === StoreFailure.Conflict && result.current) {
-      result = await client.replace(StoreKind.Routers, result.current, ownAddress);
+      result = await client.replace(StoreKind.Routers, result.current, ownEntry);
     }
+    registering = !result.ok;
     if (closed) return;
     if (result.ok) {
       logger.info('registered', { revision: result.value.revision });
@@ -54,8 +74,18 @@
     clearTimeout(retryTimer);
   }
 
+  function verify(stored: StoreObject | undefined): void {
+    const found = stored && readRouterEntry(stored);
+    const isCurrent =
+      found?.address === ownEntry.address && found.incarnation === ownEntry.incarnation;
+    if (isCurrent || registering || closed) return;
+    logger.info('registration-missing', { incarnation: found?.incarnation });
+    void register();
+  }
+
   void register();
   return {
+    verify,
     async remove() {
       close();
       const result = await client.remove(StoreKind.Routers, name);
