Correct the estimated backlog of an engine by what is left behind an answered prompt

Each first event added 0.4 of its own lateness, so 20 requests that waited for one stall of 2 s added 8 s.

Change: engines process prompts in order, so a first event shows that only the prompts sent after it are left; the backlog is corrected towards their time.

--- a/packages/core/src/direct/server-load.ts
+++ b/packages/core/src/direct/server-load.ts
@@ -8,6 +8,8 @@
   sentAtMs: number;
   /** Prompt tokens to be processed before the first event, including the request's own. */
   queuedTokens: number;
+  /** Prompt tokens that all routers had sent to the server up to and including this request. */
+  sentTokensBefore: number;
   /** Predicted time of the first event. */
   firstEventAtMs: number;
   /** True once the first event or the answer has arrived. */
@@ -67,6 +69,7 @@
   let ownRunning = 0;
   let peersRunning = 0;
   let ownSentTokens = 0;
+  let allSentTokens = 0;
   let backlogEndMs = 0;
   let residenceMs = options.meanResidenceMs;
   const latencyFit = createLineFit({
@@ -77,9 +80,21 @@
   });
 
   function addBacklog(nowMs: number, tokens: number): void {
+    allSentTokens += tokens;
     backlogEndMs = Math.max(nowMs, backlogEndMs) + tokens * latencyFit.slope();
   }
 
+  /**
+   * Returns how much later than estimated the backlog ends. An engine processes prompts in order, so at the first event of a request
+   * only the prompts sent after it are left. The lateness of requests that waited for the same cause is not added up.
+   */
+  function backlogErrorMs(prediction: RequestPrediction, nowMs: number): number {
+    if (prediction.sentTokensBefore === 0) return nowMs - prediction.firstEventAtMs;
+    const remainingTokens = allSentTokens - prediction.sentTokensBefore;
+    const startedAtMs = nowMs - latencyFit.base();
+    return startedAtMs + remainingTokens * latencyFit.slope() - backlogEndMs;
+  }
+
   function waitMs(nowMs: number): number {
     return Math.max(0, backlogEndMs - nowMs);
   }
@@ -98,13 +113,14 @@
       ownRunning += 1;
       ownSentTokens += prefillTokens;
       const firstEventAtMs = backlogEndMs + latencyFit.base();
-      return { sentAtMs: nowMs, queuedTokens, firstEventAtMs, hasBegun: false };
+      const sentTokensBefore = allSentTokens;
+      return { sentAtMs: nowMs, queuedTokens, sentTokensBefore, firstEventAtMs, hasBegun: false };
     },
     recordFirstEvent(prediction, nowMs) {
       if (prediction.hasBegun) return;
       prediction.hasBegun = true;
       latencyFit.observe(prediction.queuedTokens, nowMs - prediction.sentAtMs);
-      backlogEndMs += BACKLOG_CORRECTION * (nowMs - prediction.firstEventAtMs);
+      backlogEndMs += BACKLOG_CORRECTION * backlogErrorMs(prediction, nowMs);
     },
     recordEnd(prediction, nowMs, complete) {
       ownRunning -= 1;
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -89,6 +89,25 @@
   assert.ok(late.waitMs(100) > early.waitMs(100));
 });
 
+test('an engine that stalls once and then answers all its requests is not believed to have a backlog', () => {
+  const server = createLoad();
+  const predictions = Array.from({ length: 20 }, (_none, index) =>
+    server.recordSend(index * 10, 3000),
+  );
+  // The engine stands still for two seconds and then answers in order.
+  predictions.forEach((prediction, index) => server.recordFirstEvent(prediction, 2000 + index));
+  assert.ok(server.waitMs(2100) < 300, `estimated wait ${server.waitMs(2100)} ms`);
+});
+
+test('while an engine is late, the prompts behind the late one still count', () => {
+  const server = createLoad();
+  const first = server.recordSend(0, 3000);
+  for (let index = 0; index < 9; index += 1) server.recordSend(10, 10_000);
+  server.recordFirstEvent(first, 1000);
+  // At least half of the time that they take at the initial speed.
+  assert.ok(server.waitMs(1000) > 1350, `estimated wait ${server.waitMs(1000)} ms`);
+});
+
 test('a server is avoided after two failed connections, with growing backoff, until it answers', () => {
   const health = createServerHealth();
   health.recordOutcome(AttemptOutcome.Unsent, 0);
