--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -12,6 +12,7 @@
 export * from './route-table.js';
 export * from './server-health.js';
 export * from './server-load.js';
+export type { RegisteredServer } from './server-index.js';
 export * from './server-registry.js';
 export * from './sliding-sum.js';
 export * from './state.js';
--- /dev/null
+++ b/packages/core/src/direct/pending-report.ts
@@ -0,0 +1,91 @@
+/** Changes that wait for the next report on one link; several changes of one server or account cost one entry. */
+import type { ReportedServerLoad, RouterReport } from './events.js';
+
+/** Report without the values that are read when it is sent. */
+export interface PendingChanges {
+  loads: Omit<ReportedServerLoad, 'running'>[];
+  accounts: RouterReport['accounts'];
+  leaving: string[];
+  storeKinds: string[];
+}
+
+/** Changes of one link. */
+export interface PendingReport {
+  add(report: RouterReport): void;
+  /** Adds a server whose running requests have changed. */
+  addServer(serverKey: string): void;
+  /** Adds a kind of stored objects of which there is news. */
+  addStoreKind(kind: string): void;
+  isEmpty(): boolean;
+  /** Removes and returns the changes, those of at most `maxLoads` servers. */
+  take(maxLoads: number): PendingChanges;
+}
+
+interface PendingLoad {
+  sentTokens: number;
+  promptParts: [string, number][];
+}
+
+/** Creates a report without changes. */
+export function createPendingReport(): PendingReport {
+  const loads = new Map<string, PendingLoad>();
+  const accounts = new Map<string, { requested: number; served: number }>();
+  const leaving = new Set<string>();
+  const storeKinds = new Set<string>();
+
+  function getLoad(serverKey: string): PendingLoad {
+    const known = loads.get(serverKey);
+    if (known !== undefined) return known;
+    const load = { sentTokens: 0, promptParts: [] };
+    loads.set(serverKey, load);
+    return load;
+  }
+
+  function addAccount([account, requested, served]: RouterReport['accounts'][number]): void {
+    const pending = accounts.get(account) ?? { requested: 0, served: 0 };
+    pending.requested += requested;
+    pending.served += served;
+    accounts.set(account, pending);
+  }
+
+  function takeLoads(maxLoads: number): PendingChanges['loads'] {
+    const taken = [...loads].slice(0, maxLoads);
+    taken.forEach(([serverKey]) => loads.delete(serverKey));
+    return taken.map(([serverKey, load]) => ({ serverKey, ...load }));
+  }
+
+  return {
+    add(report) {
+      report.loads.forEach(({ serverKey, sentTokens, promptParts }) => {
+        const load = getLoad(serverKey);
+        load.sentTokens += sentTokens;
+        load.promptParts.push(...promptParts);
+      });
+      report.accounts.forEach(addAccount);
+      report.leaving.forEach((serverKey) => leaving.add(serverKey));
+    },
+    addServer: (serverKey) => {
+      getLoad(serverKey);
+    },
+    addStoreKind: (kind) => {
+      storeKinds.add(kind);
+    },
+    isEmpty: () => loads.size + accounts.size + leaving.size + storeKinds.size === 0,
+    take(maxLoads) {
+      const changes: PendingChanges = {
+        loads: takeLoads(maxLoads),
+        accounts: [...accounts].map(([account, { requested, served }]) => [
+          account,
+          requested,
+          served,
+        ]),
+        leaving: [...leaving],
+        storeKinds: [...storeKinds],
+      };
+      accounts.clear();
+      leaving.clear();
+      storeKinds.clear();
+      return changes;
+    },
+  };
+}
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -1,7 +1,7 @@
 /** Selects a backend server for a request. */
 import { rendezvousPick } from '../hash/index.js';
 import { ownTokens, sharedParts } from './prompt-parts.js';
-import type { RegisteredServer } from './server-registry.js';
+import type { RegisteredServer } from './server-index.js';
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
 import type { RequestAttributes } from './types.js';
--- a/packages/core/src/direct/server-registry.ts
+++ b/packages/core/src/direct/server-registry.ts
@@ -7,19 +7,10 @@
  * 4. The latest entry in the store.
  */
 import { createRunHistory } from './run-history.js';
+import { createServerIndex } from './server-index.js';
+import type { RegisteredServer } from './server-index.js';
 import type { BackendServerEntry } from './types.js';
 
-/** Registered run of a backend server. */
-export interface RegisteredServer {
-  /** Unique to this run of the server. */
-  key: string;
-  entry: BackendServerEntry;
-  /** Time at which a server whose entry is missing is removed; undefined while its entry is in the store. */
-  removeAtMs: number | undefined;
-  /** True once the server has stated that it leaves; final for this run. */
-  leaving: boolean;
-}
-
 /** Options of the registry. */
 export interface ServerRegistryOptions {
   /**
@@ -59,84 +50,65 @@
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
   const { outageThresholdMs, renewalGraceMs } = options;
-  const byId = new Map<string, RegisteredServer>();
-  const byKey = new Map<string, RegisteredServer>();
-  const availableByService = new Map<string, RegisteredServer[]>();
+  const index = createServerIndex();
+  const history = createRunHistory();
   let lastAnswerMs: number | undefined;
   let graceEndMs = Number.NEGATIVE_INFINITY;
-  const history = createRunHistory();
   let expectsOlderListing = false;
 
   function unregister(server: RegisteredServer): string {
-    byId.delete(server.entry.id);
-    byKey.delete(server.key);
-    availableByService.clear();
+    index.remove(server);
     history.recordRemoval(server.key);
     return server.key;
   }
 
   function markLeaving(key: string): boolean {
-    const server = byKey.get(key);
+    const server = index.findByKey(key);
     const isNew = history.recordLeaving(key);
     if (server === undefined || !isNew) return false;
-    server.leaving = true;
-    availableByService.clear();
+    index.setLeaving(server);
     return true;
   }
 
   function put(entry: BackendServerEntry): string[] {
     const key = serverKey(entry);
-    const previous = byId.get(entry.id);
+    const previous = index.findById(entry.id);
     const replaced = previous !== undefined && previous.key !== key ? [unregister(previous)] : [];
     history.recordEntry(key);
     if (entry.draining) history.recordLeaving(key);
-    const server = { key, entry, removeAtMs: undefined, leaving: history.isLeaving(key) };
-    byId.set(entry.id, server);
-    byKey.set(key, server);
-    availableByService.clear();
+    index.add({ key, entry, removeAtMs: undefined, leaving: history.isLeaving(key) });
     return replaced;
   }
 
   function remove(id: string, nowMs: number): string[] {
-    const server = byId.get(id);
+    const server = index.findById(id);
     if (server === undefined) return [];
     if (nowMs >= graceEndMs) return [unregister(server)];
     server.removeAtMs ??= graceEndMs;
     return [];
   }
 
+  /** Returns whether the entry of a restored store is older than what is known about its server. */
+  function isOutdated(entry: BackendServerEntry): boolean {
+    const known = index.findById(entry.id);
+    const hasNewerRun = known !== undefined && known.entry.startedAtMs > entry.startedAtMs;
+    return hasNewerRun || history.isRemoved(serverKey(entry));
+  }
+
   function replaceAll(entries: readonly BackendServerEntry[], nowMs: number): string[] {
     const current = expectsOlderListing ? entries.filter((entry) => !isOutdated(entry)) : entries;
     expectsOlderListing = false;
     const listedIds = new Set(current.map(({ id }) => id));
-    const missingIds = [...byId.keys()].filter((id) => !listedIds.has(id));
+    const missingIds = index
+      .all()
+      .flatMap(({ entry }) => (listedIds.has(entry.id) ? [] : entry.id));
     return [...missingIds.flatMap((id) => remove(id, nowMs)), ...current.flatMap(put)];
   }
 
-  /** Returns whether the entry of a restored store is older than what is known about its server. */
-  function isOutdated(entry: BackendServerEntry): boolean {
-    const known = byId.get(entry.id);
-    return (
-      history.isRemoved(serverKey(entry)) ||
-      (known !== undefined && known.entry.startedAtMs > entry.startedAtMs)
-    );
-  }
-
-  function listAvailable(service: string): readonly RegisteredServer[] {
-    const known = availableByService.get(service);
-    if (known !== undefined) return known;
-    const servers = [...byId.values()].filter(
-      ({ entry, leaving }) => entry.service === service && !leaving,
-    );
-    availableByService.set(service, servers);
-    return servers;
-  }
-
   return {
     put,
     remove,
     replaceAll,
-    listAvailable,
     markLeaving,
     recordRestore(nowMs) {
       expectsOlderListing = true;
@@ -149,11 +121,13 @@
       lastAnswerMs = nowMs;
     },
     expire(nowMs) {
-      return [...byId.values()]
+      return index
+        .all()
         .filter(({ removeAtMs }) => removeAtMs !== undefined && nowMs >= removeAtMs)
         .map(unregister);
     },
-    get: (key) => byKey.get(key),
-    all: () => [...byId.values()],
+    listAvailable: index.listAvailable,
+    get: index.findByKey,
+    all: index.all,
   };
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -9,8 +9,9 @@
 import type { ServerHealth } from './server-health.js';
 import { createServerLoad } from './server-load.js';
 import type { RequestPrediction, ServerLoad } from './server-load.js';
+import type { RegisteredServer } from './server-index.js';
 import { createServerRegistry } from './server-registry.js';
-import type { RegisteredServer, ServerRegistry, ServerRegistryOptions } from './server-registry.js';
+import type { ServerRegistry, ServerRegistryOptions } from './server-registry.js';
 import type { PromptPart, RequestAttributes } from './types.js';
 
 /** Health and load of one run of a backend server, as estimated by this router. */
--- a/packages/core/src/direct/store-news.ts
+++ b/packages/core/src/direct/store-news.ts
@@ -55,3 +55,22 @@
     all: () => entries,
   };
 }
+
+/** Returns the news of a kind as they are sent; empty if there are none. */
+export function describeNews(news: StoreNews, kind: string, nowMs: number): ReportedStoreNews[] {
+  const entry = news.get(kind);
+  if (entry === undefined) return [];
+  const { era, revision, confirmedAtMs } = entry;
+  return [{ kind, era, revision, ageMs: Math.max(0, Math.round(nowMs - confirmedAtMs)) }];
+}
+
+/** Records received news and returns the kinds of which they are later than what was known. */
+export function recordReportedNews(
+  news: StoreNews,
+  reported: readonly ReportedStoreNews[],
+  nowMs: number,
+): string[] {
+  return reported.flatMap(({ kind, era, revision, ageMs }) =>
+    news.record(kind, { era, revision, confirmedAtMs: nowMs - ageMs }) ? [kind] : [],
+  );
+}
--- a/packages/core/test/direct/report-exchange.test.ts
+++ b/packages/core/test/direct/report-exchange.test.ts
@@ -12,7 +12,7 @@
 
 const hasher = {
   hash32: (text: string) =>
-    [...text].reduce((hash, char) => (Math.imul(hash, 31) + char.charCodeAt(0)) >>> 0, 7),
+    [...text].reduce((hash, char) => (hash * 31 + char.charCodeAt(0)) % 4_294_967_296, 7),
 };
 
 function createFleet(size: number, zones = 6): RouterInfo[] {
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -235,7 +235,8 @@
 function registrationPart(ctx: EdgeContext): EdgePart<'registration'> {
   const { id } = ctx.settings().process;
   return {
-    create: ({ store }) => registerRouter(store, id, ownRouterEntry(ctx), ctx.logger),
+    create: ({ store, storeEra }) =>
+      registerRouter(store, id, ownRouterEntry(ctx), storeEra, ctx.logger),
     close: (registration) => registration.close(),
   };
 }
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -3,9 +3,9 @@
 import type { RouterInfo, RouterReport, StoreNews } from '@kingcupsill/core/direct';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { repeatEvery } from '../closable.js';
+import { createExchangeListener } from './exchange-listener.js';
+import { createGroupLinks } from './group-links.js';
 import { createIncomingLinks } from './incoming.js';
-import { createPreferredLink } from './preferred-link.js';
-import type { PreferredLink } from './preferred-link.js';
 import { createReportCodec } from './report-codec.js';
 import { createReportSender } from './report-sender.js';
 import { LinkRole, LIVENESS_CHECK_PERIOD_MS } from './types.js';
@@ -63,68 +63,20 @@
     encode: codec.encode,
     onSent: options.onSent,
   });
-  const otherHubs = new Map<string, PreferredLink>();
-  let otherGroups: ReadonlyMap<string, RouterInfo[]> = new Map();
-  let watchingGroup = true;
   exchange.open(OWN, LinkKind.Own);
 
-  function listen(kind: LinkKind, isRecipient: boolean): LinkListener {
-    return {
-      onOpen(link) {
-        logger.info('peer-linked', { link: link.key, kind });
-        exchange.open(link.key, kind);
-        if (isRecipient) sender.add(link);
-        sender.flush();
-      },
-      onMessage({ key }, bytes) {
-        const decoded = codec.decode(bytes);
-        if (!decoded.ok) {
-          logger.warn('peer-report-malformed', { link: key, message: decoded.message });
-          return;
-        }
-        exchange.receive(key, decoded.value, clock());
-        options.onReport({ ...decoded.value, router: key });
-        sender.flush();
-      },
-      onClosed(link) {
-        logger.info('peer-lost', { link: link.key, kind });
-        sender.remove(link);
-        exchange.close(link.key);
-        options.onPeerLost(link.key);
-        sender.flush();
-      },
-    };
-  }
-
-  const hub = createPreferredLink(ctx, LinkRole.Member, listen(LinkKind.Hub, true), updateRole);
-  const otherHubListener = listen(LinkKind.OtherHubOut, true);
-
-  /** A router is the hub of its group while it reaches none that is preferred. */
-  function isHub(): boolean {
-    return !hub.hasHope();
-  }
-
-  function updateRole(): void {
-    const wanted = isHub() ? otherGroups : new Map<string, RouterInfo[]>();
-    otherHubs.forEach((link, group) => {
-      if (wanted.has(group)) return;
-      link.close();
-      otherHubs.delete(group);
-    });
-    wanted.forEach((candidates, group) => {
-      const link =
-        otherHubs.get(group) ??
-        createPreferredLink(ctx, LinkRole.Hub, otherHubListener, () => undefined);
-      otherHubs.set(group, link);
-      link.setCandidates(candidates);
-    });
-  }
-
+  const listen = (kind: LinkKind, isRecipient: boolean): LinkListener =>
+    createExchangeListener({ ...options, exchange, sender, codec }, kind, isRecipient);
+  const groups = createGroupLinks(
+    ctx,
+    listen(LinkKind.Hub, true),
+    listen(LinkKind.OtherHubOut, true),
+  );
   const incoming = await createIncomingLinks({
     ...ctx,
     host: options.host,
     port: options.port,
-    accepts: (role) => role === LinkRole.Member || isHub(),
+    accepts: (role) => role === LinkRole.Member || groups.isHub(),
     listeners: {
       [LinkRole.Member]: listen(LinkKind.Member, true),
       [LinkRole.Hub]: listen(LinkKind.OtherHubIn, false),
@@ -132,24 +84,18 @@
   });
   const livenessTimer = repeatEvery(LIVENESS_CHECK_PERIOD_MS, () => {
     incoming.check();
-    hub.check();
-    updateRole();
-    otherHubs.forEach((link) => link.check());
+    groups.check();
   });
 
   return {
     setRouters(routers) {
-      const plan = planExchange(hasher, self, routers);
-      otherGroups = plan.otherGroups;
-      watchingGroup = plan.watchesStore;
-      hub.setCandidates(plan.hubCandidates);
-      updateRole();
+      groups.setPlan(planExchange(hasher, self, routers));
     },
     announceStoreNews(kind) {
       exchange.announceStoreNews(kind);
       sender.flush();
     },
-    watchesStore: () => watchingGroup && isHub(),
+    watchesStore: groups.watchesStore,
     report(report) {
       exchange.receive(OWN, report, clock());
       sender.flush();
@@ -157,8 +103,7 @@
     close() {
       livenessTimer.close();
       sender.close();
-      hub.close();
-      otherHubs.forEach((link) => link.close());
+      groups.close();
       incoming.close();
     },
   };
--- a/packages/edge/src/peers/preferred-link.ts
+++ b/packages/edge/src/peers/preferred-link.ts
@@ -1,5 +1,5 @@
 /** Link to the first reachable one of several routers; returns to a preferred one when it is reachable again. */
-import { exponentialBackoffMs } from '@kingcupsill/core/backoff';
+import { createDialFailures } from './dial-failures.js';
 import { dialLink } from './dialed-link.js';
 import type { DialedLink } from './dialed-link.js';
 import type { LinkContext, LinkListener, LinkRole, LinkTarget } from './types.js';
@@ -15,22 +15,16 @@
   close(): void;
 }
 
-/** Delays before a failed candidate is dialled again, doubling from the first to the longest. */
-const REDIAL_DELAYS = { initialMs: 200, maxMs: 3000 };
 /** Time for which a connection must last before its candidate's failures are forgotten. */
 const STABLE_AFTER_MS = 3000;
 
 interface Connection {
   target: LinkTarget;
-  dialed: DialedLink;
+  /** Undefined only while it is being created. */
+  dialed: DialedLink | undefined;
   openedAtMs: number | undefined;
 }
 
-interface Failures {
-  count: number;
-  retryAtMs: number;
-}
-
 /** Creates a link without candidates. `onChanged` is called when a connection was opened or lost. */
 export function createPreferredLink(
   ctx: LinkContext,
@@ -39,23 +33,17 @@
   onChanged: () => void,
 ): PreferredLink {
   const connections = new Map<string, Connection>();
-  const failuresByAddress = new Map<string, Failures>();
+  const failures = createDialFailures(ctx.clock);
   let candidates: readonly LinkTarget[] = [];
   let closed = false;
 
-  function recordFailure(address: string): void {
-    const count = (failuresByAddress.get(address)?.count ?? 0) + 1;
-    const retryAtMs = ctx.clock() + exponentialBackoffMs(count - 1, REDIAL_DELAYS);
-    failuresByAddress.set(address, { count, retryAtMs });
-  }
-
   function onEnded(connection: Connection): void {
     const { target, openedAtMs } = connection;
     if (connections.get(target.address) !== connection) return;
     connections.delete(target.address);
     if (openedAtMs !== undefined && ctx.clock() - openedAtMs > STABLE_AFTER_MS)
-      failuresByAddress.delete(target.address);
-    recordFailure(target.address);
+      failures.forget(target.address);
+    failures.record(target.address);
     dialDue();
     onChanged();
   }
@@ -68,6 +56,7 @@
   }
 
   function dial(target: LinkTarget): void {
+    const connection: Connection = { target, dialed: undefined, openedAtMs: undefined };
     const openListener: LinkListener = {
       ...listener,
       onOpen(link) {
@@ -75,18 +64,14 @@
         onOpen(connection);
       },
     };
-    const connection: Connection = {
-      target,
-      dialed: dialLink(ctx, target, role, openListener, () => onEnded(connection)),
-      openedAtMs: undefined,
-    };
     connections.set(target.address, connection);
+    connection.dialed = dialLink(ctx, target, role, openListener, () => onEnded(connection));
   }
 
   function drop(address: string): void {
     const connection = connections.get(address);
     connections.delete(address);
-    connection?.dialed.close();
+    connection?.dialed?.close();
   }
 
   /** Dials the best candidate that is due, unless it or a better one is connected or being dialled. */
@@ -94,7 +79,7 @@
     if (closed) return;
     for (const target of candidates) {
       if (connections.has(target.address)) return;
-      if ((failuresByAddress.get(target.address)?.retryAtMs ?? 0) <= ctx.clock()) {
+      if (failures.isDue(target.address)) {
         dial(target);
         return;
       }
@@ -106,16 +91,14 @@
       candidates = next;
       const addresses = new Set(next.map(({ address }) => address));
       [...connections.keys()].filter((address) => !addresses.has(address)).forEach(drop);
-      [...failuresByAddress.keys()]
-        .filter((address) => !addresses.has(address))
-        .forEach((address) => failuresByAddress.delete(address));
+      failures.retain(addresses);
       dialDue();
     },
     hasHope: () =>
       [...connections.values()].some(({ openedAtMs }) => openedAtMs !== undefined) ||
-      candidates.some(({ address }) => !failuresByAddress.has(address)),
+      candidates.some(({ address }) => !failures.has(address)),
     check() {
-      connections.forEach(({ dialed }) => dialed.checkLiveness());
+      connections.forEach(({ dialed }) => dialed?.checkLiveness());
       dialDue();
     },
     close() {
--- /dev/null
+++ b/packages/edge/src/store/list-objects.ts
@@ -0,0 +1,43 @@
+/** Listing of all objects of one kind. */
+import type {
+  ReadMode,
+  StoreClient,
+  StoreKind,
+  StoreObject,
+  StorePosition,
+} from '@kingcupsill/prepared-platform';
+import type { CallResults } from './call-results.js';
+import type { StoreEra } from './store-era.js';
+
+/** Objects of a kind, and the position from which their changes can be watched. */
+export interface Listing {
+  objects: StoreObject[];
+  position: StorePosition;
+}
+
+/** Returns the position; an answer that states no era is taken to be of the current one. */
+export function inCurrentEra({ era, revision }: StorePosition, current: StoreEra): StorePosition {
+  return { era: era ?? current.current(), revision };
+}
+
+/** Lists all pages. Returns undefined if a call fails, the store is restored meanwhile, or the listing isn't wanted any more. */
+export async function listObjects(
+  { client, kind, era }: { client: StoreClient; kind: StoreKind; era: StoreEra },
+  results: CallResults,
+  mode: ReadMode,
+  isClosed: () => boolean,
+): Promise<Listing | undefined> {
+  const objects: StoreObject[] = [];
+  let cursor: string | undefined;
+  let position: StorePosition | undefined;
+  do {
+    const page = await client.listPage(kind, cursor, results.responseTimeoutMs(), mode);
+    if (isClosed() || !results.record(page) || !page.ok) return undefined;
+    // The watch starts at the first page's position, so it returns the changes made during the listing.
+    position ??= inCurrentEra(page.value.position, era);
+    if (position.era !== era.current()) return undefined;
+    objects.push(...page.value.objects);
+    cursor = page.value.nextCursor;
+  } while (cursor !== undefined);
+  return { objects, position };
+}
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -10,6 +10,7 @@
 } from '@kingcupsill/prepared-platform';
 import { createCallResults } from './call-results.js';
 import type { CallResultsOptions } from './call-results.js';
+import { inCurrentEra, listObjects } from './list-objects.js';
 import { MAX_NEWS_AGE_MS, NewsState, WATCHING_WAIT_MS } from './followed-news.js';
 import type { FollowedNews } from './followed-news.js';
 
@@ -46,26 +47,10 @@
   let closed = false;
 
   async function list(): Promise<StorePosition | undefined> {
-    const objects: StoreObject[] = [];
-    let cursor: string | undefined;
-    let position: StorePosition | undefined;
-    do {
-      const page = await client.listPage(kind, cursor, results.responseTimeoutMs(), readMode);
-      if (closed) return undefined;
-      if (!results.record(page) || !page.ok) return undefined;
-      // The watch starts at the first page's position, so it returns the changes made during the listing.
-      position ??= inCurrentEra(page.value.position);
-      if (position.era !== options.era.current()) return undefined;
-      objects.push(...page.value.objects);
-      cursor = page.value.nextCursor;
-    } while (cursor !== undefined);
-    options.onListed(objects);
-    return position;
-  }
-
-  /** An answer that states no era is taken to be of the current one. */
-  function inCurrentEra({ era, revision }: StorePosition): StorePosition {
-    return { era: era ?? options.era.current(), revision };
+    const listed = await listObjects(options, results, readMode, () => closed);
+    if (listed === undefined) return undefined;
+    options.onListed(listed.objects);
+    return listed.position;
   }
 
   function watchWaitMs(state: NewsState | undefined): number {
@@ -92,7 +77,7 @@
     from: StorePosition,
     state: NewsState | undefined,
   ): Promise<StorePosition | undefined> {
-    const reached = inCurrentEra(position);
+    const reached = inCurrentEra(position, options.era);
     // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
     if (reached.era !== from.era) return undefined;
     changes.forEach(options.onChanged);
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -4,6 +4,7 @@
 import type { StoreClient, StoreObject } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
 import type { EdgeContext } from '../types.js';
+import type { StoreEra } from './store-era.js';
 
 /** Stored content of a router's registration. */
 export interface RouterEntry extends Omit<RouterInfo, 'name'> {
@@ -46,12 +47,14 @@
   client: StoreClient,
   name: string,
   ownEntry: RouterEntry,
+  era: StoreEra,
   logger: Logger,
 ): RouterRegistration {
   let closed = false;
   let retryTimer: NodeJS.Timeout | undefined;
 
   let registering = false;
+  let registered: { era: number | undefined; revision: number } | undefined;
 
   async function register(): Promise<void> {
     registering = true;
@@ -62,6 +65,7 @@
     registering = !result.ok;
     if (closed) return;
     if (result.ok) {
+      registered = { era: result.era, revision: result.value.revision };
       logger.info('registered', { revision: result.value.revision });
     } else {
       logger.debug('registration-failed', { failure: result.failure, detail: result.detail });
@@ -74,7 +78,15 @@
     clearTimeout(retryTimer);
   }
 
+  /** A read that is older than the registration says nothing about it. */
+  function isOutdated({ revision }: StoreObject): boolean {
+    return (
+      registered !== undefined && registered.era === era.current() && revision < registered.revision
+    );
+  }
+
   function verify(stored: StoreObject | undefined): void {
+    if (stored !== undefined && isOutdated(stored)) return;
     const found = stored && readRouterEntry(stored);
     const isCurrent =
       found?.address === ownEntry.address && found.incarnation === ownEntry.incarnation;
