Consider a bounded number of servers for a request, from the ring of its prompt's homes and a sample of near ones

Cause: choosing a server looked at every server of the service and hashed each of them for the home of the prompt.

Change: services of up to 64 servers are considered whole, as before; of larger ones the home servers of the prompt on a consistent hash ring and a sample in three classes of distance, at most 64.

--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -1,5 +1,6 @@
 export * from './account-usage.js';
 export * from './admission.js';
+export * from './candidate-pool.js';
 export * from './describe-state.js';
 export type * from './events.js';
 export * from './exchange-topology.js';
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -1,5 +1,6 @@
 /** Selects a backend server for a request. */
-import { rendezvousPick } from '../hash/index.js';
+import { createCandidatePool } from './candidate-pool.js';
+import type { CandidatePool } from './candidate-pool.js';
 import { ownTokens, sharedParts } from './prompt-parts.js';
 import type { RegisteredServer } from './server-index.js';
 import { getServerState } from './state.js';
@@ -57,16 +58,34 @@
   failureRate: number;
 }
 
-/** Key of the server that all routers prefer for these shared parts; undefined if the prompt has none. */
+/** Id of the last part of the prompt that other prompts share; undefined if there is none. */
+function findSharedPartId({ promptParts }: RequestAttributes): string | undefined {
+  return sharedParts(promptParts).pop()?.id;
+}
+
+/** Returns the pool of a service, which is kept until a server of it changes. */
+function getPool(state: DirectState, service: string): CandidatePool {
+  const servers = state.registry.listAvailable(service);
+  const known = state.candidatePools.get(servers);
+  if (known !== undefined) return known;
+  const pool = createCandidatePool(servers, {
+    hasher: state.options.hasher,
+    distanceMs: (zone) => extraRoundTripMs(state, zone),
+  });
+  state.candidatePools.set(servers, pool);
+  return pool;
+}
+
+/** Key of the server that all routers prefer for the shared parts of a prompt; undefined if it has none. */
 function findHomeServer(
   state: DirectState,
   attributes: RequestAttributes,
   available: readonly AvailableServer[],
 ): string | undefined {
-  const partId = sharedParts(attributes.promptParts).pop()?.id;
+  const partId = findSharedPartId(attributes);
   if (partId === undefined) return undefined;
-  const serverKeys = available.map(({ server }) => server.key);
-  return rendezvousPick(state.options.hasher, partId, serverKeys);
+  const servers = available.map(({ server }) => server);
+  return getPool(state, attributes.service).findHome(partId, servers);
 }
 
 interface PlacementContext {
@@ -133,9 +152,12 @@
   return avoidUntilMs === 0 || (nowMs >= avoidUntilMs && unansweredAttempts === 0);
 }
 
-function listAvailable(state: DirectState, service: string, nowMs: number): AvailableServer[] {
-  return state.registry
-    .listAvailable(service)
+function filterAvailable(
+  state: DirectState,
+  servers: readonly RegisteredServer[],
+  nowMs: number,
+): AvailableServer[] {
+  return servers
     .map((server) => ({ server, serverState: getServerState(state, server) }))
     .filter(({ serverState }) => isAvailable(serverState, nowMs))
     .map((available) => ({
@@ -157,14 +179,32 @@
   return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined;
 }
 
-/** Selects the server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort. */
+/** Returns the available servers to consider: of all servers, if none of the selected ones is available. */
+function listCandidates(
+  state: DirectState,
+  attributes: RequestAttributes,
+  draw: number,
+  nowMs: number,
+): AvailableServer[] {
+  const { service } = attributes;
+  const partId = findSharedPartId(attributes);
+  const selected = filterAvailable(state, getPool(state, service).select(partId, draw), nowMs);
+  if (selected.length > 0) return selected;
+  return filterAvailable(state, state.registry.listAvailable(service), nowMs);
+}
+
+/**
+ * Selects the server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort.
+ * @param draw random number in [0, 1) that varies which servers of a large service are considered
+ */
 export function chooseServer(
   state: DirectState,
   attributes: RequestAttributes,
   triedServerKeys: readonly string[],
+  draw: number,
   nowMs: number,
 ): Candidate | undefined {
-  const available = listAvailable(state, attributes.service, nowMs);
+  const available = listCandidates(state, attributes, draw, nowMs);
   const untried = available.filter(({ server }) => !triedServerKeys.includes(server.key));
   const servers = untried.length > 0 ? untried : available;
   if (servers.length === 0) return undefined;
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -12,6 +12,8 @@
 const NO_SERVER_RETRY_MS = 500;
 /** Maximum number of attempts per request: if several servers reject it, the others are likely to reject it too. */
 const MAX_SENT_ATTEMPTS = 3;
+/** Step between the sampling draws of successive retries: multiples of the golden ratio spread evenly. */
+const RETRY_DRAW_STEP = 0.618;
 /** Minimum time to the deadline for a retry. */
 const MIN_RETRY_REMAINING_MS = 50;
 /** Weight of a generated token relative to a prompt token, as in the configured engine throughput. */
@@ -160,7 +162,7 @@
     attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
   if (attributes.account !== undefined)
     state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
-  const best = chooseServer(state, attributes, [], nowMs);
+  const best = chooseServer(state, attributes, [], draw, nowMs);
   if (best === undefined)
     return refuse(state, request, createNoServerRefusal(state, attributes, draw, nowMs), {});
   const admission = admit(attributes, best, shareUsed, draw);
@@ -271,7 +273,8 @@
   const { attributes } = request;
   if (!canRetry(request, outcome) || request.sentAttempts >= MAX_SENT_ATTEMPTS) return undefined;
   if (attributes.expiresAtMs - nowMs < MIN_RETRY_REMAINING_MS) return undefined;
-  const best = chooseServer(state, attributes, request.triedServerKeys, nowMs);
+  const draw = (state.attemptCount * RETRY_DRAW_STEP) % 1;
+  const best = chooseServer(state, attributes, request.triedServerKeys, draw, nowMs);
   if (best === undefined) return undefined;
   const isWithinBudget =
     outcome === AttemptOutcome.Unsent ||
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -2,6 +2,7 @@
 import type { Hasher } from '../hash/index.js';
 import { createAccountUsage } from './account-usage.js';
 import type { AccountUsage } from './account-usage.js';
+import type { CandidatePool } from './candidate-pool.js';
 import { createRetryBudget } from './retry-budget.js';
 import type { RetryBudget, RetryBudgetOptions } from './retry-budget.js';
 import type { RouteTable } from './route-table.js';
@@ -85,6 +86,8 @@
   options: DirectRouterOptions;
   routeTable: RouteTable | undefined;
   registry: ServerRegistry;
+  /** Candidates by the registry's list of a service's servers. */
+  candidatePools: WeakMap<readonly RegisteredServer[], CandidatePool>;
   /** True once a full listing of servers has been received. */
   hasServerList: boolean;
   /** True once the cache contents of the engines have been requested. */
@@ -121,6 +124,7 @@
     options,
     routeTable: undefined,
     registry: createServerRegistry(options.registry),
+    candidatePools: new WeakMap(),
     hasServerList: false,
     cachesRequested: false,
     leavingNews: [],
