--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -1,5 +1,6 @@
 export * from './account-usage.js';
 export * from './admission.js';
+export * from './candidate-pool.js';
 export * from './describe-state.js';
 export type * from './events.js';
 export * from './exchange-topology.js';
@@ -12,6 +13,7 @@
 export * from './route-table.js';
 export * from './server-health.js';
 export * from './server-load.js';
+export type { RegisteredServer } from './server-index.js';
 export * from './server-registry.js';
 export * from './sliding-sum.js';
 export * from './state.js';
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -2,6 +2,7 @@
 import type { Hasher } from '../hash/index.js';
 import { createAccountUsage } from './account-usage.js';
 import type { AccountUsage } from './account-usage.js';
+import type { CandidatePool } from './candidate-pool.js';
 import { createRetryBudget } from './retry-budget.js';
 import type { RetryBudget, RetryBudgetOptions } from './retry-budget.js';
 import type { RouteTable } from './route-table.js';
@@ -9,8 +10,9 @@
 import type { ServerHealth } from './server-health.js';
 import { createServerLoad } from './server-load.js';
 import type { RequestPrediction, ServerLoad } from './server-load.js';
+import type { RegisteredServer } from './server-index.js';
 import { createServerRegistry } from './server-registry.js';
-import type { RegisteredServer, ServerRegistry, ServerRegistryOptions } from './server-registry.js';
+import type { ServerRegistry, ServerRegistryOptions } from './server-registry.js';
 import type { PromptPart, RequestAttributes } from './types.js';
 
 /** Health and load of one run of a backend server, as estimated by this router. */
@@ -84,6 +86,8 @@
   options: DirectRouterOptions;
   routeTable: RouteTable | undefined;
   registry: ServerRegistry;
+  /** Candidates by the registry's list of a service's servers. */
+  candidatePools: WeakMap<readonly RegisteredServer[], CandidatePool>;
   /** True once a full listing of servers has been received. */
   hasServerList: boolean;
   /** True once the cache contents of the engines have been requested. */
@@ -120,6 +124,7 @@
     options,
     routeTable: undefined,
     registry: createServerRegistry(options.registry),
+    candidatePools: new WeakMap(),
     hasServerList: false,
     cachesRequested: false,
     leavingNews: [],
