--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -80,6 +80,8 @@
 
 /** Inputs of a placement or admission decision, logged with its effect. */
 export interface DecisionInputs {
+  /** Client account; undefined on public routes. */
+  account?: string | undefined;
   /** Key of the chosen server, or of the server of the last attempt. */
   server?: string;
   /** Predicted time to the first event or the answer. */
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -169,7 +169,8 @@
   const decisionInputs = {
     ...describeCandidate(best),
     allowedMs: Math.round(admission.allowedMs),
-    shareUsed,
+    shareUsed: Math.round(shareUsed * 100) / 100,
+    account: attributes.account,
   };
   if (!admission.admitted) {
     const code = shareUsed > 1 ? RefusalCode.AccountOverShare : RefusalCode.Overloaded;
