Report not ready while the event loop stays late

On a slow machine that gets most of its zone's callers an iteration takes 0.4 s and more, so connections reach the head of the queue after their callers have given up, and the router, still ready, takes none.

Change: three late probes in a row make the router not ready until 2.5 s after it keeps up again, so that the platform leaves new connections to others; a single pause doesn't.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -257,11 +257,25 @@
 
 function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
   return {
-    create: ({ state, phase }) =>
-      createReadinessServer({
+    create({ state, phase, loopLag }) {
+      let wasOverloaded = false;
+      /** An overloaded router leaves new connections to the others of its zone. */
+      function checkOverload(): boolean {
+        const isOverloaded = loopLag.isOverloaded();
+        if (isOverloaded !== wasOverloaded)
+          ctx.logger.warn('overload-changed', { overloaded: isOverloaded, lagMs: loopLag.lagMs() });
+        wasOverloaded = isOverloaded;
+        return isOverloaded;
+      }
+      return createReadinessServer({
         ...parseAddress(ctx.settings().callers.readinessAddress),
-        isReady: () => !phase.draining && state.routeTable !== undefined && state.hasServerList,
-      }),
+        isReady: () =>
+          !phase.draining &&
+          state.routeTable !== undefined &&
+          state.hasServerList &&
+          !checkOverload(),
+      });
+    },
     close: (server) => server.close(),
   };
 }
--- /dev/null
+++ b/packages/edge/test/overload/overload.test.ts
@@ -0,0 +1,24 @@
+/** A router on a slow machine that gets most of its zone's callers: it must not take connections that it can't accept in time. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createOverloadDetector } from '../../src/overload.js';
+
+test('an event loop that stays late is overloaded until some time after it keeps up again', () => {
+  const detector = createOverloadDetector();
+  for (let nowMs = 0; nowMs <= 4000; nowMs += 400) detector.observe(380, nowMs);
+  assert.equal(detector.isOverloaded(4000), true);
+  for (let nowMs = 4020; nowMs <= 8000; nowMs += 20) detector.observe(1, nowMs);
+  // Longer than two readiness checks a second apart, so that both fail.
+  assert.equal(detector.isOverloaded(6000), true);
+  assert.equal(detector.isOverloaded(8000), false);
+});
+
+test('neither a single pause of seconds nor single late probes count as overload', () => {
+  const detector = createOverloadDetector();
+  detector.observe(3000, 0);
+  detector.observe(0, 20);
+  assert.equal(detector.isOverloaded(20), false);
+  for (let nowMs = 100; nowMs < 5000; nowMs += 100)
+    detector.observe(nowMs % 300 === 0 ? 400 : 5, nowMs);
+  assert.equal(detector.isOverloaded(5000), false);
+});
