Refuse requests that arrive on kept connections while the router exits

Change: once the server has stopped listening, such a request is answered at once with 503, not run. Test: failed before (the request was run), passes after.

--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -156,6 +156,8 @@
   Overloaded: 'overloaded',
   /** The CPU of this router is overloaded; other routers may accept the request. */
   RouterBusy: 'router_busy',
+  /** This router is shutting down; other routers may accept the request. */
+  ShuttingDown: 'router_shutting_down',
   AccountOverShare: 'account_over_share',
   OutcomeUnknown: 'outcome_unknown',
   TimedOut: 'timed_out',
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -15,6 +15,8 @@
   /** Returns the limits in force; undefined before a configuration is known. */
   limits: () => CallerLimits | undefined;
   onRequest: (req: IncomingMessage, res: ServerResponse) => void;
+  /** Called in place of `onRequest` once the server has stopped listening. */
+  onLateRequest: (req: IncomingMessage, res: ServerResponse) => void;
   clock: Clock;
   logger: Logger;
 }
@@ -84,7 +86,9 @@
       connections.requestEnded(socket);
       if (phase.closing && connections.isIdle(socket)) socket.end();
     });
-    options.onRequest(req, res);
+    // A request may arrive on a kept connection before the close of the response before it has been handled.
+    if (phase.closing) options.onLateRequest(req, res);
+    else options.onRequest(req, res);
   }
 
   function onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -32,6 +32,13 @@
   // A retry usually reaches another router; this one needs about this long to process its backlog.
   retryAfterMs: 300,
 };
+/** A retry reaches another router at once. */
+const SHUTTING_DOWN_REFUSAL: Refusal = {
+  status: 503,
+  code: RefusalCode.ShuttingDown,
+  ran: 'no',
+  retryAfterMs: 50,
+};
 /** Event loop lag, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_LAG_FRACTION = 0.25;
 
@@ -40,8 +47,15 @@
   setImmediate(() => setImmediate(callback));
 }
 
-/** Creates the request handler of the server for callers. */
-export function createRequestHandler(ctx: EdgeContext, parts: HandlerParts) {
+/** Handlers of callers' requests. */
+export interface RequestHandlers {
+  onRequest(req: IncomingMessage, res: ServerResponse): void;
+  /** Refuses a request that arrives while the router is exiting. */
+  onLateRequest(req: IncomingMessage, res: ServerResponse): void;
+}
+
+/** Creates the handlers of the server for callers. */
+export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
   const { logger, clock, random } = ctx;
   const { validator, exchanges, loopLag, loop, metrics, state } = parts;
   let requestCount = 0;
@@ -89,7 +103,7 @@
     });
   }
 
-  return (req: IncomingMessage, res: ServerResponse): void => {
+  function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const headers = parseCallerHeaders(req.headers);
     const validation = validator.validate(req, headers, clock());
 
@@ -107,5 +121,11 @@
     }
 
     readBody(req, validator.maxBodyBytes(), onBody);
+  }
+
+  return {
+    onRequest,
+    onLateRequest: (req, res) =>
+      reject(res, parseCallerHeaders(req.headers), SHUTTING_DOWN_REFUSAL),
   };
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -19,7 +19,7 @@
 import { createAdminServer } from './admin/admin-server.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
-import { createRequestHandler } from './callers/request-handler.js';
+import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
 import { repeatEvery } from './closable.js';
 import { createEffectHandlers } from './effect-handlers.js';
@@ -247,7 +247,7 @@
       createCallerServer({
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
-        onRequest: createRequestHandler(ctx, parts),
+        ...createRequestHandlers(ctx, parts),
         clock: ctx.clock,
         logger: ctx.logger,
       }),
--- a/packages/edge/test/callers/drain.test.ts
+++ b/packages/edge/test/callers/drain.test.ts
@@ -1,7 +1,9 @@
 /** Guards against requests that are aborted by a router's shutdown. */
 import assert from 'node:assert/strict';
 import { Agent } from 'node:http';
+import { connect } from 'node:net';
 import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createDeployment, waitUntil } from '../standins/deployment.js';
 import { sendAnswer, signedHeaders } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
@@ -32,3 +34,34 @@
   await draining;
   await deployment.close();
 });
+
+test('a request that arrives on a kept connection after the router has stopped listening is refused as not run', async () => {
+  const answers: (() => void)[] = [];
+  const deployment = await createDeployment([(arrival) => answers.push(() => sendAnswer(arrival))]);
+  const [host, port] = deployment.settings.callers.address.split(':');
+  const socket = connect(Number(port), host);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  const write = (id: string) =>
+    socket.write(
+      `POST /once/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: ${id}\r\nCredential: key-1\r\nContent-Length: 0\r\n\r\n`,
+    );
+  try {
+    write('first');
+    await waitUntil(() => answers.length === 1);
+    const drained = deployment.router.drain();
+    await delay(3200);
+    // The second request waits behind the first, whose answer ends now.
+    write('second');
+    answers[0]!();
+    await drained;
+    await waitUntil(() => socket.destroyed || received.includes('router_shutting_down'));
+    assert.ok(received.startsWith('HTTP/1.1 200'), received);
+    assert.equal(deployment.servers[0]!.arrivals.length, 1);
+  } finally {
+    socket.destroy();
+    await deployment.close();
+  }
+});
