--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -19,7 +19,7 @@
 import { createAdminServer } from './admin/admin-server.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
-import { createRequestHandler } from './callers/request-handler.js';
+import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
 import { repeatEvery } from './closable.js';
 import { createEffectHandlers } from './effect-handlers.js';
@@ -247,7 +247,7 @@
       createCallerServer({
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
-        onRequest: createRequestHandler(ctx, parts),
+        ...createRequestHandlers(ctx, parts),
         clock: ctx.clock,
         logger: ctx.logger,
       }),
@@ -257,11 +257,25 @@
 
 function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
   return {
-    create: ({ state, phase }) =>
-      createReadinessServer({
+    create({ state, phase, loopLag }) {
+      let wasOverloaded = false;
+      /** An overloaded router leaves new connections to the others of its zone. */
+      function checkOverload(): boolean {
+        const isOverloaded = loopLag.isOverloaded();
+        if (isOverloaded !== wasOverloaded)
+          ctx.logger.warn('overload-changed', { overloaded: isOverloaded, lagMs: loopLag.lagMs() });
+        wasOverloaded = isOverloaded;
+        return isOverloaded;
+      }
+      return createReadinessServer({
         ...parseAddress(ctx.settings().callers.readinessAddress),
-        isReady: () => !phase.draining && state.routeTable !== undefined && state.hasServerList,
-      }),
+        isReady: () =>
+          !phase.draining &&
+          state.routeTable !== undefined &&
+          state.hasServerList &&
+          !checkOverload(),
+      });
+    },
     close: (server) => server.close(),
   };
 }
