--- a/packages/edge/src/peers/group-links.ts
+++ b/packages/edge/src/peers/group-links.ts
@@ -29,7 +29,7 @@
   let isWatchingGroup = false;
 
   function isHub(): boolean {
-    return !hub.hasHope();
+    return !hub.mayConnect();
   }
 
   function getOtherHub(group: string): PreferredLink {
--- a/packages/edge/src/peers/preferred-link.ts
+++ b/packages/edge/src/peers/preferred-link.ts
@@ -8,8 +8,8 @@
 export interface PreferredLink {
   /** Sets the candidates, best first. */
   setCandidates(candidates: readonly LinkTarget[]): void;
-  /** Returns whether there is a candidate that is connected or hasn't failed yet. */
-  hasHope(): boolean;
+  /** Returns whether a candidate is connected or hasn't failed yet. */
+  mayConnect(): boolean;
   /** Checks the connections and dials candidates that are due. */
   check(): void;
   close(): void;
@@ -94,7 +94,7 @@
       failures.retain(addresses);
       dialDue();
     },
-    hasHope: () =>
+    mayConnect: () =>
       [...connections.values()].some(({ openedAtMs }) => openedAtMs !== undefined) ||
       candidates.some(({ address }) => !failures.has(address)),
     check() {
