--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -193,23 +193,8 @@
   return filterAvailable(state, state.registry.listAvailable(service), nowMs);
 }
 
-/** Servers for a request; both may be the same. */
-export interface Choice {
-  /** Server with the lowest cost, including that of computing shared parts again. */
-  preferred: Candidate;
-  /** Server with the shortest predicted time to the first event. */
-  fastest: Candidate;
-}
-
-function findLowest(
-  candidates: readonly Omit<Candidate, 'meanWaitMs'>[],
-  valueOf: (candidate: Omit<Candidate, 'meanWaitMs'>) => number,
-): Omit<Candidate, 'meanWaitMs'> {
-  return candidates.reduce((lowest, next) => (valueOf(next) < valueOf(lowest) ? next : lowest));
-}
-
 /**
- * Selects the servers for a request; undefined if none is available. Servers in `triedServerKeys` are the last resort.
+ * Selects the server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort.
  * @param draw random number in [0, 1) that varies which servers of a large service are considered
  */
 export function chooseServer(
@@ -218,7 +203,7 @@
   triedServerKeys: readonly string[],
   draw: number,
   nowMs: number,
-): Choice | undefined {
+): Candidate | undefined {
   const available = listCandidates(state, attributes, draw, nowMs);
   const untried = available.filter(({ server }) => !triedServerKeys.includes(server.key));
   const servers = untried.length > 0 ? untried : available;
@@ -231,9 +216,7 @@
     nowMs,
   };
   const candidates = servers.map((server) => evaluate(context, server));
+  const best = candidates.reduce((lowest, next) => (next.cost < lowest.cost ? next : lowest));
   const totalWaitMs = candidates.reduce((sum, { waitMs }) => sum + waitMs, 0);
-  const meanWaitMs = totalWaitMs / candidates.length;
-  const preferred = { ...findLowest(candidates, ({ cost }) => cost), meanWaitMs };
-  const fastest = { ...findLowest(candidates, ({ predictedMs }) => predictedMs), meanWaitMs };
-  return { preferred, fastest };
+  return { ...best, meanWaitMs: totalWaitMs / candidates.length };
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,9 +1,8 @@
 /** Event handlers for requests and their attempts. */
 import { admit } from './admission.js';
-import type { Admission } from './admission.js';
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
 import { chooseServer, remainingDeferralMs } from './placement.js';
-import type { Candidate, Choice } from './placement.js';
+import type { Candidate } from './placement.js';
 import { ownTokens, sharedParts } from './prompt-parts.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
@@ -163,45 +162,29 @@
     attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
   if (attributes.account !== undefined)
     state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
-  const choice = chooseServer(state, attributes, [], draw, nowMs);
-  if (choice === undefined) {
-    const refusal = createNoServerRefusal(state, attributes, draw, nowMs);
-    return refuse(state, request, refusal, { account: attributes.account });
-  }
-  const { server, admission } = admitToChoice(attributes, choice, shareUsed, draw);
+  const best = chooseServer(state, attributes, [], draw, nowMs);
+  if (best === undefined)
+    return refuse(state, request, createNoServerRefusal(state, attributes, draw, nowMs), {});
+  const admission = admit(attributes, best, shareUsed, draw);
   const decisionInputs = {
-    ...describeCandidate(server),
+    ...describeCandidate(best),
     allowedMs: Math.round(admission.allowedMs),
     shareUsed: Math.round(shareUsed * 100) / 100,
     account: attributes.account,
   };
   if (!admission.admitted) {
     const code = shareUsed > 1 ? RefusalCode.AccountOverShare : RefusalCode.Overloaded;
-    const refusal = createNotRunRefusal(code, admission.retryAfterMs);
-    return refuse(state, request, refusal, decisionInputs);
+    return refuse(
+      state,
+      request,
+      createNotRunRefusal(code, admission.retryAfterMs),
+      decisionInputs,
+    );
   }
   if (attributes.account !== undefined)
     state.accountUsage.recordServed(attributes.account, tokens, nowMs);
   state.requests.set(requestId, request);
-  return send(state, request, server, decisionInputs, nowMs);
-}
-
-/**
- * Admits a request to the preferred server, or else, for an account below its fair share, to the fastest one: computing shared parts
- * again costs less than capacity that stands idle beside it.
- */
-function admitToChoice(
-  attributes: RequestAttributes,
-  { preferred, fastest }: Choice,
-  shareUsed: number,
-  draw: number,
-): { server: Candidate; admission: Admission } {
-  const admission = admit(attributes, preferred, shareUsed, draw);
-  if (admission.admitted || shareUsed >= 1) return { server: preferred, admission };
-  const otherAdmission = admit(attributes, fastest, shareUsed, draw);
-  return otherAdmission.admitted
-    ? { server: fastest, admission: otherAdmission }
-    : { server: preferred, admission };
+  return send(state, request, best, decisionInputs, nowMs);
 }
 
 function countPrediction({ totals }: DirectState, attempt: OpenAttempt, observedMs: number): void {
@@ -292,7 +275,7 @@
   if (!canRetry(request, outcome) || request.sentAttempts >= MAX_SENT_ATTEMPTS) return undefined;
   if (attributes.expiresAtMs - nowMs < MIN_RETRY_REMAINING_MS) return undefined;
   const draw = (state.attemptCount * RETRY_DRAW_STEP) % 1;
-  const best = chooseServer(state, attributes, request.triedServerKeys, draw, nowMs)?.preferred;
+  const best = chooseServer(state, attributes, request.triedServerKeys, draw, nowMs);
   if (best === undefined) return undefined;
   const isWithinBudget =
     outcome === AttemptOutcome.Unsent ||
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -286,19 +286,3 @@
     { seed: 20261204, numRuns: 400 },
   );
 });
-
-test('a request whose preferred engine is too loaded is sent to an idle one, though its shared parts must be computed again', () => {
-  const router = createSampleRouter();
-  const shared = { id: 'shared', tokens: 40_000 };
-  const send = (id: string) =>
-    router.request(id, {
-      promptParts: [shared, { id: id.padEnd(8, '0'), tokens: 1000 }],
-      promptTokens: 41_000,
-    });
-  const { serverKey } = expectSend(send('first'));
-  // Another router loads the engine that holds the shared part.
-  const loads = [{ serverKey, running: 10, sentTokens: 100_000, promptParts: [] }];
-  const report = { router: 'peer', loads, accounts: [], leaving: [], storeNews: [] };
-  router.dispatch({ kind: 'peer-report', report });
-  assert.notEqual(expectSend(send('second')).serverKey, serverKey);
-});
