Keep a router running on a malformed link path, and close links with malformed reports

Found when reading the exchange through hubs again: the path of an incoming link was percent-decoded in the connection's handler, where a malformed one throws and ends the process; and a malformed report was logged without closing its link, as the code before it did. The name in the path is only a label and isn't decoded any more; the link is closed again.

--- a/packages/edge/src/peers/dialed-link.ts
+++ b/packages/edge/src/peers/dialed-link.ts
@@ -34,6 +34,7 @@
       socket.send(bytes);
       return true;
     },
+    close: () => socket.terminate(),
   };
 
   function recordTraffic(): void {
--- a/packages/edge/src/peers/exchange-listener.ts
+++ b/packages/edge/src/peers/exchange-listener.ts
@@ -29,10 +29,11 @@
       if (isRecipient) sender.add(link);
       sender.flush();
     },
-    onMessage({ key }, bytes) {
+    onMessage({ key, close }, bytes) {
       const decoded = codec.decode(bytes);
       if (!decoded.ok) {
         logger.warn('peer-report-malformed', { link: key, message: decoded.message });
+        close();
         return;
       }
       exchange.receive(key, decoded.value, clock());
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -39,7 +39,7 @@
   const [, role, router] = (url ?? '').split('/');
   return {
     role: role === LinkRole.Member ? LinkRole.Member : LinkRole.Hub,
-    router: decodeURIComponent(router ?? ''),
+    router: router ?? '',
   };
 }
 
@@ -62,6 +62,7 @@
         socket.send(bytes);
         return true;
       },
+      close: () => socket.terminate(),
     };
   }
 
--- a/packages/edge/src/peers/types.ts
+++ b/packages/edge/src/peers/types.ts
@@ -17,6 +17,7 @@
   key: string;
   /** Returns false if the send buffer is full. */
   send(bytes: Buffer): boolean;
+  close(): void;
 }
 
 /** Callbacks of links. */
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createHasher } from '@kingcupsill/core/hash';
+import { WebSocket } from 'ws';
 import { createStoreNews } from '@kingcupsill/core/direct';
 import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
@@ -129,3 +131,19 @@
     routers.forEach(({ links }) => links.close());
   }
 });
+
+test('a malformed path does not stop a router, and a malformed report closes its link', async () => {
+  const [info] = await createInfos(1, 1);
+  const router = await startRouter(info!);
+  const socket = new WebSocket(`ws://${info!.address}/member/%`);
+  try {
+    await once(socket, 'open');
+    socket.send(Buffer.from([0xc1]));
+    await once(socket, 'close');
+    assert.equal(router.received.length, 0);
+    assert.deepEqual(router.lost.length, 1);
+  } finally {
+    socket.terminate();
+    router.links.close();
+  }
+});
