State in logs and metrics how a response's body ended

The logs could not tell whether a truncated stream that counted as complete had a length, chunks or neither, and whether it ended inside an event: attempts that end as complete leave no line. body-ended-by-close, body-ended-inside-event and kingcupsill_body_ends_total state it. No decision changes.

--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -2,6 +2,7 @@
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import type { DirectEffect } from '@kingcupsill/core/direct';
 import type { Exchange } from './callers/exchange.js';
+import { BodyFraming } from './relay/types.js';
 import type { AttemptListener } from './relay/types.js';
 import type { EdgeContext, EdgeParts } from './types.js';
 
@@ -32,6 +33,12 @@
       const lastEventId = deliveredId ?? exchange.headers.lastEventId ?? '';
       parts.loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
     },
+    onBodyEnded({ framing, bodyBytes, partialEventBytes }) {
+      parts.metrics.countBodyEnd(framing, partialEventBytes > 0);
+      const fields = { request, attempt, framing, bodyBytes, partialEventBytes };
+      if (partialEventBytes > 0) logger.warn('body-ended-inside-event', fields);
+      else if (framing === BodyFraming.Close) logger.info('body-ended-by-close', fields);
+    },
     onEnded(outcome, detail, response) {
       onEnded();
       exchange.bufferedResponse = response;
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -7,6 +7,7 @@
 } from '@kingcupsill/core/direct';
 import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
+import type { BodyFraming } from './relay/types.js';
 
 /** Cost of control traffic since the start. */
 export interface ControlTotals {
@@ -21,6 +22,8 @@
 export interface EdgeMetrics {
   countAttempt(isRetry: boolean): void;
   countAttemptEnd(outcome: AttemptOutcome): void;
+  /** Counts the end of a response's body. */
+  countBodyEnd(framing: BodyFraming, isInsideEvent: boolean): void;
   countResponse(status: number): void;
   countRefusal(code: RefusalCode): void;
   /** Records the time from the complete request to the first event or the response. */
@@ -100,6 +103,12 @@
     new Histogram({ name, help, labelNames: ['service'], buckets: BUCKET_BOUNDS_S, registers });
   const attempts = counter('kingcupsill_attempts_total', 'Attempts sent.', 'repeat');
   const attemptEnds = counter('kingcupsill_attempt_ends_total', 'Attempts ended.', 'end');
+  const bodyEnds = counter(
+    'kingcupsill_body_ends_total',
+    'Ends of response bodies of backend servers.',
+    'framing',
+    'inside_event',
+  );
   const responses = counter('kingcupsill_answers_total', 'Responses of backend servers.', 'status');
   const refusals = counter(
     'kingcupsill_refusals_total',
@@ -136,6 +145,8 @@
   return {
     countAttempt: (isRetry) => attempts.inc({ repeat: String(isRetry) }),
     countAttemptEnd: (outcome) => attemptEnds.inc({ end: outcome }),
+    countBodyEnd: (framing, isInsideEvent) =>
+      bodyEnds.inc({ framing, inside_event: String(isInsideEvent) }),
     countResponse: (status) => responses.inc({ status: String(status) }),
     countRefusal: (code) => refusals.inc({ code }),
     observeFirstEvent: (service, durationMs) =>
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -3,9 +3,10 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import { classifyResponseHead } from './classify-response-head.js';
-import { enableResetDetection, isCloseDelimited } from './close-delimited.js';
+import { enableResetDetection, getBodyFraming } from './close-delimited.js';
 import { bufferResponse, discardResponse, relayEvents } from './read-response.js';
 import type { ServerConnections } from './server-connections.js';
+import { BodyFraming } from './types.js';
 import type {
   AttemptListener,
   AttemptRequest,
@@ -77,7 +78,7 @@
     if (classification.announcement !== undefined)
       listener.onAnnounced(classification.announcement);
     const detail = `status ${res.statusCode}`;
-    if (isCloseDelimited(res)) enableResetDetection(res);
+    if (getBodyFraming(res) === BodyFraming.Close) enableResetDetection(res);
     res.on('error', (err) => fail(err.message));
     res.on('close', () => fail('response ended early'));
     if (classification.isFinal) {
@@ -99,7 +100,7 @@
       relayEvents(res, sink, listener, handlers);
     } else {
       listener.onBegun();
-      bufferResponse(res, connections.responseBudget, handlers);
+      bufferResponse(res, connections.responseBudget, listener, handlers);
     }
   }
 
--- a/packages/edge/src/relay/close-delimited.ts
+++ b/packages/edge/src/relay/close-delimited.ts
@@ -1,6 +1,7 @@
-/** Detection of connection resets in close-delimited responses. */
+/** Detection of close-delimited responses and of connection resets in them. */
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { BodyFraming } from './types.js';
 
 interface ReadHandle {
   reading: boolean;
@@ -8,11 +9,10 @@
   readStart(): number;
 }
 
-/** Returns whether the body ends only with its connection, without a length or chunked encoding. */
-export function isCloseDelimited(res: IncomingMessage): boolean {
-  return (
-    res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
-  );
+/** Returns what determines the end of the body. */
+export function getBodyFraming({ headers }: IncomingMessage): BodyFraming {
+  if (headers['transfer-encoding'] !== undefined) return BodyFraming.Chunked;
+  return headers['content-length'] === undefined ? BodyFraming.Close : BodyFraming.Length;
 }
 
 /**
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import type { ByteBudget } from './byte-budget.js';
+import { getBodyFraming } from './close-delimited.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { AttemptListener, BufferedResponse, ResponseSink } from './types.js';
 
@@ -36,6 +37,7 @@
 export function bufferResponse(
   res: IncomingMessage,
   budget: ByteBudget,
+  listener: AttemptListener,
   { onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
   const chunks: Buffer[] = [];
@@ -54,6 +56,11 @@
       onFailure('response ended early');
       return;
     }
+    listener.onBodyEnded({
+      framing: getBodyFraming(res),
+      bodyBytes: receivedBytes,
+      partialEventBytes: 0,
+    });
     const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
     onComplete({ status: res.statusCode!, headers, body: Buffer.concat(chunks) });
   });
@@ -67,6 +74,7 @@
   { onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
   const splitter = createEventSplitter();
+  let receivedBytes = 0;
   const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
 
   function deliver(bytes: Buffer, lastEventId: string | undefined): void {
@@ -78,6 +86,7 @@
 
   res.on('data', (chunk: Buffer) => {
     if (isEnded()) return;
+    receivedBytes += chunk.length;
     const events = splitter.push(chunk);
     if (events !== undefined) deliver(events.bytes, events.lastEventId);
     if (splitter.pendingBytes() > MAX_EVENT_BYTES) onFailure('event too large');
@@ -89,6 +98,11 @@
       return;
     }
     const rest = splitter.remainder();
+    listener.onBodyEnded({
+      framing: getBodyFraming(res),
+      bodyBytes: receivedBytes,
+      partialEventBytes: rest.length,
+    });
     if (rest.length > 0 || !sink.isHeadSent()) deliver(rest, undefined);
     onComplete(undefined);
   });
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -33,6 +33,23 @@
   maxIdleMs: number | undefined;
 }
 
+/** What determines the end of a response's body. */
+export const BodyFraming = {
+  Length: 'length',
+  Chunked: 'chunked',
+  /** The body ends with its connection. */
+  Close: 'close',
+} as const;
+export type BodyFraming = (typeof BodyFraming)[keyof typeof BodyFraming];
+
+/** How the body of a response ended. */
+export interface BodyEnd {
+  framing: BodyFraming;
+  bodyBytes: number;
+  /** Bytes of a stream after its last complete event; 0 for other bodies. */
+  partialEventBytes: number;
+}
+
 /** Callbacks of an attempt. */
 export interface AttemptListener {
   /** The head of a response states something about the server itself. */
@@ -40,6 +57,8 @@
   /** The response has begun, for a stream with its first event. */
   onBegun(): void;
   onDelivered(lastEventId: string | undefined): void;
+  /** The body has ended as its framing states. */
+  onBodyEnded(end: BodyEnd): void;
   /** `response` is defined if the response was buffered and can still be sent to the caller. */
   onEnded(outcome: AttemptOutcome, detail: string, response: BufferedResponse | undefined): void;
 }
