--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -51,7 +51,8 @@
     | { kind: 'store-answered' }
     | { kind: 'request'; request: string; attributes: RequestAttributes; draw: number }
     | { kind: 'attempt-begun'; attempt: string }
-    | { kind: 'events-delivered'; request: string; lastEventId: string }
+    /** `lastEventId` is undefined if none of the events has an id. */
+    | { kind: 'events-delivered'; request: string; lastEventId: string | undefined }
     | {
         kind: 'attempt-ended';
         attempt: string;
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -216,12 +216,12 @@
 export function onEventsDelivered(
   state: DirectState,
   requestId: string,
-  lastEventId: string,
+  lastEventId: string | undefined,
 ): DirectEffect[] {
   const request = state.requests.get(requestId);
   if (request !== undefined) {
     request.answerStarted = true;
-    request.lastEventId = lastEventId;
+    request.lastEventId = lastEventId ?? request.lastEventId;
   }
   return [];
 }
@@ -253,8 +253,11 @@
   if (NOT_RUN_OUTCOMES.has(outcome)) return true;
   if (request.possibleRuns >= route.maxAttempts) return false;
   if (route.retryPolicy === RetryPolicy.Any) return true;
-  // A complete error response is the final answer; only an interrupted stream can be resumed.
-  return route.retryPolicy === RetryPolicy.Resume && outcome === AttemptOutcome.Unknown;
+  // A complete error response is the final answer; only an interrupted stream can be resumed, at a known event.
+  const canContinue = !request.answerStarted || request.lastEventId !== undefined;
+  return (
+    route.retryPolicy === RetryPolicy.Resume && outcome === AttemptOutcome.Unknown && canContinue
+  );
 }
 
 /** Returns the error response after the last attempt. */
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -65,6 +65,24 @@
   assert.deepEqual([refusal.status, refusal.ran], [502, 'unknown']);
 });
 
+// Guards against events that reach the caller twice because a comment behind them carries no event id.
+test('a resumable stream continues after its last event id, also behind events without one', () => {
+  const router = createSampleRouter();
+  const first = expectSend(router.request('1'));
+  router.dispatch({ kind: 'events-delivered', request: '1', lastEventId: '7' });
+  router.dispatch({ kind: 'events-delivered', request: '1', lastEventId: undefined });
+  const second = expectSend(router.dispatch(attemptEnded(first.attempt, AttemptOutcome.Unknown)));
+  assert.equal(second.lastEventId, '7');
+});
+
+// Guards against events that reach the caller twice because no event id states where the stream was broken off.
+test('a resumable stream does not continue if none of its delivered events has an id', () => {
+  const router = createSampleRouter();
+  const first = expectSend(router.request('1'));
+  router.dispatch({ kind: 'events-delivered', request: '1', lastEventId: undefined });
+  expectRefusal(router.dispatch(attemptEnded(first.attempt, AttemptOutcome.Unknown)));
+});
+
 test('a resumable stream continues on another server after the last delivered event', () => {
   const router = createSampleRouter();
   const first = expectSend(router.request('1'));
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -29,8 +29,7 @@
       exchange.responseStarted = true;
       parts.loop.dispatch({ kind: 'attempt-begun', attempt, nowMs });
     },
-    onDelivered(deliveredId) {
-      const lastEventId = deliveredId ?? exchange.headers.lastEventId ?? '';
+    onDelivered(lastEventId) {
       parts.loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
     },
     onBodyEnded({ framing, bodyBytes, partialEventBytes }) {
