Sidecar: treat a stream that ends inside an event as broken

Same cause as in the direct router: the end of a close-delimited event stream counted as a whole response, so a router would have delivered a broken-off stream as complete. The event splitter moves to core, where both use it. The test failed on the code before (hung once on it: it left its server open on failure, mended in the test).

--- a/packages/edge/test/relay/event-splitter.test.ts
+++ b/packages/core/test/event-stream/event-splitter.test.ts
@@ -1,7 +1,7 @@
 /** Guards against streams that are split inside an event, or whose complete end is taken for a broken-off event. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createEventSplitter } from '../../src/relay/event-splitter.js';
+import { createEventSplitter } from '../../src/event-stream/index.js';
 
 const STREAM = 'id: 1\ndata: a\n\n: comment\n\nid: 2\ndata: b\ndata: c\n\n';
 
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -1,10 +1,10 @@
 /** Reading of a backend server's response, either buffered or streamed to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
+import { createEventSplitter } from '@kingcupsill/core/event-stream';
+import type { EventSplitter } from '@kingcupsill/core/event-stream';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
-import { createEventSplitter } from './event-splitter.js';
-import type { EventSplitter } from './event-splitter.js';
 import { BodyFraming } from './types.js';
 import type { AttemptListener, BufferedResponse, ResponseSink } from './types.js';
 
--- a/packages/edge/test/relay/endless.test.ts
+++ b/packages/edge/test/relay/endless.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import type { Socket } from 'node:net';
 import { test } from 'node:test';
-import { createEventSplitter } from '../../src/relay/event-splitter.js';
+import { createEventSplitter } from '@kingcupsill/core/event-stream';
 import { createDeployment, waitUntil } from '../standins/deployment.js';
 import { sendAnswer, signedHeaders, writeRawAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
--- a/packages/sidecar/src/backend/backend-client.ts
+++ b/packages/sidecar/src/backend/backend-client.ts
@@ -2,6 +2,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { REQUEST_ID_HEADER, filterForwardedHeaders } from '@kingcupsill/core';
+import { createEventSplitter } from '@kingcupsill/core/event-stream';
+import type { EventSplitter } from '@kingcupsill/core/event-stream';
 import { isConnectError } from '@kingcupsill/fleet';
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
@@ -15,6 +17,13 @@
 
 type BackendResponse = Dispatcher.ResponseData;
 
+/** Response of one run, which may arrive in several parts. */
+interface Reception {
+  attempt: string;
+  response: ResponseBuffer;
+  splitter: EventSplitter;
+}
+
 /** Creates a client of one backend server. */
 export function createBackendClient(options: BackendClientOptions): BackendClient {
   const { url, kind, maxResumes = 3, resumeDelayMs = 100 } = options;
@@ -33,15 +42,12 @@
   }
 
   /** Reads the missing part of a response that the engine keeps, which is all of it if nothing was received. */
-  async function resumeUntilComplete(
-    attempt: string,
-    response: ResponseBuffer,
-    signal: AbortSignal,
-  ) {
+  async function resumeUntilComplete(reception: Reception, signal: AbortSignal) {
+    const { attempt, response } = reception;
     for (let resumes = 0; resumes < maxResumes && !signal.aborted; resumes += 1) {
       await delay(resumeDelayMs);
       const res = await engine.resume(attempt, response.length(), signal);
-      if (res?.statusCode === 200 && (await receiveResponse(attempt, res, response))) return true;
+      if (res?.statusCode === 200 && (await receiveResponse(reception, res))) return true;
       if (res) discard(res);
     }
     return false;
@@ -50,13 +56,12 @@
   async function exchange(req: BackendRequest, response: ResponseBuffer, signal: AbortSignal) {
     const outcome = await send(req, signal).catch(toRunEnd);
     if (outcome === RunEnd.NotRun) return RunEnd.NotRun;
-    if (outcome !== RunEnd.Broken && (await receiveResponse(req.attempt, outcome, response))) {
+    const reception = { attempt: req.attempt, response, splitter: createEventSplitter() };
+    if (outcome !== RunEnd.Broken && (await receiveResponse(reception, outcome))) {
       return RunEnd.Whole;
     }
     if (kind !== BackendKind.Engine) return RunEnd.Broken;
-    return (await resumeUntilComplete(req.attempt, response, signal))
-      ? RunEnd.Whole
-      : RunEnd.Broken;
+    return (await resumeUntilComplete(reception, signal)) ? RunEnd.Whole : RunEnd.Broken;
   }
 
   return {
@@ -88,23 +93,28 @@
 }
 
 /** Writes the response to the buffer. Resolves with false if it belongs to another request or is truncated. */
-async function receiveResponse(
-  attempt: string,
-  res: BackendResponse,
-  response: ResponseBuffer,
-): Promise<boolean> {
-  if (!isResponseTo(res, attempt)) {
+async function receiveResponse(reception: Reception, res: BackendResponse): Promise<boolean> {
+  if (!isResponseTo(res, reception.attempt)) {
     discard(res);
     return false;
   }
-  response.setHead({ status: res.statusCode, headers: filterForwardedHeaders(res.headers) });
-  return receiveBody(res, response);
+  const headers = filterForwardedHeaders(res.headers);
+  reception.response.setHead({ status: res.statusCode, headers });
+  return receiveBody(reception, res);
 }
 
-async function receiveBody(res: BackendResponse, response: ResponseBuffer): Promise<boolean> {
+async function receiveBody(
+  { response, splitter }: Reception,
+  { headers, body }: BackendResponse,
+): Promise<boolean> {
+  const isEventStream = String(headers['content-type']).startsWith('text/event-stream');
   try {
-    for await (const chunk of res.body) await response.append(chunk as Buffer);
-    return true;
+    for await (const chunk of body) {
+      if (isEventStream) splitter.push(chunk as Buffer);
+      await response.append(chunk as Buffer);
+    }
+    // A stream that ends inside an event is incomplete, also if its framing is satisfied.
+    return !splitter.isInsideEvent();
   } catch {
     return false;
   }
--- a/packages/sidecar/test/backend/backend-faults.test.ts
+++ b/packages/sidecar/test/backend/backend-faults.test.ts
@@ -206,3 +206,30 @@
   await client.close();
   server.close();
 });
+
+// Guards against a broken-off stream that reaches its caller as a complete answer.
+test('a stream that ends inside an event is broken, whatever its framing', async () => {
+  for (const [body, expectedEnd] of [
+    ['data: 1\n\ndata: 2', RunEnd.Broken],
+    ['data: 1\n\ndata: 2\n\n', RunEnd.Whole],
+  ]) {
+    const server = createServer((req, res) => {
+      req.resume();
+      res.socket?.end(
+        `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n${body}`,
+      );
+    }).listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const client = createBackendClient({
+      url: `http://127.0.0.1:${port}`,
+      kind: BackendKind.Plain,
+    });
+    const { end } = await run(client, chatRequest('a1', 'hello', true));
+    // Closed before the assertion, since open servers would keep the process of a failed test alive.
+    await client.close();
+    server.close();
+    server.closeAllConnections();
+    assert.equal(end, expectedEnd);
+  }
+});
