--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -43,7 +43,15 @@
       exchange.bufferedResponse = response;
       parts.metrics.countAttemptEnd(outcome);
       if (outcome !== AttemptOutcome.Complete) {
-        logger.warn('attempt-ended', { request, attempt, end: outcome, detail });
+        const sharedParts = exchange.attributes.promptParts.slice(0, -1).map(({ id }) => id);
+        logger.warn('attempt-ended', {
+          request,
+          attempt,
+          server: serverKey,
+          end: outcome,
+          detail,
+          sharedParts,
+        });
       }
       parts.loop.dispatch({ kind: 'attempt-ended', attempt, outcome, detail, nowMs: clock() });
     },
