--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crash-evidence.ts
@@ -75,29 +75,41 @@
   begunAtMs: number | undefined;
 }
 
-/** Records the end of one of this router's own attempts. */
+function noteBlocked(partIds: readonly string[], forMs: number, source: string): DirectEffect {
+  const fields = { parts: partIds.join(','), forMs: Math.round(forMs), source };
+  return { kind: 'note', event: 'prompt-parts-blocked', fields };
+}
+
+function noteCleared(partIds: readonly string[], source: string): DirectEffect {
+  return {
+    kind: 'note',
+    event: 'prompt-parts-cleared',
+    fields: { parts: partIds.join(','), source },
+  };
+}
+
+/** Records the end of one of this router's own attempts. Returns the log lines of changed beliefs. */
 export function recordAttemptEnd(
   { suspects, blocks, news }: CrashEvidence,
   { serverKey, outcome, promptParts, begunAtMs }: EndedAttempt,
   nowMs: number,
-): void {
+): DirectEffect[] {
   const partIds = suspectableParts(promptParts);
   if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, nowMs);
   if (outcome === AttemptOutcome.Complete) {
     news.served.push(...suspects.recordServed(partIds, nowMs));
-    if (blocks.clear(partIds)) news.served.push(...partIds);
+    if (blocks.clear(partIds)) {
+      news.served.push(...partIds);
+      return [noteCleared(partIds, 'answer')];
+    }
   }
   const hasBegunLongAgo = begunAtMs !== undefined && nowMs - begunAtMs > MAX_CRASH_AGE_MS;
-  if (outcome !== AttemptOutcome.Unknown || hasBegunLongAgo) return;
+  if (outcome !== AttemptOutcome.Unknown || hasBegunLongAgo) return [];
   const suspected = partIds.filter((partId) => !suspects.isServed(partId, nowMs));
-  if (suspected.length === 0) return;
+  if (suspected.length === 0) return [];
   suspects.recordCrash(serverKey, suspected, nowMs);
   news.crashes.push([serverKey, suspected]);
-}
-
-function noteBlocked(partIds: readonly string[], forMs: number, source: string): DirectEffect {
-  const fields = { parts: partIds.join(','), forMs: Math.round(forMs), source };
-  return { kind: 'note', event: 'prompt-parts-blocked', fields };
+  return [];
 }
 
 /** Applies a peer's news. */
@@ -112,13 +124,12 @@
     const suspected = partIds.filter((partId) => !knownServed.includes(partId));
     suspects.recordCrash(serverKey, suspected, nowMs);
   });
-  if (served.length > 0) {
-    suspects.recordServed(served, nowMs);
-    blocks.clear(served);
-  }
-  return blocked
+  suspects.recordServed(served, nowMs);
+  const cleared = blocks.clear(served) ? [noteCleared(served, 'peer')] : [];
+  const newlyBlocked = blocked
     .filter((block) => blocks.applyPeerBlock(block, nowMs))
     .map(({ partIds, remainingMs }) => noteBlocked(partIds, remainingMs, 'peer'));
+  return [...cleared, ...newlyBlocked];
 }
 
 /** Blocks the parts that are responsible for crashes, and those that crash servers again after their block. */
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -1,4 +1,5 @@
 /** Description of a direct router's state as plain data, for summaries and dumps. */
+import type { BlockedParts } from './blocked-parts.js';
 import type { DirectState, DirectTotals } from './state.js';
 
 /** Description of one backend server. */
@@ -32,6 +33,8 @@
   open: number;
   totals: DirectTotals;
   servers: ServerDescription[];
+  /** Prompt parts whose requests are refused because they crash servers. */
+  blockedParts: BlockedParts[];
 }
 
 const roundToHundredths = (value: number): number => Math.round(value * 100) / 100;
@@ -59,5 +62,6 @@
     open: state.requests.size,
     totals: { ...state.totals },
     servers,
+    blockedParts: state.crashEvidence.blocks.listActive(nowMs),
   };
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -250,17 +250,19 @@
   attempt: OpenAttempt,
   outcome: AttemptOutcome,
   nowMs: number,
-): void {
+): DirectEffect[] {
   state.attempts.delete(attempt.id);
   const { serverKey, begunAtMs } = attempt;
   const promptParts = state.requests.get(attempt.requestId)?.attributes.promptParts ?? [];
-  recordAttemptEnd(state.crashEvidence, { serverKey, outcome, promptParts, begunAtMs }, nowMs);
+  const ended = { serverKey, outcome, promptParts, begunAtMs };
+  const effects = recordAttemptEnd(state.crashEvidence, ended, nowMs);
   const serverState = state.servers.get(attempt.serverKey);
-  if (serverState === undefined) return;
+  if (serverState === undefined) return effects;
   if (!attempt.prediction.hasBegun) serverState.unansweredAttempts -= 1;
   state.endedServerKeys.add(attempt.serverKey);
   serverState.load.recordEnd(attempt.prediction, nowMs, outcome === AttemptOutcome.Complete);
   serverState.health.recordOutcome(outcome, nowMs);
+  return effects;
 }
 
 /** Outcomes that guarantee that the request did not run. */
@@ -315,6 +317,26 @@
   return isWithinBudget ? send(state, request, best, describeCandidate(best), nowMs) : undefined;
 }
 
+/** Finishes, retries or refuses a request whose attempt has ended. */
+function settle(
+  state: DirectState,
+  request: OpenRequest,
+  { outcome, detail }: { outcome: AttemptOutcome; detail: string },
+  nowMs: number,
+): DirectEffect[] {
+  if (outcome === AttemptOutcome.Complete) return finish(state, request);
+  const retryEffects = retry(state, request, outcome, nowMs);
+  if (retryEffects !== undefined) return retryEffects;
+  if (outcome === AttemptOutcome.Failed && !request.answerStarted) return finish(state, request);
+  const tried = request.triedServerKeys.length;
+  const refusal = createFinalRefusal(outcome, request.possibleRuns === 0);
+  return refuse(state, request, refusal, {
+    server: request.triedServerKeys[tried - 1]!,
+    detail,
+    tried,
+  });
+}
+
 /** Handles the end of an attempt. */
 export function onAttemptEnded(
   state: DirectState,
@@ -325,26 +347,12 @@
 ): DirectEffect[] {
   const attempt = state.attempts.get(attemptId);
   if (attempt === undefined) return [];
-  closeAttempt(state, attempt, outcome, nowMs);
+  const effects = closeAttempt(state, attempt, outcome, nowMs);
   const request = state.requests.get(attempt.requestId);
-  if (request === undefined || request.currentAttempt !== attempt) return [];
+  if (request === undefined || request.currentAttempt !== attempt) return effects;
   request.currentAttempt = undefined;
   if (!NOT_RUN_OUTCOMES.has(outcome)) request.possibleRuns += 1;
-  if (outcome === AttemptOutcome.Complete) return finish(state, request);
-  const retryEffects = retry(state, request, outcome, nowMs);
-  if (retryEffects !== undefined) return retryEffects;
-  if (outcome === AttemptOutcome.Failed && !request.answerStarted) return finish(state, request);
-  const decisionInputs = {
-    server: attempt.serverKey,
-    detail,
-    tried: request.triedServerKeys.length,
-  };
-  return refuse(
-    state,
-    request,
-    createFinalRefusal(outcome, request.possibleRuns === 0),
-    decisionInputs,
-  );
+  return [...effects, ...settle(state, request, { outcome, detail }, nowMs)];
 }
 
 function finish(state: DirectState, request: OpenRequest): DirectEffect[] {
