--- a/packages/edge/test/soak/backends.ts
+++ b/packages/edge/test/soak/backends.ts
@@ -72,8 +72,14 @@
   }, SERVICE_TIME_MS);
 }
 
+/** Streams sent so far; every second one has neither a length nor chunks and ends with its connection. */
+let streamCount = 0;
+
 function sendStream(arrival: Arrival, truncates: boolean): void {
   const { res, header } = arrival;
+  streamCount += 1;
+  const isCloseDelimited = streamCount % 2 === 0;
+  if (isCloseDelimited) res.removeHeader('Transfer-Encoding');
   res.writeHead(200, answerHeaders(arrival, { 'Content-Type': 'text/event-stream' }));
   let index = Number(header('last-event-id') ?? 0);
   const timer = setInterval(() => {
@@ -81,7 +87,8 @@
     if (truncates && index === 3) {
       clearInterval(timer);
       // Ends the answer inside the third event.
-      res.write('id: 3\nda', () => res.destroy());
+      if (isCloseDelimited) res.end('id: 3\nda');
+      else res.write('id: 3\nda', () => res.destroy());
       return;
     }
     res.write(streamEvent(header('attempt-id') ?? '', index));
