Keep the rest of a blocked group blocked when one of its parts is cleared

A block of two parts that had occurred in the same crashes ended whole when a request with one of them was answered, so the other crashed three more servers before it was blocked again.

--- a/packages/core/src/direct/blocked-parts.ts
+++ b/packages/core/src/direct/blocked-parts.ts
@@ -12,7 +12,10 @@
   block(partIds: readonly string[], nowMs: number): number;
   /** Applies a peer's block. Returns whether it is new. */
   applyPeerBlock(blocked: BlockedParts, nowMs: number): boolean;
-  /** Removes the groups that contain one of the parts. Returns whether there were any. */
+  /**
+   * Removes parts from the groups, since requests with them are answered; the other parts of a group remain blocked. Returns whether
+   * a group contained one of them.
+   */
   clear(partIds: readonly string[]): boolean;
   /** Returns the time for which a request with these parts remains blocked; 0 if it isn't. */
   remainingMs(partIds: readonly string[], nowMs: number): number;
@@ -62,11 +65,15 @@
       return true;
     },
     clear(partIds) {
-      const cleared = [...blocks].filter(([, block]) =>
+      const changed = [...blocks].filter(([, block]) =>
         block.partIds.some((partId) => partIds.includes(partId)),
       );
-      cleared.forEach(([key]) => blocks.delete(key));
-      return cleared.length > 0;
+      changed.forEach(([key, { partIds: blockedIds, untilMs, nextMs }]) => {
+        blocks.delete(key);
+        const remainingIds = blockedIds.filter((partId) => !partIds.includes(partId));
+        if (remainingIds.length > 0) set(remainingIds, untilMs, nextMs);
+      });
+      return changed.length > 0;
     },
     remainingMs(partIds, nowMs) {
       let remainingMs = 0;
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -239,6 +239,20 @@
   assert.equal(evidence.blocks.remainingMs(['first', 'crashing'], endedMs + 200), 2 * blockMs);
 });
 
+// Guards against a block that ends although one of its parts still crashes servers.
+test('an answer to a request with one part of a blocked group leaves the others blocked', () => {
+  const evidence = createCrashEvidence();
+  breakAttempts(evidence, THREE_SERVERS, ['first', 'crashing'], 1000);
+  assert.equal(blockCulprits(evidence, 1600).length, 1);
+  assert.equal(evidence.blocks.remainingMs(['crashing'], 1600), 0);
+  const promptParts = ['first', 'own'].map((id) => ({ id, tokens: 1 }));
+  const outcome = AttemptOutcome.Complete;
+  const ended = { serverKey: 'e4@1', outcome, promptParts, begunAtMs: 1700 };
+  assert.equal(recordAttemptEnd(evidence, ended, 1800).length, 1);
+  assert.ok(evidence.blocks.remainingMs(['crashing'], 1800) > 0);
+  assert.equal(evidence.blocks.remainingMs(['first'], 1800), 0);
+});
+
 test('broken attempts at servers that answer other requests are no crashes', () => {
   const evidence = createCrashEvidence();
   breakAttempts(evidence, THREE_SERVERS, ['rare'], 1000);
