Serve grouping and eviction of the oldest entries by one piece of code

Groups by key stood four times in core, eviction of the oldest entries of a Map five times (three of them new with blocked prompt parts), each written out. They move to core/collections. Behaviour is unchanged.

--- /dev/null
+++ b/packages/core/src/collections/index.ts
@@ -0,0 +1,2 @@
+export { groupBy } from './group-by.js';
+export { evictLeastRecentlyUsed, markRecentlyUsed } from './recency.js';
--- a/packages/core/src/direct/blocked-parts.ts
+++ b/packages/core/src/direct/blocked-parts.ts
@@ -1,4 +1,5 @@
 /** Prompt parts whose requests are refused for a time, because they crash the servers that answer them. */
+import { evictLeastRecentlyUsed, markRecentlyUsed } from '../collections/index.js';
 
 /** Group of parts; only requests that contain all of them are blocked. */
 export interface BlockedParts {
@@ -45,10 +46,8 @@
   const blocks = new Map<string, Block>();
 
   function set(partIds: readonly string[], untilMs: number, nextMs: number): void {
-    const key = keyOf(partIds);
-    blocks.delete(key);
-    blocks.set(key, { partIds, untilMs, nextMs });
-    if (blocks.size > MAX_BLOCKS) blocks.delete(blocks.keys().next().value!);
+    markRecentlyUsed(blocks, keyOf(partIds), { partIds, untilMs, nextMs });
+    evictLeastRecentlyUsed(blocks, MAX_BLOCKS);
   }
 
   return {
--- a/packages/core/src/direct/bounded-set.ts
+++ b/packages/core/src/direct/bounded-set.ts
@@ -1,5 +1,7 @@
 /** Set of strings with a maximum size; the oldest entry is evicted first. */
 
+import { evictLeastRecentlyUsed } from '../collections/index.js';
+
 /** Bounded set. */
 export interface BoundedSet {
   add(value: string): void;
@@ -9,15 +11,12 @@
 
 /** Creates an empty set of at most `maxSize` values. */
 export function createBoundedSet(maxSize: number): BoundedSet {
-  // A Set keeps insertion order, so the first value is the oldest.
   const values = new Set<string>();
   return {
     add(value) {
       values.delete(value);
       values.add(value);
-      if (values.size <= maxSize) return;
-      const [oldest] = values;
-      if (oldest !== undefined) values.delete(oldest);
+      evictLeastRecentlyUsed(values, maxSize);
     },
     remove: (value) => {
       values.delete(value);
--- a/packages/core/src/direct/candidate-pool.ts
+++ b/packages/core/src/direct/candidate-pool.ts
@@ -2,6 +2,7 @@
  * Selection of the servers that are considered for a request. In a small service these are all; in a large one a bounded number, so
  * that the cost of a request doesn't grow with the service: the home servers of its prompt and a sample, mostly of near servers.
  */
+import { groupBy } from '../collections/index.js';
 import { createHashRing, rendezvousPick } from '../hash/index.js';
 import type { Hasher } from '../hash/index.js';
 import type { RegisteredServer } from './server-index.js';
@@ -54,13 +55,7 @@
   servers: readonly RegisteredServer[],
   distanceMs: PoolOptions['distanceMs'],
 ): RegisteredServer[][] {
-  const groups = new Map<number, RegisteredServer[]>();
-  servers.forEach((server) => {
-    const distance = distanceMs(server.entry.zone);
-    const group = groups.get(distance) ?? [];
-    group.push(server);
-    groups.set(distance, group);
-  });
+  const groups = groupBy(servers, ({ entry }) => distanceMs(entry.zone));
   return [...groups].sort(([a], [b]) => a - b).map(([, group]) => group);
 }
 
--- a/packages/core/src/direct/exchange-topology.ts
+++ b/packages/core/src/direct/exchange-topology.ts
@@ -3,6 +3,7 @@
  * availability zone. The members of a group send their reports to one of them, its hub, and the hubs exchange the sums of their
  * groups. So a router has about as many links as a group has members, and a report passes at most two other routers.
  */
+import { groupBy } from '../collections/index.js';
 import { rendezvousOrder } from '../hash/index.js';
 import type { Hasher } from '../hash/index.js';
 
@@ -36,16 +37,6 @@
   return [...routers].sort((a, b) => b.cores - a.cores || rank.get(a.name)! - rank.get(b.name)!);
 }
 
-function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
-  const groups = new Map<string, T[]>();
-  items.forEach((item) => {
-    const group = groups.get(keyOf(item));
-    if (group === undefined) groups.set(keyOf(item), [item]);
-    else group.push(item);
-  });
-  return groups;
-}
-
 /** Assigns the routers to groups. All routers that know the same fleet get the same groups. */
 function formGroups(hasher: Hasher, routers: readonly RouterInfo[]): Map<string, RouterInfo[]> {
   if (routers.length <= MAX_ROUTERS_WITHOUT_GROUPS) return groupBy(routers, ({ name }) => name);
--- a/packages/core/src/direct/served-parts.ts
+++ b/packages/core/src/direct/served-parts.ts
@@ -1,4 +1,5 @@
 /** Prompt parts of recently answered requests. */
+import { evictLeastRecentlyUsed, markRecentlyUsed } from '../collections/index.js';
 
 /** Parts with the time of their last answer. */
 export interface ServedParts {
@@ -13,17 +14,11 @@
 
 /** Creates an empty set. */
 export function createServedParts(): ServedParts {
-  // A Map keeps insertion order, so the first part is the one that was served least recently.
   const servedAtMs = new Map<string, number>();
   return {
     record(partIds, nowMs) {
-      partIds.forEach((partId) => {
-        servedAtMs.delete(partId);
-        servedAtMs.set(partId, nowMs);
-      });
-      while (servedAtMs.size > MAX_SERVED_PARTS) {
-        servedAtMs.delete(servedAtMs.keys().next().value!);
-      }
+      partIds.forEach((partId) => markRecentlyUsed(servedAtMs, partId, nowMs));
+      evictLeastRecentlyUsed(servedAtMs, MAX_SERVED_PARTS);
     },
     isServed(partId, atMs) {
       const lastMs = servedAtMs.get(partId);
--- a/packages/core/src/fairness/cost-estimator.ts
+++ b/packages/core/src/fairness/cost-estimator.ts
@@ -2,6 +2,7 @@
  * Estimates the slot time of a request from its hints and from the history of its account and service. The estimate comes from
  * the most specific history with samples: (account, service, hint class), (service, hint class), service, else a default.
  */
+import { evictLeastRecentlyUsed, markRecentlyUsed } from '../collections/index.js';
 
 /** Properties of a request that are known before it runs. */
 export interface CostHints {
@@ -74,15 +75,6 @@
   ];
 }
 
-function markRecentlyUsed(
-  histories: Map<string, CostHistory>,
-  key: string,
-  history: CostHistory,
-): void {
-  histories.delete(key);
-  histories.set(key, history);
-}
-
 /** Returns the expected slot time of a request in milliseconds, at least 1. */
 export function estimateCostMs(estimator: CostEstimator, hints: CostHints): number {
   const { histories, options } = estimator;
@@ -100,16 +92,11 @@
   markRecentlyUsed(histories, key, history);
 }
 
-function evictLeastRecentlyUsed({ histories, options }: CostEstimator): void {
-  const keys = histories.keys();
-  while (histories.size > options.maxHistories) histories.delete(keys.next().value as string);
-}
-
 /** Records the slot time of a completed request in milliseconds. Cancelled and failed requests must not be recorded. */
 export function observeCost(estimator: CostEstimator, hints: CostHints, slotMs: number): void {
   if (!(slotMs >= 0)) return;
   historyKeys(hints)
     .reverse()
     .forEach((key) => updateHistory(estimator, key, slotMs));
-  evictLeastRecentlyUsed(estimator);
+  evictLeastRecentlyUsed(estimator.histories, estimator.options.maxHistories);
 }
--- a/packages/core/src/fairness/exchange-channel.ts
+++ b/packages/core/src/fairness/exchange-channel.ts
@@ -2,6 +2,7 @@
  * Numbered and acknowledged messages between two routers. Changed items are queued in an outbox until a message takes them. If
  * it is not acknowledged in time, they are queued again and sent with their values at that time.
  */
+import { evictLeastRecentlyUsed } from '../collections/index.js';
 import type {
   ExchangeKind,
   ExchangeMessage,
@@ -79,9 +80,7 @@
 export function resetPeer(peer: ExchangePeer, run: number): void {
   const { outboxes, inboxes, formerInboxes } = peer;
   if (peer.run !== undefined) formerInboxes.set(peer.run, inboxes);
-  if (formerInboxes.size > MAX_FORMER_RUNS) {
-    formerInboxes.delete(formerInboxes.keys().next().value as number);
-  }
+  evictLeastRecentlyUsed(formerInboxes, MAX_FORMER_RUNS);
   peer.run = run;
   peer.inboxes = formerInboxes.get(run) ?? createInboxes();
   formerInboxes.delete(run);
--- a/packages/core/src/fairness/exchange-topology.ts
+++ b/packages/core/src/fairness/exchange-topology.ts
@@ -1,4 +1,5 @@
 /** Assigns account buckets to home routers by rendezvous hashing in each availability zone. */
+import { groupBy } from '../collections/index.js';
 import { rendezvousWeight } from '../hash/index.js';
 import type { ExchangeOptions, ExchangeRouter, ExchangeTopology } from './exchange-types.js';
 
@@ -37,17 +38,6 @@
   return top;
 }
 
-function groupByZone(routers: Iterable<ExchangeRouter>): Map<string, string[]> {
-  const zones = new Map<string, string[]>();
-  [...routers].forEach(({ id, zone }) => {
-    const ids = zones.get(zone) ?? [];
-    ids.push(id);
-    zones.set(zone, ids);
-  });
-  zones.forEach((ids) => ids.sort());
-  return zones;
-}
-
 function findPeers(
   self: string,
   homes: Map<string, string[]>,
@@ -94,7 +84,8 @@
   );
   const homes = new Map<string, string[]>();
   let runnersUp: (string | undefined)[] = [];
-  groupByZone(liveRouters.values()).forEach((ids, zone) => {
+  groupBy(liveRouters.values(), ({ zone }) => zone).forEach((inZone, zone) => {
+    const ids = inZone.map(({ id }) => id).sort();
     const topTwoByBucket = Array.from({ length: buckets }, (_, bucket) =>
       findTopTwo(ids, weights, bucket),
     );
