Take the ids of a prompt's shared parts by one function

The parts before the request's own were cut off and mapped to their ids in three places, and the time of a block was computed in two. Behaviour is unchanged.

--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crash-evidence.ts
@@ -4,7 +4,7 @@
 import { createCrashSuspects } from './crash-suspects.js';
 import type { CrashSuspects } from './crash-suspects.js';
 import type { DirectEffect } from './events.js';
-import { sharedParts } from './prompt-parts.js';
+import { sharedPartIds } from './prompt-parts.js';
 import { AttemptOutcome } from './types.js';
 import type { PromptPart } from './types.js';
 
@@ -61,11 +61,6 @@
   return { suspects: createCrashSuspects(), blocks: createPartBlocks(), news: createCrashNews() };
 }
 
-/** Ids of the parts that can be held responsible: the request's own part occurs in no other request. */
-export function suspectableParts(promptParts: readonly PromptPart[]): string[] {
-  return sharedParts([...promptParts]).map(({ id }) => id);
-}
-
 /** Ended attempt, as far as it is evidence. */
 export interface EndedAttempt {
   serverKey: string;
@@ -94,7 +89,8 @@
   { serverKey, outcome, promptParts, begunAtMs }: EndedAttempt,
   nowMs: number,
 ): DirectEffect[] {
-  const partIds = suspectableParts(promptParts);
+  // The request's own part occurs in no other request.
+  const partIds = sharedPartIds(promptParts);
   if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, nowMs);
   if (outcome === AttemptOutcome.Complete) {
     news.served.push(...suspects.recordServed(partIds, nowMs));
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -1,7 +1,7 @@
 /** Selects a backend server for a request. */
 import { createCandidatePool } from './candidate-pool.js';
 import type { CandidatePool } from './candidate-pool.js';
-import { ownTokens, sharedParts } from './prompt-parts.js';
+import { ownTokens, sharedPartIds } from './prompt-parts.js';
 import type { RegisteredServer } from './server-index.js';
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
@@ -60,7 +60,7 @@
 
 /** Id of the last part of the prompt that other prompts share; undefined if there is none. */
 function findSharedPartId({ promptParts }: RequestAttributes): string | undefined {
-  return sharedParts(promptParts).pop()?.id;
+  return sharedPartIds(promptParts).pop();
 }
 
 /** Returns the pool of a service, which is kept until a server of it changes. */
--- a/packages/core/src/direct/prompt-parts.ts
+++ b/packages/core/src/direct/prompt-parts.ts
@@ -10,3 +10,8 @@
 export function sharedParts(parts: readonly PromptPart[]): PromptPart[] {
   return parts.slice(0, -1);
 }
+
+/** Ids of the parts before the request-specific one. */
+export function sharedPartIds(parts: readonly PromptPart[]): string[] {
+  return sharedParts(parts).map(({ id }) => id);
+}
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,10 +1,10 @@
 /** Event handlers for requests and their attempts. */
 import { admit } from './admission.js';
-import { recordAttemptEnd, suspectableParts } from './crash-evidence.js';
+import { recordAttemptEnd } from './crash-evidence.js';
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
 import { chooseServer, remainingDeferralMs } from './placement.js';
 import type { Candidate } from './placement.js';
-import { ownTokens, sharedParts } from './prompt-parts.js';
+import { ownTokens, sharedPartIds, sharedParts } from './prompt-parts.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
@@ -145,7 +145,7 @@
   { promptParts }: RequestAttributes,
   nowMs: number,
 ): number {
-  return crashEvidence.blocks.remainingMs(suspectableParts(promptParts), nowMs);
+  return crashEvidence.blocks.remainingMs(sharedPartIds(promptParts), nowMs);
 }
 
 /** Handles the arrival of a complete request. */
@@ -292,9 +292,9 @@
 }
 
 function mayCrashServer(state: DirectState, attributes: RequestAttributes, nowMs: number): boolean {
-  const partIds = suspectableParts(attributes.promptParts);
-  const { suspects, blocks } = state.crashEvidence;
-  return suspects.isSuspected(partIds, nowMs) || blocks.remainingMs(partIds, nowMs) > 0;
+  const { suspects } = state.crashEvidence;
+  const isSuspected = suspects.isSuspected(sharedPartIds(attributes.promptParts), nowMs);
+  return isSuspected || remainingBlockMs(state, attributes, nowMs) > 0;
 }
 
 /** Sends the request to another server; undefined if no retry is possible or the retry budget is exhausted. */
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -1,5 +1,5 @@
 /** Listener that turns the progress of an attempt into events of the reducer. */
-import { AttemptOutcome } from '@kingcupsill/core/direct';
+import { AttemptOutcome, sharedPartIds } from '@kingcupsill/core/direct';
 import type { DirectEffect } from '@kingcupsill/core/direct';
 import type { Exchange } from './callers/exchange.js';
 import { BodyFraming } from './relay/types.js';
@@ -43,14 +43,13 @@
       exchange.bufferedResponse = response;
       parts.metrics.countAttemptEnd(outcome);
       if (outcome !== AttemptOutcome.Complete) {
-        const sharedParts = exchange.attributes.promptParts.slice(0, -1).map(({ id }) => id);
         logger.warn('attempt-ended', {
           request,
           attempt,
           server: serverKey,
           end: outcome,
           detail,
-          sharedParts,
+          sharedParts: sharedPartIds(exchange.attributes.promptParts),
         });
       }
       parts.loop.dispatch({ kind: 'attempt-ended', attempt, outcome, detail, nowMs: clock() });
