Keep the blocks of prompt parts once per router, and crash news in every report

The exchange of reports kept a copy of the router's blocks and the time of the last report, only to tell new links; it now reads the blocks of the router's state, and links are opened with the time. Crash news were undefined where there are none, which six places had to check; like the other lists of a report they are now empty. On the links they remain null then. Behaviour is unchanged. Tests pass blocks and the time to the exchange; their assertions are the same.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -33,8 +33,7 @@
   leaving: string[];
   /** Later changes and confirmations of the store's content since the last report. */
   storeNews: ReportedStoreNews[];
-  /** Undefined if there is none. */
-  crashNews?: CrashNews | undefined;
+  crashNews: CrashNews;
 }
 
 interface Timed {
--- a/packages/core/src/direct/pending-report.ts
+++ b/packages/core/src/direct/pending-report.ts
@@ -39,7 +39,7 @@
   let crashNews = createCrashNews();
 
   function addCrashNews(news: CrashNews): void {
-    crashNews = mergeCrashNews(crashNews, news);
+    if (hasCrashNews(news)) crashNews = mergeCrashNews(crashNews, news);
   }
 
   function getLoad(serverKey: string): PendingLoad {
@@ -72,7 +72,7 @@
       });
       report.accounts.forEach(addAccount);
       report.leaving.forEach((serverKey) => leaving.add(serverKey));
-      if (report.crashNews !== undefined) addCrashNews(report.crashNews);
+      addCrashNews(report.crashNews);
     },
     addServer: (serverKey) => {
       getLoad(serverKey);
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -137,9 +137,7 @@
   'kept-listed': recordCacheContents,
   'peer-report': (state, { report, nowMs }) => [
     ...applyPeerReport(state, report, nowMs).map((key) => noteLeaving(key, 'peer')),
-    ...(report.crashNews === undefined
-      ? []
-      : applyCrashNews(state.crashEvidence, report.crashNews, nowMs)),
+    ...applyCrashNews(state.crashEvidence, report.crashNews, nowMs),
   ],
   'peer-gone': (state, { router }) => {
     removePeer(state, router);
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -2,8 +2,8 @@
  * Sums of the load reports that pass a router. A report from one link changes the sums for the links to which it may be passed on;
  * what changed is sent with the next report of each link, so several changes of one server cost one entry.
  */
-import { createPartBlocks } from './blocked-parts.js';
-import { createCrashNews, hasCrashNews } from './crash-evidence.js';
+import type { PartBlocks } from './blocked-parts.js';
+import { createCrashNews } from './crash-evidence.js';
 import type { RouterReport } from './events.js';
 import { createPendingReport } from './pending-report.js';
 import type { PendingReport } from './pending-report.js';
@@ -29,8 +29,8 @@
 
 /** Exchange of one router. */
 export interface ReportExchange {
-  /** Adds a link; recipients get all current sums with their first report. */
-  open(link: string, kind: LinkKind): void;
+  /** Adds a link; recipients get all current sums and blocks with their first report. */
+  open(link: string, kind: LinkKind, nowMs: number): void;
   /** Removes a link with everything that it has reported. */
   close(link: string): void;
   /** Applies a report from a link. */
@@ -60,14 +60,24 @@
   return RECIPIENT_KINDS.has(to) && (INNER_KINDS.has(from) || to === LinkKind.Member);
 }
 
-/** @param router name and incarnation that the reports carry */
-export function createReportExchange(router: string, storeNews: StoreNews): ReportExchange {
+/** Dependencies of the exchange. */
+export interface ReportExchangeOptions {
+  /** Name and incarnation of this router, which its reports carry. */
+  router: string;
+  storeNews: StoreNews;
+  /** Prompt parts that this router blocks. */
+  blocks: PartBlocks;
+}
+
+/** Creates an exchange without links. */
+export function createReportExchange({
+  router,
+  storeNews,
+  blocks,
+}: ReportExchangeOptions): ReportExchange {
   const links = new Map<string, Link>();
   const innerSums = createRunningSums();
   const outerSums = createRunningSums();
-  // Kept for links that are opened later: a router that starts knows nothing of earlier crashes.
-  const blocks = createPartBlocks();
-  let currentMs = 0;
 
   function recipientsOf(source: string, kind: LinkKind): Link[] {
     return [...links].flatMap(([key, link]) =>
@@ -87,10 +97,11 @@
     return inner + outerSums.get(serverKey) - (running.get(serverKey) ?? 0);
   }
 
-  function open(key: string, kind: LinkKind): void {
+  function open(key: string, kind: LinkKind, nowMs: number): void {
     const link: Link = { kind, running: new Map(), pending: createPendingReport() };
     links.set(key, link);
-    link.pending.addCrashNews({ ...createCrashNews(), blocked: blocks.listActive(currentMs) });
+    // A router that starts knows nothing of earlier crashes.
+    link.pending.addCrashNews({ ...createCrashNews(), blocked: blocks.listActive(nowMs) });
     storeNews.all().forEach((_entry, storeKind) => link.pending.addStoreKind(storeKind));
     innerSums.serverKeys().forEach(link.pending.addServer);
     if (kind === LinkKind.Member) outerSums.serverKeys().forEach(link.pending.addServer);
@@ -108,9 +119,6 @@
   }
 
   function receive(key: string, report: RouterReport, nowMs: number): void {
-    currentMs = nowMs;
-    report.crashNews?.blocked.forEach((blocked) => blocks.applyPeerBlock(blocked, nowMs));
-    if (report.crashNews !== undefined) blocks.clear(report.crashNews.served);
     const link = links.get(key);
     if (link === undefined) return;
     report.loads.forEach(({ serverKey, running }) => setRunning(link, serverKey, running));
@@ -132,7 +140,7 @@
       accounts,
       leaving,
       storeNews: storeKinds.flatMap((kind) => describeNews(storeNews, kind, nowMs)),
-      crashNews: hasCrashNews(crashNews) ? crashNews : undefined,
+      crashNews,
     };
   }
 
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -1,6 +1,5 @@
 /** Creates the load reports that a router sends to its peers and applies those that it receives. */
 import { createCrashNews, hasCrashNews } from './crash-evidence.js';
-import type { CrashNews } from './crash-evidence.js';
 import type { ReportedServerLoad, RouterReport } from './events.js';
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
@@ -76,13 +75,6 @@
     );
   }
 
-  function takeCrashNews({ crashEvidence }: DirectState): CrashNews | undefined {
-    const { news } = crashEvidence;
-    if (!hasCrashNews(news)) return undefined;
-    crashEvidence.news = createCrashNews();
-    return news;
-  }
-
   return {
     compose(state, nowMs) {
       const isFull = nowMs - lastFullReportAtMs >= FULL_REPORT_PERIOD_MS;
@@ -96,11 +88,11 @@
       const loads = [...changedKeys].map((key) => reportChange(state, key));
       const accounts = isFull ? takeAccounts(state) : [];
       const leaving = state.leavingNews.splice(0);
-      const crashNews = takeCrashNews(state);
-      const hasNews = loads.length + accounts.length + leaving.length > 0;
-      return hasNews || crashNews !== undefined
-        ? { router, loads, accounts, leaving, storeNews: [], crashNews }
-        : undefined;
+      const { news: crashNews } = state.crashEvidence;
+      state.crashEvidence.news = createCrashNews();
+      const hasNews =
+        loads.length + accounts.length + leaving.length > 0 || hasCrashNews(crashNews);
+      return hasNews ? { router, loads, accounts, leaving, storeNews: [], crashNews } : undefined;
     },
   };
 }
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -280,14 +280,11 @@
 
 // Guards against routers that crash servers again after their own restart.
 test('a link that is opened later learns of the blocked parts', () => {
-  const exchange = createReportExchange('r1', createStoreNews());
-  exchange.open('own', LinkKind.Own);
-  const blocked = [{ partIds: ['crashing'], remainingMs: 120_000 }];
-  const report = { router: 'r1', loads: [], accounts: [], leaving: [], storeNews: [] };
-  exchange.receive('own', { ...report, crashNews: { crashes: [], served: [], blocked } }, 1000);
-  exchange.receive('own', report, 5000);
-  exchange.open('late', LinkKind.Member);
-  assert.deepEqual(exchange.compose('late', 5000)?.crashNews?.blocked, [
+  const { blocks } = createCrashEvidence();
+  const exchange = createReportExchange({ router: 'r1', storeNews: createStoreNews(), blocks });
+  blocks.applyPeerBlock({ partIds: ['crashing'], remainingMs: 120_000 }, 1000);
+  exchange.open('late', LinkKind.Member, 5000);
+  assert.deepEqual(exchange.compose('late', 5000)?.crashNews.blocked, [
     { partIds: ['crashing'], remainingMs: 116_000 },
   ]);
 });
--- a/packages/core/test/direct/large-pool.test.ts
+++ b/packages/core/test/direct/large-pool.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { test } from 'node:test';
-import { AttemptOutcome, createCandidatePool } from '../../src/direct/index.js';
+import { AttemptOutcome, createCandidatePool, createCrashNews } from '../../src/direct/index.js';
 import { createSampleRouter, sampleConfig, sampleEntry } from './sample.js';
 
 const ENGINE_COUNT = 250;
@@ -56,7 +56,14 @@
       promptParts: [],
     }));
     if (peers.requestsPerStep > 0) {
-      const report = { router: 'peer', loads, accounts: [], leaving: [], storeNews: [] };
+      const report = {
+        router: 'peer',
+        loads,
+        accounts: [],
+        leaving: [],
+        storeNews: [],
+        crashNews: createCrashNews(),
+      };
       router.dispatch({ kind: 'peer-report', report });
     }
     if ((atMs / stepMs) % peers.stepsPerOwnRequest === 0) {
--- a/packages/core/test/direct/report-exchange.test.ts
+++ b/packages/core/test/direct/report-exchange.test.ts
@@ -3,6 +3,8 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import {
+  createCrashNews,
+  createPartBlocks,
   createReportExchange,
   createStoreNews,
   LinkKind,
@@ -15,6 +17,9 @@
     [...text].reduce((hash, char) => (hash * 31 + char.charCodeAt(0)) % 4_294_967_296, 7),
 };
 
+const createTestExchange = (router: string, storeNews = createStoreNews()): ReportExchange =>
+  createReportExchange({ router, storeNews, blocks: createPartBlocks() });
+
 function createFleet(size: number, zones = 6): RouterInfo[] {
   return Array.from({ length: size }, (_none, index) => ({
     name: `router-${index}`,
@@ -81,8 +86,8 @@
 function createGroups(members: number): Map<string, SimulatedRouter> {
   const routers = new Map<string, SimulatedRouter>();
   const create = (name: string): void => {
-    const exchange = createReportExchange(name, createStoreNews());
-    exchange.open('own', LinkKind.Own);
+    const exchange = createTestExchange(name);
+    exchange.open('own', LinkKind.Own, 0);
     const router = {
       exchange,
       recipients: new Map(),
@@ -98,8 +103,8 @@
   });
   const connect = (from: string, kind: LinkKind, to: string, otherKind: LinkKind): void => {
     const [source, target] = [routers.get(from)!, routers.get(to)!];
-    source.exchange.open(`${kind}:${to}`, kind);
-    target.exchange.open(`${otherKind}:${from}`, otherKind);
+    source.exchange.open(`${kind}:${to}`, kind, 0);
+    target.exchange.open(`${otherKind}:${from}`, otherKind, 0);
     source.recipients.set(`${kind}:${to}`, { router: target, link: `${otherKind}:${from}` });
     if (otherKind === LinkKind.Member)
       target.recipients.set(`${otherKind}:${from}`, { router: source, link: `${kind}:${to}` });
@@ -144,6 +149,7 @@
   accounts: [['kingston', sentTokens, 0]],
   leaving: [],
   storeNews: [],
+  crashNews: createCrashNews(),
 });
 
 test('whatever routers report in whatever order, each sees the exact sums of all others', () => {
@@ -187,24 +193,24 @@
 });
 
 test('what a lost link has reported no longer counts, and a new link gets all current sums', () => {
-  const hub = createReportExchange('hub', createStoreNews());
-  hub.open('own', LinkKind.Own);
-  hub.open('a', LinkKind.Member);
-  hub.open('b', LinkKind.Member);
+  const hub = createTestExchange('hub');
+  hub.open('own', LinkKind.Own, 0);
+  hub.open('a', LinkKind.Member, 0);
+  hub.open('b', LinkKind.Member, 0);
   hub.receive('own', ownReport('e1', 1, 0), 0);
   hub.receive('a', ownReport('e1', 4, 0), 0);
   assert.equal(hub.compose('b', 0)?.loads[0]?.running, 5);
   hub.close('a');
   assert.equal(hub.compose('b', 0)?.loads[0]?.running, 1);
-  hub.open('c', LinkKind.Member);
+  hub.open('c', LinkKind.Member, 0);
   assert.equal(hub.compose('c', 0)?.loads[0]?.running, 1);
   assert.equal(hub.compose('a', 0), undefined);
 });
 
 test('many changes of one server cost one entry, and a large report is split', () => {
-  const hub = createReportExchange('hub', createStoreNews());
-  hub.open('own', LinkKind.Own);
-  hub.open('b', LinkKind.Member);
+  const hub = createTestExchange('hub');
+  hub.open('own', LinkKind.Own, 0);
+  hub.open('b', LinkKind.Member, 0);
   for (let index = 0; index < 50; index += 1) hub.receive('own', ownReport('e1', index, 10), 0);
   const report = hub.compose('b', 0);
   assert.deepEqual([report?.loads.length, report?.loads[0]?.sentTokens], [1, 500]);
@@ -235,14 +241,15 @@
   assert.equal(news.record('servers', { era: 1, revision: 9, confirmedAtMs: 100 }), true);
   assert.equal(news.record('servers', { era: 1, revision: 8, confirmedAtMs: 200 }), false);
   assert.equal(news.record('servers', { era: 1, revision: 9, confirmedAtMs: 90 }), false);
-  const hub = createReportExchange('hub', news);
-  hub.open('member', LinkKind.Member);
-  hub.open('other', LinkKind.OtherHubIn);
+  const hub = createTestExchange('hub', news);
+  hub.open('member', LinkKind.Member, 0);
+  hub.open('other', LinkKind.OtherHubIn, 0);
   assert.deepEqual(hub.compose('member', 150)?.storeNews, [
     { kind: 'servers', era: 1, revision: 9, ageMs: 50 },
   ]);
   const storeNews = [{ kind: 'servers', era: 2, revision: 3, ageMs: 20 }];
-  hub.receive('other', { router: '', loads: [], accounts: [], leaving: [], storeNews }, 300);
+  const report = { router: '', loads: [], accounts: [], leaving: [], crashNews: createCrashNews() };
+  hub.receive('other', { ...report, storeNews }, 300);
   assert.deepEqual(news.get('servers'), { era: 2, revision: 3, confirmedAtMs: 280 });
   assert.deepEqual(hub.compose('member', 310)?.storeNews, [{ ...storeNews[0], ageMs: 30 }]);
   assert.equal(hub.compose('member', 320), undefined);
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -204,6 +204,7 @@
         clock,
         logger,
         storeNews: parts.storeNews,
+        blocks: parts.state.crashEvidence.blocks,
         onReport(report) {
           parts.loop.dispatch({ kind: 'peer-report', report, nowMs: clock() });
           parts.followedNews.wake(report.storeNews.map(({ kind }) => kind));
--- a/packages/edge/src/peers/exchange-listener.ts
+++ b/packages/edge/src/peers/exchange-listener.ts
@@ -25,7 +25,7 @@
   return {
     onOpen(link) {
       logger.info('peer-linked', { link: link.key, kind });
-      exchange.open(link.key, kind);
+      exchange.open(link.key, kind, clock());
       if (isRecipient) sender.add(link);
       sender.flush();
     },
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -1,6 +1,6 @@
 /** Exchange of load reports with the other routers over links to and from the hubs of groups. */
 import { createReportExchange, LinkKind, planExchange } from '@kingcupsill/core/direct';
-import type { RouterInfo, RouterReport, StoreNews } from '@kingcupsill/core/direct';
+import type { PartBlocks, RouterInfo, RouterReport, StoreNews } from '@kingcupsill/core/direct';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { repeatEvery } from '../closable.js';
 import { createExchangeListener } from './exchange-listener.js';
@@ -19,6 +19,7 @@
   /** Name and incarnation of this router, which its reports carry. */
   router: string;
   storeNews: StoreNews;
+  blocks: PartBlocks;
   /** Called with each received report; `router` in it names the link. */
   onReport: (report: RouterReport) => void;
   /** Called with the name of a link that was lost. */
@@ -56,14 +57,14 @@
     },
   };
   const codec = createReportCodec();
-  const exchange = createReportExchange(options.router, options.storeNews);
+  const exchange = createReportExchange(options);
   const sender = createReportSender({
     exchange,
     clock,
     encode: codec.encode,
     onSent: options.onSent,
   });
-  exchange.open(OWN, LinkKind.Own);
+  exchange.open(OWN, LinkKind.Own, clock());
 
   const listen = (kind: LinkKind, isRecipient: boolean): LinkListener =>
     createExchangeListener({ ...options, exchange, sender, codec }, kind, isRecipient);
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -1,4 +1,5 @@
 /** Wire format of reports: arrays without field names, since reports are sent often. */
+import { createCrashNews, hasCrashNews } from '@kingcupsill/core/direct';
 import type { CrashNews, ReportedServerLoad, RouterReport } from '@kingcupsill/core/direct';
 import { Packr } from 'msgpackr';
 
@@ -15,6 +16,7 @@
   /** Missing in reports of earlier builds. */
   leaving?: string[],
   storeNews?: WireStoreNews[],
+  /** Null if there is none. */
   crashNews?: WireCrashNews | null,
 ];
 type WireCrashNews = [
@@ -41,8 +43,8 @@
   return { serverKey, running, sentTokens, promptParts };
 }
 
-function crashNewsToWire(news: CrashNews | undefined): WireCrashNews | null {
-  if (news === undefined) return null;
+function crashNewsToWire(news: CrashNews): WireCrashNews | null {
+  if (!hasCrashNews(news)) return null;
   const blocked = news.blocked.map(({ partIds, remainingMs }): [string[], number] => [
     partIds,
     Math.round(remainingMs),
@@ -50,8 +52,8 @@
   return [news.crashes, news.served, blocked];
 }
 
-function crashNewsFromWire(wire: WireCrashNews | null): CrashNews | undefined {
-  if (wire === null) return undefined;
+function crashNewsFromWire(wire: WireCrashNews | null): CrashNews {
+  if (wire === null) return createCrashNews();
   const [crashes, served, blocked] = wire;
   return {
     crashes,
@@ -92,14 +94,13 @@
           revision,
           ageMs,
         }));
-        const crashNews = crashNewsFromWire(crashes);
         const value = {
           router,
           loads: loads.map(fromWire),
           accounts,
           leaving,
           storeNews,
-          ...(crashNews === undefined ? {} : { crashNews }),
+          crashNews: crashNewsFromWire(crashes),
         };
         return { ok: true, value };
       } catch (err) {
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createHasher } from '@kingcupsill/core/hash';
 import { WebSocket } from 'ws';
-import { createStoreNews } from '@kingcupsill/core/direct';
+import { createPartBlocks, createStoreNews } from '@kingcupsill/core/direct';
 import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
@@ -53,6 +53,7 @@
     onPeerLost: (link) => lost.push(link),
     onSent: () => undefined,
     storeNews: createStoreNews(),
+    blocks: createPartBlocks(),
   });
   return { info, links, received, lost };
 }
