--- a/packages/edge/src/peers/dialed-link.ts
+++ b/packages/edge/src/peers/dialed-link.ts
@@ -1,7 +1,8 @@
 /** One connection that this router opens to another. */
 import { WebSocket } from 'ws';
-import { LINK_TIMEOUT_MS, MAX_BUFFERED_BYTES } from './types.js';
-import type { LinkContext, LinkListener, LinkRole, LinkTarget, OpenLink } from './types.js';
+import { createOpenLink } from './open-link.js';
+import { LINK_TIMEOUT_MS } from './types.js';
+import type { LinkContext, LinkListener, LinkRole, LinkTarget } from './types.js';
 
 /** Connection that is open or being opened. */
 export interface DialedLink {
@@ -27,15 +28,7 @@
   });
   let lastTrafficMs = clock();
   let isOpen = false;
-  const link: OpenLink = {
-    key: `to-${role}:${target.name}#${nextLinkNumber()}`,
-    send(bytes) {
-      if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-      socket.send(bytes);
-      return true;
-    },
-    close: () => socket.terminate(),
-  };
+  const link = createOpenLink(socket, `to-${role}:${target.name}#${nextLinkNumber()}`);
 
   function recordTraffic(): void {
     lastTrafficMs = clock();
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -2,7 +2,8 @@
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
-import { LINK_TIMEOUT_MS, LinkRole, MAX_BUFFERED_BYTES } from './types.js';
+import { createOpenLink } from './open-link.js';
+import { LINK_TIMEOUT_MS, LinkRole } from './types.js';
 import type { LinkListener, OpenLink } from './types.js';
 
 /** Options of the incoming links. */
@@ -54,20 +55,9 @@
     maxPayload: MAX_REPORT_BYTES,
   });
 
-  function createLink(socket: WebSocket, role: LinkRole, router: string): OpenLink {
-    return {
-      key: `from-${role}:${router}#${options.nextLinkNumber()}`,
-      send(bytes) {
-        if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return false;
-        socket.send(bytes);
-        return true;
-      },
-      close: () => socket.terminate(),
-    };
-  }
-
   function accept(socket: WebSocket, role: LinkRole, router: string): void {
-    const peer: Peer = { role, link: createLink(socket, role, router), lastTrafficMs: clock() };
+    const link = createOpenLink(socket, `from-${role}:${router}#${options.nextLinkNumber()}`);
+    const peer: Peer = { role, link, lastTrafficMs: clock() };
     peers.set(socket, peer);
     socket.on('ping', () => {
       peer.lastTrafficMs = clock();
