--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -1,7 +1,6 @@
 /** Reading of a backend server's response, either buffered or streamed to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
-import type { EventSplitter } from '@kingcupsill/core/event-stream';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
@@ -76,18 +75,6 @@
   isResumed: boolean;
 }
 
-/** Returns why a stream that has ended as its framing states is incomplete nevertheless; undefined if it is complete. */
-function findStreamDefect(
-  splitter: EventSplitter,
-  framing: BodyFraming,
-  hasEvents: boolean,
-): string | undefined {
-  if (splitter.isInsideEvent()) return 'stream ended inside an event';
-  // The end of a connection that carried no event says nothing about the stream.
-  if (framing === BodyFraming.Close && !hasEvents) return 'stream ended before its first event';
-  return undefined;
-}
-
 /** Forwards complete events as they arrive. The head is sent with the first event, so that a stream without events can still fail. */
 export function relayEvents(
   res: IncomingMessage,
@@ -98,7 +85,6 @@
   const framing = getBodyFraming(res);
   const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
   let receivedBytes = 0;
-  let hasEvents = isResumed;
 
   function deliver(bytes: Buffer, lastEventId: string | undefined): void {
     listener.onBegun();
@@ -111,10 +97,7 @@
     if (isEnded()) return;
     receivedBytes += chunk.length;
     const events = splitter.push(chunk);
-    if (events !== undefined) {
-      hasEvents = true;
-      deliver(events.bytes, events.lastEventId);
-    }
+    if (events !== undefined) deliver(events.bytes, events.lastEventId);
     if (splitter.pendingBytes() > MAX_EVENT_BYTES) onFailure('event too large');
   });
   res.on('end', () => {
@@ -125,9 +108,13 @@
     }
     const partialEventBytes = splitter.isInsideEvent() ? splitter.pendingBytes() : 0;
     listener.onBodyEnded({ framing, bodyBytes: receivedBytes, partialEventBytes });
-    const defect = findStreamDefect(splitter, framing, hasEvents);
-    if (defect !== undefined) {
-      onFailure(defect);
+    if (partialEventBytes > 0) {
+      onFailure('stream ended inside an event');
+      return;
+    }
+    // The end of a connection that carried no event says nothing about the stream.
+    if (framing === BodyFraming.Close && !sink.isHeadSent() && !isResumed) {
+      onFailure('stream ended before its first event');
       return;
     }
     const rest = splitter.remainder();
