--- a/packages/edge/test/store/era.test.ts
+++ b/packages/edge/test/store/era.test.ts
@@ -2,10 +2,10 @@
 import assert from 'node:assert/strict';
 import { EventEmitter, once } from 'node:events';
 import { test } from 'node:test';
-import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
+import { StoreFailure } from '@kingcupsill/prepared-platform';
 import type { StoreChangeBatch, StoreClient, StoreResult } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
-import { createStoreAvailability } from '../../src/store/store-availability.js';
+import { createFeedOptions } from '../standins/feed-options.js';
 import { createStoreEra } from '../../src/store/store-era.js';
 import type { StoreEra } from '../../src/store/store-era.js';
 import {
@@ -14,7 +14,6 @@
   sampleEntry,
   waitUntil,
 } from '../standins/deployment.js';
-import { createRecordingLogger } from '../standins/recording-logger.js';
 import { sendAnswer } from '../standins/server-standin.js';
 
 /** Returns the answer of a watch without changes. */
@@ -46,24 +45,14 @@
       return watches.shift()?.() ?? pendingForever();
     },
   };
-  const feed = createObjectFeed({
-    client: client as StoreClient,
-    availability: createStoreAvailability(),
-    era,
-    kind: StoreKind.Servers,
-    watchWaitMs: 1500,
-    batchDelayMs: 0,
-    allowsStale: false,
-    news: undefined,
-    logger: createRecordingLogger(),
-    random: () => 0,
-    onCallEnded: () => undefined,
-    onResponse: () => undefined,
-    onListed: () => undefined,
-    onChanged() {
-      record.changes += 1;
-    },
-  });
+  const feed = createObjectFeed(
+    createFeedOptions(client, {
+      era,
+      onChanged() {
+        record.changes += 1;
+      },
+    }),
+  );
   return { record, feed };
 }
 
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -7,10 +7,8 @@
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
 import { createFollowedNews } from '../../src/store/followed-news.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
-import { createStoreAvailability } from '../../src/store/store-availability.js';
-import { createStoreEra } from '../../src/store/store-era.js';
+import { createFeedOptions } from '../standins/feed-options.js';
 import { waitUntil } from '../standins/deployment.js';
-import { createRecordingLogger } from '../standins/recording-logger.js';
 
 const kind = StoreKind.Servers;
 
@@ -48,24 +46,17 @@
       return { ok: true, value: { changes, position }, era: 1 };
     },
   };
-  const feed = createObjectFeed({
-    client: client as StoreClient,
-    availability: createStoreAvailability(),
-    era: createStoreEra(() => undefined),
-    kind,
-    watchWaitMs: 300,
-    batchDelayMs: 0,
-    allowsStale: false,
-    news: followed,
-    logger: createRecordingLogger(),
-    random: () => 0,
-    onCallEnded: () => undefined,
-    onResponse() {
-      responses += 1;
-    },
-    onListed: () => undefined,
-    onChanged: ({ object }) => changed.push(object.revision),
-  });
+  const feed = createObjectFeed(
+    createFeedOptions(client, {
+      kind,
+      watchWaitMs: 300,
+      news: followed,
+      onResponse() {
+        responses += 1;
+      },
+      onChanged: ({ object }) => changed.push(object.revision),
+    }),
+  );
   /** Delivers news as a report of a peer would. */
   function hear(revision: number, era = 1): void {
     news.record(kind, { era, revision, confirmedAtMs: clock() });
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -1,11 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
+import { StoreFailure } from '@kingcupsill/prepared-platform';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
-import { createStoreAvailability } from '../../src/store/store-availability.js';
-import { createStoreEra } from '../../src/store/store-era.js';
-import { createRecordingLogger } from '../standins/recording-logger.js';
+import { createFeedOptions } from '../standins/feed-options.js';
 
 interface StoreCall {
   call: 'list' | 'watch';
@@ -33,24 +31,13 @@
         return failuresLeft >= 0 ? noAnswer : historyGone;
       },
     };
-    const feed = createObjectFeed({
-      client: client as StoreClient,
-      availability: createStoreAvailability(),
-      era: createStoreEra(() => undefined),
-      kind: StoreKind.Servers,
-      watchWaitMs: 1500,
-      batchDelayMs: 0,
-      allowsStale: false,
-      news: undefined,
-      logger: createRecordingLogger(),
-      random: () => 0,
-      onCallEnded: () => undefined,
-      onResponse: () => undefined,
-      onListed() {
-        if (storeCalls.length > 1) feed.close();
-      },
-      onChanged: () => undefined,
-    });
+    const feed = createObjectFeed(
+      createFeedOptions(client, {
+        onListed() {
+          if (storeCalls.length > 1) feed.close();
+        },
+      }),
+    );
   });
 }
 
--- a/packages/edge/test/store/store-calls.test.ts
+++ b/packages/edge/test/store/store-calls.test.ts
@@ -5,9 +5,8 @@
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
+import { createFeedOptions } from '../standins/feed-options.js';
 import { createStoreAvailability } from '../../src/store/store-availability.js';
-import { createStoreEra } from '../../src/store/store-era.js';
-import { createRecordingLogger } from '../standins/recording-logger.js';
 
 const POSITION = { era: undefined, revision: 5 };
 
@@ -22,20 +21,7 @@
   return client as StoreClient;
 }
 
-function feedOptions() {
-  return {
-    era: createStoreEra(() => undefined),
-    watchWaitMs: 1500,
-    batchDelayMs: 250,
-    allowsStale: false,
-    news: undefined,
-    logger: createRecordingLogger(),
-    random: () => 0.5,
-    onCallEnded: () => undefined,
-    onResponse: () => undefined,
-    onListed: () => undefined,
-  };
-}
+const TIMING = { batchDelayMs: 250, random: () => 0.5 };
 
 test('batches frequent changes into few calls and delivers the first change without delay', async () => {
   const startedAtMs = performance.now();
@@ -49,13 +35,14 @@
     await delay(5);
     return { ok: true, value: { changes: [change], position: POSITION } };
   });
-  const feed = createObjectFeed({
-    ...feedOptions(),
-    client,
-    availability: contact,
-    kind: StoreKind.Configuration,
-    onChanged: () => changedAfterMs.push(performance.now() - startedAtMs),
-  });
+  const feed = createObjectFeed(
+    createFeedOptions(client, {
+      ...TIMING,
+      availability: contact,
+      kind: StoreKind.Configuration,
+      onChanged: () => changedAfterMs.push(performance.now() - startedAtMs),
+    }),
+  );
   await delay(900);
   feed.close();
   contact.close();
@@ -85,13 +72,9 @@
       } else await delay(20);
       return { ok: true, value: { changes: [], position: POSITION } };
     });
-    const feed = createObjectFeed({
-      ...feedOptions(),
-      client,
-      availability: contact,
-      kind,
-      onChanged: () => undefined,
-    });
+    const feed = createObjectFeed(
+      createFeedOptions(client, { ...TIMING, availability: contact, kind }),
+    );
     return () => {
       feed.close();
       clearTimeout(watchTimer);
