Tell peers of answered prompt parts only from own answers

Found on reading the change again: a router that had heard that a suspected part was answered repeated it to each further report of a crash, and its peers took that as a new answer. Two routers whose memories end at different times kept the part cleared for each other, so a part that crashes servers after it was answered was never blocked. The test has routers whose reports arrive at different times; with 2 it failed before, with 1 and 10 it passed.

--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crash-evidence.ts
@@ -5,6 +5,8 @@
 import type { CrashSuspects } from './crash-suspects.js';
 import type { DirectEffect } from './events.js';
 import { sharedPartIds } from './prompt-parts.js';
+import { createServedParts } from './served-parts.js';
+import type { ServedParts } from './served-parts.js';
 import { AttemptOutcome } from './types.js';
 import type { PromptPart } from './types.js';
 
@@ -21,6 +23,8 @@
 export interface CrashEvidence {
   suspects: CrashSuspects;
   blocks: PartBlocks;
+  /** Parts of requests that were answered through this router. */
+  ownServed: ServedParts;
   /** News for the next report to peers. */
   news: CrashNews;
 }
@@ -58,7 +62,12 @@
 
 /** Creates the evidence of a router that has seen no crash. */
 export function createCrashEvidence(): CrashEvidence {
-  return { suspects: createCrashSuspects(), blocks: createPartBlocks(), news: createCrashNews() };
+  return {
+    suspects: createCrashSuspects(),
+    blocks: createPartBlocks(),
+    ownServed: createServedParts(),
+    news: createCrashNews(),
+  };
 }
 
 /** Ended attempt, as far as it is evidence. */
@@ -85,7 +94,7 @@
 
 /** Records the end of one of this router's own attempts. Returns the log lines of changed beliefs. */
 export function recordAttemptEnd(
-  { suspects, blocks, news }: CrashEvidence,
+  { suspects, blocks, ownServed, news }: CrashEvidence,
   { serverKey, outcome, promptParts, begunAtMs }: EndedAttempt,
   nowMs: number,
 ): DirectEffect[] {
@@ -93,6 +102,7 @@
   const partIds = sharedPartIds(promptParts);
   if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, nowMs);
   if (outcome === AttemptOutcome.Complete) {
+    ownServed.record(partIds, nowMs);
     news.served.push(...suspects.recordServed(partIds, nowMs));
     if (blocks.clear(partIds)) {
       news.served.push(...partIds);
@@ -110,14 +120,14 @@
 
 /** Applies a peer's news. */
 export function applyCrashNews(
-  { suspects, blocks, news }: CrashEvidence,
+  { suspects, blocks, ownServed, news }: CrashEvidence,
   { crashes, served, blocked }: CrashNews,
   nowMs: number,
 ): DirectEffect[] {
   crashes.forEach(([serverKey, partIds]) => {
-    const knownServed = partIds.filter((partId) => suspects.isServed(partId, nowMs));
-    news.served.push(...knownServed);
-    const suspected = partIds.filter((partId) => !knownServed.includes(partId));
+    // Repeating what peers have stated would keep a part cleared for ever.
+    news.served.push(...partIds.filter((partId) => ownServed.isServed(partId, nowMs)));
+    const suspected = partIds.filter((partId) => !suspects.isServed(partId, nowMs));
     suspects.recordCrash(serverKey, suspected, nowMs);
   });
   suspects.recordServed(served, nowMs);
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -3,6 +3,8 @@
 import {
   AttemptOutcome,
   createCrashEvidence,
+  createCrashNews,
+  hasCrashNews,
   createReportExchange,
   createReporter,
   createStoreNews,
@@ -11,7 +13,12 @@
   LinkKind,
   recordAttemptEnd,
 } from '../../src/direct/index.js';
-import type { CrashEvidence, DirectEffect, RouterReport } from '../../src/direct/index.js';
+import type {
+  CrashEvidence,
+  CrashNews,
+  DirectEffect,
+  RouterReport,
+} from '../../src/direct/index.js';
 import { createSampleRouter, sampleEntry } from './sample.js';
 import type { SampleRouter } from './sample.js';
 
@@ -278,6 +285,53 @@
   assert.equal(blockCulprits(evidence, 2000).length + blockCulprits(peer, 2000).length, 0);
 });
 
+const REPORT_PERIOD_MS = 50;
+
+/** Routers whose reports reach the others at different times, some of them a while after they were sent. */
+function createFleet(routerCount: number) {
+  const fleet = Array.from({ length: routerCount }, createCrashEvidence);
+  const sent: { at: CrashEvidence; news: CrashNews; atMs: number }[] = [];
+  return {
+    fleet,
+    exchangeNews(nowMs: number): void {
+      fleet.forEach((evidence) => {
+        const { news } = evidence;
+        evidence.news = createCrashNews();
+        if (!hasCrashNews(news)) return;
+        fleet.forEach((at, index) => {
+          if (at !== evidence) sent.push({ at, news, atMs: nowMs + index * REPORT_PERIOD_MS });
+        });
+      });
+      const due = sent.filter(({ atMs }) => atMs <= nowMs);
+      due.forEach((report) => {
+        sent.splice(sent.indexOf(report), 1);
+        applyCrashNews(report.at, report.news, nowMs);
+      });
+    },
+  };
+}
+
+for (const routerCount of [1, 2, 10]) {
+  // Guards against routers that keep a part cleared by repeating to each other that it was answered.
+  test(`a part that crashes servers after it was answered is blocked, with ${routerCount} routers`, () => {
+    const { fleet, exchangeNews } = createFleet(routerCount);
+    const promptParts = ['changed', 'own'].map((id) => ({ id, tokens: 1 }));
+    const answered = { outcome: AttemptOutcome.Complete, promptParts, begunAtMs: 0 };
+    fleet.forEach((evidence, index) => {
+      recordAttemptEnd(evidence, { ...answered, serverKey: 'e0@1' }, index * 100);
+    });
+    const lastMs = 40_000;
+    for (let nowMs = 1000; nowMs < lastMs; nowMs += REPORT_PERIOD_MS) {
+      const router = fleet[(nowMs / REPORT_PERIOD_MS) % routerCount]!;
+      breakAttempts(router, [`e${nowMs}@1`], ['changed'], nowMs);
+      exchangeNews(nowMs);
+      fleet.forEach((evidence) => blockCulprits(evidence, nowMs));
+    }
+    const blocking = fleet.filter(({ blocks }) => blocks.remainingMs(['changed'], lastMs) > 0);
+    assert.equal(blocking.length, routerCount);
+  });
+}
+
 // Guards against routers that crash servers again after their own restart.
 test('a link that is opened later learns of the blocked parts', () => {
   const { blocks } = createCrashEvidence();
