--- /dev/null
+++ b/packages/edge/src/callers/after-next-poll.ts
@@ -0,0 +1,4 @@
+/** Calls back after the event loop has polled all ready sockets, so that closed connections have been detected. */
+export function afterNextPoll(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
+}
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -6,7 +6,10 @@
 import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { repeatEvery } from '../closable.js';
+import { createAcceptQueue } from './accept-queue.js';
+import { afterNextPoll } from './after-next-poll.js';
 import { createConnectionTable } from './connection-table.js';
+import type { ConnectionTotals } from './connection-table.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -28,6 +31,9 @@
   /** Stops accepting connections and closes idle ones. */
   stopListening(): void;
   openRequestCount(): number;
+  connectionTotals(): ConnectionTotals;
+  /** Estimated wait of connections that haven't been accepted yet. */
+  acceptWaitMs(): number;
   close(): Promise<void>;
 }
 
@@ -70,6 +76,7 @@
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock);
+  const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { draining: false, closing: false };
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
@@ -83,7 +90,7 @@
     res.sendDate = false;
     if (phase.draining) res.shouldKeepAlive = false;
     res.on('close', () => {
-      connections.requestEnded(socket);
+      connections.requestEnded(socket, res.writableFinished);
       if (phase.closing && connections.isIdle(socket)) socket.end();
     });
     // A request may arrive on a kept connection before the close of the response before it has been handled.
@@ -101,7 +108,10 @@
   }
 
   const server = createServer(SERVER_OPTIONS, onRequest);
-  server.on('connection', connections.add);
+  server.on('connection', (socket) => {
+    acceptQueue.recordAccepted();
+    connections.add(socket);
+  });
   server.on('clientError', onClientError);
   await listenOn(server, { host: options.host, port: options.port, backlog: BACKLOG });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
@@ -119,6 +129,8 @@
       connections.closeIdle(0);
     },
     openRequestCount: connections.openRequestCount,
+    connectionTotals: connections.totals,
+    acceptWaitMs: acceptQueue.waitMs,
     async close() {
       sweepTimer.close();
       await closeServer(server);
--- a/packages/edge/src/callers/connection-table.ts
+++ b/packages/edge/src/callers/connection-table.ts
@@ -1,42 +1,59 @@
 /** Table of callers' keep-alive connections and their idle times. */
 import type { Socket } from 'node:net';
 
+/** Numbers of callers' connections since the start. */
+export interface ConnectionTotals {
+  accepted: number;
+  /** Closed without a complete response to any request. */
+  unanswered: number;
+}
+
 /** Open connections of callers. */
 export interface ConnectionTable {
   add(socket: Socket): void;
   requestStarted(socket: Socket): void;
-  requestEnded(socket: Socket): void;
+  /** `isAnswered` states whether the response was written completely. */
+  requestEnded(socket: Socket, isAnswered: boolean): void;
   isIdle(socket: Socket): boolean;
   /** Closes connections that have been idle for longer than `idleMs`. */
   closeIdle(idleMs: number): void;
   /** Number of requests whose response isn't complete. */
   openRequestCount(): number;
+  totals(): ConnectionTotals;
 }
 
 interface Connection {
   idleSinceMs: number;
   requests: number;
+  answered: boolean;
 }
 
 /** Creates an empty table. */
 export function createConnectionTable(nowMs: () => number): ConnectionTable {
   const connections = new Map<Socket, Connection>();
+  const totals: ConnectionTotals = { accepted: 0, unanswered: 0 };
   let openRequests = 0;
 
   return {
     add(socket) {
-      connections.set(socket, { idleSinceMs: nowMs(), requests: 0 });
-      socket.on('close', () => connections.delete(socket));
+      const connection = { idleSinceMs: nowMs(), requests: 0, answered: false };
+      totals.accepted += 1;
+      connections.set(socket, connection);
+      socket.on('close', () => {
+        connections.delete(socket);
+        if (!connection.answered) totals.unanswered += 1;
+      });
     },
     requestStarted(socket) {
       openRequests += 1;
       const connection = connections.get(socket);
       if (connection !== undefined) connection.requests += 1;
     },
-    requestEnded(socket) {
+    requestEnded(socket, isAnswered) {
       openRequests -= 1;
       const connection = connections.get(socket);
       if (connection === undefined) return;
+      connection.answered ||= isAnswered;
       connection.requests -= 1;
       connection.idleSinceMs = nowMs();
     },
@@ -48,5 +65,6 @@
       });
     },
     openRequestCount: () => openRequests,
+    totals: () => totals,
   };
 }
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -5,6 +5,7 @@
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext, EdgeParts } from '../types.js';
+import { afterNextPoll } from './after-next-poll.js';
 import { createResponseSink, writeRefusal } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import { readBody } from './read-body.js';
@@ -42,11 +43,6 @@
 /** Event loop lag, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_LAG_FRACTION = 0.25;
 
-/** Calls back after the event loop has polled all ready sockets, so that closed connections have been detected. */
-function afterNextPoll(callback: () => void): void {
-  setImmediate(() => setImmediate(callback));
-}
-
 /** Handlers of callers' requests. */
 export interface RequestHandlers {
   onRequest(req: IncomingMessage, res: ServerResponse): void;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -132,13 +132,19 @@
   };
 }
 
-function logSummary(
+async function logSummary(
   { logger, clock, droppedLines }: EdgeContext,
-  { state, metrics }: Pick<EdgeParts, 'state' | 'metrics'>,
-): void {
+  { state, metrics, callers, loopLag }: EdgeParts,
+): Promise<void> {
+  const { connectionTotals, acceptWaitMs } = await callers;
   const { totals, open, servers } = describeState(state, clock());
   const control = { ...metrics.controlTotals(), droppedLines: droppedLines() };
-  logger.info('summary', { ...totals, open, ...control, servers });
+  const lateness = {
+    lagMs: Math.round(loopLag.lagMs()),
+    acceptWaitMs: Math.round(acceptWaitMs()),
+  };
+  const connections = connectionTotals();
+  logger.info('summary', { ...totals, open, connections, ...lateness, ...control, servers });
 }
 
 function routerName(ctx: EdgeContext): string {
