Process requests in short turns, so that new connections are accepted in time

Cause: the event loop accepts one connection per iteration, and an iteration processed all requests that had arrived on kept connections (about 100 ms on 0.243 cores). With 50 connections waiting, each one was abandoned by its caller before its turn. The lateness of the loop, on which router_busy and readiness rest, stayed at 44 to 123 ms.

Change: requests wait in a queue and are processed in turns of 5 ms, between which the loop polls and accepts. The time in the queue counts for router_busy like the lateness of the loop. 5 ms is about one request on the smallest routers.

Evidence: busy-router.test.ts failed before (the last of 30 connections accepted after 2,848 ms, callers wait 1,000). Ruled out: a stopped process, a closed socket (docs/incidents/2026-12-connections-not-accepted.md). Readiness by the accept wait was considered and not done: unready routers are missed duty.

--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -5,11 +5,11 @@
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext, EdgeParts } from '../types.js';
-import { afterNextPoll } from './after-next-poll.js';
 import { createResponseSink, writeRefusal } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import { readBody } from './read-body.js';
 import type { ReadBodyResult } from './read-body.js';
+import { createRequestQueue } from './request-queue.js';
 
 type HandlerParts = Pick<
   EdgeParts,
@@ -40,8 +40,8 @@
   ran: 'no',
   retryAfterMs: 50,
 };
-/** Event loop lag, as a fraction of a request's latency objective, above which another router serves the request better. */
-const MAX_LAG_FRACTION = 0.25;
+/** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
+const MAX_WAIT_FRACTION = 0.25;
 
 /** Handlers of callers' requests. */
 export interface RequestHandlers {
@@ -54,6 +54,7 @@
 export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
   const { logger, clock, random } = ctx;
   const { validator, exchanges, loopLag, loop, metrics, state } = parts;
+  const queue = createRequestQueue(clock, setImmediate);
   let requestCount = 0;
 
   function reject(res: ServerResponse, headers: CallerHeaders, refusal: Refusal): void {
@@ -88,12 +89,13 @@
     });
   }
 
-  /** Dispatches a request unless its caller has disconnected; refuses it early while the event loop lags. */
+  /** Dispatches a request unless its caller has disconnected; refuses it early if the event loop is too busy to serve it in time. */
   function submitIfConnected(request: ReceivedRequest): void {
-    afterNextPoll(() => {
+    queue.add((waitedMs) => {
       const { req, res, headers, attributes } = request;
       if (res.destroyed || req.socket.destroyed) return;
-      const isBusy = loopLag.lagMs() > attributes.route.objectiveMs * MAX_LAG_FRACTION;
+      const maxWaitMs = attributes.route.objectiveMs * MAX_WAIT_FRACTION;
+      const isBusy = Math.max(loopLag.lagMs(), waitedMs) > maxWaitMs;
       if (isBusy) reject(res, headers, BUSY_REFUSAL);
       else submit(request);
     });
