Apply accounts' shares by the shortfall of the fleet, not by one router's waits

Cause: the effect of an account's used share grows with the mean wait over the engines that a router sees.

Change: the shortfall, from the tokens of all accounts that all routers know alike, counts like the load by waits: nothing while 0.97 of the tokens are served, in full at 0.8.

Evidence: limits.test.ts (two routers with waits of 20 and 600 ms gave the same account different bounds). Ruled out: failed requests that count as served.

--- a/packages/core/src/direct/account-usage.ts
+++ b/packages/core/src/direct/account-usage.ts
@@ -16,6 +16,8 @@
   recordPeerTokens(account: string, tokens: AccountTotals, nowMs: number): void;
   /** Ratio of served tokens to the account's max-min fair share; 0 while capacity is sufficient for all accounts. */
   shareUsed(account: string, nowMs: number): number;
+  /** How far capacity is insufficient, by the unserved tokens of all accounts: from 0 if it is sufficient to 1. */
+  shortfall(nowMs: number): number;
   /** Removes and returns this router's own tokens since the last call, for reports. */
   takeOwnTokens(): Map<string, AccountTotals>;
 }
@@ -27,6 +29,8 @@
 
 /** Served fraction of the requested tokens below which capacity counts as insufficient. */
 const SUFFICIENT_SERVED_FRACTION = 0.97;
+/** Served fraction of the requested tokens at which the shortfall is full. */
+const FULL_SHORTFALL_SERVED_FRACTION = 0.8;
 /** Period between computations of the fair share; requests in between use the last value. */
 const FAIR_SHARE_PERIOD_MS = 50;
 
@@ -47,7 +51,8 @@
   const windows = new Map<string, AccountWindow>();
   let ownTokens = new Map<string, AccountTotals>();
   let fairShare = Number.POSITIVE_INFINITY;
-  let fairShareAtMs = Number.NEGATIVE_INFINITY;
+  let shortfall = 0;
+  let computedAtMs = Number.NEGATIVE_INFINITY;
 
   function getWindow(account: string): AccountWindow {
     let window = windows.get(account);
@@ -74,16 +79,24 @@
     });
   }
 
-  function computeFairShare(nowMs: number): number {
+  /** Computes the fair share and the shortfall unless they are recent. */
+  function update(nowMs: number): void {
+    if (nowMs - computedAtMs < FAIR_SHARE_PERIOD_MS) return;
+    computedAtMs = nowMs;
+    removeIdleWindows(nowMs);
     const requested = [...windows.values()].map((window) => window.requested.total(nowMs));
     const served = [...windows.values()].reduce(
       (sum, window) => sum + window.served.total(nowMs),
       0,
     );
     const totalRequested = requested.reduce((sum, amount) => sum + amount, 0);
-    return served >= totalRequested * SUFFICIENT_SERVED_FRACTION
-      ? Number.POSITIVE_INFINITY
-      : maxMinFairShare(requested, served);
+    const servedFraction = totalRequested > 0 ? served / totalRequested : 1;
+    const isSufficient = servedFraction >= SUFFICIENT_SERVED_FRACTION;
+    fairShare = isSufficient ? Number.POSITIVE_INFINITY : maxMinFairShare(requested, served);
+    const fullShortfall = SUFFICIENT_SERVED_FRACTION - FULL_SHORTFALL_SERVED_FRACTION;
+    shortfall = isSufficient
+      ? 0
+      : Math.min(1, (SUFFICIENT_SERVED_FRACTION - servedFraction) / fullShortfall);
   }
 
   function add(account: string, requested: number, served: number, nowMs: number): void {
@@ -104,14 +117,14 @@
     recordPeerTokens: (account, { requested, served }, nowMs) =>
       add(account, requested, served, nowMs),
     shareUsed(account, nowMs) {
-      if (nowMs - fairShareAtMs >= FAIR_SHARE_PERIOD_MS) {
-        removeIdleWindows(nowMs);
-        fairShare = computeFairShare(nowMs);
-        fairShareAtMs = nowMs;
-      }
+      update(nowMs);
       if (fairShare === Number.POSITIVE_INFINITY) return 0;
       return fairShare > 0 ? getWindow(account).served.total(nowMs) / fairShare : 1;
     },
+    shortfall(nowMs) {
+      update(nowMs);
+      return shortfall;
+    },
     takeOwnTokens() {
       const taken = ownTokens;
       ownTokens = new Map();
--- a/packages/core/src/direct/admission.ts
+++ b/packages/core/src/direct/admission.ts
@@ -50,10 +50,23 @@
   return lower.fraction + position * (upper.fraction - lower.fraction);
 }
 
+/** How far an account has used its fair share, and how far the fleet's capacity is insufficient. */
+export interface AccountShare {
+  /** Ratio of served tokens to the fair share; 0 while capacity is sufficient. */
+  used: number;
+  /** From 0 to 1; the same at all routers, while each estimates the waits at engines for itself. */
+  shortfall: number;
+}
+
 /** Fraction of the latency objective available to a prediction. The effect of the used share grows with the load. */
-function allowedFraction(shareUsed: number, meanWaitMs: number, objectiveMs: number): number {
-  const load = Math.min(1, meanWaitMs / (objectiveMs * FULL_LOAD_WAIT_FRACTION));
-  return LOW_LOAD_FRACTION + load * (fullLoadFraction(shareUsed) - LOW_LOAD_FRACTION);
+function allowedFraction(
+  { used, shortfall }: AccountShare,
+  meanWaitMs: number,
+  objectiveMs: number,
+): number {
+  const waitLoad = Math.min(1, meanWaitMs / (objectiveMs * FULL_LOAD_WAIT_FRACTION));
+  const load = used === 0 ? waitLoad : Math.max(waitLoad, shortfall);
+  return LOW_LOAD_FRACTION + load * (fullLoadFraction(used) - LOW_LOAD_FRACTION);
 }
 
 /**
@@ -64,11 +77,11 @@
 export function admit(
   attributes: RequestAttributes,
   best: Candidate,
-  shareUsed: number,
+  share: AccountShare,
   draw: number,
 ): Admission {
   const { objectiveMs } = attributes.route;
-  const allowedMs = objectiveMs * allowedFraction(shareUsed, best.meanWaitMs, objectiveMs);
+  const allowedMs = objectiveMs * allowedFraction(share, best.meanWaitMs, objectiveMs);
   const uncountedWorkMs = Math.max(0, best.workMs - objectiveMs * MAX_OWN_WORK_FRACTION);
   const countedMs = best.predictedMs - uncountedWorkMs;
   const excessMs = Math.max(countedMs - allowedMs, MIN_RETRY_AFTER_MS);
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -99,6 +99,8 @@
   readTokens?: number;
   /** Ratio of the account's served tokens to its fair share; 0 while capacity is sufficient. */
   shareUsed?: number;
+  /** How far capacity is insufficient for all accounts, from 0 to 1. */
+  shortfall?: number;
   /** Number of all routers' requests in progress at the server. */
   running?: number;
   /** Number of attempts sent so far. */
--- /dev/null
+++ b/packages/core/src/direct/request-tokens.ts
@@ -0,0 +1,12 @@
+/** Size of a request in weighted tokens. */
+import type { RequestAttributes } from './types.js';
+
+/** Weight of a generated token relative to a prompt token, as in the configured engine throughput. */
+const OUTPUT_WEIGHT = 2;
+/** Expected fraction of the maximum output tokens; the errors of this estimate average out over a window. */
+const OUTPUT_FRACTION = 0.5;
+
+/** Returns the weighted tokens that a request counts for in its account's share. */
+export function requestTokens(attributes: RequestAttributes): number {
+  return attributes.promptTokens + OUTPUT_WEIGHT * OUTPUT_FRACTION * attributes.maxOutputTokens;
+}
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -5,6 +5,7 @@
 import { chooseServer, remainingDeferralMs } from './placement.js';
 import type { Candidate } from './placement.js';
 import { ownTokens, sharedPartIds, sharedParts } from './prompt-parts.js';
+import { requestTokens } from './request-tokens.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
@@ -17,16 +18,6 @@
 const RETRY_DRAW_STEP = 0.618;
 /** Minimum time to the deadline for a retry. */
 const MIN_RETRY_REMAINING_MS = 50;
-/** Weight of a generated token relative to a prompt token, as in the configured engine throughput. */
-const OUTPUT_WEIGHT = 2;
-/** Expected fraction of the maximum output tokens; the errors of this estimate average out over a window. */
-const OUTPUT_FRACTION = 0.5;
-
-/** Returns the weighted tokens that a request counts for in its account's share. */
-export function requestTokens(attributes: RequestAttributes): number {
-  return attributes.promptTokens + OUTPUT_WEIGHT * OUTPUT_FRACTION * attributes.maxOutputTokens;
-}
-
 function refuse(
   state: DirectState,
   request: OpenRequest,
@@ -182,11 +173,13 @@
   const best = chooseServer(state, attributes, [], draw, nowMs);
   if (best === undefined)
     return refuse(state, request, createNoServerRefusal(state, attributes, draw, nowMs), {});
-  const admission = admit(attributes, best, shareUsed, draw);
+  const shortfall = state.accountUsage.shortfall(nowMs);
+  const admission = admit(attributes, best, { used: shareUsed, shortfall }, draw);
   const decisionInputs = {
     ...describeCandidate(best),
     allowedMs: Math.round(admission.allowedMs),
     shareUsed: Math.round(shareUsed * 100) / 100,
+    shortfall: Math.round(shortfall * 100) / 100,
     account: attributes.account,
   };
   if (!admission.admitted) {
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -15,6 +15,7 @@
 import { createSampleRouter, expectRefusal, expectSend, sampleRoute } from './sample.js';
 
 const attributes = { route: sampleRoute({ objectiveMs: 800 }) } as RequestAttributes;
+const shareOf = (used: number) => ({ used, shortfall: 0 });
 const createCandidate = (waitMs: number, workMs: number, meanWaitMs = 500) =>
   ({ predictedMs: waitMs + workMs, waitMs, workMs, meanWaitMs }) as Candidate;
 
@@ -39,7 +40,7 @@
   usage.recordServed('c', 300, 0);
   assert.ok(usage.shareUsed('a', 1) > usage.shareUsed('b', 1));
   const allowedMsOf = (account: string) =>
-    admit(attributes, createCandidate(0, 0), usage.shareUsed(account, 1), 0).allowedMs;
+    admit(attributes, createCandidate(0, 0), shareOf(usage.shareUsed(account, 1)), 0).allowedMs;
   assert.ok(allowedMsOf('a') < allowedMsOf('b'));
   assert.ok(allowedMsOf('b') < allowedMsOf('c'));
 });
@@ -47,15 +48,44 @@
 test('the allowed predicted time never rises with the used share of the account', () => {
   let previousMs = Number.POSITIVE_INFINITY;
   for (let shareUsed = 0.01; shareUsed < 3; shareUsed += 0.01) {
-    const { allowedMs } = admit(attributes, createCandidate(0, 0), shareUsed, 0);
+    const { allowedMs } = admit(attributes, createCandidate(0, 0), shareOf(shareUsed), 0);
     assert.ok(allowedMs <= previousMs + 1e-9);
     previousMs = allowedMs;
   }
 });
 
 test('an account far above its fair share is served like any other while engines have capacity', () => {
-  assert.equal(admit(attributes, createCandidate(0, 500, 0), 5, 0).admitted, true);
-  assert.equal(admit(attributes, createCandidate(0, 500, 200), 5, 0).admitted, false);
+  assert.equal(admit(attributes, createCandidate(0, 500, 0), shareOf(5), 0).admitted, true);
+  assert.equal(admit(attributes, createCandidate(0, 500, 200), shareOf(5), 0).admitted, false);
+});
+
+// Guards against an account that gets several times what the others get, because its callers reach routers that see short waits.
+test('routers with different estimates of the waits apply the same share to an account while requests go unserved', () => {
+  const usage = createAccountUsage(4000);
+  ['large', 'other'].forEach((account) => usage.recordRequested(account, 1000, 0));
+  usage.recordServed('large', 700, 0);
+  usage.recordServed('other', 250, 0);
+  const shortfall = usage.shortfall(1);
+  assert.equal(shortfall, 1);
+  const allowedMsAt = (account: string, meanWaitMs: number): number => {
+    const share = { used: usage.shareUsed(account, 1), shortfall };
+    return admit(attributes, createCandidate(0, 0, meanWaitMs), share, 0).allowedMs;
+  };
+  assert.equal(allowedMsAt('large', 20), allowedMsAt('large', 600));
+  assert.ok(allowedMsAt('large', 20) < allowedMsAt('other', 600));
+});
+
+test('the shortfall grows with the unserved tokens and is 0 while capacity is sufficient', () => {
+  const shortfalls = [1000, 970, 960, 900, 800, 300].map((served) => {
+    const usage = createAccountUsage(4000);
+    usage.recordRequested('a', 1000, 0);
+    usage.recordServed('a', served, 0);
+    return usage.shortfall(1);
+  });
+  assert.deepEqual(shortfalls.slice(0, 2), [0, 0]);
+  assert.deepEqual(shortfalls.slice(4), [1, 1]);
+  const [low, high] = shortfalls.slice(2, 4) as [number, number];
+  assert.ok(low > 0 && high > low && high < 1, `${low}, ${high}`);
 });
 
 test('no account counts as above its fair share while all requests are served', () => {
@@ -81,8 +111,8 @@
 });
 
 test('a large prompt is admitted at an idle engine although it alone takes longer than the objective', () => {
-  assert.equal(admit(attributes, createCandidate(0, 1200), 0, 0).admitted, true);
-  assert.equal(admit(attributes, createCandidate(1200, 0), 0, 0).admitted, false);
+  assert.equal(admit(attributes, createCandidate(0, 1200), shareOf(0), 0).admitted, true);
+  assert.equal(admit(attributes, createCandidate(1200, 0), shareOf(0), 0).admitted, false);
 });
 
 test('sudden overload: requests that cannot meet the latency objective are refused immediately with a retry time', () => {
