Keep the limits that servers state on requests per second

Cause: Server-Limit is new and was ignored. It bounds the requests of all routers, of which each sees only its own.

Each router sends its part by demand; the count of the fleet's requests from the reports is a second bound. First attempts, retries, continuations, probes and cache queries count. Without a part left the server is not available, so others are chosen or the request is refused with the time to the next part. Reports carry sends by server, requests by service and limits; earlier builds ignore them.

--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -18,6 +18,8 @@
   keptTokens: number;
   /** Recent fraction of failed attempts. */
   failureShare: number;
+  /** Requests per second that the server takes from all routers together; undefined if it has stated no limit. */
+  requestsPerSecond: number | undefined;
   /** Remaining backoff during which the server gets no requests. */
   avoidedForMs: number;
 }
@@ -52,6 +54,7 @@
       tokensPerMs: roundToHundredths(1 / load.msPerToken()),
       keptTokens: load.prefixCache.cachedTokens(),
       failureShare: roundToHundredths(health.failureRate(nowMs)),
+      requestsPerSecond: state.serverLimits.get(server)?.requestsPerSecond(),
       avoidedForMs: Math.max(0, Math.round(health.avoidUntilMs() - nowMs)),
     };
   });
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -1,5 +1,7 @@
 /** Events and effects of the direct router. Events carry the monotonic time and random draws; effects are plain data. */
 import type { CrashNews } from './crash-evidence.js';
+import type { ReportedServerLimit } from './server-limits.js';
+import type { RequestCounts } from './service-demand.js';
 import type { ReportedStoreNews } from './store-news.js';
 import type {
   AttemptOutcome,
@@ -18,6 +20,8 @@
   running: number;
   /** Prompt tokens sent to the server since the router's last report. */
   sentTokens: number;
+  /** Number of requests sent to the server since the router's last report. */
+  sentRequests: number;
   /** Prompt parts sent to the server since the router's last report. */
   promptParts: [id: string, tokens: number][];
 }
@@ -34,6 +38,10 @@
   /** Later changes and confirmations of the store's content since the last report. */
   storeNews: ReportedStoreNews[];
   crashNews: CrashNews;
+  /** Limits of servers that have changed. */
+  limits: ReportedServerLimit[];
+  /** Requests that have arrived since the last report. */
+  demand: RequestCounts;
 }
 
 interface Timed {
@@ -47,7 +55,13 @@
     | { kind: 'servers-listed'; entries: BackendServerEntry[] }
     /** The store has been restored from an older copy; listings may lack changes that it had acknowledged. */
     | { kind: 'store-restored' }
-    | { kind: 'server-announced'; serverKey: string; announcement: ServerAnnouncement }
+    | {
+        kind: 'server-announced';
+        serverKey: string;
+        announcement: ServerAnnouncement;
+        /** Time at which the request that the server has answered was sent. */
+        requestSentAtMs: number;
+      }
     | { kind: 'server-changed'; entry: BackendServerEntry }
     | { kind: 'server-removed'; id: string }
     | { kind: 'store-answered' }
--- a/packages/core/src/direct/pending-report.ts
+++ b/packages/core/src/direct/pending-report.ts
@@ -2,6 +2,7 @@
 import { createCrashNews, hasCrashNews, mergeCrashNews } from './crash-evidence.js';
 import type { CrashNews } from './crash-evidence.js';
 import type { ReportedServerLoad, RouterReport } from './events.js';
+import type { RequestCounts } from './service-demand.js';
 
 /** Report without the values that are read when it is sent. */
 export interface PendingChanges {
@@ -10,6 +11,9 @@
   leaving: string[];
   storeKinds: string[];
   crashNews: CrashNews;
+  /** Keys of the servers whose limit has changed. */
+  limitedKeys: string[];
+  demand: RequestCounts;
 }
 
 /** Changes of one link. */
@@ -18,6 +22,8 @@
   /** Adds a server whose running requests have changed. */
   addServer(serverKey: string): void;
   addCrashNews(news: CrashNews): void;
+  /** Adds a server whose limit has changed. */
+  addLimit(serverKey: string): void;
   /** Adds a kind of stored objects of which there is news. */
   addStoreKind(kind: string): void;
   isEmpty(): boolean;
@@ -27,6 +33,7 @@
 
 interface PendingLoad {
   sentTokens: number;
+  sentRequests: number;
   promptParts: [string, number][];
 }
 
@@ -36,6 +43,8 @@
   const accounts = new Map<string, { requested: number; served: number }>();
   const leaving = new Set<string>();
   const storeKinds = new Set<string>();
+  const limitedKeys = new Set<string>();
+  const demand = new Map<string, number>();
   let crashNews = createCrashNews();
 
   function addCrashNews(news: CrashNews): void {
@@ -45,7 +54,7 @@
   function getLoad(serverKey: string): PendingLoad {
     const known = loads.get(serverKey);
     if (known !== undefined) return known;
-    const load = { sentTokens: 0, promptParts: [] };
+    const load = { sentTokens: 0, sentRequests: 0, promptParts: [] };
     loads.set(serverKey, load);
     return load;
   }
@@ -57,6 +66,9 @@
     accounts.set(account, pending);
   }
 
+  const listAccounts = (): RouterReport['accounts'] =>
+    [...accounts].map(([account, { requested, served }]) => [account, requested, served]);
+
   function takeLoads(maxLoads: number): PendingChanges['loads'] {
     const taken = [...loads].slice(0, maxLoads);
     taken.forEach(([serverKey]) => loads.delete(serverKey));
@@ -65,39 +77,44 @@
 
   return {
     add(report) {
-      report.loads.forEach(({ serverKey, sentTokens, promptParts }) => {
+      report.loads.forEach(({ serverKey, sentTokens, sentRequests, promptParts }) => {
         const load = getLoad(serverKey);
         load.sentTokens += sentTokens;
+        load.sentRequests += sentRequests;
         load.promptParts.push(...promptParts);
       });
       report.accounts.forEach(addAccount);
       report.leaving.forEach((serverKey) => leaving.add(serverKey));
       addCrashNews(report.crashNews);
+      report.limits.forEach(({ serverKey }) => limitedKeys.add(serverKey));
+      report.demand.forEach(([service, requests]) =>
+        demand.set(service, (demand.get(service) ?? 0) + requests),
+      );
     },
     addServer: (serverKey) => {
       getLoad(serverKey);
     },
     addCrashNews,
+    addLimit: (serverKey) => {
+      limitedKeys.add(serverKey);
+    },
     addStoreKind: (kind) => {
       storeKinds.add(kind);
     },
     isEmpty: () =>
-      loads.size + accounts.size + leaving.size + storeKinds.size === 0 && !hasCrashNews(crashNews),
+      [loads, accounts, leaving, storeKinds, limitedKeys, demand].every(({ size }) => size === 0) &&
+      !hasCrashNews(crashNews),
     take(maxLoads) {
       const changes: PendingChanges = {
         loads: takeLoads(maxLoads),
-        accounts: [...accounts].map(([account, { requested, served }]) => [
-          account,
-          requested,
-          served,
-        ]),
+        accounts: listAccounts(),
         leaving: [...leaving],
         storeKinds: [...storeKinds],
         crashNews,
+        limitedKeys: [...limitedKeys],
+        demand: [...demand],
       };
-      accounts.clear();
-      leaving.clear();
-      storeKinds.clear();
+      [accounts, leaving, storeKinds, limitedKeys, demand].forEach((pending) => pending.clear());
       crashNews = createCrashNews();
       return changes;
     },
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -139,15 +139,21 @@
   };
 }
 
-/**
- * A server gets nothing until the time that it has asked for is over. After failed connections, it gets one probe request at a
- * time once its backoff has elapsed.
- */
-function isAvailable(
-  { health, unansweredAttempts, deferredUntilMs }: ServerState,
+/** Time until this router may send to a server: it has asked for a pause or stated a limit. */
+export function requestedWaitMs(
+  { servers, serverLimits, serviceDemand, routerCount }: DirectState,
+  { key, entry }: RegisteredServer,
   nowMs: number,
-): boolean {
-  if (nowMs < deferredUntilMs) return false;
+): number {
+  const deferralMs = (servers.get(key)?.deferredUntilMs ?? 0) - nowMs;
+  const limit = serverLimits.get(key);
+  if (limit === undefined) return deferralMs;
+  const fraction = serviceDemand.ownFraction(entry.service, routerCount, nowMs);
+  return Math.max(deferralMs, limit.waitMs(fraction, nowMs));
+}
+
+/** After failed connections, a server gets one probe request at a time once its backoff has elapsed. */
+function isHealthy({ health, unansweredAttempts }: ServerState, nowMs: number): boolean {
   const avoidUntilMs = health.avoidUntilMs();
   return avoidUntilMs === 0 || (nowMs >= avoidUntilMs && unansweredAttempts === 0);
 }
@@ -158,23 +164,24 @@
   nowMs: number,
 ): AvailableServer[] {
   return servers
+    .filter((server) => requestedWaitMs(state, server, nowMs) <= 0)
     .map((server) => ({ server, serverState: getServerState(state, server) }))
-    .filter(({ serverState }) => isAvailable(serverState, nowMs))
+    .filter(({ serverState }) => isHealthy(serverState, nowMs))
     .map((available) => ({
       ...available,
       failureRate: available.serverState.health.failureRate(nowMs),
     }));
 }
 
-/** Time until the first server that has asked for a pause takes requests again; undefined if none has asked. */
-export function remainingDeferralMs(
+/** Time until the first server takes requests again of those that have asked for a pause or a limit; undefined if none has. */
+export function remainingRequestedWaitMs(
   state: DirectState,
   service: string,
   nowMs: number,
 ): number | undefined {
   const waitsMs = state.registry
     .listAvailable(service)
-    .map(({ key }) => (state.servers.get(key)?.deferredUntilMs ?? 0) - nowMs)
+    .map((server) => requestedWaitMs(state, server, nowMs))
     .filter((waitMs) => waitMs > 0);
   return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined;
 }
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -2,7 +2,7 @@
 import type { ReducerResult } from '../reducer/index.js';
 import { applyCrashNews, blockCulprits } from './crash-evidence.js';
 import type { DirectEffect, DirectEvent } from './events.js';
-import { extraRoundTripMs } from './placement.js';
+import { extraRoundTripMs, requestedWaitMs } from './placement.js';
 import { applyPeerReport, removePeer } from './reports.js';
 import {
   expireRequests,
@@ -13,7 +13,7 @@
   onRequest,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
-import { getServerState } from './state.js';
+import { getServerState, recordSend } from './state.js';
 import type { DirectState } from './state.js';
 
 type EventOf<TKind extends DirectEvent['kind']> = Extract<DirectEvent, { kind: TKind }>;
@@ -50,17 +50,55 @@
   return [...removeServers(state, removedKeys), { kind: 'note', event: 'server-changed', fields }];
 }
 
-/** Maximum time for which a server is left alone because it asked for it; a longer one is taken for a mistake. */
-const MAX_DEFERRAL_MS = 300_000;
+/** @param source who stated it: the server's own answer or a peer */
+function noteLimit(
+  { serverLimits }: DirectState,
+  server: string,
+  source: 'answer' | 'peer',
+): DirectEffect {
+  const requestsPerSecond = serverLimits.get(server)?.requestsPerSecond();
+  return requestsPerSecond === undefined
+    ? { kind: 'note', event: 'server-limit-lifted', fields: { server, source } }
+    : { kind: 'note', event: 'server-limited', fields: { server, source, requestsPerSecond } };
+}
+
+function applyStatedLimit(
+  state: DirectState,
+  { serverKey, announcement, requestSentAtMs, nowMs }: EventOf<'server-announced'>,
+): DirectEffect[] {
+  const { requestsPerSecond, invalidLimit } = announcement;
+  if (invalidLimit !== undefined) {
+    const fields = { server: serverKey, limit: invalidLimit };
+    return [{ kind: 'note', event: 'server-limit-malformed', fields }];
+  }
+  const { serverLimits } = state;
+  const hasChanged = serverLimits.recordAnswer(
+    serverKey,
+    requestsPerSecond,
+    requestSentAtMs,
+    nowMs,
+  );
+  return hasChanged ? [noteLimit(state, serverKey, 'answer')] : [];
+}
 
-function applyAnnouncement(
+function applyPeerLimits(
   state: DirectState,
-  { serverKey, announcement, nowMs }: EventOf<'server-announced'>,
+  { report, nowMs }: EventOf<'peer-report'>,
 ): DirectEffect[] {
+  return report.limits
+    .filter((limit) => state.serverLimits.recordPeerLimit(limit, nowMs))
+    .map(({ serverKey }) => noteLimit(state, serverKey, 'peer'));
+}
+
+/** Maximum time for which a server is left alone because it asked for it; a longer one is taken for a mistake. */
+const MAX_DEFERRAL_MS = 300_000;
+
+function applyAnnouncement(state: DirectState, event: EventOf<'server-announced'>): DirectEffect[] {
+  const { serverKey, announcement, nowMs } = event;
+  const effects = applyStatedLimit(state, event);
   const server = state.registry.get(serverKey);
-  if (server === undefined) return [];
+  if (server === undefined) return effects;
   const { leaving, retryAfterMs, invalidRetryAfter } = announcement;
-  const effects: DirectEffect[] = [];
   if (leaving && state.registry.markLeaving(serverKey)) {
     state.leavingNews.push(serverKey);
     effects.push(noteLeaving(serverKey, 'answer'));
@@ -86,16 +124,21 @@
  * Requests the cache contents of the engines once after startup. Engines outlive routers: a router that assumed empty caches would
  * overestimate the time to the first event and refuse requests.
  */
-function requestCacheContents(state: DirectState): DirectEffect[] {
+function requestCacheContents(state: DirectState, nowMs: number): DirectEffect[] {
   const { routeTable } = state;
   if (state.cachesRequested || routeTable === undefined || !state.hasServerList) return [];
   state.cachesRequested = true;
   return state.registry
     .all()
     .filter(({ entry }) => routeTable.findService(entry.service)?.engine !== undefined)
+    .filter((server) => requestedWaitMs(state, server, nowMs) <= 0)
     .sort((a, b) => extraRoundTripMs(state, a.entry.zone) - extraRoundTripMs(state, b.entry.zone))
     .slice(0, MAX_CACHE_QUERIES)
-    .map(({ key, entry: { host, port } }) => ({ kind: 'list-kept', serverKey: key, host, port }));
+    .map((server) => {
+      recordSend(state, server, nowMs);
+      const { host, port } = server.entry;
+      return { kind: 'list-kept', serverKey: server.key, host, port };
+    });
 }
 
 function recordCacheContents(
@@ -135,9 +178,10 @@
     onAttemptEnded(state, attempt, outcome, detail, nowMs),
   'caller-left': (state, { request, nowMs }) => onCallerLeft(state, request, nowMs),
   'kept-listed': recordCacheContents,
-  'peer-report': (state, { report, nowMs }) => [
-    ...applyPeerReport(state, report, nowMs).map((key) => noteLeaving(key, 'peer')),
-    ...applyCrashNews(state.crashEvidence, report.crashNews, nowMs),
+  'peer-report': (state, event) => [
+    ...applyPeerReport(state, event.report, event.nowMs).map((key) => noteLeaving(key, 'peer')),
+    ...applyCrashNews(state.crashEvidence, event.report.crashNews, event.nowMs),
+    ...applyPeerLimits(state, event),
   ],
   'peer-gone': (state, { router }) => {
     removePeer(state, router);
@@ -147,12 +191,15 @@
     state.routerCount = routerCount;
     return [];
   },
-  tick: (state, { nowMs }) => [
-    ...requestCacheContents(state),
-    ...removeServers(state, state.registry.expire(nowMs)),
-    ...expireRequests(state, nowMs),
-    ...blockCulprits(state.crashEvidence, nowMs),
-  ],
+  tick: (state, { nowMs }) => {
+    state.serverLimits.prune((serverKey) => state.registry.get(serverKey) !== undefined, nowMs);
+    return [
+      ...requestCacheContents(state, nowMs),
+      ...removeServers(state, state.registry.expire(nowMs)),
+      ...expireRequests(state, nowMs),
+      ...blockCulprits(state.crashEvidence, nowMs),
+    ];
+  },
 };
 
 /** Applies one event. */
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -9,6 +9,7 @@
 import type { PendingReport } from './pending-report.js';
 import { createRunningSums } from './running-sums.js';
 import type { RunningByServer } from './running-sums.js';
+import type { ServerLimits } from './server-limits.js';
 import { describeNews, recordReportedNews } from './store-news.js';
 import type { StoreNews } from './store-news.js';
 
@@ -29,7 +30,7 @@
 
 /** Exchange of one router. */
 export interface ReportExchange {
-  /** Adds a link; recipients get all current sums and blocks with their first report. */
+  /** Adds a link; recipients get all current sums, blocks and limits with their first report. */
   open(link: string, kind: LinkKind, nowMs: number): void;
   /** Removes a link with everything that it has reported. */
   close(link: string): void;
@@ -67,6 +68,7 @@
   storeNews: StoreNews;
   /** Prompt parts that this router blocks. */
   blocks: PartBlocks;
+  serverLimits: ServerLimits;
 }
 
 /** Creates an exchange without links. */
@@ -74,6 +76,7 @@
   router,
   storeNews,
   blocks,
+  serverLimits,
 }: ReportExchangeOptions): ReportExchange {
   const links = new Map<string, Link>();
   const innerSums = createRunningSums();
@@ -103,6 +106,7 @@
     // A router that starts knows nothing of earlier crashes.
     link.pending.addCrashNews({ ...createCrashNews(), blocked: blocks.listActive(nowMs) });
     storeNews.all().forEach((_entry, storeKind) => link.pending.addStoreKind(storeKind));
+    serverLimits.serverKeys().forEach(link.pending.addLimit);
     innerSums.serverKeys().forEach(link.pending.addServer);
     if (kind === LinkKind.Member) outerSums.serverKeys().forEach(link.pending.addServer);
   }
@@ -132,15 +136,13 @@
   function compose(key: string, nowMs: number): RouterReport | undefined {
     const link = links.get(key);
     if (link === undefined || link.pending.isEmpty()) return undefined;
-    const { loads, accounts, leaving, storeKinds, crashNews } =
-      link.pending.take(MAX_LOADS_PER_REPORT);
+    const { loads, storeKinds, limitedKeys, ...changes } = link.pending.take(MAX_LOADS_PER_REPORT);
     return {
+      ...changes,
       router,
       loads: loads.map((load) => ({ ...load, running: runningFor(link, load.serverKey) })),
-      accounts,
-      leaving,
       storeNews: storeKinds.flatMap((kind) => describeNews(storeNews, kind, nowMs)),
-      crashNews,
+      limits: serverLimits.describe(limitedKeys, nowMs),
     };
   }
 
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -9,7 +9,9 @@
  * servers that are now known to leave.
  */
 export function applyPeerReport(state: DirectState, report: RouterReport, nowMs: number): string[] {
+  state.serviceDemand.recordPeers(report.demand, nowMs);
   report.loads.forEach((load) => {
+    state.serverLimits.get(load.serverKey)?.recordPeerSends(load.sentRequests, nowMs);
     const server = state.registry.get(load.serverKey);
     if (server === undefined) return;
     const serverState = getServerState(state, server);
@@ -27,6 +29,20 @@
   state.servers.forEach(({ load }) => load.removePeer(router));
 }
 
+/** Returns a report without content. */
+export function createEmptyReport(router: string): RouterReport {
+  return {
+    router,
+    loads: [],
+    accounts: [],
+    leaving: [],
+    storeNews: [],
+    crashNews: createCrashNews(),
+    limits: [],
+    demand: [],
+  };
+}
+
 /** Creates reports of this router's own load. */
 export interface Reporter {
   /** Returns the changes since the last report, or undefined if there is nothing to report. */
@@ -44,17 +60,17 @@
   const reportedTokensByServer = new Map<string, number>();
   let lastFullReportAtMs = Number.NEGATIVE_INFINITY;
 
-  function reportLoad(
-    serverKey: string,
-    { load, unreportedParts }: ServerState,
-  ): ReportedServerLoad {
+  function reportLoad(serverKey: string, serverState: ServerState): ReportedServerLoad {
+    const { load, unreportedParts, unreportedSends } = serverState;
     const reportedTokens = reportedTokensByServer.get(serverKey) ?? 0;
     const sentTokens = Math.max(0, load.sentTokens() - reportedTokens);
     reportedTokensByServer.set(serverKey, load.sentTokens());
     const promptParts = unreportedParts
       .splice(0)
       .map(({ id, tokens }): [string, number] => [id, tokens]);
-    return { serverKey, running: load.ownRunning(), sentTokens, promptParts };
+    serverState.unreportedSends = 0;
+    const running = load.ownRunning();
+    return { serverKey, running, sentTokens, sentRequests: unreportedSends, promptParts };
   }
 
   /** A server that is gone has no requests; a key that is registered again is the same run with new counters. */
@@ -62,7 +78,7 @@
     const serverState = state.servers.get(serverKey);
     if (serverState !== undefined) return reportLoad(serverKey, serverState);
     reportedTokensByServer.delete(serverKey);
-    return { serverKey, running: 0, sentTokens: 0, promptParts: [] };
+    return { serverKey, running: 0, sentTokens: 0, sentRequests: 0, promptParts: [] };
   }
 
   function takeAccounts(state: DirectState): RouterReport['accounts'] {
@@ -87,12 +103,16 @@
       }
       const loads = [...changedKeys].map((key) => reportChange(state, key));
       const accounts = isFull ? takeAccounts(state) : [];
+      const demand = isFull ? state.serviceDemand.takeOwn() : [];
       const leaving = state.leavingNews.splice(0);
+      const limits = state.serverLimits.describe(state.serverLimits.takeNews(), nowMs);
       const { news: crashNews } = state.crashEvidence;
       state.crashEvidence.news = createCrashNews();
-      const hasNews =
-        loads.length + accounts.length + leaving.length > 0 || hasCrashNews(crashNews);
-      return hasNews ? { router, loads, accounts, leaving, storeNews: [], crashNews } : undefined;
+      const changes = [loads, accounts, demand, leaving, limits];
+      const hasNews = changes.some(({ length }) => length > 0) || hasCrashNews(crashNews);
+      return hasNews
+        ? { ...createEmptyReport(router), loads, accounts, demand, leaving, crashNews, limits }
+        : undefined;
     },
   };
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -2,10 +2,11 @@
 import { admit } from './admission.js';
 import { recordAttemptEnd } from './crash-evidence.js';
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
-import { chooseServer, remainingDeferralMs } from './placement.js';
+import { chooseServer, remainingRequestedWaitMs } from './placement.js';
 import type { Candidate } from './placement.js';
 import { ownTokens, sharedPartIds, sharedParts } from './prompt-parts.js';
 import { requestTokens } from './request-tokens.js';
+import { recordSend } from './state.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
@@ -33,8 +34,8 @@
   return { status: 503, code, ran: 'no', retryAfterMs };
 }
 
-/** Jitter of `Retry-After` after a pause that servers asked for: callers that were refused together come back spread out. */
-const DEFERRAL_JITTER = 0.5;
+/** Jitter of `Retry-After` for a wait that servers asked for: callers that were refused together come back spread out. */
+const WAIT_JITTER = 0.5;
 
 function createNoServerRefusal(
   state: DirectState,
@@ -42,8 +43,8 @@
   draw: number,
   nowMs: number,
 ): Refusal {
-  const deferralMs = remainingDeferralMs(state, service, nowMs) ?? 0;
-  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, deferralMs * (1 + DEFERRAL_JITTER * draw));
+  const waitMs = remainingRequestedWaitMs(state, service, nowMs) ?? 0;
+  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, waitMs * (1 + WAIT_JITTER * draw));
   return createNotRunRefusal(RefusalCode.NoServer, retryAfterMs);
 }
 
@@ -74,6 +75,7 @@
     serverState.unreportedParts.push(...shared);
   serverState.load.prefixCache.record(attributes.promptParts);
   serverState.unansweredAttempts += 1;
+  recordSend(state, server, nowMs);
   state.attemptCount += 1;
   const attempt: OpenAttempt = {
     id: `${request.id}.${state.attemptCount}`,
@@ -84,7 +86,6 @@
     begunAtMs: undefined,
   };
   state.attempts.set(attempt.id, attempt);
-  state.sentServerKeys.add(server.key);
   countTokens(state, attributes, candidate);
   return attempt;
 }
@@ -165,6 +166,7 @@
     });
   const tokens = requestTokens(attributes);
   state.retryBudget.recordRequest(attributes.service, nowMs);
+  state.serviceDemand.recordOwn(attributes.service, nowMs);
   // Computed before this request is recorded: it counts as unserved demand only once it has been refused.
   const shareUsed =
     attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -13,8 +13,12 @@
 import { createServerLoad } from './server-load.js';
 import type { RequestPrediction, ServerLoad } from './server-load.js';
 import type { RegisteredServer } from './server-index.js';
+import { createServerLimits } from './server-limits.js';
+import type { ServerLimits } from './server-limits.js';
 import { createServerRegistry } from './server-registry.js';
 import type { ServerRegistry, ServerRegistryOptions } from './server-registry.js';
+import { createServiceDemand } from './service-demand.js';
+import type { ServiceDemand } from './service-demand.js';
 import type { PromptPart, RequestAttributes } from './types.js';
 
 /** Health and load of one run of a backend server, as estimated by this router. */
@@ -27,6 +31,8 @@
   deferredUntilMs: number;
   /** Prompt parts sent to the server since the last report to peers. */
   unreportedParts: PromptPart[];
+  /** Number of requests sent to the server since the last report to peers. */
+  unreportedSends: number;
 }
 
 /** Attempt in progress. */
@@ -58,6 +64,8 @@
 
 /** Options of a direct router. */
 export interface DirectRouterOptions {
+  /** Name and incarnation of this router. */
+  router: string;
   hasher: Hasher;
   /** Availability zone of this router. */
   zone: string;
@@ -107,11 +115,19 @@
   accountUsage: AccountUsage;
   retryBudget: RetryBudget;
   crashEvidence: CrashEvidence;
+  serverLimits: ServerLimits;
+  serviceDemand: ServiceDemand;
   /** Number of routers that share the fleet's budgets, including this one. */
   routerCount: number;
   attemptCount: number;
 }
 
+const HASH_RANGE = 2 ** 32;
+
+function createPhase({ router, hasher }: DirectRouterOptions): (serverKey: string) => number {
+  return (serverKey) => hasher.hash32(`${router} ${serverKey}`) / HASH_RANGE;
+}
+
 /** Creates the initial state, without a configuration or servers. */
 export function createDirectState(options: DirectRouterOptions): DirectState {
   return {
@@ -141,6 +157,8 @@
     accountUsage: createAccountUsage(options.shareWindowMs),
     retryBudget: createRetryBudget(options.retryBudget),
     crashEvidence: createCrashEvidence(),
+    serverLimits: createServerLimits(createPhase(options)),
+    serviceDemand: createServiceDemand(),
     routerCount: 1,
     attemptCount: 0,
   };
@@ -181,8 +199,16 @@
       unansweredAttempts: 0,
       deferredUntilMs: 0,
       unreportedParts: [],
+      unreportedSends: 0,
     };
     state.servers.set(server.key, serverState);
   }
   return serverState;
 }
+
+/** Counts a request of any kind that this router sends to a server. */
+export function recordSend(state: DirectState, server: RegisteredServer, nowMs: number): void {
+  getServerState(state, server).unreportedSends += 1;
+  state.serverLimits.get(server.key)?.recordSend(nowMs);
+  state.sentServerKeys.add(server.key);
+}
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -105,6 +105,10 @@
   retryAfterMs: number | undefined;
   /** Stated wait that could not be parsed, for logs. */
   invalidRetryAfter: string | undefined;
+  /** Requests per second that the server takes from all routers together; undefined if it states no limit. */
+  requestsPerSecond: number | undefined;
+  /** Stated limit that could not be parsed, for logs. */
+  invalidLimit: string | undefined;
 }
 
 /** Segment of a prompt that engines cache as a unit. */
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -6,6 +6,7 @@
   createCrashNews,
   hasCrashNews,
   createReportExchange,
+  createServerLimits,
   createReporter,
   createStoreNews,
   applyCrashNews,
@@ -335,7 +336,12 @@
 // Guards against routers that crash servers again after their own restart.
 test('a link that is opened later learns of the blocked parts', () => {
   const { blocks } = createCrashEvidence();
-  const exchange = createReportExchange({ router: 'r1', storeNews: createStoreNews(), blocks });
+  const exchange = createReportExchange({
+    router: 'r1',
+    storeNews: createStoreNews(),
+    blocks,
+    serverLimits: createServerLimits(() => 0),
+  });
   blocks.applyPeerBlock({ partIds: ['crashing'], remainingMs: 120_000 }, 1000);
   exchange.open('late', LinkKind.Member, 5000);
   assert.deepEqual(exchange.compose('late', 5000)?.crashNews.blocked, [
--- a/packages/core/test/direct/large-pool.test.ts
+++ b/packages/core/test/direct/large-pool.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { test } from 'node:test';
-import { AttemptOutcome, createCandidatePool, createCrashNews } from '../../src/direct/index.js';
+import { AttemptOutcome, createCandidatePool, createEmptyReport } from '../../src/direct/index.js';
 import { createSampleRouter, sampleConfig, sampleEntry } from './sample.js';
 
 const ENGINE_COUNT = 250;
@@ -53,17 +53,11 @@
       serverKey: `e${((atMs / stepMs) * peers.requestsPerStep + index) % ENGINE_COUNT}@1`,
       running: 1,
       sentTokens: 17_000,
+      sentRequests: 1,
       promptParts: [],
     }));
     if (peers.requestsPerStep > 0) {
-      const report = {
-        router: 'peer',
-        loads,
-        accounts: [],
-        leaving: [],
-        storeNews: [],
-        crashNews: createCrashNews(),
-      };
+      const report = { ...createEmptyReport('peer'), loads };
       router.dispatch({ kind: 'peer-report', report });
     }
     if ((atMs / stepMs) % peers.stepsPerOwnRequest === 0) {
--- a/packages/core/test/direct/report-exchange.test.ts
+++ b/packages/core/test/direct/report-exchange.test.ts
@@ -3,9 +3,10 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import {
-  createCrashNews,
+  createEmptyReport,
   createPartBlocks,
   createReportExchange,
+  createServerLimits,
   createStoreNews,
   LinkKind,
   planExchange,
@@ -18,7 +19,12 @@
 };
 
 const createTestExchange = (router: string, storeNews = createStoreNews()): ReportExchange =>
-  createReportExchange({ router, storeNews, blocks: createPartBlocks() });
+  createReportExchange({
+    router,
+    storeNews,
+    blocks: createPartBlocks(),
+    serverLimits: createServerLimits(() => 0),
+  });
 
 function createFleet(size: number, zones = 6): RouterInfo[] {
   return Array.from({ length: size }, (_none, index) => ({
@@ -144,12 +150,9 @@
 }
 
 const ownReport = (serverKey: string, running: number, sentTokens: number): RouterReport => ({
-  router: '',
-  loads: [{ serverKey, running, sentTokens, promptParts: [] }],
+  ...createEmptyReport(''),
+  loads: [{ serverKey, running, sentTokens, sentRequests: 0, promptParts: [] }],
   accounts: [['kingston', sentTokens, 0]],
-  leaving: [],
-  storeNews: [],
-  crashNews: createCrashNews(),
 });
 
 test('whatever routers report in whatever order, each sees the exact sums of all others', () => {
@@ -248,8 +251,7 @@
     { kind: 'servers', era: 1, revision: 9, ageMs: 50 },
   ]);
   const storeNews = [{ kind: 'servers', era: 2, revision: 3, ageMs: 20 }];
-  const report = { router: '', loads: [], accounts: [], leaving: [], crashNews: createCrashNews() };
-  hub.receive('other', { ...report, storeNews }, 300);
+  hub.receive('other', { ...createEmptyReport(''), storeNews }, 300);
   assert.deepEqual(news.get('servers'), { era: 2, revision: 3, confirmedAtMs: 280 });
   assert.deepEqual(hub.compose('member', 310)?.storeNews, [{ ...storeNews[0], ageMs: 30 }]);
   assert.equal(hub.compose('member', 320), undefined);
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -83,9 +83,11 @@
 export function createSampleRouter(
   entries: BackendServerEntry[] = [sampleEntry('e1'), sampleEntry('e2')],
   config: FleetConfig = sampleConfig(),
+  router = 'r1/1',
 ): SampleRouter {
   let nowMs = 1000;
   const state = createDirectState({
+    router,
     hasher,
     zone: 'z1',
     regionByZone: new Map([['z1', 'r1']]),
--- a/packages/core/test/measure/choose-server.ts
+++ b/packages/core/test/measure/choose-server.ts
@@ -25,6 +25,7 @@
 function createState(): DirectState {
   const zones = Array.from({ length: ZONES }, (_none, zone) => zone);
   return createDirectState({
+    router: 'r1/1',
     hasher,
     zone: 'z1',
     regionByZone: new Map(zones.map((zone) => [`z${zone}`, `r${zone % REGIONS}`])),
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -17,9 +17,11 @@
   exchange: Exchange,
   onEnded: () => void,
 ): AttemptListener {
+  const requestSentAtMs = clock();
   return {
     onAnnounced(announcement) {
-      parts.loop.dispatch({ kind: 'server-announced', serverKey, announcement, nowMs: clock() });
+      const event = { kind: 'server-announced' as const, serverKey, announcement };
+      parts.loop.dispatch({ ...event, requestSentAtMs, nowMs: clock() });
     },
     onBegun() {
       const nowMs = clock();
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -154,6 +154,7 @@
 function createState(ctx: EdgeContext, hasher: Hasher): DirectState {
   const settings = ctx.settings();
   return createDirectState({
+    router: routerName(ctx),
     hasher,
     zone: settings.process.zone,
     regionByZone: parseZoneRegions(settings.process.zoneRegions),
@@ -211,6 +212,7 @@
         logger,
         storeNews: parts.storeNews,
         blocks: parts.state.crashEvidence.blocks,
+        serverLimits: parts.state.serverLimits,
         onReport(report) {
           parts.loop.dispatch({ kind: 'peer-report', report, nowMs: clock() });
           parts.followedNews.wake(report.storeNews.map(({ kind }) => kind));
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -75,10 +75,12 @@
       host,
       port,
     }: Extract<DirectEffect, { kind: 'list-kept' }>) => {
+      const requestSentAtMs = clock();
       const result = await listCachedParts(parts.connections, host, port);
       const { announcement } = result;
       if (announcement !== undefined) {
-        parts.loop.dispatch({ kind: 'server-announced', serverKey, announcement, nowMs: clock() });
+        const event = { kind: 'server-announced' as const, serverKey, announcement };
+        parts.loop.dispatch({ ...event, requestSentAtMs, nowMs: clock() });
       }
       if (result.ok) {
         const event = { kind: 'kept-listed' as const, serverKey, promptParts: result.value };
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -1,6 +1,12 @@
 /** Exchange of load reports with the other routers over links to and from the hubs of groups. */
 import { createReportExchange, LinkKind, planExchange } from '@kingcupsill/core/direct';
-import type { PartBlocks, RouterInfo, RouterReport, StoreNews } from '@kingcupsill/core/direct';
+import type {
+  PartBlocks,
+  RouterInfo,
+  RouterReport,
+  ServerLimits,
+  StoreNews,
+} from '@kingcupsill/core/direct';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { repeatEvery } from '../closable.js';
 import { createExchangeListener } from './exchange-listener.js';
@@ -20,6 +26,7 @@
   router: string;
   storeNews: StoreNews;
   blocks: PartBlocks;
+  serverLimits: ServerLimits;
   /** Called with each received report; `router` in it names the link. */
   onReport: (report: RouterReport) => void;
   /** Called with the name of a link that was lost. */
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -1,6 +1,11 @@
 /** Wire format of reports: arrays without field names, since reports are sent often. */
 import { createCrashNews, hasCrashNews } from '@kingcupsill/core/direct';
-import type { CrashNews, ReportedServerLoad, RouterReport } from '@kingcupsill/core/direct';
+import type {
+  CrashNews,
+  ReportedServerLimit,
+  ReportedServerLoad,
+  RouterReport,
+} from '@kingcupsill/core/direct';
 import { Packr } from 'msgpackr';
 
 type WireLoad = [
@@ -8,6 +13,8 @@
   running: number,
   sentTokens: number,
   promptParts: [string, number][],
+  /** Missing in reports of earlier builds. */
+  sentRequests?: number,
 ];
 type WireReport = [
   router: string,
@@ -18,7 +25,11 @@
   storeNews?: WireStoreNews[],
   /** Null if there is none. */
   crashNews?: WireCrashNews | null,
+  limits?: WireLimit[],
+  demand?: RouterReport['demand'],
 ];
+/** The rate is null for a server whose limit is lifted. */
+type WireLimit = [serverKey: string, requestsPerSecond: number | null, ageMs: number];
 type WireCrashNews = [
   crashes: [serverKey: string, partIds: string[]][],
   served: string[],
@@ -35,12 +46,21 @@
   decode(bytes: Buffer): DecodedReport;
 }
 
-function toWire({ serverKey, running, sentTokens, promptParts }: ReportedServerLoad): WireLoad {
-  return [serverKey, running, sentTokens, promptParts];
+function toWire(load: ReportedServerLoad): WireLoad {
+  return [load.serverKey, load.running, load.sentTokens, load.promptParts, load.sentRequests];
+}
+
+function fromWire(wire: WireLoad): ReportedServerLoad {
+  const [serverKey, running, sentTokens, promptParts, sentRequests = 0] = wire;
+  return { serverKey, running, sentTokens, sentRequests, promptParts };
+}
+
+function limitToWire({ serverKey, requestsPerSecond, ageMs }: ReportedServerLimit): WireLimit {
+  return [serverKey, requestsPerSecond ?? null, Math.round(ageMs)];
 }
 
-function fromWire([serverKey, running, sentTokens, promptParts]: WireLoad): ReportedServerLoad {
-  return { serverKey, running, sentTokens, promptParts };
+function limitFromWire([serverKey, requestsPerSecond, ageMs]: WireLimit): ReportedServerLimit {
+  return { serverKey, requestsPerSecond: requestsPerSecond ?? undefined, ageMs };
 }
 
 function crashNewsToWire(news: CrashNews): WireCrashNews | null {
@@ -66,7 +86,7 @@
 export function createReportCodec(): ReportCodec {
   const packr = new Packr({ useRecords: false });
   return {
-    encode({ router, loads, accounts, leaving, storeNews, crashNews }) {
+    encode({ router, loads, accounts, leaving, storeNews, crashNews, limits, demand }) {
       const news = storeNews.map(({ kind, era, revision, ageMs }): WireStoreNews => [
         kind,
         era ?? null,
@@ -80,14 +100,16 @@
         leaving,
         news,
         crashNewsToWire(crashNews),
+        limits.map(limitToWire),
+        demand,
       ];
       return packr.pack(wire);
     },
     decode(bytes) {
       try {
-        const [router, loads, accounts, leaving = [], news = [], crashes = null] = packr.unpack(
-          bytes,
-        ) as WireReport;
+        const wire = packr.unpack(bytes) as WireReport;
+        const [router, loads, accounts, leaving = [], news = [], crashes = null] = wire;
+        const [, , , , , , limits = [], demand = []] = wire;
         const storeNews = news.map(([kind, era, revision, ageMs]) => ({
           kind,
           era: era ?? undefined,
@@ -101,6 +123,8 @@
           leaving,
           storeNews,
           crashNews: crashNewsFromWire(crashes),
+          limits: limits.map(limitFromWire),
+          demand,
         };
         return { ok: true, value };
       } catch (err) {
--- a/packages/edge/src/relay/classify-response-head.ts
+++ b/packages/edge/src/relay/classify-response-head.ts
@@ -20,7 +20,7 @@
   outcome: AttemptOutcome;
   /** The outcome is certain without the body. */
   isFinal: boolean;
-  /** Undefined if the head states nothing about the server itself. */
+  /** What the server states about itself; undefined if another server has answered. */
   announcement: ServerAnnouncement | undefined;
 }
 
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createHasher } from '@kingcupsill/core/hash';
 import { WebSocket } from 'ws';
-import { createPartBlocks, createStoreNews } from '@kingcupsill/core/direct';
+import { createPartBlocks, createServerLimits, createStoreNews } from '@kingcupsill/core/direct';
 import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
@@ -14,7 +14,15 @@
 
 const report: RouterReport = {
   router: 'r1/1',
-  loads: [{ serverKey: 'e1@1', running: 3, sentTokens: 900, promptParts: [['ab', 300]] }],
+  loads: [
+    {
+      serverKey: 'e1@1',
+      running: 3,
+      sentTokens: 900,
+      sentRequests: 2,
+      promptParts: [['ab', 300]],
+    },
+  ],
   accounts: [['kingston', 1000, 800]],
   leaving: ['e2@1'],
   storeNews: [],
@@ -23,11 +31,18 @@
     served: ['p1'],
     blocked: [{ partIds: ['p3'], remainingMs: 1000 }],
   },
+  limits: [],
+  demand: [['llm', 7]],
 };
 
 test('decodes an encoded report unchanged and rejects malformed bytes', () => {
   const codec = createReportCodec();
-  assert.deepEqual(codec.decode(codec.encode(report)), { ok: true, value: report });
+  const limits = [
+    { serverKey: 'e1@1', requestsPerSecond: 5.2, ageMs: 40 },
+    { serverKey: 'e2@1', requestsPerSecond: undefined, ageMs: 9 },
+  ];
+  const value = { ...report, limits };
+  assert.deepEqual(codec.decode(codec.encode(value)), { ok: true, value });
   assert.equal(codec.decode(Buffer.from([0xc1])).ok, false);
 });
 
@@ -54,6 +69,7 @@
     onSent: () => undefined,
     storeNews: createStoreNews(),
     blocks: createPartBlocks(),
+    serverLimits: createServerLimits(() => 0),
   });
   return { info, links, received, lost };
 }
