Refuse requests late in the drain, before streams that start then are cut

Cause: requests were taken until the timer of the end of listening had run, which is 3 s after SIGTERM plus the lateness of the loop; kept connections bring requests until then.

Change: from 2.5 s on, by the clock at their arrival, requests are refused as not run. The platform sends nothing on new connections once two checks, a second apart, have failed.

Evidence: drain.test.ts (a request on a kept connection at 2.65 s was forwarded before).

--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -18,7 +18,7 @@
   /** Returns the limits in force; undefined before a configuration is known. */
   limits: () => CallerLimits | undefined;
   onRequest: (req: IncomingMessage, res: ServerResponse) => void;
-  /** Called in place of `onRequest` once the server has stopped listening. */
+  /** Called in place of `onRequest` shortly before the server stops listening, and afterwards. */
   onLateRequest: (req: IncomingMessage, res: ServerResponse) => void;
   clock: Clock;
   logger: Logger;
@@ -42,6 +42,11 @@
 /** Delay between the idle timeout, until which callers may use a connection, and its closing. */
 const IDLE_CLOSE_DELAY_MS = 1000;
 const SWEEP_PERIOD_MS = 500;
+/**
+ * Time after the start of the drain from which requests are late: the platform sends none on new connections any more, and a long
+ * stream that starts later would not end within the grace period.
+ */
+const LATE_AFTER_MS = 2500;
 /** Maximum time to receive a header and a body, including the idle time before a connection's first byte. */
 const RECEIVE_TIMEOUT_MS = 30_000;
 
@@ -77,7 +82,9 @@
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock);
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
-  const phase = { draining: false, closing: false };
+  const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
+  const isLate = (): boolean =>
+    phase.closing || options.clock() - phase.drainedFromMs >= LATE_AFTER_MS;
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
@@ -88,13 +95,13 @@
     }
     connections.requestStarted(socket);
     res.sendDate = false;
-    if (phase.draining) res.shouldKeepAlive = false;
+    if (options.clock() >= phase.drainedFromMs) res.shouldKeepAlive = false;
     res.on('close', () => {
       connections.requestEnded(socket, res.writableFinished);
       if (phase.closing && connections.isIdle(socket)) socket.end();
     });
     // A request may arrive on a kept connection before the close of the response before it has been handled.
-    if (phase.closing) options.onLateRequest(req, res);
+    if (isLate()) options.onLateRequest(req, res);
     else options.onRequest(req, res);
   }
 
@@ -121,7 +128,7 @@
 
   return {
     startDrain() {
-      phase.draining = true;
+      phase.drainedFromMs = options.clock();
     },
     stopListening() {
       phase.closing = true;
--- a/packages/edge/test/callers/drain.test.ts
+++ b/packages/edge/test/callers/drain.test.ts
@@ -65,3 +65,22 @@
     await deployment.close();
   }
 });
+
+// Guards against streams that start long after SIGTERM and are cut when the grace period ends.
+test('a request on a kept connection late in the drain is refused as not run while the router still listens', async () => {
+  const deployment = await createDeployment([(arrival) => sendAnswer(arrival)]);
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  try {
+    assert.equal((await deployment.call('/any/1', { agent })).status, 200);
+    const drained = deployment.router.drain();
+    await delay(2650);
+    const late = await deployment.call('/any/2', { agent });
+    assert.deepEqual([late.status, late.headers.connection], [503, 'close']);
+    assert.match(late.body, /router_shutting_down.*"ran":"no"/);
+    assert.equal(deployment.servers[0]!.arrivals.length, 1);
+    await drained;
+  } finally {
+    agent.destroy();
+    await deployment.close();
+  }
+});
