Bound Retry-After for servers beyond their limits by the time for which a router's part holds

A router with a thousandth of the demand told callers to come back in 457 s (test failed before), though its part follows the demand of the last 4 s and another router may serve them.

--- a/packages/core/src/direct/server-limit.ts
+++ b/packages/core/src/direct/server-limit.ts
@@ -54,7 +54,8 @@
     const maxAllowance = Math.max(1, perMs * MAX_BURST_MS);
     allowance = Math.min(maxAllowance, allowance + perMs * (nowMs - allowanceAtMs));
     allowanceAtMs = nowMs;
-    return allowance >= 1 ? 0 : (1 - allowance) / perMs;
+    // Parts follow the demand of the last window, so a longer wait would rest on parts that have changed by then.
+    return allowance >= 1 ? 0 : Math.min(FLEET_WINDOW_MS, (1 - allowance) / perMs);
   }
 
   return {
--- a/packages/core/test/direct/server-limits.test.ts
+++ b/packages/core/test/direct/server-limits.test.ts
@@ -151,6 +151,15 @@
   assert.ok(refusal.retryAfterMs! >= waitMs, `${refusal.retryAfterMs} ms`);
 });
 
+test('a router with little of the demand does not send callers away for longer than its part holds', () => {
+  const router = createSampleRouter([sampleEntry('e1')]);
+  answer(router, expectSend(router.request('first')), 0.5);
+  const report = { ...createEmptyReport('peer'), demand: [['engines', 999] as [string, number]] };
+  router.dispatch({ kind: 'peer-report', report });
+  const { refusal } = expectRefusal(router.request('refused'));
+  assert.ok(refusal.retryAfterMs! <= 6000, `${refusal.retryAfterMs} ms`);
+});
+
 test('retries count: a request that did not run is not sent again to a server beyond its limit', () => {
   const router = createSampleRouter();
   const first = expectSend(router.request('first'));
