Keep the order of bytes and ends in the soak's proxy when a delay ends

In the proxy a chunk that waited for its delay was dropped if the end of the connection came after the delay had been switched off: the end overtook it, and the router could not tell the answer from a whole one. TCP never does that.

The new test failed before ('second' arrived in place of 'firstsecond'). The check of the soak is unchanged.

--- a/packages/edge/test/soak/proxy.ts
+++ b/packages/edge/test/soak/proxy.ts
@@ -1,6 +1,7 @@
 /** TCP proxy on loopback that injects network faults: delays, resets and lost bytes in one or both directions. */
 import { connect, createServer } from 'node:net';
 import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { listenOn } from '@kingcupsill/runtime';
 
 /** Forwarding mode of a proxy. */
@@ -41,14 +42,30 @@
   }
 
   function forward(from: Socket, to: Socket, direction: 'request' | 'answer'): void {
+    let delayedCount = 0;
+    let delayed = Promise.resolve();
+
+    /** Runs `send` after the delay, and behind what is still delayed: a connection keeps the order of its bytes and its end. */
+    function schedule(send: () => void): void {
+      if (mode !== ProxyMode.Delay && delayedCount === 0) {
+        send();
+        return;
+      }
+      const due = mode === ProxyMode.Delay ? delay(DELAY_MS) : undefined;
+      delayedCount += 1;
+      delayed = delayed
+        .then(() => due)
+        .then(() => {
+          delayedCount -= 1;
+          send();
+        });
+    }
+
     from.on('data', (chunk) => {
-      if (isBlocked(direction)) return;
-      if (mode === ProxyMode.Delay) setTimeout(() => to.writable && to.write(chunk), DELAY_MS);
-      else if (to.writable) to.write(chunk);
+      if (!isBlocked(direction)) schedule(() => to.writable && to.write(chunk));
     });
     from.on('end', () => {
-      if (mode === ProxyMode.Delay) setTimeout(() => to.end(), DELAY_MS);
-      else if (!isBlocked(direction)) to.end();
+      if (!isBlocked(direction)) schedule(() => to.end());
     });
   }
 
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -1,10 +1,14 @@
 /** Runs a short soak and verifies that every check of a promise detects its violation. */
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { createRandom } from '@kingcupsill/bench';
 import { answerBody, STREAM_EVENTS, streamEvent } from './backends.js';
 import { createFaultSchedule, FAULT_KINDS } from './faults.js';
 import { findBreaches, findWorkAfterDeparture } from './find-breaches.js';
+import { createProxy, ProxyMode } from './proxy.js';
 import { runSoak } from './run-soak.js';
 import { RouteKind } from './types.js';
 import type { Call, Run, TimeSpan } from './types.js';
@@ -116,3 +120,28 @@
   assert.deepEqual(breaches, []);
   assert.ok(served > requests / 2, `${served} of ${requests} served`);
 });
+
+// Guards against answers that the proxy itself truncates: an end that overtakes delayed bytes looks like a whole answer.
+test('the end of a connection does not overtake bytes that the proxy delays', async () => {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const proxy = await createProxy((server.address() as AddressInfo).port);
+  proxy.setMode(ProxyMode.Delay);
+  server.on('connection', (socket) => {
+    socket.write('first');
+    setTimeout(() => {
+      proxy.setMode(ProxyMode.Pass);
+      socket.end('second');
+    }, 50);
+  });
+  const socket = connect(proxy.port, '127.0.0.1');
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  await once(socket, 'close');
+  proxy.close();
+  server.close();
+  assert.equal(received, 'firstsecond');
+});
