Derive the load and the fair share from the shortfall without special cases

An account that has used none of its share gets the low-load fraction whatever the load is, and capacity is sufficient where the shortfall is 0. The report decoder takes the fields of a report apart once. Behaviour is unchanged.

--- a/packages/core/src/direct/account-usage.ts
+++ b/packages/core/src/direct/account-usage.ts
@@ -91,12 +91,10 @@
     );
     const totalRequested = requested.reduce((sum, amount) => sum + amount, 0);
     const servedFraction = totalRequested > 0 ? served / totalRequested : 1;
-    const isSufficient = servedFraction >= SUFFICIENT_SERVED_FRACTION;
-    fairShare = isSufficient ? Number.POSITIVE_INFINITY : maxMinFairShare(requested, served);
-    const fullShortfall = SUFFICIENT_SERVED_FRACTION - FULL_SHORTFALL_SERVED_FRACTION;
-    shortfall = isSufficient
-      ? 0
-      : Math.min(1, (SUFFICIENT_SERVED_FRACTION - servedFraction) / fullShortfall);
+    const missingFraction = Math.max(0, SUFFICIENT_SERVED_FRACTION - servedFraction);
+    const maxMissingFraction = SUFFICIENT_SERVED_FRACTION - FULL_SHORTFALL_SERVED_FRACTION;
+    shortfall = Math.min(1, missingFraction / maxMissingFraction);
+    fairShare = shortfall === 0 ? Number.POSITIVE_INFINITY : maxMinFairShare(requested, served);
   }
 
   function add(account: string, requested: number, served: number, nowMs: number): void {
--- a/packages/core/src/direct/admission.ts
+++ b/packages/core/src/direct/admission.ts
@@ -65,7 +65,7 @@
   objectiveMs: number,
 ): number {
   const waitLoad = Math.min(1, meanWaitMs / (objectiveMs * FULL_LOAD_WAIT_FRACTION));
-  const load = used === 0 ? waitLoad : Math.max(waitLoad, shortfall);
+  const load = Math.max(waitLoad, shortfall);
   return LOW_LOAD_FRACTION + load * (fullLoadFraction(used) - LOW_LOAD_FRACTION);
 }
 
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -108,8 +108,16 @@
     decode(bytes) {
       try {
         const wire = packr.unpack(bytes) as WireReport;
-        const [router, loads, accounts, leaving = [], news = [], crashes = null] = wire;
-        const [, , , , , , limits = [], demand = []] = wire;
+        const [
+          router,
+          loads,
+          accounts,
+          leaving = [],
+          news = [],
+          crashes = null,
+          limits = [],
+          demand = [],
+        ] = wire;
         const storeNews = news.map(([kind, era, revision, ageMs]) => ({
           kind,
           era: era ?? undefined,
