--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -125,6 +125,8 @@
   account: string | undefined;
   /** Deadline set by the caller or by the route's timeout, whichever is earlier. */
   expiresAtMs: number;
+  /** Digest of method, target, account and body; requests that repeat each other have the same one. */
+  fingerprint: string;
   /** Parts of the prompt in order; empty for requests without a prompt. */
   promptParts: PromptPart[];
   promptTokens: number;
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -7,145 +7,15 @@
   hasCrashNews,
   createReportExchange,
   createServerLimits,
-  createReporter,
   createStoreNews,
   applyCrashNews,
   blockCulprits,
   LinkKind,
   recordAttemptEnd,
 } from '../../src/direct/index.js';
-import type {
-  CrashEvidence,
-  CrashNews,
-  DirectEffect,
-  RouterReport,
-} from '../../src/direct/index.js';
-import { createSampleRouter, sampleEntry } from './sample.js';
-import type { SampleRouter } from './sample.js';
-
-type Send = Extract<DirectEffect, { kind: 'send' }>;
-
-const STEP_MS = 100;
-const RESTART_MS = 2000;
-const SERVERS = 8;
-
-interface OpenSend extends Send {
-  router: SampleRouter;
-  crashes: boolean;
-}
-
-interface Totals {
-  /** Times at which a request with the crashing part was sent to a server. */
-  crashingSentAtMs: number[];
-  /** Times at which the servers crashed. */
-  crashedAtMs: number[];
-  soundSent: { atMs: number; isRetry: boolean }[];
-  soundRefusedAtMs: number[];
-}
-
-function isSend(effect: DirectEffect): effect is Send {
-  return effect.kind === 'send';
-}
-
-/** Routers that share servers: a request whose prompt has the part `crashing` crashes its server when its answer begins. */
-function createSimulation(routerCount: number) {
-  const entries = Array.from({ length: SERVERS }, (_none, index) => sampleEntry(`e${index}`));
-  const routers = Array.from({ length: routerCount }, () => createSampleRouter(entries));
-  const reporters = routers.map((_router, index) => createReporter(`r${index}`));
-  const totals: Totals = {
-    crashingSentAtMs: [],
-    crashedAtMs: [],
-    soundSent: [],
-    soundRefusedAtMs: [],
-  };
-  const restarts: { atMs: number; id: string }[] = [];
-  let open: OpenSend[] = [];
-  const now = () => routers[0]!.now();
-
-  function follow(router: SampleRouter, effects: DirectEffect[], crashes: boolean): void {
-    effects.forEach((effect) => {
-      if (isSend(effect)) {
-        open.push({ ...effect, router, crashes });
-        if (crashes) totals.crashingSentAtMs.push(now());
-        else totals.soundSent.push({ atMs: now(), isRetry: effect.isRetry });
-      } else if (effect.kind === 'refuse' && !crashes) totals.soundRefusedAtMs.push(now());
-    });
-  }
-
-  function endAttempt(send: OpenSend, outcome: AttemptOutcome): void {
-    const { router, attempt, crashes } = send;
-    follow(
-      router,
-      router.dispatch({ kind: 'attempt-ended', attempt, outcome, detail: '' }),
-      crashes,
-    );
-  }
-
-  function crash(key: string): void {
-    totals.crashedAtMs.push(now());
-    const lost = open.filter((send) => send.serverKey === key);
-    open = open.filter((send) => send.serverKey !== key);
-    lost.forEach((send) => endAttempt(send, AttemptOutcome.Unknown));
-    const id = key.split('@')[0]!;
-    routers.forEach((router) => router.dispatch({ kind: 'server-removed', id }));
-    restarts.push({ atMs: now() + RESTART_MS, id });
-  }
-
-  function answer(send: OpenSend): void {
-    const { router, attempt } = send;
-    router.dispatch({ kind: 'attempt-begun', attempt });
-    router.dispatch({ kind: 'events-delivered', request: send.request, lastEventId: '1' });
-    endAttempt(send, AttemptOutcome.Complete);
-  }
-
-  function restartServers(): void {
-    restarts
-      .filter(({ atMs }) => atMs <= now())
-      .forEach((restart) => {
-        restarts.splice(restarts.indexOf(restart), 1);
-        const entry = sampleEntry(restart.id, { startedAtMs: now() });
-        routers.forEach((router) => router.dispatch({ kind: 'server-changed', entry }));
-      });
-  }
-
-  function exchangeReports(): void {
-    const reports = routers.map((router, index) =>
-      reporters[index]!.compose(router.state, router.now()),
-    );
-    routers.forEach((router, index) => {
-      reports.forEach((report: RouterReport | undefined, from) => {
-        if (report !== undefined && from !== index)
-          router.dispatch({ kind: 'peer-report', report });
-      });
-    });
-  }
-
-  return {
-    totals,
-    routers,
-    now,
-    /** Sends a request through one of the routers; its prompt consists of the parts and one of its own. */
-    send(router: SampleRouter, id: string, parts: string[]): void {
-      const promptParts = [...parts, `own-${id}`].map((part) => ({ id: part, tokens: 200 }));
-      const effects = router.request(id, { promptParts, promptTokens: promptParts.length * 200 });
-      follow(router, effects, parts.includes('crashing'));
-    },
-    step(): void {
-      const [crashing] = open.filter(({ crashes }) => crashes);
-      const sound = open.filter(({ crashes }) => !crashes);
-      open = open.filter((send) => !sound.includes(send));
-      sound.forEach((send) => {
-        if (send.serverKey === crashing?.serverKey) open.push(send);
-        else answer(send);
-      });
-      if (crashing !== undefined) crash(crashing.serverKey);
-      routers.forEach((router) => router.advance(STEP_MS));
-      restartServers();
-      routers.forEach((router) => router.dispatch({ kind: 'tick' }));
-      exchangeReports();
-    },
-  };
-}
+import type { CrashEvidence, CrashNews } from '../../src/direct/index.js';
+import { createSimulation, isSend } from './crash-simulation.js';
+import type { Totals } from './crash-simulation.js';
 
 const CONTACT_MS = 3000;
 
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -114,6 +114,7 @@
         service: route.services[0]!.service,
         account: 'kingston',
         expiresAtMs: nowMs + route.timeoutMs,
+        fingerprint: id,
         promptParts: [
           { id: 'shared', tokens: 4000 },
           { id: id.padEnd(8, '0'), tokens: 1000 },
--- a/packages/core/test/measure/choose-server.ts
+++ b/packages/core/test/measure/choose-server.ts
@@ -52,6 +52,7 @@
         { id: `shared-${index % PROMPTS}`, tokens: 4000 },
         { id: `own-${index}`, tokens: 1000 },
       ],
+      fingerprint: `q${index}`,
       promptTokens: 5000,
       maxOutputTokens: 100,
     };
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -52,6 +52,7 @@
           end: outcome,
           detail,
           sharedParts: sharedPartIds(exchange.attributes.promptParts),
+          fingerprint: exchange.attributes.fingerprint,
         });
       }
       parts.loop.dispatch({ kind: 'attempt-ended', attempt, outcome, detail, nowMs: clock() });
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -7,6 +7,7 @@
 import type { EdgeContext, EdgeParts } from '../types.js';
 import { createResponseSink, writeRefusal } from './exchange.js';
 import type { Exchange } from './exchange.js';
+import { fingerprintRequest } from './fingerprint.js';
 import { readBody } from './read-body.js';
 import type { ReadBodyResult } from './read-body.js';
 import { createRequestQueue } from './request-queue.js';
@@ -112,7 +113,16 @@
           req,
           res,
           headers,
-          attributes: validation.attributes,
+          attributes: {
+            ...validation.attributes,
+            fingerprint: fingerprintRequest({
+              method: req.method!,
+              host: headers.host,
+              target: req.url!,
+              account: validation.attributes.account,
+              bodyDigest: result.digest,
+            }),
+          },
           body: result.body,
         });
       else if (result.reason === 'too-large') reject(res, headers, BODY_TOO_LARGE_REFUSAL);
--- a/packages/edge/src/callers/request-validator.ts
+++ b/packages/edge/src/callers/request-validator.ts
@@ -10,9 +10,12 @@
 } from '@kingcupsill/core/direct';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 
+/** Attributes that are known before the body has been read. */
+export type ReceivedAttributes = Omit<RequestAttributes, 'fingerprint'>;
+
 /** Attributes of a valid request, or the refusal of an invalid one. */
 export type ValidationResult =
-  { ok: true; attributes: RequestAttributes } | { ok: false; refusal: Refusal };
+  { ok: true; attributes: ReceivedAttributes } | { ok: false; refusal: Refusal };
 
 /** Validates requests before they are dispatched to the reducer. */
 export interface RequestValidator {
@@ -51,7 +54,7 @@
   account,
   headers,
   arrivedMs,
-}: ValidRequest): RequestAttributes {
+}: ValidRequest): ReceivedAttributes {
   const remainingMs = Math.min(route.timeoutMs, headers.deadlineMs ?? route.timeoutMs);
   return {
     route,
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -57,7 +57,14 @@
     const exchange = parts.exchanges.get(effect.request);
     if (exchange === undefined) return;
     const { request, attempt, isRetry, decisionInputs } = effect;
-    logger.info('request-sent', { request, attempt, repeat: isRetry, ...decisionInputs });
+    const { fingerprint } = exchange.attributes;
+    logger.info('request-sent', {
+      request,
+      attempt,
+      repeat: isRetry,
+      fingerprint,
+      ...decisionInputs,
+    });
     parts.metrics.countAttempt(isRetry);
     exchange.bufferedResponse = undefined;
     const attemptRequest = buildAttemptRequest(effect, exchange);
