--- /dev/null
+++ b/packages/core/test/direct/crashing-request.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RetryPolicy } from '../../src/direct/index.js';
+import type { RequestAttributes, Route } from '../../src/direct/index.js';
+import { createSimulation } from './crash-simulation.js';
+import type { Totals } from './crash-simulation.js';
+import { sampleConfig, sampleRoute } from './sample.js';
+
+const CONTACT_MS = 3000;
+const STEPS = 140;
+const NO_PROMPT = { promptParts: [], promptTokens: 0 };
+
+const SAFE = { streaming: false, retryPolicy: RetryPolicy.Any };
+const UNSAFE = { streaming: false, retryPolicy: RetryPolicy.Never };
+const RESUMABLE = { streaming: true, retryPolicy: RetryPolicy.Resume };
+
+interface Repeated {
+  name: string;
+  route: Partial<Route>;
+  attributes: (index: number) => Partial<RequestAttributes>;
+}
+
+const SAME_REQUEST = { ...NO_PROMPT, fingerprint: 'crashing' };
+const REPEATED: Repeated[] = [
+  { name: 'an idempotent request', route: SAFE, attributes: () => SAME_REQUEST },
+  { name: 'a non-idempotent request', route: UNSAFE, attributes: () => SAME_REQUEST },
+  { name: 'a stream without a prompt', route: RESUMABLE, attributes: () => SAME_REQUEST },
+  {
+    name: 'a prompt whose own part comes again',
+    route: RESUMABLE,
+    attributes: (index) => ({
+      fingerprint: `other-${index}`,
+      promptParts: ['first', 'own-part'].map((id) => ({ id, tokens: 200 })),
+    }),
+  },
+];
+
+/** Plays 14 s of sound requests, beside which one request that crashes its server comes again and again. */
+function play({ route, attributes }: Repeated, routerCount: number): Totals {
+  const config = sampleConfig(1, [sampleRoute(route)]);
+  const simulation = createSimulation(routerCount, config);
+  const { routers } = simulation;
+  for (let index = 0; index < STEPS; index += 1) {
+    const router = routers[index % routerCount]!;
+    const sound = { ...attributes(index), fingerprint: `sound-${index}` };
+    const promptParts = sound.promptParts?.map(({ id, tokens }) => ({
+      id: id === 'own-part' ? `own-${index}` : id,
+      tokens,
+    }));
+    simulation.sendRequest(
+      router,
+      `sound-${index}`,
+      { ...sound, promptParts: promptParts! },
+      false,
+    );
+    const other = routers[Math.floor(index / 4) % routerCount]!;
+    if (index > 8 && index % 4 === 0)
+      simulation.sendRequest(other, `crashing-${index}`, attributes(index), true);
+    simulation.step();
+  }
+  return simulation.totals;
+}
+
+for (const repeated of REPEATED) {
+  for (const routerCount of [1, 5]) {
+    // Guards against a request that crashes the servers that run it and is sent to further ones whenever it comes again.
+    test(
+      `${repeated.name} that crashes servers stops reaching them, with ${routerCount} routers`,
+      { todo: 'KNOWN-RED.txt, issue 36' },
+      () => {
+        const { crashingSentAtMs, crashedAtMs, soundSent, soundRefusedAtMs } = play(
+          repeated,
+          routerCount,
+        );
+        const boundMs = crashedAtMs[2]! + CONTACT_MS;
+        const late = crashingSentAtMs.filter((atMs) => atMs > boundMs);
+        assert.ok(late.length <= 3, `${late.length} of ${crashingSentAtMs.length} after the bound`);
+        const sound = soundSent.filter(({ atMs, isRetry }) => atMs > boundMs && !isRetry);
+        assert.ok(sound.length >= 50, `${sound.length} sound requests sent`);
+        assert.deepEqual(
+          soundRefusedAtMs.filter((atMs) => atMs > boundMs),
+          [],
+        );
+      },
+    );
+  }
+}
