--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crash-evidence.ts
@@ -1,30 +1,30 @@
 /** Event handling around prompt parts that crash servers: collects evidence, exchanges it with peers and blocks parts. */
-import { createPartBlocks } from './blocked-parts.js';
-import type { BlockedParts, PartBlocks } from './blocked-parts.js';
+import { createCrashBlocks } from './blocked-parts.js';
+import type { BlockedTraits, CrashBlocks } from './blocked-parts.js';
 import { createCrashSuspects } from './crash-suspects.js';
 import type { CrashSuspects } from './crash-suspects.js';
 import type { DirectEffect } from './events.js';
 import { sharedPartIds } from './prompt-parts.js';
-import { createServedParts } from './served-parts.js';
-import type { ServedParts } from './served-parts.js';
+import { createServedTraits } from './served-parts.js';
+import type { ServedTraits } from './served-parts.js';
 import { AttemptOutcome } from './types.js';
 import type { PromptPart } from './types.js';
 
 /** What routers tell each other about prompt parts that crash servers. */
 export interface CrashNews {
   /** Parts of requests whose attempts broke when a server crashed. */
-  crashes: [serverKey: string, partIds: string[]][];
+  crashes: [serverKey: string, traits: string[]][];
   /** Suspected parts of answered requests. */
   served: string[];
-  blocked: BlockedParts[];
+  blocked: BlockedTraits[];
 }
 
 /** Crash evidence of one router. */
 export interface CrashEvidence {
   suspects: CrashSuspects;
-  blocks: PartBlocks;
+  blocks: CrashBlocks;
   /** Parts of requests that were answered through this router. */
-  ownServed: ServedParts;
+  ownServed: ServedTraits;
   /** News for the next report to peers. */
   news: CrashNews;
 }
@@ -64,8 +64,8 @@
 export function createCrashEvidence(): CrashEvidence {
   return {
     suspects: createCrashSuspects(),
-    blocks: createPartBlocks(),
-    ownServed: createServedParts(),
+    blocks: createCrashBlocks(),
+    ownServed: createServedTraits(),
     news: createCrashNews(),
   };
 }
@@ -79,16 +79,16 @@
   begunAtMs: number | undefined;
 }
 
-function noteBlocked(partIds: readonly string[], forMs: number, source: string): DirectEffect {
-  const fields = { parts: partIds.join(','), forMs: Math.round(forMs), source };
+function noteBlocked(traits: readonly string[], forMs: number, source: string): DirectEffect {
+  const fields = { parts: traits.join(','), forMs: Math.round(forMs), source };
   return { kind: 'note', event: 'prompt-parts-blocked', fields };
 }
 
-function noteCleared(partIds: readonly string[], source: string): DirectEffect {
+function noteCleared(traits: readonly string[], source: string): DirectEffect {
   return {
     kind: 'note',
     event: 'prompt-parts-cleared',
-    fields: { parts: partIds.join(','), source },
+    fields: { parts: traits.join(','), source },
   };
 }
 
@@ -99,19 +99,19 @@
   nowMs: number,
 ): DirectEffect[] {
   // The request's own part occurs in no other request.
-  const partIds = sharedPartIds(promptParts);
+  const traits = sharedPartIds(promptParts);
   if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, nowMs);
   if (outcome === AttemptOutcome.Complete) {
-    ownServed.record(partIds, nowMs);
-    news.served.push(...suspects.recordServed(partIds, nowMs));
-    if (blocks.clear(partIds)) {
-      news.served.push(...partIds);
-      return [noteCleared(partIds, 'answer')];
+    ownServed.record(traits, nowMs);
+    news.served.push(...suspects.recordServed(traits, nowMs));
+    if (blocks.clear(traits)) {
+      news.served.push(...traits);
+      return [noteCleared(traits, 'answer')];
     }
   }
   const hasBegunLongAgo = begunAtMs !== undefined && nowMs - begunAtMs > MAX_CRASH_AGE_MS;
   if (outcome !== AttemptOutcome.Unknown || hasBegunLongAgo) return [];
-  const suspected = partIds.filter((partId) => !suspects.isServed(partId, nowMs));
+  const suspected = traits.filter((trait) => !suspects.isServed(trait, nowMs));
   if (suspected.length === 0) return [];
   suspects.recordCrash(serverKey, suspected, nowMs);
   news.crashes.push([serverKey, suspected]);
@@ -124,17 +124,17 @@
   { crashes, served, blocked }: CrashNews,
   nowMs: number,
 ): DirectEffect[] {
-  crashes.forEach(([serverKey, partIds]) => {
+  crashes.forEach(([serverKey, traits]) => {
     // Repeating what peers have stated would keep a part cleared for ever.
-    news.served.push(...partIds.filter((partId) => ownServed.isServed(partId, nowMs)));
-    const suspected = partIds.filter((partId) => !suspects.isServed(partId, nowMs));
+    news.served.push(...traits.filter((trait) => ownServed.isServed(trait, nowMs)));
+    const suspected = traits.filter((trait) => !suspects.isServed(trait, nowMs));
     suspects.recordCrash(serverKey, suspected, nowMs);
   });
   suspects.recordServed(served, nowMs);
   const cleared = blocks.clear(served) ? [noteCleared(served, 'peer')] : [];
   const newlyBlocked = blocked
     .filter((block) => blocks.applyPeerBlock(block, nowMs))
-    .map(({ partIds, remainingMs }) => noteBlocked(partIds, remainingMs, 'peer'));
+    .map(({ traits, remainingMs }) => noteBlocked(traits, remainingMs, 'peer'));
   return [...cleared, ...newlyBlocked];
 }
 
@@ -145,15 +145,15 @@
 ): DirectEffect[] {
   const relapsed = blocks
     .listEnded(nowMs)
-    .filter(({ partIds, endedAtMs }) => suspects.hasCrashedWith(partIds, endedAtMs))
-    .map(({ partIds }) => [...partIds]);
+    .filter(({ traits, endedAtMs }) => suspects.hasCrashedWith(traits, endedAtMs))
+    .map(({ traits }) => [...traits]);
   // A peer may have blocked them on the same evidence.
   const culprits = suspects
     .takeCulprits(nowMs)
-    .filter((partIds) => blocks.remainingMs(partIds, nowMs) === 0);
-  return [...relapsed, ...culprits].map((partIds) => {
-    const remainingMs = blocks.block(partIds, nowMs);
-    news.blocked.push({ partIds, remainingMs });
-    return noteBlocked(partIds, remainingMs, 'crashes');
+    .filter((traits) => blocks.remainingMs(traits, nowMs) === 0);
+  return [...relapsed, ...culprits].map((traits) => {
+    const remainingMs = blocks.block(traits, nowMs);
+    news.blocked.push({ traits, remainingMs });
+    return noteBlocked(traits, remainingMs, 'crashes');
   });
 }
--- a/packages/core/src/direct/crash-suspects.ts
+++ b/packages/core/src/direct/crash-suspects.ts
@@ -2,34 +2,34 @@
  * Finds the prompt parts that crash the servers that answer them, from the requests whose attempts broke when servers crashed. A part
  * of answered requests isn't suspected; among the others, the part that explains most crashes is held responsible for them.
  */
-import { createServedParts } from './served-parts.js';
-import type { ServedParts } from './served-parts.js';
+import { createServedTraits } from './served-parts.js';
+import type { ServedTraits } from './served-parts.js';
 
 /** Evidence of crashes by prompt part. */
 export interface CrashSuspects {
   /** Records that attempts with these parts broke when a server crashed. */
-  recordCrash(serverKey: string, partIds: readonly string[], nowMs: number): void;
+  recordCrash(serverKey: string, traits: readonly string[], nowMs: number): void;
   /** Records that a request with these parts was answered. Returns the parts that were suspected until then. */
-  recordServed(partIds: readonly string[], nowMs: number): string[];
+  recordServed(traits: readonly string[], nowMs: number): string[];
   /** Records that a server answers; a broken attempt shortly before was no crash. */
   recordServerAlive(serverKey: string, nowMs: number): void;
   /** Returns whether one of the parts is suspected of several crashes. */
-  isSuspected(partIds: readonly string[], nowMs: number): boolean;
+  isSuspected(traits: readonly string[], nowMs: number): boolean;
   /** Returns whether a request with the part was answered after `atMs` or not long before it. */
-  isServed(partId: string, atMs: number): boolean;
+  isServed(trait: string, atMs: number): boolean;
   /**
    * Returns the parts that are responsible for crashes and removes their evidence. Parts of one group occurred in the same crashes,
    * so that only a request with all of them is known to crash its server.
    */
   takeCulprits(nowMs: number): string[][];
   /** Returns whether all parts occurred in a crash after `sinceMs`. */
-  hasCrashedWith(partIds: readonly string[], sinceMs: number): boolean;
+  hasCrashedWith(traits: readonly string[], sinceMs: number): boolean;
 }
 
 interface Crash {
   serverKey: string;
   atMs: number;
-  partIds: Set<string>;
+  traits: Set<string>;
 }
 
 /** Maximum time between the first and the last broken attempt of one crash, over all routers' reports. */
@@ -48,62 +48,60 @@
 const ALIVE_UNTIL_MS = 2000;
 
 /** Returns the crashes by the parts that may be responsible for them. */
-function groupByPart(crashes: readonly Crash[], served: ServedParts): Map<string, Crash[]> {
-  const byPart = new Map<string, Crash[]>();
+function groupByTrait(crashes: readonly Crash[], served: ServedTraits): Map<string, Crash[]> {
+  const byTrait = new Map<string, Crash[]>();
   crashes.forEach((crash) => {
-    crash.partIds.forEach((partId) => {
-      if (served.isServed(partId, crash.atMs)) return;
-      byPart.set(partId, [...(byPart.get(partId) ?? []), crash]);
+    crash.traits.forEach((trait) => {
+      if (served.isServed(trait, crash.atMs)) return;
+      byTrait.set(trait, [...(byTrait.get(trait) ?? []), crash]);
     });
   });
-  return byPart;
+  return byTrait;
 }
 
 /** Returns the parts that occurred in most crashes, and these crashes. */
 function findBestGroup(
   crashes: readonly Crash[],
-  served: ServedParts,
-): { partIds: string[]; explained: Crash[] } {
-  const byPart = groupByPart(crashes, served);
-  const explained = [...byPart.values()].reduce(
+  served: ServedTraits,
+): { traits: string[]; explained: Crash[] } {
+  const byTrait = groupByTrait(crashes, served);
+  const explained = [...byTrait.values()].reduce(
     (best, next) => (next.length > best.length ? next : best),
     [],
   );
-  const partIds = [...byPart].flatMap(([partId, own]) =>
-    own.length === explained.length && own.every((crash) => explained.includes(crash))
-      ? partId
-      : [],
+  const traits = [...byTrait].flatMap(([trait, own]) =>
+    own.length === explained.length && own.every((crash) => explained.includes(crash)) ? trait : [],
   );
-  return { partIds, explained };
+  return { traits, explained };
 }
 
 /** Creates the evidence of a router that has seen no crash. */
 export function createCrashSuspects(): CrashSuspects {
   let crashes: Crash[] = [];
-  const served = createServedParts();
+  const served = createServedTraits();
 
   function prune(nowMs: number): void {
     crashes = crashes.filter(({ atMs }) => nowMs - atMs < CRASH_MEMORY_MS).slice(-MAX_CRASHES);
   }
 
   return {
-    recordCrash(serverKey, partIds, nowMs) {
-      if (partIds.length === 0) return;
+    recordCrash(serverKey, traits, nowMs) {
+      if (traits.length === 0) return;
       prune(nowMs);
       let crash = crashes.find(
         (known) => known.serverKey === serverKey && nowMs - known.atMs < SAME_CRASH_MS,
       );
       if (crash === undefined) {
-        crash = { serverKey, atMs: nowMs, partIds: new Set() };
+        crash = { serverKey, atMs: nowMs, traits: new Set() };
         crashes.push(crash);
       }
-      partIds.forEach((partId) => crash.partIds.add(partId));
+      traits.forEach((trait) => crash.traits.add(trait));
     },
-    recordServed(partIds, nowMs) {
-      served.record(partIds, nowMs);
+    recordServed(traits, nowMs) {
+      served.record(traits, nowMs);
       if (crashes.length === 0) return [];
-      const cleared = partIds.filter((id) => crashes.some((crash) => crash.partIds.has(id)));
-      crashes.forEach((crash) => cleared.forEach((partId) => crash.partIds.delete(partId)));
+      const cleared = traits.filter((id) => crashes.some((crash) => crash.traits.has(id)));
+      crashes.forEach((crash) => cleared.forEach((trait) => crash.traits.delete(trait)));
       return cleared;
     },
     recordServerAlive(serverKey, nowMs) {
@@ -113,11 +111,11 @@
         return crashedKey !== serverKey || sinceMs < ALIVE_AFTER_MS || sinceMs > ALIVE_UNTIL_MS;
       });
     },
-    isSuspected(partIds, nowMs) {
+    isSuspected(traits, nowMs) {
       if (crashes.length < MIN_SUSPECTED_CRASHES) return false;
       prune(nowMs);
-      const byPart = groupByPart(crashes, served);
-      return partIds.some((partId) => (byPart.get(partId)?.length ?? 0) >= MIN_SUSPECTED_CRASHES);
+      const byTrait = groupByTrait(crashes, served);
+      return traits.some((trait) => (byTrait.get(trait)?.length ?? 0) >= MIN_SUSPECTED_CRASHES);
     },
     isServed: served.isServed,
     takeCulprits(nowMs) {
@@ -125,16 +123,16 @@
       const culprits: string[][] = [];
       let unexplained = crashes;
       for (;;) {
-        const { partIds, explained } = findBestGroup(unexplained, served);
+        const { traits, explained } = findBestGroup(unexplained, served);
         if (explained.length < MIN_CRASHES) return culprits;
         unexplained = unexplained.filter((crash) => !explained.includes(crash));
         if (nowMs - explained[MIN_CRASHES - 1]!.atMs >= CONFIRMATION_MS) {
-          culprits.push(partIds);
+          culprits.push(traits);
           crashes = crashes.filter((crash) => !explained.includes(crash));
         }
       }
     },
-    hasCrashedWith: (partIds, sinceMs) =>
-      crashes.some((crash) => crash.atMs > sinceMs && partIds.every((id) => crash.partIds.has(id))),
+    hasCrashedWith: (traits, sinceMs) =>
+      crashes.some((crash) => crash.atMs > sinceMs && traits.every((id) => crash.traits.has(id))),
   };
 }
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -1,5 +1,5 @@
 /** Description of a direct router's state as plain data, for summaries and dumps. */
-import type { BlockedParts } from './blocked-parts.js';
+import type { BlockedTraits } from './blocked-parts.js';
 import type { DirectState, DirectTotals } from './state.js';
 
 /** Description of one backend server. */
@@ -36,7 +36,7 @@
   totals: DirectTotals;
   servers: ServerDescription[];
   /** Prompt parts whose requests are refused because they crash servers. */
-  blockedParts: BlockedParts[];
+  blockedParts: BlockedTraits[];
 }
 
 const roundToHundredths = (value: number): number => Math.round(value * 100) / 100;
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -2,7 +2,7 @@
  * Sums of the load reports that pass a router. A report from one link changes the sums for the links to which it may be passed on;
  * what changed is sent with the next report of each link, so several changes of one server cost one entry.
  */
-import type { PartBlocks } from './blocked-parts.js';
+import type { CrashBlocks } from './blocked-parts.js';
 import { createCrashNews } from './crash-evidence.js';
 import type { RouterReport } from './events.js';
 import { createPendingReport } from './pending-report.js';
@@ -67,7 +67,7 @@
   router: string;
   storeNews: StoreNews;
   /** Prompt parts that this router blocks. */
-  blocks: PartBlocks;
+  blocks: CrashBlocks;
   serverLimits: ServerLimits;
 }
 
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -212,9 +212,9 @@
     blocks,
     serverLimits: createServerLimits(() => 0),
   });
-  blocks.applyPeerBlock({ partIds: ['crashing'], remainingMs: 120_000 }, 1000);
+  blocks.applyPeerBlock({ traits: ['crashing'], remainingMs: 120_000 }, 1000);
   exchange.open('late', LinkKind.Member, 5000);
   assert.deepEqual(exchange.compose('late', 5000)?.crashNews.blocked, [
-    { partIds: ['crashing'], remainingMs: 116_000 },
+    { traits: ['crashing'], remainingMs: 116_000 },
   ]);
 });
--- a/packages/core/test/direct/report-exchange.test.ts
+++ b/packages/core/test/direct/report-exchange.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import {
   createEmptyReport,
-  createPartBlocks,
+  createCrashBlocks,
   createReportExchange,
   createServerLimits,
   createStoreNews,
@@ -22,7 +22,7 @@
   createReportExchange({
     router,
     storeNews,
-    blocks: createPartBlocks(),
+    blocks: createCrashBlocks(),
     serverLimits: createServerLimits(() => 0),
   });
 
--- a/packages/core/test/direct/server-limits.test.ts
+++ b/packages/core/test/direct/server-limits.test.ts
@@ -4,7 +4,7 @@
 import {
   AttemptOutcome,
   createEmptyReport,
-  createPartBlocks,
+  createCrashBlocks,
   createReporter,
   createReportExchange,
   createServerLimits,
@@ -227,7 +227,7 @@
   const exchange = createReportExchange({
     router: 'r1',
     storeNews: createStoreNews(),
-    blocks: createPartBlocks(),
+    blocks: createCrashBlocks(),
     serverLimits,
   });
   exchange.open('late', LinkKind.Member, 3000);
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -1,7 +1,7 @@
 /** Exchange of load reports with the other routers over links to and from the hubs of groups. */
 import { createReportExchange, LinkKind, planExchange } from '@kingcupsill/core/direct';
 import type {
-  PartBlocks,
+  CrashBlocks,
   RouterInfo,
   RouterReport,
   ServerLimits,
@@ -25,7 +25,7 @@
   /** Name and incarnation of this router, which its reports carry. */
   router: string;
   storeNews: StoreNews;
-  blocks: PartBlocks;
+  blocks: CrashBlocks;
   serverLimits: ServerLimits;
   /** Called with each received report; `router` in it names the link. */
   onReport: (report: RouterReport) => void;
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -31,9 +31,9 @@
 /** The rate is null for a server whose limit is lifted. */
 type WireLimit = [serverKey: string, requestsPerSecond: number | null, ageMs: number];
 type WireCrashNews = [
-  crashes: [serverKey: string, partIds: string[]][],
+  crashes: [serverKey: string, traits: string[]][],
   served: string[],
-  blocked: [partIds: string[], remainingMs: number][],
+  blocked: [traits: string[], remainingMs: number][],
 ];
 type WireStoreNews = [kind: string, era: number | null, revision: number, ageMs: number];
 
@@ -65,8 +65,8 @@
 
 function crashNewsToWire(news: CrashNews): WireCrashNews | null {
   if (!hasCrashNews(news)) return null;
-  const blocked = news.blocked.map(({ partIds, remainingMs }): [string[], number] => [
-    partIds,
+  const blocked = news.blocked.map(({ traits, remainingMs }): [string[], number] => [
+    traits,
     Math.round(remainingMs),
   ]);
   return [news.crashes, news.served, blocked];
@@ -78,7 +78,7 @@
   return {
     crashes,
     served,
-    blocked: blocked.map(([partIds, remainingMs]) => ({ partIds, remainingMs })),
+    blocked: blocked.map(([traits, remainingMs]) => ({ traits, remainingMs })),
   };
 }
 
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createHasher } from '@kingcupsill/core/hash';
 import { WebSocket } from 'ws';
-import { createPartBlocks, createServerLimits, createStoreNews } from '@kingcupsill/core/direct';
+import { createCrashBlocks, createServerLimits, createStoreNews } from '@kingcupsill/core/direct';
 import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
@@ -29,7 +29,7 @@
   crashNews: {
     crashes: [['e1@1', ['p1', 'p2']]],
     served: ['p1'],
-    blocked: [{ partIds: ['p3'], remainingMs: 1000 }],
+    blocked: [{ traits: ['p3'], remainingMs: 1000 }],
   },
   limits: [],
   demand: [['llm', 7]],
@@ -68,7 +68,7 @@
     onPeerLost: (link) => lost.push(link),
     onSent: () => undefined,
     storeNews: createStoreNews(),
-    blocks: createPartBlocks(),
+    blocks: createCrashBlocks(),
     serverLimits: createServerLimits(() => 0),
   });
   return { info, links, received, lost };
