Refuse requests that crash servers when they come again, whatever their traits

Cause: evidence of crashes was kept by shared prompt parts; requests to application servers have none, and a prompt's own part was left out.

The request as a whole (fingerprint) and all prompt parts are now traits in the one mechanism of evidence, exoneration, news and blocks. Traits are blocked together only if they occurred in the same requests; where requests without a common trait were at all crashed servers, a fourth crash decides.

Evidence: crashing-request.test.ts failed before (8 of 8, 22 to 46 late arrivals), holds now.

The tests of crashing parts gave all requests of one test the same own part; they now have different ones, as their comment says.

--- a/packages/core/src/direct/blocked-parts.ts
+++ b/packages/core/src/direct/blocked-parts.ts
@@ -1,24 +1,24 @@
-/** Prompt parts whose requests are refused for a time, because they crash the servers that answer them. */
+/** Traits whose requests are refused for a time, because they crash the servers that run them. */
 import { evictLeastRecentlyUsed, markRecentlyUsed } from '../collections/index.js';
 
-/** Group of parts; only requests that contain all of them are blocked. */
+/** Group of traits; only requests that contain all of them are blocked. */
 export interface BlockedTraits {
   traits: string[];
   remainingMs: number;
 }
 
-/** Blocked groups of parts. */
+/** Blocked groups of traits. */
 export interface CrashBlocks {
   /** Blocks a group, longer than the last time if it was blocked before. Returns the time, in milliseconds. */
   block(traits: readonly string[], nowMs: number): number;
   /** Applies a peer's block. Returns whether it is new. */
   applyPeerBlock(blocked: BlockedTraits, nowMs: number): boolean;
   /**
-   * Removes parts from the groups, since requests with them are answered; the other parts of a group remain blocked. Returns whether
+   * Removes traits from the groups, since requests with them are answered; the others of a group remain blocked. Returns whether
    * a group contained one of them.
    */
   clear(traits: readonly string[]): boolean;
-  /** Returns the time for which a request with these parts remains blocked; 0 if it isn't. */
+  /** Returns the time for which a request with these traits remains blocked; 0 if it isn't. */
   remainingMs(traits: readonly string[], nowMs: number): number;
   listActive(nowMs: number): BlockedTraits[];
   /** Returns the groups whose block has ended, with the time of its end. */
--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crash-evidence.ts
@@ -1,20 +1,18 @@
-/** Event handling around prompt parts that crash servers: collects evidence, exchanges it with peers and blocks parts. */
+/** Event handling around requests that crash servers: collects evidence, exchanges it with peers and blocks traits. */
 import { createCrashBlocks } from './blocked-parts.js';
 import type { BlockedTraits, CrashBlocks } from './blocked-parts.js';
 import { createCrashSuspects } from './crash-suspects.js';
 import type { CrashSuspects } from './crash-suspects.js';
 import type { DirectEffect } from './events.js';
-import { sharedPartIds } from './prompt-parts.js';
 import { createServedTraits } from './served-parts.js';
 import type { ServedTraits } from './served-parts.js';
 import { AttemptOutcome } from './types.js';
-import type { PromptPart } from './types.js';
 
-/** What routers tell each other about prompt parts that crash servers. */
+/** What routers tell each other about requests that crash servers. */
 export interface CrashNews {
-  /** Parts of requests whose attempts broke when a server crashed. */
+  /** Traits of requests whose attempts broke when a server crashed. */
   crashes: [serverKey: string, traits: string[]][];
-  /** Suspected parts of answered requests. */
+  /** Suspected traits of answered requests. */
   served: string[];
   blocked: BlockedTraits[];
 }
@@ -23,7 +21,7 @@
 export interface CrashEvidence {
   suspects: CrashSuspects;
   blocks: CrashBlocks;
-  /** Parts of requests that were answered through this router. */
+  /** Traits of requests that were answered through this router. */
   ownServed: ServedTraits;
   /** News for the next report to peers. */
   news: CrashNews;
@@ -74,32 +72,31 @@
 export interface EndedAttempt {
   serverKey: string;
   outcome: AttemptOutcome;
-  promptParts: readonly PromptPart[];
+  /** Traits of the request. */
+  traits: readonly string[];
   /** Time of the first event; undefined if there was none. */
   begunAtMs: number | undefined;
 }
 
 function noteBlocked(traits: readonly string[], forMs: number, source: string): DirectEffect {
-  const fields = { parts: traits.join(','), forMs: Math.round(forMs), source };
-  return { kind: 'note', event: 'prompt-parts-blocked', fields };
+  const fields = { traits: traits.join(','), forMs: Math.round(forMs), source };
+  return { kind: 'note', event: 'crashing-requests-blocked', fields };
 }
 
 function noteCleared(traits: readonly string[], source: string): DirectEffect {
   return {
     kind: 'note',
-    event: 'prompt-parts-cleared',
-    fields: { parts: traits.join(','), source },
+    event: 'crashing-requests-cleared',
+    fields: { traits: traits.join(','), source },
   };
 }
 
 /** Records the end of one of this router's own attempts. Returns the log lines of changed beliefs. */
 export function recordAttemptEnd(
   { suspects, blocks, ownServed, news }: CrashEvidence,
-  { serverKey, outcome, promptParts, begunAtMs }: EndedAttempt,
+  { serverKey, outcome, traits, begunAtMs }: EndedAttempt,
   nowMs: number,
 ): DirectEffect[] {
-  // The request's own part occurs in no other request.
-  const traits = sharedPartIds(promptParts);
   if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, nowMs);
   if (outcome === AttemptOutcome.Complete) {
     ownServed.record(traits, nowMs);
@@ -125,7 +122,7 @@
   nowMs: number,
 ): DirectEffect[] {
   crashes.forEach(([serverKey, traits]) => {
-    // Repeating what peers have stated would keep a part cleared for ever.
+    // Repeating what peers have stated would keep a trait cleared for ever.
     news.served.push(...traits.filter((trait) => ownServed.isServed(trait, nowMs)));
     const suspected = traits.filter((trait) => !suspects.isServed(trait, nowMs));
     suspects.recordCrash(serverKey, suspected, nowMs);
@@ -138,7 +135,7 @@
   return [...cleared, ...newlyBlocked];
 }
 
-/** Blocks the parts that are responsible for crashes, and those that crash servers again after their block. */
+/** Blocks the traits that are responsible for crashes, and those that crash servers again after their block. */
 export function blockCulprits(
   { suspects, blocks, news }: CrashEvidence,
   nowMs: number,
--- a/packages/core/src/direct/crash-suspects.ts
+++ b/packages/core/src/direct/crash-suspects.ts
@@ -1,35 +1,43 @@
 /**
- * Finds the prompt parts that crash the servers that answer them, from the requests whose attempts broke when servers crashed. A part
- * of answered requests isn't suspected; among the others, the part that explains most crashes is held responsible for them.
+ * Finds the traits of requests that crash the servers that run them, from the requests whose attempts broke when servers crashed. A
+ * trait of answered requests isn't suspected; among the others, the trait that explains most crashes is held responsible for them.
  */
 import { createServedTraits } from './served-parts.js';
 import type { ServedTraits } from './served-parts.js';
 
-/** Evidence of crashes by prompt part. */
+/** Evidence of crashes by trait. */
 export interface CrashSuspects {
-  /** Records that attempts with these parts broke when a server crashed. */
+  /** Records that the attempt of a request with these traits broke when a server crashed. */
   recordCrash(serverKey: string, traits: readonly string[], nowMs: number): void;
-  /** Records that a request with these parts was answered. Returns the parts that were suspected until then. */
+  /** Records that a request with these traits was answered. Returns the traits that were suspected until then. */
   recordServed(traits: readonly string[], nowMs: number): string[];
   /** Records that a server answers; a broken attempt shortly before was no crash. */
   recordServerAlive(serverKey: string, nowMs: number): void;
-  /** Returns whether one of the parts is suspected of several crashes. */
+  /** Returns whether one of the traits is suspected of several crashes. */
   isSuspected(traits: readonly string[], nowMs: number): boolean;
-  /** Returns whether a request with the part was answered after `atMs` or not long before it. */
+  /** Returns whether a request with the trait was answered after `atMs` or not long before it. */
   isServed(trait: string, atMs: number): boolean;
   /**
-   * Returns the parts that are responsible for crashes and removes their evidence. Parts of one group occurred in the same crashes,
-   * so that only a request with all of them is known to crash its server.
+   * Returns the traits that are responsible for crashes and removes their evidence. Traits of one group occurred together in the same
+   * crashes, so that only a request with all of them is known to crash its server.
    */
   takeCulprits(nowMs: number): string[][];
-  /** Returns whether all parts occurred in a crash after `sinceMs`. */
+  /** Returns whether a request with all traits was at a server that crashed after `sinceMs`. */
   hasCrashedWith(traits: readonly string[], sinceMs: number): boolean;
 }
 
 interface Crash {
   serverKey: string;
   atMs: number;
-  traits: Set<string>;
+  /** Traits of each request whose attempt broke. */
+  requests: Set<string>[];
+}
+
+/** Crashes that the same traits explain. */
+interface Explanation {
+  crashes: Crash[];
+  /** Groups of traits; each of them alone explains the crashes. */
+  groups: string[][];
 }
 
 /** Maximum time between the first and the last broken attempt of one crash, over all routers' reports. */
@@ -37,33 +45,54 @@
 /** Time for which a crash counts. */
 const CRASH_MEMORY_MS = 30_000;
 const MAX_CRASHES = 64;
-/** Crashes that one part must explain to be held responsible. */
+/** Maximum number of requests that are kept of one crash. */
+const MAX_REQUESTS_PER_CRASH = 128;
+/** Crashes that one trait must explain to be held responsible. */
 const MIN_CRASHES = 3;
-/** Crashes from which a part is suspected. */
+/** Crashes that traits of different requests must explain: one of them may have been a victim of the other each time. */
+const MIN_AMBIGUOUS_CRASHES = 4;
+/** Crashes from which a trait is suspected. */
 const MIN_SUSPECTED_CRASHES = 2;
-/** Time after the last required crash in which an answer to a request with the part can still clear it. */
+/** Time after the last required crash in which an answer to a request with the trait can still clear it. */
 const CONFIRMATION_MS = 500;
 /** Times after a broken attempt in which an answer shows that its server hasn't crashed. */
 const ALIVE_AFTER_MS = 200;
 const ALIVE_UNTIL_MS = 2000;
 
-/** Returns the crashes by the parts that may be responsible for them. */
+function hasTrait(crash: Crash, trait: string): boolean {
+  return crash.requests.some((traits) => traits.has(trait));
+}
+
+/** Returns the crashes by the traits that may be responsible for them. */
 function groupByTrait(crashes: readonly Crash[], served: ServedTraits): Map<string, Crash[]> {
   const byTrait = new Map<string, Crash[]>();
   crashes.forEach((crash) => {
-    crash.traits.forEach((trait) => {
+    const traits = new Set(crash.requests.flatMap((request) => [...request]));
+    traits.forEach((trait) => {
       if (served.isServed(trait, crash.atMs)) return;
-      byTrait.set(trait, [...(byTrait.get(trait) ?? []), crash]);
+      const known = byTrait.get(trait);
+      if (known === undefined) byTrait.set(trait, [crash]);
+      else known.push(crash);
     });
   });
   return byTrait;
 }
 
-/** Returns the parts that occurred in most crashes, and these crashes. */
-function findBestGroup(
-  crashes: readonly Crash[],
-  served: ServedTraits,
-): { traits: string[]; explained: Crash[] } {
+/** Groups traits by whether they occurred in the same requests. */
+function groupByRequest(traits: readonly string[], crashes: readonly Crash[]): string[][] {
+  const groups: string[][] = [];
+  traits.forEach((trait) => {
+    const group = groups.find(([first]) =>
+      crashes.every(({ requests }) => requests.some((own) => own.has(first!) && own.has(trait))),
+    );
+    if (group === undefined) groups.push([trait]);
+    else group.push(trait);
+  });
+  return groups;
+}
+
+/** Returns the crashes that one trait explains, as many as possible, and all traits that explain the same ones. */
+function findBestExplanation(crashes: readonly Crash[], served: ServedTraits): Explanation {
   const byTrait = groupByTrait(crashes, served);
   const explained = [...byTrait.values()].reduce(
     (best, next) => (next.length > best.length ? next : best),
@@ -72,67 +101,107 @@
   const traits = [...byTrait].flatMap(([trait, own]) =>
     own.length === explained.length && own.every((crash) => explained.includes(crash)) ? trait : [],
   );
-  return { traits, explained };
+  return { crashes: explained, groups: groupByRequest(traits, explained) };
+}
+
+function requiredCrashes({ groups }: Explanation): number {
+  return groups.length > 1 ? MIN_AMBIGUOUS_CRASHES : MIN_CRASHES;
+}
+
+/** Returns all explanations that are based on enough crashes. */
+function findExplanations(crashes: readonly Crash[], served: ServedTraits): Explanation[] {
+  const explanations: Explanation[] = [];
+  let unexplained = crashes;
+  for (;;) {
+    const best = findBestExplanation(unexplained, served);
+    if (best.crashes.length < MIN_CRASHES) return explanations;
+    unexplained = unexplained.filter((crash) => !best.crashes.includes(crash));
+    if (best.crashes.length >= requiredCrashes(best)) explanations.push(best);
+  }
 }
 
 /** Creates the evidence of a router that has seen no crash. */
 export function createCrashSuspects(): CrashSuspects {
   let crashes: Crash[] = [];
   const served = createServedTraits();
+  /** Undefined after a change of the evidence, since the search is costly and runs at each tick. */
+  let explanations: Explanation[] | undefined;
+
+  function replaceCrashes(kept: Crash[]): void {
+    if (kept.length !== crashes.length) explanations = undefined;
+    crashes = kept;
+  }
 
   function prune(nowMs: number): void {
-    crashes = crashes.filter(({ atMs }) => nowMs - atMs < CRASH_MEMORY_MS).slice(-MAX_CRASHES);
+    replaceCrashes(
+      crashes.filter(({ atMs }) => nowMs - atMs < CRASH_MEMORY_MS).slice(-MAX_CRASHES),
+    );
+  }
+
+  function getCrash(serverKey: string, nowMs: number): Crash {
+    const known = crashes.find(
+      (crash) => crash.serverKey === serverKey && nowMs - crash.atMs < SAME_CRASH_MS,
+    );
+    if (known !== undefined) return known;
+    const crash = { serverKey, atMs: nowMs, requests: [] };
+    crashes.push(crash);
+    return crash;
   }
 
   return {
     recordCrash(serverKey, traits, nowMs) {
       if (traits.length === 0) return;
       prune(nowMs);
-      let crash = crashes.find(
-        (known) => known.serverKey === serverKey && nowMs - known.atMs < SAME_CRASH_MS,
-      );
-      if (crash === undefined) {
-        crash = { serverKey, atMs: nowMs, traits: new Set() };
-        crashes.push(crash);
-      }
-      traits.forEach((trait) => crash.traits.add(trait));
+      const { requests } = getCrash(serverKey, nowMs);
+      if (requests.length < MAX_REQUESTS_PER_CRASH) requests.push(new Set(traits));
+      explanations = undefined;
     },
     recordServed(traits, nowMs) {
       served.record(traits, nowMs);
       if (crashes.length === 0) return [];
-      const cleared = traits.filter((id) => crashes.some((crash) => crash.traits.has(id)));
-      crashes.forEach((crash) => cleared.forEach((trait) => crash.traits.delete(trait)));
+      const cleared = traits.filter((trait) => crashes.some((crash) => hasTrait(crash, trait)));
+      if (cleared.length === 0) return [];
+      crashes.forEach(({ requests }) =>
+        requests.forEach((own) => cleared.forEach((trait) => own.delete(trait))),
+      );
+      explanations = undefined;
       return cleared;
     },
     recordServerAlive(serverKey, nowMs) {
       if (crashes.length === 0) return;
-      crashes = crashes.filter(({ serverKey: crashedKey, atMs }) => {
-        const sinceMs = nowMs - atMs;
-        return crashedKey !== serverKey || sinceMs < ALIVE_AFTER_MS || sinceMs > ALIVE_UNTIL_MS;
-      });
+      replaceCrashes(
+        crashes.filter(({ serverKey: crashedKey, atMs }) => {
+          const sinceMs = nowMs - atMs;
+          return crashedKey !== serverKey || sinceMs < ALIVE_AFTER_MS || sinceMs > ALIVE_UNTIL_MS;
+        }),
+      );
     },
     isSuspected(traits, nowMs) {
       if (crashes.length < MIN_SUSPECTED_CRASHES) return false;
       prune(nowMs);
-      const byTrait = groupByTrait(crashes, served);
-      return traits.some((trait) => (byTrait.get(trait)?.length ?? 0) >= MIN_SUSPECTED_CRASHES);
+      return traits.some((trait) => {
+        const own = crashes.filter((crash) => hasTrait(crash, trait));
+        const unserved = own.filter(({ atMs }) => !served.isServed(trait, atMs));
+        return unserved.length >= MIN_SUSPECTED_CRASHES;
+      });
     },
     isServed: served.isServed,
     takeCulprits(nowMs) {
       prune(nowMs);
-      const culprits: string[][] = [];
-      let unexplained = crashes;
-      for (;;) {
-        const { traits, explained } = findBestGroup(unexplained, served);
-        if (explained.length < MIN_CRASHES) return culprits;
-        unexplained = unexplained.filter((crash) => !explained.includes(crash));
-        if (nowMs - explained[MIN_CRASHES - 1]!.atMs >= CONFIRMATION_MS) {
-          culprits.push(traits);
-          crashes = crashes.filter((crash) => !explained.includes(crash));
-        }
-      }
+      explanations ??= findExplanations(crashes, served);
+      const confirmed = explanations.filter((explanation) => {
+        const lastRequired = explanation.crashes[requiredCrashes(explanation) - 1]!;
+        return nowMs - lastRequired.atMs >= CONFIRMATION_MS;
+      });
+      if (confirmed.length === 0) return [];
+      const explained = new Set(confirmed.flatMap((explanation) => explanation.crashes));
+      replaceCrashes(crashes.filter((crash) => !explained.has(crash)));
+      return confirmed.flatMap(({ groups }) => groups);
     },
     hasCrashedWith: (traits, sinceMs) =>
-      crashes.some((crash) => crash.atMs > sinceMs && traits.every((id) => crash.traits.has(id))),
+      crashes.some(
+        ({ atMs, requests }) =>
+          atMs > sinceMs && requests.some((own) => traits.every((trait) => own.has(trait))),
+      ),
   };
 }
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -35,8 +35,8 @@
   open: number;
   totals: DirectTotals;
   servers: ServerDescription[];
-  /** Prompt parts whose requests are refused because they crash servers. */
-  blockedParts: BlockedTraits[];
+  /** Traits of the requests that are refused because they crash servers. */
+  blockedTraits: BlockedTraits[];
 }
 
 const roundToHundredths = (value: number): number => Math.round(value * 100) / 100;
@@ -65,6 +65,6 @@
     open: state.requests.size,
     totals: { ...state.totals },
     servers,
-    blockedParts: state.crashEvidence.blocks.listActive(nowMs),
+    blockedTraits: state.crashEvidence.blocks.listActive(nowMs),
   };
 }
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -9,6 +9,7 @@
 export * from './exchange-topology.js';
 export * from './placement.js';
 export * from './prefix-cache-estimate.js';
+export { listCrashTraits } from './crashes/crash-traits.js';
 export { sharedPartIds } from './prompt-parts.js';
 export * from './reducer.js';
 export * from './report-exchange.js';
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -66,7 +66,7 @@
   /** Name and incarnation of this router, which its reports carry. */
   router: string;
   storeNews: StoreNews;
-  /** Prompt parts that this router blocks. */
+  /** Requests that this router refuses because they crash servers. */
   blocks: CrashBlocks;
   serverLimits: ServerLimits;
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -4,7 +4,8 @@
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
 import { chooseServer, remainingRequestedWaitMs } from './placement.js';
 import type { Candidate } from './placement.js';
-import { ownTokens, sharedPartIds, sharedParts } from './prompt-parts.js';
+import { listCrashTraits } from './crashes/crash-traits.js';
+import { ownTokens, sharedParts } from './prompt-parts.js';
 import { requestTokens } from './request-tokens.js';
 import { recordSend } from './state.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
@@ -131,13 +132,13 @@
   };
 }
 
-/** Returns the time for which requests with this prompt remain blocked; 0 if they aren't. */
+/** Returns the time for which a request remains blocked because such requests crash servers; 0 if it isn't. */
 function remainingBlockMs(
   { crashEvidence }: DirectState,
-  { promptParts }: RequestAttributes,
+  attributes: RequestAttributes,
   nowMs: number,
 ): number {
-  return crashEvidence.blocks.remainingMs(sharedPartIds(promptParts), nowMs);
+  return crashEvidence.blocks.remainingMs(listCrashTraits(attributes), nowMs);
 }
 
 /** Handles the arrival of a complete request. */
@@ -161,7 +162,7 @@
   const blockMs = remainingBlockMs(state, attributes, nowMs);
   // Not counted as demand of its account, whose other requests are to be served.
   if (blockMs > 0)
-    return refuse(state, request, createNotRunRefusal(RefusalCode.CrashingPrompt, blockMs), {
+    return refuse(state, request, createNotRunRefusal(RefusalCode.CrashingRequest, blockMs), {
       account: attributes.account,
     });
   const tokens = requestTokens(attributes);
@@ -248,8 +249,9 @@
 ): DirectEffect[] {
   state.attempts.delete(attempt.id);
   const { serverKey, begunAtMs } = attempt;
-  const promptParts = state.requests.get(attempt.requestId)?.attributes.promptParts ?? [];
-  const ended = { serverKey, outcome, promptParts, begunAtMs };
+  const attributes = state.requests.get(attempt.requestId)?.attributes;
+  const traits = attributes === undefined ? [] : listCrashTraits(attributes);
+  const ended = { serverKey, outcome, traits, begunAtMs };
   const effects = recordAttemptEnd(state.crashEvidence, ended, nowMs);
   const serverState = state.servers.get(attempt.serverKey);
   if (serverState === undefined) return effects;
@@ -288,7 +290,7 @@
 
 function mayCrashServer(state: DirectState, attributes: RequestAttributes, nowMs: number): boolean {
   const { suspects } = state.crashEvidence;
-  const isSuspected = suspects.isSuspected(sharedPartIds(attributes.promptParts), nowMs);
+  const isSuspected = suspects.isSuspected(listCrashTraits(attributes), nowMs);
   return isSuspected || remainingBlockMs(state, attributes, nowMs) > 0;
 }
 
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -165,8 +165,8 @@
   /** This router is shutting down; other routers may accept the request. */
   ShuttingDown: 'router_shutting_down',
   AccountOverShare: 'account_over_share',
-  /** Requests with the same part of the prompt have crashed their servers. */
-  CrashingPrompt: 'crashing_prompt',
+  /** Such a request, or requests with the same part of the prompt, have crashed their servers. */
+  CrashingRequest: 'crashing_request',
   OutcomeUnknown: 'outcome_unknown',
   TimedOut: 'timed_out',
   BodyTooLarge: 'body_too_large',
--- a/packages/core/test/direct/crashing-part.test.ts
+++ b/packages/core/test/direct/crashing-part.test.ts
@@ -91,10 +91,10 @@
   parts: string[],
   atMs: number,
 ): void {
-  const promptParts = [...parts, 'own'].map((id) => ({ id, tokens: 1 }));
   serverKeys.forEach((serverKey, index) => {
     const outcome = AttemptOutcome.Unknown;
-    const ended = { serverKey, outcome, promptParts, begunAtMs: undefined };
+    const traits = [...parts, `own-${serverKey}`];
+    const ended = { serverKey, outcome, traits, begunAtMs: undefined };
     recordAttemptEnd(evidence, ended, atMs + index * 10);
   });
 }
@@ -123,9 +123,8 @@
   breakAttempts(evidence, THREE_SERVERS, ['first', 'crashing'], 1000);
   assert.equal(blockCulprits(evidence, 1600).length, 1);
   assert.equal(evidence.blocks.remainingMs(['crashing'], 1600), 0);
-  const promptParts = ['first', 'own'].map((id) => ({ id, tokens: 1 }));
   const outcome = AttemptOutcome.Complete;
-  const ended = { serverKey: 'e4@1', outcome, promptParts, begunAtMs: 1700 };
+  const ended = { serverKey: 'e4@1', outcome, traits: ['first', 'own'], begunAtMs: 1700 };
   assert.equal(recordAttemptEnd(evidence, ended, 1800).length, 1);
   assert.ok(evidence.blocks.remainingMs(['crashing'], 1800) > 0);
   assert.equal(evidence.blocks.remainingMs(['first'], 1800), 0);
@@ -145,7 +144,7 @@
     {
       serverKey: 'e9@1',
       outcome: AttemptOutcome.Complete,
-      promptParts: ['rare', 'own'].map((id) => ({ id, tokens: 1 })),
+      traits: ['rare', 'own'],
       begunAtMs: 900,
     },
     950,
@@ -186,8 +185,8 @@
   // Guards against routers that keep a part cleared by repeating to each other that it was answered.
   test(`a part that crashes servers after it was answered is blocked, with ${routerCount} routers`, () => {
     const { fleet, exchangeNews } = createFleet(routerCount);
-    const promptParts = ['changed', 'own'].map((id) => ({ id, tokens: 1 }));
-    const answered = { outcome: AttemptOutcome.Complete, promptParts, begunAtMs: 0 };
+    const traits = ['changed', 'own'];
+    const answered = { outcome: AttemptOutcome.Complete, traits, begunAtMs: 0 };
     fleet.forEach((evidence, index) => {
       recordAttemptEnd(evidence, { ...answered, serverKey: 'e0@1' }, index * 100);
     });
--- a/packages/core/test/direct/crashing-request.test.ts
+++ b/packages/core/test/direct/crashing-request.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { RetryPolicy } from '../../src/direct/index.js';
-import type { RequestAttributes, Route } from '../../src/direct/index.js';
+import {
+  AttemptOutcome,
+  blockCulprits,
+  createCrashEvidence,
+  recordAttemptEnd,
+  RetryPolicy,
+} from '../../src/direct/index.js';
+import type { CrashEvidence, RequestAttributes, Route } from '../../src/direct/index.js';
 import { createSimulation } from './crash-simulation.js';
 import type { Totals } from './crash-simulation.js';
 import { sampleConfig, sampleRoute } from './sample.js';
@@ -64,24 +70,54 @@
 for (const repeated of REPEATED) {
   for (const routerCount of [1, 5]) {
     // Guards against a request that crashes the servers that run it and is sent to further ones whenever it comes again.
-    test(
-      `${repeated.name} that crashes servers stops reaching them, with ${routerCount} routers`,
-      { todo: 'KNOWN-RED.txt, issue 36' },
-      () => {
-        const { crashingSentAtMs, crashedAtMs, soundSent, soundRefusedAtMs } = play(
-          repeated,
-          routerCount,
-        );
-        const boundMs = crashedAtMs[2]! + CONTACT_MS;
-        const late = crashingSentAtMs.filter((atMs) => atMs > boundMs);
-        assert.ok(late.length <= 3, `${late.length} of ${crashingSentAtMs.length} after the bound`);
-        const sound = soundSent.filter(({ atMs, isRetry }) => atMs > boundMs && !isRetry);
-        assert.ok(sound.length >= 50, `${sound.length} sound requests sent`);
-        assert.deepEqual(
-          soundRefusedAtMs.filter((atMs) => atMs > boundMs),
-          [],
-        );
-      },
-    );
+    test(`${repeated.name} that crashes servers stops reaching them, with ${routerCount} routers`, () => {
+      const { crashingSentAtMs, crashedAtMs, soundSent, soundRefusedAtMs } = play(
+        repeated,
+        routerCount,
+      );
+      const boundMs = crashedAtMs[2]! + CONTACT_MS;
+      const late = crashingSentAtMs.filter((atMs) => atMs > boundMs);
+      assert.ok(late.length <= 3, `${late.length} of ${crashingSentAtMs.length} after the bound`);
+      const sound = soundSent.filter(({ atMs, isRetry }) => atMs > boundMs && !isRetry);
+      assert.ok(sound.length >= 50, `${sound.length} sound requests sent`);
+      assert.deepEqual(
+        soundRefusedAtMs.filter((atMs) => atMs > boundMs),
+        [],
+      );
+    });
   }
 }
+
+/** Evidence of attempts that broke at these servers, one second after the other; each server had requests with these traits. */
+function crashServers(servers: [serverKey: string, requests: string[][]][]): CrashEvidence {
+  const evidence = createCrashEvidence();
+  servers.forEach(([serverKey, requests], index) =>
+    requests.forEach((traits) => {
+      const ended = { serverKey, outcome: AttemptOutcome.Unknown, traits, begunAtMs: undefined };
+      recordAttemptEnd(evidence, ended, (index + 1) * 1000);
+    }),
+  );
+  return evidence;
+}
+
+const listBlocked = (evidence: CrashEvidence, nowMs: number): string[][] =>
+  evidence.blocks.listActive(nowMs).map(({ traits }) => traits);
+
+// Guards against a block that no request matches, because its traits are those of different requests.
+test('of two requests that were at the same crashed servers, the one that goes on crashing is blocked', () => {
+  const both = [['request:a'], ['request:b']];
+  const together: [string, string[][]][] = [
+    ['e1@1', both],
+    ['e2@1', both],
+    ['e3@1', both],
+  ];
+  const undecided = crashServers(together);
+  blockCulprits(undecided, 4000);
+  assert.deepEqual(listBlocked(undecided, 4000), []);
+  const decided = crashServers([...together, ['e4@1', [['request:a']]]]);
+  blockCulprits(decided, 5000);
+  assert.deepEqual(listBlocked(decided, 5000), [['request:a']]);
+  const ambiguous = crashServers([...together, ['e4@1', both]]);
+  blockCulprits(ambiguous, 5000);
+  assert.deepEqual(listBlocked(ambiguous, 5000), [['request:a'], ['request:b']]);
+});
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -1,5 +1,5 @@
 /** Listener that turns the progress of an attempt into events of the reducer. */
-import { AttemptOutcome, sharedPartIds } from '@kingcupsill/core/direct';
+import { AttemptOutcome, listCrashTraits } from '@kingcupsill/core/direct';
 import type { DirectEffect } from '@kingcupsill/core/direct';
 import type { Exchange } from './callers/exchange.js';
 import { BodyFraming } from './relay/types.js';
@@ -51,8 +51,7 @@
           server: serverKey,
           end: outcome,
           detail,
-          sharedParts: sharedPartIds(exchange.attributes.promptParts),
-          fingerprint: exchange.attributes.fingerprint,
+          traits: listCrashTraits(exchange.attributes),
         });
       }
       parts.loop.dispatch({ kind: 'attempt-ended', attempt, outcome, detail, nowMs: clock() });
