Log the version of a request's server and what a resumed stream goes on from

Lines of sent requests named neither the servers' version nor the stream, so that the router's own continuation, callers' resumption and a loss of all routers could not be told apart. The entry's version and Resumes are decoded and logged; nothing decides by them.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -101,6 +101,8 @@
   account?: string | undefined;
   /** Key of the chosen server, or of the server of the last attempt. */
   server?: string;
+  /** Version of that server's software. */
+  version?: string;
   /** Predicted time to the first event or the answer. */
   predictedMs?: number;
   /** Maximum predicted time at which the request is admitted. */
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -124,6 +124,7 @@
 function describeCandidate(candidate: Candidate): DecisionInputs {
   return {
     server: candidate.server.key,
+    version: candidate.server.entry.softwareVersion,
     predictedMs: Math.round(candidate.predictedMs),
     waitMs: Math.round(candidate.waitMs),
     meanWaitMs: Math.round(candidate.meanWaitMs),
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -95,6 +95,8 @@
   draining: boolean;
   /** Start time of the server process; a different value under the same id is a restarted server. */
   startedAtMs: number;
+  /** Version of the server's software; empty if the entry states none. A stream continues only at the version that began it. */
+  softwareVersion: string;
 }
 
 /** What a backend server states about itself in a response. */
@@ -127,6 +129,10 @@
   expiresAtMs: number;
   /** Digest of method, target, account and body; requests that repeat each other have the same one. */
   fingerprint: string;
+  /** Id of the attempt that brings, or has brought, the first event of the answer; undefined if the caller doesn't state it. */
+  streamId: string | undefined;
+  /** Last event that the caller has received of a stream that it resumes; undefined for a new request. */
+  resumeAfter: string | undefined;
   /** Parts of the prompt in order; empty for requests without a prompt. */
   promptParts: PromptPart[];
   promptTokens: number;
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -66,6 +66,7 @@
     slots: 64,
     draining: false,
     startedAtMs: 1,
+    softwareVersion: 'v1',
     ...overrides,
   };
 }
@@ -115,6 +116,8 @@
         account: 'kingston',
         expiresAtMs: nowMs + route.timeoutMs,
         fingerprint: id,
+        streamId: id,
+        resumeAfter: undefined,
         promptParts: [
           { id: 'shared', tokens: 4000 },
           { id: id.padEnd(8, '0'), tokens: 1000 },
--- a/packages/core/test/measure/choose-server.ts
+++ b/packages/core/test/measure/choose-server.ts
@@ -53,6 +53,8 @@
         { id: `own-${index}`, tokens: 1000 },
       ],
       fingerprint: `q${index}`,
+      streamId: undefined,
+      resumeAfter: undefined,
       promptTokens: 5000,
       maxOutputTokens: 100,
     };
--- a/packages/edge/src/callers/request-validator.ts
+++ b/packages/edge/src/callers/request-validator.ts
@@ -55,12 +55,15 @@
   headers,
   arrivedMs,
 }: ValidRequest): ReceivedAttributes {
+  const resumeAfter = headers.lastEventId === '' ? undefined : headers.lastEventId;
   const remainingMs = Math.min(route.timeoutMs, headers.deadlineMs ?? route.timeoutMs);
   return {
     route,
     service,
     account: account?.name,
     expiresAtMs: arrivedMs + remainingMs,
+    streamId: resumeAfter === undefined ? headers.attemptId : headers.resumedAttemptId,
+    resumeAfter,
     promptParts: headers.promptParts,
     promptTokens: headers.promptTokens,
     maxOutputTokens: headers.maxOutputTokens,
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -57,12 +57,13 @@
     const exchange = parts.exchanges.get(effect.request);
     if (exchange === undefined) return;
     const { request, attempt, isRetry, decisionInputs } = effect;
-    const { fingerprint } = exchange.attributes;
+    const { fingerprint, streamId, resumeAfter } = exchange.attributes;
     logger.info('request-sent', {
       request,
       attempt,
       repeat: isRetry,
       fingerprint,
+      ...(resumeAfter === undefined ? {} : { streamId, resumeAfter }),
       ...decisionInputs,
     });
     parts.metrics.countAttempt(isRetry);
