Judge broken attempts by what their servers answer later, and each trait by its own times

All attempts that break at one server within 1.5 s count as one crash, and the time for an answer to clear a trait ran from the first of them: one block came 48 ms after the trait's third broken attempt, not 500. And an answer counted only if it came 0.2 to 2 s after the broken attempt, which routers with little traffic to a server seldom have.

The time now runs from the trait's own third crash, and any answer to a request that was sent after the broken attempt voids it: a run that has crashed answers nothing that is sent later.

--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crash-evidence.ts
@@ -74,6 +74,8 @@
   outcome: AttemptOutcome;
   /** Traits of the request. */
   traits: readonly string[];
+  /** Time at which the request was sent. */
+  sentAtMs: number;
   /** Time of the first event; undefined if there was none. */
   begunAtMs: number | undefined;
 }
@@ -94,10 +96,10 @@
 /** Records the end of one of this router's own attempts. Returns the log lines of changed beliefs. */
 export function recordAttemptEnd(
   { suspects, blocks, ownServed, news }: CrashEvidence,
-  { serverKey, outcome, traits, begunAtMs }: EndedAttempt,
+  { serverKey, outcome, traits, sentAtMs, begunAtMs }: EndedAttempt,
   nowMs: number,
 ): DirectEffect[] {
-  if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, nowMs);
+  if (ALIVE_OUTCOMES.has(outcome)) suspects.recordServerAlive(serverKey, sentAtMs);
   if (outcome === AttemptOutcome.Complete) {
     ownServed.record(traits, nowMs);
     news.served.push(...suspects.recordServed(traits, nowMs));
--- a/packages/core/src/direct/crash-suspects.ts
+++ b/packages/core/src/direct/crash-suspects.ts
@@ -11,8 +11,8 @@
   recordCrash(serverKey: string, traits: readonly string[], nowMs: number): void;
   /** Records that a request with these traits was answered. Returns the traits that were suspected until then. */
   recordServed(traits: readonly string[], nowMs: number): string[];
-  /** Records that a server answers; a broken attempt shortly before was no crash. */
-  recordServerAlive(serverKey: string, nowMs: number): void;
+  /** Records that a server answers a request that was sent at `sentAtMs`; attempts that broke before that were no crash. */
+  recordServerAlive(serverKey: string, sentAtMs: number): void;
   /** Returns whether one of the traits is suspected of several crashes. */
   isSuspected(traits: readonly string[], nowMs: number): boolean;
   /** Returns whether a request with the trait was answered after `atMs` or not long before it. */
@@ -26,11 +26,16 @@
   hasCrashedWith(traits: readonly string[], sinceMs: number): boolean;
 }
 
+interface BrokenRequest {
+  atMs: number;
+  traits: Set<string>;
+}
+
 interface Crash {
   serverKey: string;
+  /** Time of the first broken attempt. */
   atMs: number;
-  /** Traits of each request whose attempt broke. */
-  requests: Set<string>[];
+  requests: BrokenRequest[];
 }
 
 /** Crashes that the same traits explain. */
@@ -38,6 +43,8 @@
   crashes: Crash[];
   /** Groups of traits; each of them alone explains the crashes. */
   groups: string[][];
+  /** Number of crashes that these groups must explain. */
+  requiredCrashes: number;
 }
 
 /** Maximum time between the first and the last broken attempt of one crash, over all routers' reports. */
@@ -55,19 +62,16 @@
 const MIN_SUSPECTED_CRASHES = 2;
 /** Time after the last required crash in which an answer to a request with the trait can still clear it. */
 const CONFIRMATION_MS = 500;
-/** Times after a broken attempt in which an answer shows that its server hasn't crashed. */
-const ALIVE_AFTER_MS = 200;
-const ALIVE_UNTIL_MS = 2000;
 
 function hasTrait(crash: Crash, trait: string): boolean {
-  return crash.requests.some((traits) => traits.has(trait));
+  return crash.requests.some(({ traits }) => traits.has(trait));
 }
 
 /** Returns the crashes by the traits that may be responsible for them. */
 function groupByTrait(crashes: readonly Crash[], served: ServedTraits): Map<string, Crash[]> {
   const byTrait = new Map<string, Crash[]>();
   crashes.forEach((crash) => {
-    const traits = new Set(crash.requests.flatMap((request) => [...request]));
+    const traits = new Set(crash.requests.flatMap((request) => [...request.traits]));
     traits.forEach((trait) => {
       if (served.isServed(trait, crash.atMs)) return;
       const known = byTrait.get(trait);
@@ -83,7 +87,9 @@
   const groups: string[][] = [];
   traits.forEach((trait) => {
     const group = groups.find(([first]) =>
-      crashes.every(({ requests }) => requests.some((own) => own.has(first!) && own.has(trait))),
+      crashes.every(({ requests }) =>
+        requests.some((own) => own.traits.has(first!) && own.traits.has(trait)),
+      ),
     );
     if (group === undefined) groups.push([trait]);
     else group.push(trait);
@@ -101,11 +107,17 @@
   const traits = [...byTrait].flatMap(([trait, own]) =>
     own.length === explained.length && own.every((crash) => explained.includes(crash)) ? trait : [],
   );
-  return { crashes: explained, groups: groupByRequest(traits, explained) };
+  const groups = groupByRequest(traits, explained);
+  const requiredCrashes = groups.length > 1 ? MIN_AMBIGUOUS_CRASHES : MIN_CRASHES;
+  return { crashes: explained, groups, requiredCrashes };
 }
 
-function requiredCrashes({ groups }: Explanation): number {
-  return groups.length > 1 ? MIN_AMBIGUOUS_CRASHES : MIN_CRASHES;
+/** Returns the time at which the last required crash broke a request with the trait. */
+function requiredAtMs({ crashes, requiredCrashes }: Explanation, trait: string): number {
+  const timesMs = crashes.map(({ requests }) =>
+    Math.min(...requests.flatMap((own) => (own.traits.has(trait) ? own.atMs : []))),
+  );
+  return timesMs.sort((a, b) => a - b)[requiredCrashes - 1]!;
 }
 
 /** Returns all explanations that are based on enough crashes. */
@@ -116,7 +128,7 @@
     const best = findBestExplanation(unexplained, served);
     if (best.crashes.length < MIN_CRASHES) return explanations;
     unexplained = unexplained.filter((crash) => !best.crashes.includes(crash));
-    if (best.crashes.length >= requiredCrashes(best)) explanations.push(best);
+    if (best.crashes.length >= best.requiredCrashes) explanations.push(best);
   }
 }
 
@@ -153,7 +165,8 @@
       if (traits.length === 0) return;
       prune(nowMs);
       const { requests } = getCrash(serverKey, nowMs);
-      if (requests.length < MAX_REQUESTS_PER_CRASH) requests.push(new Set(traits));
+      if (requests.length < MAX_REQUESTS_PER_CRASH)
+        requests.push({ atMs: nowMs, traits: new Set(traits) });
       explanations = undefined;
     },
     recordServed(traits, nowMs) {
@@ -162,19 +175,21 @@
       const cleared = traits.filter((trait) => crashes.some((crash) => hasTrait(crash, trait)));
       if (cleared.length === 0) return [];
       crashes.forEach(({ requests }) =>
-        requests.forEach((own) => cleared.forEach((trait) => own.delete(trait))),
+        requests.forEach((own) => cleared.forEach((trait) => own.traits.delete(trait))),
       );
       explanations = undefined;
       return cleared;
     },
-    recordServerAlive(serverKey, nowMs) {
-      if (crashes.length === 0) return;
-      replaceCrashes(
-        crashes.filter(({ serverKey: crashedKey, atMs }) => {
-          const sinceMs = nowMs - atMs;
-          return crashedKey !== serverKey || sinceMs < ALIVE_AFTER_MS || sinceMs > ALIVE_UNTIL_MS;
-        }),
+    recordServerAlive(serverKey, sentAtMs) {
+      const disproved = crashes.filter(
+        (crash) => crash.serverKey === serverKey && crash.atMs < sentAtMs,
       );
+      if (disproved.length === 0) return;
+      disproved.forEach((crash) => {
+        crash.requests = crash.requests.filter(({ atMs }) => atMs >= sentAtMs);
+      });
+      crashes = crashes.filter(({ requests }) => requests.length > 0);
+      explanations = undefined;
     },
     isSuspected(traits, nowMs) {
       if (crashes.length < MIN_SUSPECTED_CRASHES) return false;
@@ -189,10 +204,11 @@
     takeCulprits(nowMs) {
       prune(nowMs);
       explanations ??= findExplanations(crashes, served);
-      const confirmed = explanations.filter((explanation) => {
-        const lastRequired = explanation.crashes[requiredCrashes(explanation) - 1]!;
-        return nowMs - lastRequired.atMs >= CONFIRMATION_MS;
-      });
+      const confirmed = explanations.filter((explanation) =>
+        explanation.groups.every(
+          ([trait]) => nowMs - requiredAtMs(explanation, trait!) >= CONFIRMATION_MS,
+        ),
+      );
       if (confirmed.length === 0) return [];
       const explained = new Set(confirmed.flatMap((explanation) => explanation.crashes));
       replaceCrashes(crashes.filter((crash) => !explained.has(crash)));
@@ -201,7 +217,7 @@
     hasCrashedWith: (traits, sinceMs) =>
       crashes.some(
         ({ atMs, requests }) =>
-          atMs > sinceMs && requests.some((own) => traits.every((trait) => own.has(trait))),
+          atMs > sinceMs && requests.some((own) => traits.every((trait) => own.traits.has(trait))),
       ),
   };
 }
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -219,7 +219,7 @@
   if (attempt === undefined || serverState === undefined) return [];
   if (!attempt.prediction.hasBegun) {
     attempt.begunAtMs = nowMs;
-    state.crashEvidence.suspects.recordServerAlive(attempt.serverKey, nowMs);
+    state.crashEvidence.suspects.recordServerAlive(attempt.serverKey, attempt.prediction.sentAtMs);
     serverState.unansweredAttempts -= 1;
     countPrediction(state, attempt, nowMs - attempt.prediction.sentAtMs);
   }
@@ -249,10 +249,11 @@
   nowMs: number,
 ): DirectEffect[] {
   state.attempts.delete(attempt.id);
-  const { serverKey, begunAtMs } = attempt;
+  const { serverKey, begunAtMs, prediction } = attempt;
   const attributes = state.requests.get(attempt.requestId)?.attributes;
   const traits = attributes === undefined ? [] : listCrashTraits(attributes);
-  const ended = { serverKey, outcome, traits, begunAtMs };
+  const { sentAtMs } = prediction;
+  const ended = { serverKey, outcome, traits, sentAtMs, begunAtMs };
   const effects = recordAttemptEnd(state.crashEvidence, ended, nowMs);
   const serverState = state.servers.get(attempt.serverKey);
   if (serverState === undefined) return effects;
