--- a/packages/core/src/direct/crash-suspects.ts
+++ b/packages/core/src/direct/crash-suspects.ts
@@ -67,6 +67,16 @@
   return crash.requests.some(({ traits }) => traits.has(trait));
 }
 
+function isDisproved(crash: Crash, serverKey: string, sentAtMs: number): boolean {
+  return crash.serverKey === serverKey && crash.atMs < sentAtMs;
+}
+
+/** Returns the crash without the attempts that broke before `atMs`, if there are others. */
+function withoutEarlier(crash: Crash, atMs: number): Crash[] {
+  const requests = crash.requests.filter((request) => request.atMs >= atMs);
+  return requests.length > 0 ? [{ ...crash, atMs: requests[0]!.atMs, requests }] : [];
+}
+
 /** Returns the crashes by the traits that may be responsible for them. */
 function groupByTrait(crashes: readonly Crash[], served: ServedTraits): Map<string, Crash[]> {
   const byTrait = new Map<string, Crash[]>();
@@ -160,6 +170,14 @@
     return crash;
   }
 
+  function recordServerAlive(serverKey: string, sentAtMs: number): void {
+    if (!crashes.some((crash) => isDisproved(crash, serverKey, sentAtMs))) return;
+    crashes = crashes.flatMap((crash) =>
+      isDisproved(crash, serverKey, sentAtMs) ? withoutEarlier(crash, sentAtMs) : crash,
+    );
+    explanations = undefined;
+  }
+
   return {
     recordCrash(serverKey, traits, nowMs) {
       if (traits.length === 0) return;
@@ -180,17 +198,7 @@
       explanations = undefined;
       return cleared;
     },
-    recordServerAlive(serverKey, sentAtMs) {
-      const disproved = crashes.filter(
-        (crash) => crash.serverKey === serverKey && crash.atMs < sentAtMs,
-      );
-      if (disproved.length === 0) return;
-      disproved.forEach((crash) => {
-        crash.requests = crash.requests.filter(({ atMs }) => atMs >= sentAtMs);
-      });
-      crashes = crashes.filter(({ requests }) => requests.length > 0);
-      explanations = undefined;
-    },
+    recordServerAlive,
     isSuspected(traits, nowMs) {
       if (crashes.length < MIN_SUSPECTED_CRASHES) return false;
       prune(nowMs);
