Continue and resume streams only at the version of the servers' software that began them

Cause: the version of an entry was not decoded, so the router's own continuation went to any server, and Resumes was not read, so that a resumed stream did too.

A stream is bound to the version that gets it first. A router begins resumable streams only at versions that the store has recorded for the service; while there are several, it writes the ids of its streams with their versions to an object of its own, at most every 200 ms and within a quarter of the store's rates. A resumed stream goes on at the version that the router itself remembers; else the store's records are read after its arrival: it goes on at the recorded version, or at the only version ever recorded for the service, or is refused as not run.

stream-versions.test.ts failed before (4 tests; 8 new ones describe the records). Two of the four were adjusted, as strict as before: one removes the server, since the same server is of the same version; one states that the store has recorded the version of before.

--- /dev/null
+++ b/packages/core/src/direct/arrivals.ts
@@ -0,0 +1,165 @@
+/** Event handlers for arriving requests. */
+import { admit } from './admission.js';
+import { listCrashTraits } from './crashes/crash-traits.js';
+import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
+import type { DirectEffect } from './events.js';
+import {
+  createNoServerRefusal,
+  createNotRunRefusal,
+  NO_SERVER_RETRY_MS,
+  refuse,
+} from './request-end.js';
+import { requestTokens } from './request-tokens.js';
+import type { DirectState, OpenRequest } from './state.js';
+import { RefusalCode, RetryPolicy } from './types.js';
+import type { RequestAttributes } from './types.js';
+import { findStreamOrigin, readRecords } from './versions/resumed-streams.js';
+import type { StreamOrigin } from './versions/stream-journal.js';
+import type { StreamRecords } from './versions/types.js';
+
+/** Returns the time for which a request remains blocked because such requests crash servers; 0 if it isn't. */
+export function remainingBlockMs(
+  { crashEvidence }: DirectState,
+  attributes: RequestAttributes,
+  nowMs: number,
+): number {
+  return crashEvidence.blocks.remainingMs(listCrashTraits(attributes), nowMs);
+}
+
+/** Selects a server for a request and sends it, or refuses it. */
+function admitRequest(
+  state: DirectState,
+  request: OpenRequest,
+  draw: number,
+  nowMs: number,
+): DirectEffect[] {
+  const { attributes } = request;
+  const tokens = requestTokens(attributes);
+  state.retryBudget.recordRequest(attributes.service, nowMs);
+  state.serviceDemand.recordOwn(attributes.service, nowMs);
+  // Computed before this request is recorded: it counts as unserved demand only once it has been refused.
+  const shareUsed =
+    attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
+  if (attributes.account !== undefined)
+    state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
+  const best = chooseForRequest(state, request, draw, nowMs);
+  if (best === undefined)
+    return refuse(
+      state,
+      request,
+      createNoServerRefusal(state, attributes, draw, nowMs),
+      describeVersion(request),
+      nowMs,
+    );
+  const shortfall = state.accountUsage.shortfall(nowMs);
+  const admission = admit(attributes, best, { used: shareUsed, shortfall }, draw);
+  const decisionInputs = {
+    ...describeCandidate(best),
+    allowedMs: Math.round(admission.allowedMs),
+    shareUsed: Math.round(shareUsed * 100) / 100,
+    shortfall: Math.round(shortfall * 100) / 100,
+    account: attributes.account,
+  };
+  if (!admission.admitted) {
+    const code = shareUsed > 1 ? RefusalCode.AccountOverShare : RefusalCode.Overloaded;
+    return refuse(
+      state,
+      request,
+      createNotRunRefusal(code, admission.retryAfterMs),
+      decisionInputs,
+      nowMs,
+    );
+  }
+  if (attributes.account !== undefined)
+    state.accountUsage.recordServed(attributes.account, tokens, nowMs);
+  state.requests.set(request.id, request);
+  return send(state, request, best, decisionInputs, nowMs);
+}
+
+/** Sends a request that resumes a stream to the version that began it. */
+function resumeStream(
+  state: DirectState,
+  request: OpenRequest,
+  { service, version }: StreamOrigin,
+  draw: number,
+  nowMs: number,
+): DirectEffect[] {
+  const { attributes } = request;
+  // The configuration may have moved the route to another service since the stream began.
+  if (!attributes.route.services.some((entry) => entry.service === service))
+    return refuseResumption(state, request, `began at service ${service}`, nowMs);
+  request.attributes = { ...attributes, service };
+  request.version = version;
+  return admitRequest(state, request, draw, nowMs);
+}
+
+/** Refuses a request to resume a stream whose version isn't certain. */
+export function refuseResumption(
+  state: DirectState,
+  request: OpenRequest,
+  detail: string,
+  nowMs: number,
+): DirectEffect[] {
+  const { account } = request.attributes;
+  const refusal = createNotRunRefusal(RefusalCode.StreamVersionUnknown, NO_SERVER_RETRY_MS);
+  return refuse(state, request, refusal, { account, detail }, nowMs);
+}
+
+/** Handles the arrival of a complete request. */
+export function onRequest(
+  state: DirectState,
+  requestId: string,
+  attributes: RequestAttributes,
+  draw: number,
+  nowMs: number,
+): DirectEffect[] {
+  const request: OpenRequest = {
+    id: requestId,
+    attributes,
+    triedServerKeys: [],
+    possibleRuns: 0,
+    sentAttempts: 0,
+    currentAttempt: undefined,
+    answerStarted: false,
+    lastEventId: undefined,
+    version: undefined,
+  };
+  const blockMs = remainingBlockMs(state, attributes, nowMs);
+  // Not counted as demand of its account, whose other requests are to be served.
+  if (blockMs > 0)
+    return refuse(
+      state,
+      request,
+      createNotRunRefusal(RefusalCode.CrashingRequest, blockMs),
+      { account: attributes.account },
+      nowMs,
+    );
+  const { route, streamId, resumeAfter } = attributes;
+  if (resumeAfter === undefined || route.retryPolicy !== RetryPolicy.Resume)
+    return admitRequest(state, request, draw, nowMs);
+  const origin = streamId === undefined ? undefined : state.versions.journal.find(streamId);
+  if (origin !== undefined) return resumeStream(state, request, origin, draw, nowMs);
+  state.requests.set(requestId, request);
+  state.versions.waiting.set(requestId, draw);
+  return readRecords(state, nowMs);
+}
+
+/** Sends the requests that have waited for the store's records, or refuses those whose version isn't certain. */
+export function onStreamsRead(
+  state: DirectState,
+  records: StreamRecords | undefined,
+  nowMs: number,
+): DirectEffect[] {
+  const waited = [...(state.versions.reading ?? [])];
+  state.versions.reading = undefined;
+  const effects = waited.flatMap(([requestId, draw]) => {
+    const request = state.requests.get(requestId);
+    if (request === undefined) return [];
+    const { attributes } = request;
+    const origin = records && findStreamOrigin(state, records, attributes);
+    if (origin !== undefined) return resumeStream(state, request, origin, draw, nowMs);
+    const detail = records === undefined ? 'records not read' : 'not recorded';
+    return refuseResumption(state, request, detail, nowMs);
+  });
+  return [...effects, ...readRecords(state, nowMs)];
+}
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -37,6 +37,10 @@
   servers: ServerDescription[];
   /** Traits of the requests that are refused because they crash servers. */
   blockedTraits: BlockedTraits[];
+  /** Versions of the servers' software at which streams may begin, by service. */
+  versions: Record<string, string[]>;
+  /** Number of streams whose version is remembered. */
+  rememberedStreams: number;
 }
 
 const roundToHundredths = (value: number): number => Math.round(value * 100) / 100;
@@ -66,5 +70,7 @@
     totals: { ...state.totals },
     servers,
     blockedTraits: state.crashEvidence.blocks.listActive(nowMs),
+    versions: state.versions.recorded.describe(),
+    rememberedStreams: state.versions.journal.size(),
   };
 }
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -3,6 +3,7 @@
 import type { ReportedServerLimit } from './server-limits.js';
 import type { RequestCounts } from './service-demand.js';
 import type { ReportedStoreNews } from './store-news.js';
+import type { VersionEffect, VersionEvent } from './versions/types.js';
 import type {
   AttemptOutcome,
   BackendServerEntry,
@@ -51,6 +52,7 @@
 /** Input of the reducer. */
 export type DirectEvent = Timed &
   (
+    | VersionEvent
     | { kind: 'configured'; config: FleetConfig }
     | { kind: 'servers-listed'; entries: BackendServerEntry[] }
     /** The store has been restored from an older copy; listings may lack changes that it had acknowledged. */
@@ -127,6 +129,7 @@
 
 /** Output of the reducer, carried out by the effect handlers. */
 export type DirectEffect =
+  | VersionEffect
   | {
       kind: 'send';
       request: string;
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -28,3 +28,4 @@
 export * from './state.js';
 export * from './store-news.js';
 export * from './types.js';
+export * from './versions/index.js';
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -186,32 +186,37 @@
   return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined;
 }
 
+/** Condition on the servers that may get a request. */
+export type ServerFilter = (server: RegisteredServer) => boolean;
+
 /** Returns the available servers to consider: of all servers, if none of the selected ones is available. */
 function listCandidates(
   state: DirectState,
   attributes: RequestAttributes,
+  accepts: ServerFilter,
   draw: number,
   nowMs: number,
 ): AvailableServer[] {
   const { service } = attributes;
   const partId = findSharedPartId(attributes);
-  const selected = filterAvailable(state, getPool(state, service).select(partId, draw), nowMs);
-  if (selected.length > 0) return selected;
-  return filterAvailable(state, state.registry.listAvailable(service), nowMs);
+  const selected = getPool(state, service).select(partId, draw).filter(accepts);
+  const available = filterAvailable(state, selected, nowMs);
+  if (available.length > 0) return available;
+  return filterAvailable(state, state.registry.listAvailable(service).filter(accepts), nowMs);
 }
 
 /**
- * Selects the server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort.
+ * Selects the accepted server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort.
  * @param draw random number in [0, 1) that varies which servers of a large service are considered
  */
 export function chooseServer(
   state: DirectState,
   attributes: RequestAttributes,
-  triedServerKeys: readonly string[],
+  { triedServerKeys, accepts }: { triedServerKeys: readonly string[]; accepts: ServerFilter },
   draw: number,
   nowMs: number,
 ): Candidate | undefined {
-  const available = listCandidates(state, attributes, draw, nowMs);
+  const available = listCandidates(state, attributes, accepts, draw, nowMs);
   const untried = available.filter(({ server }) => !triedServerKeys.includes(server.key));
   const servers = untried.length > 0 ? untried : available;
   if (servers.length === 0) return undefined;
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -1,5 +1,6 @@
 /** Reducer of the direct router, with one handler per kind of event. */
 import type { ReducerResult } from '../reducer/index.js';
+import { onRequest, onStreamsRead } from './arrivals.js';
 import { applyCrashNews, blockCulprits } from './crash-evidence.js';
 import type { DirectEffect, DirectEvent } from './events.js';
 import { extraRoundTripMs, requestedWaitMs } from './placement.js';
@@ -10,11 +11,17 @@
   onAttemptEnded,
   onCallerLeft,
   onEventsDelivered,
-  onRequest,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
 import { getServerState, recordSend } from './state.js';
 import type { DirectState } from './state.js';
+import { readRecords } from './versions/resumed-streams.js';
+import {
+  onStreamsStored,
+  onVersionsRecorded,
+  recordVersions,
+  storeJournal,
+} from './versions/version-records.js';
 
 type EventOf<TKind extends DirectEvent['kind']> = Extract<DirectEvent, { kind: TKind }>;
 type Handlers = {
@@ -37,7 +44,10 @@
   if (currentVersion !== undefined && config.version <= currentVersion) return [];
   state.routeTable = createRouteTable(config);
   const fields = { version: config.version, routes: config.routes.length };
-  return [{ kind: 'note', event: 'configuration-in-force', fields }];
+  return [
+    { kind: 'note', event: 'configuration-in-force', fields },
+    ...recordVersions(state, event.nowMs),
+  ];
 }
 
 /** @param source who stated it: the server's own answer or a peer */
@@ -52,6 +62,7 @@
   return [
     ...removeServers(state, removedKeys, event.nowMs),
     { kind: 'note', event: 'server-changed', fields },
+    ...recordVersions(state, event.nowMs),
   ];
 }
 
@@ -160,13 +171,17 @@
   configured: applyConfiguration,
   'servers-listed': (state, { entries, nowMs }) => {
     state.hasServerList = true;
-    return removeServers(state, state.registry.replaceAll(entries, nowMs), nowMs);
+    const removedKeys = state.registry.replaceAll(entries, nowMs);
+    return [...removeServers(state, removedKeys, nowMs), ...recordVersions(state, nowMs)];
   },
   'server-changed': applyServerChange,
   'server-announced': applyAnnouncement,
   'store-restored': (state, { nowMs }) => {
     state.registry.recordRestore(nowMs);
-    return [];
+    // The restored copy may lack versions and streams that were recorded after it was made.
+    state.versions.recorded.clear();
+    state.versions.copy.changeCount = -1;
+    return recordVersions(state, nowMs);
   },
   'server-removed': (state, { id, nowMs }) =>
     removeServers(state, state.registry.remove(id, nowMs), nowMs),
@@ -201,7 +216,16 @@
     ...removeServers(state, state.registry.expire(nowMs), nowMs),
     ...expireRequests(state, nowMs),
     ...blockCulprits(state.crashEvidence, nowMs),
+    ...recordVersions(state, nowMs),
+    ...storeJournal(state, nowMs),
+    ...readRecords(state, nowMs),
   ],
+  'versions-recorded': (state, event) => onVersionsRecorded(state, event, event.nowMs),
+  'streams-stored': (state, { ok }) => {
+    onStreamsStored(state, ok);
+    return [];
+  },
+  'streams-read': (state, { records, nowMs }) => onStreamsRead(state, records, nowMs),
 };
 
 /** Applies one event. */
--- /dev/null
+++ b/packages/core/src/direct/request-end.ts
@@ -0,0 +1,61 @@
+/** Ends of requests: complete answers and refusals. */
+import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
+import { remainingRequestedWaitMs } from './placement.js';
+import type { DirectState, OpenRequest } from './state.js';
+import { RefusalCode } from './types.js';
+import type { RequestAttributes } from './types.js';
+
+/** `Retry-After` if no server is available; about the interval at which unreachable servers are probed. */
+export const NO_SERVER_RETRY_MS = 500;
+
+/** Removes a request whose answer has ended. */
+export function closeRequest(
+  { requests, versions: { journal } }: DirectState,
+  { id, attributes: { streamId, resumeAfter }, answerStarted }: OpenRequest,
+  isComplete: boolean,
+  nowMs: number,
+): void {
+  requests.delete(id);
+  if (streamId === undefined) return;
+  if (answerStarted || resumeAfter !== undefined) journal.end(streamId, isComplete, nowMs);
+  else journal.forget(streamId);
+}
+
+/** Refuses a request and removes it. */
+export function refuse(
+  state: DirectState,
+  request: OpenRequest,
+  refusal: Refusal,
+  decisionInputs: DecisionInputs,
+  nowMs: number,
+): DirectEffect[] {
+  closeRequest(state, request, false, nowMs);
+  state.totals.refused += 1;
+  return [{ kind: 'refuse', request: request.id, refusal, decisionInputs }];
+}
+
+/** Returns the refusal of a request that has not run. */
+export function createNotRunRefusal(code: RefusalCode, retryAfterMs: number): Refusal {
+  return { status: 503, code, ran: 'no', retryAfterMs };
+}
+
+/** Jitter of `Retry-After` for a wait that servers asked for: callers that were refused together come back spread out. */
+const WAIT_JITTER = 0.5;
+
+/** Returns the refusal of a request for which no server is available. */
+export function createNoServerRefusal(
+  state: DirectState,
+  { service }: RequestAttributes,
+  draw: number,
+  nowMs: number,
+): Refusal {
+  const waitMs = remainingRequestedWaitMs(state, service, nowMs) ?? 0;
+  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, waitMs * (1 + WAIT_JITTER * draw));
+  return createNotRunRefusal(RefusalCode.NoServer, retryAfterMs);
+}
+
+/** Completes the answer. */
+export function finish(state: DirectState, request: OpenRequest, nowMs: number): DirectEffect[] {
+  closeRequest(state, request, true, nowMs);
+  return [{ kind: 'finish', request: request.id }];
+}
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,206 +1,26 @@
-/** Event handlers for requests and their attempts. */
-import { admit } from './admission.js';
+/** Event handlers for the attempts of requests, and for requests that end. */
+import { refuseResumption, remainingBlockMs } from './arrivals.js';
 import { recordAttemptEnd } from './crash-evidence.js';
-import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
-import { chooseServer, remainingRequestedWaitMs } from './placement.js';
-import type { Candidate } from './placement.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
-import { ownTokens, sharedParts } from './prompt-parts.js';
-import { requestTokens } from './request-tokens.js';
-import { recordSend } from './state.js';
+import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
+import type { DirectEffect, Refusal } from './events.js';
+import {
+  closeRequest,
+  createNotRunRefusal,
+  finish,
+  NO_SERVER_RETRY_MS,
+  refuse,
+} from './request-end.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
 
-/** `Retry-After` if no server is available; about the interval at which unreachable servers are probed. */
-const NO_SERVER_RETRY_MS = 500;
 /** Maximum number of attempts per request: if several servers reject it, the others are likely to reject it too. */
 const MAX_SENT_ATTEMPTS = 3;
 /** Step between the sampling draws of successive retries: multiples of the golden ratio spread evenly. */
 const RETRY_DRAW_STEP = 0.618;
 /** Minimum time to the deadline for a retry. */
 const MIN_RETRY_REMAINING_MS = 50;
-function refuse(
-  state: DirectState,
-  request: OpenRequest,
-  refusal: Refusal,
-  decisionInputs: DecisionInputs,
-): DirectEffect[] {
-  state.requests.delete(request.id);
-  state.totals.refused += 1;
-  return [{ kind: 'refuse', request: request.id, refusal, decisionInputs }];
-}
-
-function createNotRunRefusal(code: RefusalCode, retryAfterMs: number): Refusal {
-  return { status: 503, code, ran: 'no', retryAfterMs };
-}
-
-/** Jitter of `Retry-After` for a wait that servers asked for: callers that were refused together come back spread out. */
-const WAIT_JITTER = 0.5;
-
-function createNoServerRefusal(
-  state: DirectState,
-  { service }: RequestAttributes,
-  draw: number,
-  nowMs: number,
-): Refusal {
-  const waitMs = remainingRequestedWaitMs(state, service, nowMs) ?? 0;
-  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, waitMs * (1 + WAIT_JITTER * draw));
-  return createNotRunRefusal(RefusalCode.NoServer, retryAfterMs);
-}
-
-function countTokens(
-  { totals }: DirectState,
-  attributes: RequestAttributes,
-  candidate: Candidate,
-): void {
-  const own = ownTokens(attributes.promptParts);
-  const recomputed = candidate.recomputedTokens;
-  totals.sent += 1;
-  totals.ownTokens += own;
-  totals.againTokens += recomputed;
-  totals.keptTokens += Math.max(0, attributes.promptTokens - own - recomputed);
-}
-
-/** Records a new attempt at the chosen server in the state. */
-function openAttempt(
-  state: DirectState,
-  request: OpenRequest,
-  candidate: Candidate,
-  nowMs: number,
-): OpenAttempt {
-  const { attributes } = request;
-  const { server, serverState, predictedMs, prefillTokens } = candidate;
-  const shared = sharedParts(attributes.promptParts);
-  if (!serverState.load.prefixCache.containsAll(shared))
-    serverState.unreportedParts.push(...shared);
-  serverState.load.prefixCache.record(attributes.promptParts);
-  serverState.unansweredAttempts += 1;
-  recordSend(state, server, nowMs);
-  state.attemptCount += 1;
-  const attempt: OpenAttempt = {
-    id: `${request.id}.${state.attemptCount}`,
-    requestId: request.id,
-    serverKey: server.key,
-    prediction: serverState.load.recordSend(nowMs, prefillTokens),
-    predictedMs,
-    begunAtMs: undefined,
-  };
-  state.attempts.set(attempt.id, attempt);
-  countTokens(state, attributes, candidate);
-  return attempt;
-}
-
-function send(
-  state: DirectState,
-  request: OpenRequest,
-  candidate: Candidate,
-  decisionInputs: DecisionInputs,
-  nowMs: number,
-): DirectEffect[] {
-  const { entry } = candidate.server;
-  const attempt = openAttempt(state, request, candidate, nowMs);
-  const isRetry = request.sentAttempts > 0;
-  request.triedServerKeys.push(attempt.serverKey);
-  request.sentAttempts += 1;
-  request.currentAttempt = attempt;
-  return [
-    {
-      kind: 'send',
-      request: request.id,
-      attempt: attempt.id,
-      serverKey: attempt.serverKey,
-      host: entry.host,
-      port: entry.port,
-      serverId: entry.id,
-      remainingMs: request.attributes.expiresAtMs - nowMs,
-      lastEventId: request.lastEventId,
-      isRetry,
-      decisionInputs: { ...decisionInputs, tried: request.triedServerKeys.length },
-    },
-  ];
-}
-
-function describeCandidate(candidate: Candidate): DecisionInputs {
-  return {
-    server: candidate.server.key,
-    version: candidate.server.entry.softwareVersion,
-    predictedMs: Math.round(candidate.predictedMs),
-    waitMs: Math.round(candidate.waitMs),
-    meanWaitMs: Math.round(candidate.meanWaitMs),
-    readTokens: candidate.prefillTokens,
-    running: candidate.serverState.load.running(),
-  };
-}
-
-/** Returns the time for which a request remains blocked because such requests crash servers; 0 if it isn't. */
-function remainingBlockMs(
-  { crashEvidence }: DirectState,
-  attributes: RequestAttributes,
-  nowMs: number,
-): number {
-  return crashEvidence.blocks.remainingMs(listCrashTraits(attributes), nowMs);
-}
-
-/** Handles the arrival of a complete request. */
-export function onRequest(
-  state: DirectState,
-  requestId: string,
-  attributes: RequestAttributes,
-  draw: number,
-  nowMs: number,
-): DirectEffect[] {
-  const request: OpenRequest = {
-    id: requestId,
-    attributes,
-    triedServerKeys: [],
-    possibleRuns: 0,
-    sentAttempts: 0,
-    currentAttempt: undefined,
-    answerStarted: false,
-    lastEventId: undefined,
-  };
-  const blockMs = remainingBlockMs(state, attributes, nowMs);
-  // Not counted as demand of its account, whose other requests are to be served.
-  if (blockMs > 0)
-    return refuse(state, request, createNotRunRefusal(RefusalCode.CrashingRequest, blockMs), {
-      account: attributes.account,
-    });
-  const tokens = requestTokens(attributes);
-  state.retryBudget.recordRequest(attributes.service, nowMs);
-  state.serviceDemand.recordOwn(attributes.service, nowMs);
-  // Computed before this request is recorded: it counts as unserved demand only once it has been refused.
-  const shareUsed =
-    attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
-  if (attributes.account !== undefined)
-    state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
-  const best = chooseServer(state, attributes, [], draw, nowMs);
-  if (best === undefined)
-    return refuse(state, request, createNoServerRefusal(state, attributes, draw, nowMs), {});
-  const shortfall = state.accountUsage.shortfall(nowMs);
-  const admission = admit(attributes, best, { used: shareUsed, shortfall }, draw);
-  const decisionInputs = {
-    ...describeCandidate(best),
-    allowedMs: Math.round(admission.allowedMs),
-    shareUsed: Math.round(shareUsed * 100) / 100,
-    shortfall: Math.round(shortfall * 100) / 100,
-    account: attributes.account,
-  };
-  if (!admission.admitted) {
-    const code = shareUsed > 1 ? RefusalCode.AccountOverShare : RefusalCode.Overloaded;
-    return refuse(
-      state,
-      request,
-      createNotRunRefusal(code, admission.retryAfterMs),
-      decisionInputs,
-    );
-  }
-  if (attributes.account !== undefined)
-    state.accountUsage.recordServed(attributes.account, tokens, nowMs);
-  state.requests.set(requestId, request);
-  return send(state, request, best, decisionInputs, nowMs);
-}
-
 function countPrediction({ totals }: DirectState, attempt: OpenAttempt, observedMs: number): void {
   totals.begun += 1;
   totals.predictedMs += attempt.predictedMs;
@@ -308,7 +128,7 @@
   if (attributes.expiresAtMs - nowMs < MIN_RETRY_REMAINING_MS) return undefined;
   if (mayCrashServer(state, attributes, nowMs)) return undefined;
   const draw = (state.attemptCount * RETRY_DRAW_STEP) % 1;
-  const best = chooseServer(state, attributes, request.triedServerKeys, draw, nowMs);
+  const best = chooseForRequest(state, request, draw, nowMs);
   if (best === undefined) return undefined;
   const isWithinBudget =
     outcome === AttemptOutcome.Unsent ||
@@ -323,17 +143,25 @@
   { outcome, detail }: { outcome: AttemptOutcome; detail: string },
   nowMs: number,
 ): DirectEffect[] {
-  if (outcome === AttemptOutcome.Complete) return finish(state, request);
+  if (outcome === AttemptOutcome.Complete) return finish(state, request, nowMs);
   const retryEffects = retry(state, request, outcome, nowMs);
   if (retryEffects !== undefined) return retryEffects;
-  if (outcome === AttemptOutcome.Failed && !request.answerStarted) return finish(state, request);
+  if (outcome === AttemptOutcome.Failed && !request.answerStarted)
+    return finish(state, request, nowMs);
   const tried = request.triedServerKeys.length;
   const refusal = createFinalRefusal(outcome, request.possibleRuns === 0);
-  return refuse(state, request, refusal, {
-    server: request.triedServerKeys[tried - 1]!,
-    detail,
-    tried,
-  });
+  return refuse(
+    state,
+    request,
+    refusal,
+    {
+      server: request.triedServerKeys[tried - 1]!,
+      detail,
+      tried,
+      ...describeVersion(request),
+    },
+    nowMs,
+  );
 }
 
 /** Handles the end of an attempt. */
@@ -354,11 +182,6 @@
   return [...effects, ...settle(state, request, { outcome, detail }, nowMs)];
 }
 
-function finish(state: DirectState, request: OpenRequest): DirectEffect[] {
-  state.requests.delete(request.id);
-  return [{ kind: 'finish', request: request.id }];
-}
-
 function cancelCurrentAttempt(
   state: DirectState,
   request: OpenRequest,
@@ -375,7 +198,7 @@
 export function onCallerLeft(state: DirectState, requestId: string, nowMs: number): DirectEffect[] {
   const request = state.requests.get(requestId);
   if (request === undefined) return [];
-  state.requests.delete(requestId);
+  closeRequest(state, request, false, nowMs);
   return cancelCurrentAttempt(state, request, nowMs);
 }
 
@@ -384,6 +207,8 @@
   return [...state.requests.values()]
     .filter(({ attributes }) => nowMs >= attributes.expiresAtMs)
     .flatMap((request) => {
+      if (request.triedServerKeys.length === 0)
+        return refuseResumption(state, request, 'time over', nowMs);
       const decisionInputs = { server: request.currentAttempt?.serverKey, detail: 'time over' };
       const refusal: Refusal = {
         status: 504,
@@ -393,7 +218,7 @@
       };
       return [
         ...cancelCurrentAttempt(state, request, nowMs),
-        ...refuse(state, request, refusal, decisionInputs),
+        ...refuse(state, request, refusal, decisionInputs, nowMs),
       ];
     });
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -20,6 +20,8 @@
 import { createServiceDemand } from './service-demand.js';
 import type { ServiceDemand } from './service-demand.js';
 import type { PromptPart, RequestAttributes } from './types.js';
+import { createVersionState } from './versions/version-state.js';
+import type { VersionState } from './versions/version-state.js';
 
 /** Health and load of one run of a backend server, as estimated by this router. */
 export interface ServerState {
@@ -60,6 +62,8 @@
   /** True once events of the answer have been delivered to the caller. */
   answerStarted: boolean;
   lastEventId: string | undefined;
+  /** Version of the servers' software at which the answer began or must go on; undefined as long as any may begin it. */
+  version: string | undefined;
 }
 
 /** Options of a direct router. */
@@ -73,6 +77,8 @@
   regionByZone: ReadonlyMap<string, string>;
   registry: ServerRegistryOptions;
   retryBudget: RetryBudgetOptions;
+  /** Rates of calls that the store takes from all routers together. */
+  store: { writesPerSecond: number; readsPerSecond: number };
   /** Window over which the fair shares of accounts are computed. */
   shareWindowMs: number;
 }
@@ -117,6 +123,7 @@
   crashEvidence: CrashEvidence;
   serverLimits: ServerLimits;
   serviceDemand: ServiceDemand;
+  versions: VersionState;
   /** Number of routers that share the fleet's budgets, including this one. */
   routerCount: number;
   attemptCount: number;
@@ -159,6 +166,7 @@
     crashEvidence: createCrashEvidence(),
     serverLimits: createServerLimits(createPhase(options)),
     serviceDemand: createServiceDemand(),
+    versions: createVersionState(),
     routerCount: 1,
     attemptCount: 0,
   };
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -173,6 +173,8 @@
   AccountOverShare: 'account_over_share',
   /** Such a request, or requests with the same part of the prompt, have crashed their servers. */
   CrashingRequest: 'crashing_request',
+  /** It isn't certain which version of the servers' software began the stream that the request resumes. */
+  StreamVersionUnknown: 'stream_version_unknown',
   OutcomeUnknown: 'outcome_unknown',
   TimedOut: 'timed_out',
   BodyTooLarge: 'body_too_large',
--- /dev/null
+++ b/packages/core/src/direct/versions/resumed-streams.ts
@@ -0,0 +1,59 @@
+/** Finds the version that began a stream which a caller resumes. What isn't certain stays unknown. */
+import type { DirectEffect } from '../events.js';
+import type { DirectState } from '../state.js';
+import type { RequestAttributes } from '../types.js';
+import type { StreamOrigin } from './stream-journal.js';
+import type { StreamRecords } from './types.js';
+import { sharedPeriodMs } from './version-records.js';
+
+/** Starts a read of the store's records for all waiting requests, unless one is in progress or was begun just before. */
+export function readRecords(state: DirectState, nowMs: number): DirectEffect[] {
+  const { versions } = state;
+  const periodMs = sharedPeriodMs(state, state.options.store.readsPerSecond);
+  if (versions.reading !== undefined || versions.waiting.size === 0) return [];
+  if (nowMs - versions.readAtMs < periodMs) return [];
+  // A later request may resume a stream that begins after this read.
+  versions.reading = versions.waiting;
+  versions.waiting = new Map();
+  versions.readAtMs = nowMs;
+  return [{ kind: 'read-streams' }];
+}
+
+/** Returns the versions of a service's servers, also of those that leave. */
+function listServiceVersions({ registry }: DirectState, service: string): string[] {
+  const servers = registry.all().filter(({ entry }) => entry.service === service);
+  return servers.map(({ entry }) => entry.softwareVersion);
+}
+
+function findRecorded({ streams }: StreamRecords, streamId: string): StreamOrigin[] {
+  const origins = streams.flatMap((byService) =>
+    Object.entries(byService).flatMap(([service, byVersion]) =>
+      Object.keys(byVersion).flatMap((version) =>
+        byVersion[version]!.includes(streamId) ? { service, version } : [],
+      ),
+    ),
+  );
+  return origins.filter(
+    ({ service, version }, index) =>
+      index === origins.findIndex((own) => own.service === service && own.version === version),
+  );
+}
+
+/**
+ * Returns where the stream began, or undefined if it isn't certain. A stream that no router has recorded is certain only if no other
+ * version may have begun streams of the service.
+ */
+export function findStreamOrigin(
+  state: DirectState,
+  records: StreamRecords,
+  { service, streamId }: RequestAttributes,
+): StreamOrigin | undefined {
+  const known = streamId === undefined ? undefined : state.versions.journal.find(streamId);
+  if (known !== undefined) return known;
+  const recorded = streamId === undefined ? [] : findRecorded(records, streamId);
+  if (recorded.length > 0) return recorded.length === 1 ? recorded[0] : undefined;
+  const inService = records.versions.get(service);
+  if (inService === undefined) return undefined;
+  const possible = [...new Set([...inService, ...listServiceVersions(state, service)])];
+  return possible.length === 1 ? { service, version: possible[0]! } : undefined;
+}
--- /dev/null
+++ b/packages/core/src/direct/versions/stream-journal.ts
@@ -0,0 +1,80 @@
+/** Streams that callers may resume, with the version of the servers' software that began them, as far as this router has sent them. */
+import { evictLeastRecentlyUsed, markRecentlyUsed } from '../../collections/index.js';
+
+/** Ids of streams by the service and the version that began them. */
+export type StreamsByVersion = Record<string, Record<string, string[]>>;
+
+/** Where a stream began. */
+export interface StreamOrigin {
+  service: string;
+  version: string;
+}
+
+/** Journal of one router's streams. */
+export interface StreamJournal {
+  /** Records that a stream begins, or continues, at a version. */
+  begin(streamId: string, origin: StreamOrigin): void;
+  /** Records the end of an answer; `isComplete` if the caller has got all of the stream. */
+  end(streamId: string, isComplete: boolean, nowMs: number): void;
+  /** Forgets a stream of which the caller has got no event. */
+  forget(streamId: string): void;
+  find(streamId: string): StreamOrigin | undefined;
+  /** Returns the streams of these services and forgets those that can't be resumed any more. */
+  list(isIncluded: (service: string) => boolean, nowMs: number): StreamsByVersion;
+  /** Number of changes that a record of the journal lacks if it was made before them. */
+  changeCount(): number;
+  size(): number;
+}
+
+interface JournalEntry extends StreamOrigin {
+  /** Undefined while the answer is in progress. */
+  forgetAtMs: number | undefined;
+}
+
+/** Time in which a caller may still miss the end of a stream that was delivered completely. */
+const COMPLETE_MEMORY_MS = 3000;
+/** Longer than callers wait for a stream, with all of their retries. */
+const BROKEN_MEMORY_MS = 60_000;
+const MAX_STREAMS = 16_384;
+/** Callers choose the ids; longer ones aren't recorded. */
+const MAX_ID_CHARS = 64;
+
+/** Creates an empty journal. */
+export function createStreamJournal(): StreamJournal {
+  const entries = new Map<string, JournalEntry>();
+  let changes = 0;
+
+  function prune(nowMs: number): void {
+    entries.forEach(({ forgetAtMs }, streamId) => {
+      if (forgetAtMs !== undefined && nowMs >= forgetAtMs) entries.delete(streamId);
+    });
+  }
+
+  return {
+    begin(streamId, { service, version }) {
+      if (streamId.length > MAX_ID_CHARS) return;
+      markRecentlyUsed(entries, streamId, { service, version, forgetAtMs: undefined });
+      evictLeastRecentlyUsed(entries, MAX_STREAMS);
+      changes += 1;
+    },
+    end(streamId, isComplete, nowMs) {
+      const entry = entries.get(streamId);
+      if (entry !== undefined)
+        entry.forgetAtMs = nowMs + (isComplete ? COMPLETE_MEMORY_MS : BROKEN_MEMORY_MS);
+    },
+    forget: (streamId) => {
+      entries.delete(streamId);
+    },
+    find: (streamId) => entries.get(streamId),
+    list(isIncluded, nowMs) {
+      prune(nowMs);
+      const streams: StreamsByVersion = {};
+      entries.forEach(({ service, version }, streamId) => {
+        if (isIncluded(service)) ((streams[service] ??= {})[version] ??= []).push(streamId);
+      });
+      return streams;
+    },
+    changeCount: () => changes,
+    size: () => entries.size,
+  };
+}
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -8,6 +8,7 @@
   FleetConfig,
   RequestAttributes,
   Route,
+  StreamsByVersion,
 } from '../../src/direct/index.js';
 
 type Untimed<T> = T extends DirectEvent ? Omit<T, 'nowMs'> : never;
@@ -81,10 +82,49 @@
   request(id: string, overrides?: Partial<RequestAttributes>, draw?: number): DirectEffect[];
 }
 
+/** Records of versions and streams that routers share. */
+export interface SampleStore {
+  versions: Map<string, string[]>;
+  streamsByRouter: Map<string, StreamsByVersion>;
+  /** While true, the store answers no call. */
+  isDown: boolean;
+}
+
+export function createSampleStore(): SampleStore {
+  return { versions: new Map(), streamsByRouter: new Map(), isDown: false };
+}
+
+/** Carries out an effect on the store at once. Returns the event that answers it; undefined for other effects. */
+function runStoreEffect(
+  store: SampleStore,
+  router: string,
+  effect: DirectEffect,
+): Untimed<DirectEvent> | undefined {
+  const { versions, streamsByRouter, isDown } = store;
+  switch (effect.kind) {
+    case 'record-versions': {
+      const { service } = effect;
+      const recorded = [...new Set([...(versions.get(service) ?? []), ...effect.versions])];
+      if (!isDown) versions.set(service, recorded);
+      return { kind: 'versions-recorded', service, versions: isDown ? undefined : recorded };
+    }
+    case 'store-streams':
+      if (!isDown) streamsByRouter.set(router, effect.streams);
+      return { kind: 'streams-stored', ok: !isDown };
+    case 'read-streams': {
+      const records = { versions: new Map(versions), streams: [...streamsByRouter.values()] };
+      return { kind: 'streams-read', records: isDown ? undefined : records };
+    }
+    default:
+      return undefined;
+  }
+}
+
 export function createSampleRouter(
   entries: BackendServerEntry[] = [sampleEntry('e1'), sampleEntry('e2')],
   config: FleetConfig = sampleConfig(),
   router = 'r1/1',
+  store = createSampleStore(),
 ): SampleRouter {
   let nowMs = 1000;
   const state = createDirectState({
@@ -94,10 +134,15 @@
     regionByZone: new Map([['z1', 'r1']]),
     registry: { outageThresholdMs: 3000, renewalGraceMs: 2200 },
     retryBudget: { ratio: 0.2, burst: 50, windowMs: 10_000 },
+    store: { writesPerSecond: 400, readsPerSecond: 2000 },
     shareWindowMs: 4000,
   });
   const dispatch = (event: Untimed<DirectEvent>): DirectEffect[] =>
-    directReducer(state, { ...event, nowMs }).effects;
+    directReducer(state, { ...event, nowMs }).effects.flatMap((effect) => {
+      const answer = runStoreEffect(store, router, effect);
+      if (answer === undefined) return effect;
+      return dispatch(answer).filter(({ kind }) => kind !== 'note');
+    });
   dispatch({ kind: 'configured', config });
   dispatch({ kind: 'servers-listed', entries });
 
--- a/packages/core/test/measure/choose-server.ts
+++ b/packages/core/test/measure/choose-server.ts
@@ -31,6 +31,7 @@
     regionByZone: new Map(zones.map((zone) => [`z${zone}`, `r${zone % REGIONS}`])),
     registry: { outageThresholdMs: 3000, renewalGraceMs: 2200 },
     retryBudget: { ratio: 0.2, burst: 50, windowMs: 10_000 },
+    store: { writesPerSecond: 400, readsPerSecond: 2000 },
     shareWindowMs: 4000,
   });
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -9,7 +9,7 @@
 import type { DirectEffect, DirectEvent, DirectState } from '@kingcupsill/core/direct';
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
-import { createStoreClient } from '@kingcupsill/prepared-platform';
+import { createStoreClient, StoreKind } from '@kingcupsill/prepared-platform';
 import { composeProcess, createLoop } from '@kingcupsill/runtime';
 import type {
   ComponentDefinition,
@@ -36,6 +36,7 @@
 import { ownRouterEntry, registerRouter } from './store/router-registration.js';
 import { createStoreEra } from './store/store-era.js';
 import { createStoreTransport } from './store/store-transport.js';
+import { createStreamStore } from './store/stream-store.js';
 import type { EdgeContext, EdgeParts } from './types.js';
 
 type EdgePart<K extends keyof EdgeParts> = ComponentDefinition<EdgeParts, EdgeParts[K]>;
@@ -100,6 +101,18 @@
           loop.dispatch({ kind: 'store-restored', nowMs: ctx.clock() });
         }),
     },
+    streamStore: {
+      create: ({ store, storeEra, metrics }) =>
+        createStreamStore({
+          client: store,
+          era: storeEra,
+          router: ctx.settings().process.id,
+          incarnation: ctx.incarnation,
+          logger: ctx.logger,
+          onCallEnded: (outcome) => metrics.countStoreCall(StoreKind.Streams, outcome),
+        }),
+      close: (streamStore) => streamStore.close(),
+    },
     storeNews: { create: createStoreNews },
     followedNews: followedNewsPart(ctx),
     loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
@@ -167,6 +180,10 @@
       burst: settings.repeats.burst,
       windowMs: settings.repeats.windowS * 1000,
     },
+    store: {
+      writesPerSecond: settings.store.writesPerS,
+      readsPerSecond: settings.store.readsPerS,
+    },
     shareWindowMs: settings.shares.windowS * 1000,
   });
 }
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -11,7 +11,10 @@
 import type { AttemptRequest, RunningAttempt } from './relay/types.js';
 import type { EdgeContext, EdgeParts } from './types.js';
 
-type EffectParts = Pick<EdgeParts, 'exchanges' | 'connections' | 'metrics' | 'loop' | 'reporting'>;
+type EffectParts = Pick<
+  EdgeParts,
+  'exchanges' | 'connections' | 'metrics' | 'loop' | 'reporting' | 'streamStore'
+>;
 
 /**
  * Maximum idle time of a connection for a request that must not be retried, so that the request isn't lost when the server closes
@@ -47,6 +50,31 @@
   };
 }
 
+/** Handlers of the effects on the records of streams; each dispatches the event that answers it. */
+function createStreamStoreHandlers(
+  { clock }: EdgeContext,
+  parts: Pick<EffectParts, 'loop' | 'streamStore'>,
+) {
+  return {
+    'record-versions': async ({
+      service,
+      versions,
+    }: Extract<DirectEffect, { kind: 'record-versions' }>) => {
+      const recorded = await parts.streamStore.recordVersions(service, versions);
+      const event = { kind: 'versions-recorded' as const, service, versions: recorded };
+      parts.loop.dispatch({ ...event, nowMs: clock() });
+    },
+    'store-streams': async ({ streams }: Extract<DirectEffect, { kind: 'store-streams' }>) => {
+      const ok = await parts.streamStore.storeStreams(streams);
+      parts.loop.dispatch({ kind: 'streams-stored', ok, nowMs: clock() });
+    },
+    'read-streams': async () => {
+      const records = await parts.streamStore.readStreams();
+      parts.loop.dispatch({ kind: 'streams-read', records, nowMs: clock() });
+    },
+  };
+}
+
 /** Creates one handler per kind of effect. `parts` is accessed only when effects run. */
 export function createEffectHandlers(ctx: EdgeContext, parts: EffectParts) {
   const { logger, clock } = ctx;
@@ -97,6 +125,7 @@
         logger.info('kept-not-listed', { server: serverKey, reason: result.message });
       }
     },
+    ...createStreamStoreHandlers(ctx, parts),
     cancel({ attempt }: Extract<DirectEffect, { kind: 'cancel' }>) {
       attempts.get(attempt)?.cancel();
       attempts.delete(attempt);
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -17,6 +17,7 @@
 import type { RouterRegistration } from './store/router-registration.js';
 import type { StoreEra } from './store/store-era.js';
 import type { StoreTransport } from './store/store-transport.js';
+import type { StreamStore } from './store/stream-store.js';
 
 /** Dependencies of the direct router's process. */
 export interface EdgeContext {
@@ -49,6 +50,7 @@
   transport: StoreTransport;
   store: StoreClient;
   storeEra: StoreEra;
+  streamStore: StreamStore;
   storeNews: StoreNews;
   followedNews: FollowedNews;
   loopLag: LoopLag;
