Remove versions from the record when no server has them any more

The record of a service kept each version for ever, so that routers went on writing their streams after a release. A version without a server is marked as unused after a minute and removed two minutes later, unless a router has used it in between: routers confirm the versions that they use each minute, so that none is removed because another router sees none of its servers. A router reads the record before it writes, at a time of its own within what the store's rate allows, since all routers learn of a new version at once.

Resumed and refused resumptions are counted.

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -90,6 +90,7 @@
     return refuseResumption(state, request, `began at service ${service}`, nowMs);
   request.attributes = { ...attributes, service };
   request.version = version;
+  state.totals.resumed += 1;
   return admitRequest(state, request, draw, nowMs);
 }
 
@@ -100,6 +101,7 @@
   detail: string,
   nowMs: number,
 ): DirectEffect[] {
+  state.totals.resumptionsRefused += 1;
   const { account } = request.attributes;
   const refusal = createNotRunRefusal(RefusalCode.StreamVersionUnknown, NO_SERVER_RETRY_MS);
   return refuse(state, request, refusal, { account, detail }, nowMs);
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -96,6 +96,9 @@
   predictedMs: number;
   seenMs: number;
   errorMs: number;
+  /** Requests that resumed a stream and were sent on, and those refused because its version isn't certain. */
+  resumed: number;
+  resumptionsRefused: number;
 }
 
 /** State of the direct router. */
@@ -148,6 +151,8 @@
       predictedMs: 0,
       seenMs: 0,
       errorMs: 0,
+      resumed: 0,
+      resumptionsRefused: 0,
     },
     options,
     routeTable: undefined,
--- a/packages/core/src/direct/versions/recorded-versions.ts
+++ b/packages/core/src/direct/versions/recorded-versions.ts
@@ -3,52 +3,117 @@
  * resumable stream at a version before the store has recorded it; so a router that has lost its memory, or that sees other servers
  * than those of before, can tell whether a stream's version is certain.
  */
+import { VersionChangeKind } from './version-record.js';
+import type { VersionChange, VersionRecord } from './version-record.js';
 
 /** Recorded versions by service. */
 export interface RecordedVersions {
-  /** Applies the store's record of a service. */
-  apply(service: string, versions: readonly string[], nowMs: number): void;
-  /** Renews the versions that the servers of a service have; others are forgotten after a time. */
+  /** Applies the store's record of a service. `usedVersions` were recorded for use by this router. */
+  apply(
+    service: string,
+    record: VersionRecord,
+    usedVersions: readonly string[],
+    nowMs: number,
+  ): void;
+  /** Renews the versions that the servers of a service have. */
   renew(service: string, versions: readonly string[], nowMs: number): void;
   /** Returns whether streams may begin at the version. */
   has(service: string, version: string, nowMs: number): boolean;
   /** Returns whether streams of the service may have begun at several versions. */
   isMixed(service: string): boolean;
+  /** Returns how the record is to change, as the servers of the service have these versions; undefined if it is up to date. */
+  findChange(
+    service: string,
+    versions: readonly string[],
+    nowMs: number,
+  ): VersionChange | undefined;
   /** Forgets all versions; the store may have lost them. */
   clear(): void;
   describe(): Record<string, string[]>;
 }
 
-/**
- * Time without a server of a version after which the version must be recorded again before use. It is shorter than the time after
- * which other routers remove the version from the record.
- */
-const RENEWAL_MS = 60_000;
+interface RecordedVersion {
+  /** Time at which a server had the version, or the store recorded it, last. */
+  renewedAtMs: number;
+  /** Time at which the store has last shown the version to be recorded for use. */
+  confirmedAtMs: number;
+  /** Time since which the version is known to be marked as unused. */
+  unusedSinceMs: number | undefined;
+}
+
+/** Time without a server of a version after which it is marked as unused, and must be recorded again before it is used. */
+const UNUSED_MS = 60_000;
+/** Time from the mark to the removal, longer than callers wait for a stream with all of their retries. */
+const REMOVAL_MS = 120_000;
+/** Time after which a used version is confirmed again, so that no router removes it because it sees none of its servers. */
+const CONFIRMATION_MS = 60_000;
 
 /** Creates the record of a router that has read nothing yet. */
 export function createRecordedVersions(): RecordedVersions {
-  const renewedAtMs = new Map<string, Map<string, number>>();
+  const byService = new Map<string, Map<string, RecordedVersion>>();
+
+  const isRenewed = ({ renewedAtMs }: RecordedVersion, nowMs: number): boolean =>
+    nowMs - renewedAtMs <= UNUSED_MS;
+
+  function has(service: string, version: string, nowMs: number): boolean {
+    const recorded = byService.get(service)?.get(version);
+    return recorded !== undefined && isRenewed(recorded, nowMs);
+  }
+
+  const isMixed = (service: string): boolean => (byService.get(service)?.size ?? 0) > 1;
+
+  function needsConfirmation(service: string, versions: readonly string[], nowMs: number): boolean {
+    const known = byService.get(service);
+    return versions.some(
+      (version) => nowMs - (known?.get(version)?.confirmedAtMs ?? nowMs) > CONFIRMATION_MS,
+    );
+  }
+
+  function findUnused(service: string, nowMs: number): VersionChange | undefined {
+    const unused = [...(byService.get(service) ?? [])].filter(
+      ([, recorded]) => !isRenewed(recorded, nowMs),
+    );
+    const unmarked = unused.filter(([, { unusedSinceMs }]) => unusedSinceMs === undefined);
+    const removable = unused.filter(
+      ([, { unusedSinceMs }]) => unusedSinceMs !== undefined && nowMs - unusedSinceMs > REMOVAL_MS,
+    );
+    const kind = unmarked.length > 0 ? VersionChangeKind.MarkUnused : VersionChangeKind.Remove;
+    const versions = (unmarked.length > 0 ? unmarked : removable).map(([version]) => version);
+    return versions.length > 0 ? { kind, versions } : undefined;
+  }
 
   return {
-    apply(service, versions, nowMs) {
-      renewedAtMs.set(service, new Map(versions.map((version) => [version, nowMs])));
+    apply(service, { versions, unused }, usedVersions, nowMs) {
+      const known = byService.get(service);
+      const next = versions.map((version): [string, RecordedVersion] => {
+        const previous = known?.get(version);
+        const unusedSinceMs = unused.includes(version)
+          ? (previous?.unusedSinceMs ?? nowMs)
+          : undefined;
+        const isUsed = previous === undefined || usedVersions.includes(version);
+        const renewedAtMs = isUsed ? nowMs : previous.renewedAtMs;
+        return [version, { renewedAtMs, confirmedAtMs: nowMs, unusedSinceMs }];
+      });
+      byService.set(service, new Map(next));
     },
     renew(service, versions, nowMs) {
-      const known = renewedAtMs.get(service);
-      if (known === undefined) return;
-      // An expired version isn't renewed: other routers may have removed it meanwhile.
-      known.forEach((atMs, version) => {
-        if (nowMs - atMs > RENEWAL_MS) known.delete(version);
-        else if (versions.includes(version)) known.set(version, nowMs);
+      // A version that has expired isn't renewed: other routers may have removed it meanwhile.
+      byService.get(service)?.forEach((recorded, version) => {
+        if (versions.includes(version) && isRenewed(recorded, nowMs)) recorded.renewedAtMs = nowMs;
       });
     },
-    has(service, version, nowMs) {
-      const atMs = renewedAtMs.get(service)?.get(version);
-      return atMs !== undefined && nowMs - atMs <= RENEWAL_MS;
+    has,
+    isMixed,
+    findChange(service, versions, nowMs) {
+      const missing = versions.filter((version) => !has(service, version, nowMs));
+      if (missing.length > 0) return { kind: VersionChangeKind.Use, versions: missing };
+      if (isMixed(service) && needsConfirmation(service, versions, nowMs))
+        return { kind: VersionChangeKind.Use, versions: [...versions] };
+      // Without any server, nothing shows which versions will come back.
+      return versions.length > 0 ? findUnused(service, nowMs) : undefined;
     },
-    isMixed: (service) => (renewedAtMs.get(service)?.size ?? 0) > 1,
-    clear: () => renewedAtMs.clear(),
+    clear: () => byService.clear(),
     describe: () =>
-      Object.fromEntries([...renewedAtMs].map(([service, known]) => [service, [...known.keys()]])),
+      Object.fromEntries([...byService].map(([service, known]) => [service, [...known.keys()]])),
   };
 }
--- a/packages/core/src/direct/versions/types.ts
+++ b/packages/core/src/direct/versions/types.ts
@@ -1,5 +1,6 @@
 /** Types of the versions of the servers' software and of the streams that began at them. */
 import type { StreamsByVersion } from './stream-journal.js';
+import type { VersionChange, VersionRecord } from './version-record.js';
 
 /** What the store records, as read at one time. */
 export interface StreamRecords {
@@ -11,14 +12,19 @@
 
 /** Events of the store's records. */
 export type VersionEvent =
-  /** `versions` is undefined if the store has not recorded them. */
-  | { kind: 'versions-recorded'; service: string; versions: string[] | undefined }
+  /** `record` is undefined if the store may not have recorded the change. */
+  | {
+      kind: 'versions-recorded';
+      service: string;
+      change: VersionChange;
+      record: VersionRecord | undefined;
+    }
   | { kind: 'streams-stored'; ok: boolean }
   /** `records` is undefined if they could not be read. */
   | { kind: 'streams-read'; records: StreamRecords | undefined };
 
 /** Effects on the store's records; each is answered by one event. */
 export type VersionEffect =
-  | { kind: 'record-versions'; service: string; versions: string[] }
+  | { kind: 'record-versions'; service: string; change: VersionChange }
   | { kind: 'store-streams'; streams: StreamsByVersion }
   | { kind: 'read-streams' };
--- a/packages/core/src/direct/versions/version-records.ts
+++ b/packages/core/src/direct/versions/version-records.ts
@@ -3,15 +3,20 @@
 import type { RegisteredServer } from '../server-index.js';
 import type { DirectState } from '../state.js';
 import { RetryPolicy } from '../types.js';
+import type { FleetConfig } from '../types.js';
 import type { VersionEvent } from './types.js';
+import { VersionChangeKind } from './version-record.js';
 
-/** Delay after the store has failed to record versions. */
-const RECORD_RETRY_MS = 200;
+/** Delay after the store has failed to record versions without which requests wait, and after other failures. */
+const URGENT_RETRY_MS = 200;
+const RETRY_MS = 5000;
 /** Minimum time between two writes of the journal; the first event of most streams takes longer. */
 const MIN_WRITE_PERIOD_MS = 200;
 /** Part of the store's rates that these records may use, over all routers. */
 const RATE_FRACTION = 0.25;
 
+const HASH_RANGE = 2 ** 32;
+
 const versionsByList = new WeakMap<readonly RegisteredServer[], string[]>();
 
 /** Returns the versions of the servers of a service that accept requests; they are kept until a server changes. */
@@ -24,29 +29,47 @@
   return versions;
 }
 
-/** Returns the services to which routes with resumable streams lead. */
+const servicesByConfig = new WeakMap<FleetConfig, string[]>();
+
+/** Returns the services to which routes with resumable streams lead; they are kept until the configuration changes. */
 function listResumableServices({ routeTable }: DirectState): string[] {
-  const routes = routeTable?.config.routes ?? [];
-  return [
-    ...new Set(
-      routes.flatMap(({ retryPolicy, services }) =>
-        retryPolicy === RetryPolicy.Resume ? services.map(({ service }) => service) : [],
-      ),
-    ),
-  ];
+  if (routeTable === undefined) return [];
+  const { config } = routeTable;
+  const known = servicesByConfig.get(config);
+  if (known !== undefined) return known;
+  const routes = config.routes.filter(({ retryPolicy }) => retryPolicy === RetryPolicy.Resume);
+  const services = routes.flatMap((route) => route.services.map(({ service }) => service));
+  const distinct = [...new Set(services)];
+  servicesByConfig.set(config, distinct);
+  return distinct;
+}
+
+/** Period in which each router makes one call if all of them share a part of the store's rate. */
+export function sharedPeriodMs({ routerCount }: DirectState, callsPerSecond: number): number {
+  return (1000 * routerCount) / (callsPerSecond * RATE_FRACTION);
+}
+
+/** Spreads the calls of all routers, which learn of a new version at the same time. */
+function recordDelayMs(state: DirectState): number {
+  const { hasher, router, store } = state.options;
+  const phase = hasher.hash32(router) / HASH_RANGE;
+  return Math.floor(phase * sharedPeriodMs(state, store.readsPerSecond));
 }
 
 function recordService(state: DirectState, service: string, nowMs: number): DirectEffect[] {
   const { recorded, recordAgainAtMs } = state.versions;
   const versions = listVersions(state, service);
   recorded.renew(service, versions, nowMs);
-  const missing = versions.filter((version) => !recorded.has(service, version, nowMs));
-  if (missing.length === 0 || nowMs < (recordAgainAtMs.get(service) ?? 0)) return [];
+  const change = recorded.findChange(service, versions, nowMs);
+  if (change === undefined) return [];
+  const againAtMs = recordAgainAtMs.get(service) ?? nowMs + recordDelayMs(state);
+  recordAgainAtMs.set(service, againAtMs);
+  if (nowMs < againAtMs) return [];
   recordAgainAtMs.set(service, Number.POSITIVE_INFINITY);
-  return [{ kind: 'record-versions', service, versions: missing }];
+  return [{ kind: 'record-versions', service, change }];
 }
 
-/** Has the versions recorded at which servers accept requests. */
+/** Has the versions recorded at which servers accept requests, and those removed that no server has any more. */
 export function recordVersions(state: DirectState, nowMs: number): DirectEffect[] {
   return listResumableServices(state).flatMap((service) => recordService(state, service, nowMs));
 }
@@ -54,21 +77,27 @@
 /** Applies the store's answer. */
 export function onVersionsRecorded(
   { versions: { recorded, recordAgainAtMs } }: DirectState,
-  { service, versions }: Extract<VersionEvent, { kind: 'versions-recorded' }>,
+  { service, change, record }: Extract<VersionEvent, { kind: 'versions-recorded' }>,
   nowMs: number,
 ): DirectEffect[] {
-  recordAgainAtMs.set(service, versions === undefined ? nowMs + RECORD_RETRY_MS : 0);
-  if (versions === undefined) return [];
-  recorded.apply(service, versions, nowMs);
-  const fields = { service, versions: versions.join(',') };
+  if (record === undefined) {
+    const isUrgent = change.versions.some((version) => !recorded.has(service, version, nowMs));
+    recordAgainAtMs.set(service, nowMs + (isUrgent ? URGENT_RETRY_MS : RETRY_MS));
+    return [];
+  }
+  recordAgainAtMs.delete(service);
+  const usedVersions = change.kind === VersionChangeKind.Use ? change.versions : [];
+  recorded.apply(service, record, usedVersions, nowMs);
+  const fields = {
+    service,
+    change: change.kind,
+    changed: change.versions.join(','),
+    versions: record.versions.join(','),
+    unused: record.unused.join(','),
+  };
   return [{ kind: 'note', event: 'versions-recorded', fields }];
 }
 
-/** Period in which each router makes one call if all of them share a part of the store's rate. */
-export function sharedPeriodMs({ routerCount }: DirectState, callsPerSecond: number): number {
-  return (1000 * routerCount) / (callsPerSecond * RATE_FRACTION);
-}
-
 /** Writes the journal to the store while versions are mixed, and once more when they no longer are. */
 export function storeJournal(state: DirectState, nowMs: number): DirectEffect[] {
   const { recorded, journal, copy } = state.versions;
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -1,5 +1,10 @@
 /** Test fixture: a direct router with a sample configuration and a simulated clock. */
-import { createDirectState, directReducer, RetryPolicy } from '../../src/direct/index.js';
+import {
+  changeVersionRecord,
+  createDirectState,
+  directReducer,
+  RetryPolicy,
+} from '../../src/direct/index.js';
 import type {
   BackendServerEntry,
   DirectEffect,
@@ -9,6 +14,7 @@
   RequestAttributes,
   Route,
   StreamsByVersion,
+  VersionRecord,
 } from '../../src/direct/index.js';
 
 type Untimed<T> = T extends DirectEvent ? Omit<T, 'nowMs'> : never;
@@ -84,7 +90,7 @@
 
 /** Records of versions and streams that routers share. */
 export interface SampleStore {
-  versions: Map<string, string[]>;
+  versions: Map<string, VersionRecord>;
   streamsByRouter: Map<string, StreamsByVersion>;
   /** While true, the store answers no call. */
   isDown: boolean;
@@ -103,16 +109,21 @@
   const { versions, streamsByRouter, isDown } = store;
   switch (effect.kind) {
     case 'record-versions': {
-      const { service } = effect;
-      const recorded = [...new Set([...(versions.get(service) ?? []), ...effect.versions])];
-      if (!isDown) versions.set(service, recorded);
-      return { kind: 'versions-recorded', service, versions: isDown ? undefined : recorded };
+      const { service, change } = effect;
+      const current = versions.get(service) ?? { versions: [], unused: [] };
+      const record = changeVersionRecord(current, change) ?? current;
+      if (!isDown) versions.set(service, record);
+      return { kind: 'versions-recorded', service, change, record: isDown ? undefined : record };
     }
     case 'store-streams':
       if (!isDown) streamsByRouter.set(router, effect.streams);
       return { kind: 'streams-stored', ok: !isDown };
     case 'read-streams': {
-      const records = { versions: new Map(versions), streams: [...streamsByRouter.values()] };
+      const recorded = [...versions].map(([service, record]): [string, string[]] => [
+        service,
+        record.versions,
+      ]);
+      const records = { versions: new Map(recorded), streams: [...streamsByRouter.values()] };
       return { kind: 'streams-read', records: isDown ? undefined : records };
     }
     default:
--- a/packages/core/test/direct/stream-versions.test.ts
+++ b/packages/core/test/direct/stream-versions.test.ts
@@ -199,6 +199,39 @@
   store.streamsByRouter.clear();
   router.dispatch({ kind: 'store-restored' });
   tick(router, 250);
-  assert.deepEqual(store.versions.get('engines'), ['v1', 'v2']);
+  assert.deepEqual(store.versions.get('engines')?.versions, ['v1', 'v2']);
   assert.equal(store.streamsByRouter.size, 1);
 });
+
+const MINUTE_MS = 60_000;
+
+function waitMinutes(router: SampleRouter, minutes: number): void {
+  for (let second = 0; second < minutes * 60; second += 1) tick(router, MINUTE_MS / 60);
+}
+
+test('a version whose servers have left is removed from the record, and recorded anew if they come back', () => {
+  const store = createSampleStore();
+  const router = startRouter(store, 'one');
+  ['e1', 'e2'].forEach((id) => router.dispatch({ kind: 'server-removed', id }));
+  waitMinutes(router, 2);
+  assert.deepEqual(store.versions.get('engines'), { versions: ['v1', 'v2'], unused: ['v1'] });
+  waitMinutes(router, 2);
+  assert.deepEqual(store.versions.get('engines'), { versions: ['v2'], unused: [] });
+  const after = startRouter(store, 'after', [sampleEntry('e3', NEW)]);
+  assert.equal(expectSend(after.request('r1', RESUMED)).decisionInputs.version, 'v2');
+  router.dispatch({ kind: 'server-changed', entry: sampleEntry('e1', OLD) });
+  assert.deepEqual(store.versions.get('engines')?.versions, ['v2', 'v1']);
+});
+
+// Guards against a version that is removed while another router begins streams at it.
+test('a version that one router uses is not removed by others that see none of its servers', () => {
+  const store = createSampleStore();
+  const user = startRouter(store, 'user');
+  const other = startRouter(store, 'other');
+  ['e1', 'e2'].forEach((id) => other.dispatch({ kind: 'server-removed', id }));
+  for (let minute = 0; minute < 15; minute += 1) {
+    waitMinutes(user, 1);
+    waitMinutes(other, 1);
+    assert.deepEqual(store.versions.get('engines')?.versions, ['v1', 'v2']);
+  }
+});
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -58,10 +58,10 @@
   return {
     'record-versions': async ({
       service,
-      versions,
+      change,
     }: Extract<DirectEffect, { kind: 'record-versions' }>) => {
-      const recorded = await parts.streamStore.recordVersions(service, versions);
-      const event = { kind: 'versions-recorded' as const, service, versions: recorded };
+      const record = await parts.streamStore.changeVersions(service, change);
+      const event = { kind: 'versions-recorded' as const, service, change, record };
       parts.loop.dispatch({ ...event, nowMs: clock() });
     },
     'store-streams': async ({ streams }: Extract<DirectEffect, { kind: 'store-streams' }>) => {
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -1,15 +1,22 @@
 /** Records of the versions of the servers' software, and of the streams that began at them, in the platform's store. */
-import type { StreamRecords, StreamsByVersion } from '@kingcupsill/core/direct';
+import { changeVersionRecord } from '@kingcupsill/core/direct';
+import type {
+  StreamRecords,
+  StreamsByVersion,
+  VersionChange,
+  VersionRecord,
+} from '@kingcupsill/core/direct';
 import { ReadMode, StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreObject, StoreResult } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
 import { z } from 'zod';
 import type { StoreEra } from './store-era.js';
+import { createStreamSweep, nameRun } from './stream-sweep.js';
 
 /** Records in the store. None of the promises reject. */
 export interface StreamStore {
-  /** Adds versions to those of a service. Returns all recorded ones, or undefined if the store may not have recorded them. */
-  recordVersions(service: string, versions: readonly string[]): Promise<string[] | undefined>;
+  /** Changes the versions of a service. Returns their record, or undefined if the store may not have changed it. */
+  changeVersions(service: string, change: VersionChange): Promise<VersionRecord | undefined>;
   /** Replaces this router's streams. Returns whether the store has recorded them. */
   storeStreams(streams: StreamsByVersion): Promise<boolean>;
   /** Returns the current records of all routers, or undefined if they could not be read. */
@@ -29,19 +36,26 @@
 }
 
 const READ_TIMEOUT_MS = 1000;
-/** Several routers record the same versions at the same time. */
-const MAX_CONFLICTS = 5;
-/** Time after which no caller resumes a stream of an earlier run. */
-const EARLIER_RUN_MS = 120_000;
+/** Writes of one change; several routers may change the record at the same time. */
+const MAX_TRIES = 5;
 
-const versionsSchema = z.object({ service: z.string(), versions: z.array(z.string()) });
+/** Failures that state what the store has. */
+const EXPECTED_FAILURES = new Set<StoreFailure>([StoreFailure.Conflict, StoreFailure.NotFound]);
+
+const NO_VERSIONS: VersionRecord = { versions: [], unused: [] };
+
+const versionsSchema = z.object({
+  service: z.string(),
+  versions: z.array(z.string()),
+  unused: z.array(z.string()).default([]),
+});
 const streamsSchema = z.object({
   streams: z.record(z.string(), z.record(z.string(), z.array(z.string()))),
 });
 
-function readVersions(object: StoreObject | undefined): string[] {
-  const parsed = versionsSchema.safeParse(object?.spec);
-  return parsed.success ? parsed.data.versions : [];
+function readRecord(object: StoreObject): VersionRecord {
+  const parsed = versionsSchema.safeParse(object.spec);
+  return parsed.success ? parsed.data : NO_VERSIONS;
 }
 
 function decodeRecords(objects: readonly StoreObject[]): StreamRecords {
@@ -56,38 +70,52 @@
   return { versions, streams };
 }
 
+/** Returns what the store has, as a result shows it; undefined if it shows nothing. */
+function findStored(
+  result: StoreResult<StoreObject> | undefined,
+): { object: StoreObject | undefined } | undefined {
+  if (result === undefined) return undefined;
+  if (result.ok) return { object: result.value };
+  if (result.failure === StoreFailure.NotFound) return { object: undefined };
+  return result.current && { object: result.current };
+}
+
 /** Creates the records of one router. */
 export function createStreamStore(options: StreamStoreOptions): StreamStore {
   const { client, era, router, incarnation, logger } = options;
-  const ownPrefix = `streams.${router}.`;
-  const ownName = `${ownPrefix}${incarnation}`;
+  const ownName = nameRun(router, incarnation);
   let own: StoreObject | undefined;
 
   /** Returns the result if it is of the current era. */
   function check<TValue>(result: StoreResult<TValue>): StoreResult<TValue> | undefined {
     const isCurrent = era.observe(result.era);
     options.onCallEnded(result.ok ? 'ok' : result.failure);
-    if (!result.ok && result.failure !== StoreFailure.Conflict)
+    if (!result.ok && !EXPECTED_FAILURES.has(result.failure))
       logger.info('streams-call-failed', { failure: result.failure, detail: result.detail });
     return isCurrent ? result : undefined;
   }
 
-  async function recordVersions(
+  async function changeVersions(
     service: string,
-    versions: readonly string[],
-  ): Promise<string[] | undefined> {
+    change: VersionChange,
+  ): Promise<VersionRecord | undefined> {
     const name = `versions.${service}`;
-    const created = { service, versions: [...versions] };
-    let result = check(await client.create(StoreKind.Streams, name, created));
-    for (let conflicts = 0; conflicts < MAX_CONFLICTS; conflicts += 1) {
-      if (result?.ok) return readVersions(result.value);
-      if (result?.failure !== StoreFailure.Conflict || result.current === undefined)
-        return undefined;
-      const recorded = readVersions(result.current);
-      const all = [...new Set([...recorded, ...versions])];
-      if (all.length === recorded.length) return recorded;
-      const spec = { service, versions: all };
-      result = check(await client.replace(StoreKind.Streams, result.current, spec));
+    // Most routers only read: another one has recorded the change before.
+    let result = check(await client.get(StoreKind.Streams, name));
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      const known = findStored(result);
+      if (known === undefined) return undefined;
+      const { object } = known;
+      const current = object === undefined ? NO_VERSIONS : readRecord(object);
+      const next = changeVersionRecord(current, change);
+      if (next === undefined) return object && current;
+      const spec = { service, ...next };
+      result = check(
+        await (object === undefined
+          ? client.create(StoreKind.Streams, name, spec)
+          : client.replace(StoreKind.Streams, object, spec)),
+      );
+      if (result?.ok) return next;
     }
     return undefined;
   }
@@ -108,13 +136,11 @@
     return false;
   }
 
-  async function listAll(): Promise<StoreObject[] | undefined> {
+  async function listAll(kind: StoreKind): Promise<StoreObject[] | undefined> {
     const objects: StoreObject[] = [];
     let cursor: string | undefined;
     do {
-      const page = check(
-        await client.listPage(StoreKind.Streams, cursor, READ_TIMEOUT_MS, ReadMode.Current),
-      );
+      const page = check(await client.listPage(kind, cursor, READ_TIMEOUT_MS, ReadMode.Current));
       if (!page?.ok) return undefined;
       objects.push(...page.value.objects);
       cursor = page.value.nextCursor;
@@ -122,24 +148,21 @@
     return objects;
   }
 
-  async function removeEarlierRuns(): Promise<void> {
-    const objects = (await listAll()) ?? [];
-    const earlier = objects.filter(({ name }) => name.startsWith(ownPrefix) && name !== ownName);
-    await Promise.all(
-      earlier.map(async ({ name }) => check(await client.remove(StoreKind.Streams, name))),
-    );
-  }
-
-  const timer = setTimeout(removeEarlierRuns, EARLIER_RUN_MS);
-  timer.unref();
+  const sweep = createStreamSweep({
+    ownName,
+    listAll,
+    remove: async (name) => {
+      check(await client.remove(StoreKind.Streams, name));
+    },
+  });
 
   return {
-    recordVersions,
+    changeVersions,
     storeStreams,
     async readStreams() {
-      const objects = await listAll();
+      const objects = await listAll(StoreKind.Streams);
       return objects && decodeRecords(objects);
     },
-    close: () => clearTimeout(timer),
+    close: () => sweep.close(),
   };
 }
--- a/packages/edge/test/standins/store-standin.ts
+++ b/packages/edge/test/standins/store-standin.ts
@@ -153,6 +153,9 @@
     if (req.method !== 'GET') void write(req, res, kind!, name);
     else if (query.has('watch')) {
       void watch(res, kind!, Number(query.get('watch')), Number(query.get('waitMs')));
+    } else if (name !== undefined) {
+      const object = objectsOf(kind!).get(decodeURIComponent(name));
+      sendJson(res, object === undefined ? 404 : 200, object ?? {});
     } else list(res, kind!, query.get('afterRevision') ?? '');
   });
   const port = await listenOn(server, { host: '127.0.0.1', port: 0 });
