--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -29,6 +29,8 @@
   logLines: LoggedLine[];
   call(path: string, options?: CallOptions): Promise<CallerAnswer>;
   isReady(): Promise<boolean>;
+  /** Ends the router and starts one that knows nothing of it, and waits until it is ready. */
+  replaceRouter(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -179,15 +181,17 @@
     servers.forEach((server) => server.close());
     store.close();
   };
-  const router = await startEdge({
-    settings: () => settings,
-    logger: createRecordingLogger(logLines),
-    droppedLines: () => 3,
-    registry: new Registry(),
-    clock: () => performance.now(),
-    random: Math.random,
-    incarnation: 'i1',
-  }).catch((err: unknown) => {
+  const startRouter = (incarnation: string): Promise<RunningProcess> =>
+    startEdge({
+      settings: () => settings,
+      logger: createRecordingLogger(logLines),
+      droppedLines: () => 3,
+      registry: new Registry(),
+      clock: () => performance.now(),
+      random: Math.random,
+      incarnation,
+    });
+  let router = await startRouter('i1').catch((err: unknown) => {
     // Open stand-ins would keep the process of a failed test alive.
     closeStandins();
     throw err;
@@ -203,6 +207,11 @@
     logLines,
     call: createCaller(settings.callers.address),
     isReady,
+    async replaceRouter() {
+      await router.close();
+      router = await startRouter('i2');
+      await waitUntil(isReady);
+    },
     async close() {
       await router.close();
       closeStandins();
--- a/packages/edge/test/standins/store-standin.ts
+++ b/packages/edge/test/standins/store-standin.ts
@@ -107,6 +107,8 @@
     if (findChanges().length === 0) {
       await new Promise<void>((resolve) => {
         const timer = setTimeout(finish, waitMs);
+        // A watch that nobody waits for any more doesn't keep a test's process alive.
+        timer.unref();
         function finish(): void {
           clearTimeout(timer);
           pendingWatches.delete(finish);
