Look up all resumed streams in one pass over the records

Each resumed stream was looked for in all records by itself: at 1,100 routers with 225 streams each that is a pass over 247,500 ids per stream.

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -13,7 +13,7 @@
 import type { DirectState, OpenRequest } from './state.js';
 import { RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
-import { findStreamOrigin, readRecords } from './versions/resumed-streams.js';
+import { findRecordedOrigins, findStreamOrigin, readRecords } from './versions/resumed-streams.js';
 import type { StreamOrigin } from './versions/stream-journal.js';
 import type { StreamRecords } from './versions/types.js';
 
@@ -152,16 +152,20 @@
   records: StreamRecords | undefined,
   nowMs: number,
 ): DirectEffect[] {
-  const waited = [...(state.versions.reading ?? [])];
-  state.versions.reading = undefined;
-  const effects = waited.flatMap(([requestId, draw]) => {
+  const waited = [...(state.versions.reading ?? [])].flatMap(([requestId, draw]) => {
     const request = state.requests.get(requestId);
-    if (request === undefined) return [];
-    const { attributes } = request;
-    const origin = records && findStreamOrigin(state, records, attributes);
-    if (origin !== undefined) return resumeStream(state, request, origin, draw, nowMs);
-    const detail = records === undefined ? 'records not read' : 'not recorded';
-    return refuseResumption(state, request, detail, nowMs);
+    return request === undefined ? [] : { request, draw };
+  });
+  state.versions.reading = undefined;
+  const streamIds = new Set(waited.flatMap(({ request }) => request.attributes.streamId ?? []));
+  const origins = records && findRecordedOrigins(records, streamIds);
+  const effects = waited.flatMap(({ request, draw }) => {
+    if (records === undefined || origins === undefined)
+      return refuseResumption(state, request, 'records not read', nowMs);
+    const origin = findStreamOrigin(state, records, origins, request.attributes);
+    return origin === undefined
+      ? refuseResumption(state, request, 'not recorded', nowMs)
+      : resumeStream(state, request, origin, draw, nowMs);
   });
   return [...effects, ...readRecords(state, nowMs)];
 }
--- a/packages/core/src/direct/versions/resumed-streams.ts
+++ b/packages/core/src/direct/versions/resumed-streams.ts
@@ -25,18 +25,33 @@
   return servers.map(({ entry }) => entry.softwareVersion);
 }
 
-function findRecorded({ streams }: StreamRecords, streamId: string): StreamOrigin[] {
-  const origins = streams.flatMap((byService) =>
-    Object.entries(byService).flatMap(([service, byVersion]) =>
-      Object.keys(byVersion).flatMap((version) =>
-        byVersion[version]!.includes(streamId) ? { service, version } : [],
-      ),
-    ),
-  );
-  return origins.filter(
-    ({ service, version }, index) =>
-      index === origins.findIndex((own) => own.service === service && own.version === version),
+/** Origins of streams by their ids, as the routers have recorded them. */
+export type RecordedOrigins = Map<string, StreamOrigin[]>;
+
+function addOrigin(origins: RecordedOrigins, streamId: string, origin: StreamOrigin): void {
+  const known = origins.get(streamId) ?? [];
+  const isKnown = known.some(
+    ({ service, version }) => service === origin.service && version === origin.version,
   );
+  if (!isKnown) origins.set(streamId, [...known, origin]);
+}
+
+/** Looks up streams in the records of all routers, which may be large, in one pass. */
+export function findRecordedOrigins(
+  { streams }: StreamRecords,
+  streamIds: ReadonlySet<string>,
+): RecordedOrigins {
+  const origins: RecordedOrigins = new Map();
+  streams.forEach((byService) => {
+    Object.entries(byService).forEach(([service, byVersion]) => {
+      Object.entries(byVersion).forEach(([version, ids]) => {
+        ids.forEach((streamId) => {
+          if (streamIds.has(streamId)) addOrigin(origins, streamId, { service, version });
+        });
+      });
+    });
+  });
+  return origins;
 }
 
 /**
@@ -45,14 +60,15 @@
  */
 export function findStreamOrigin(
   state: DirectState,
-  records: StreamRecords,
+  { versions }: StreamRecords,
+  recordedOrigins: RecordedOrigins,
   { service, streamId }: RequestAttributes,
 ): StreamOrigin | undefined {
   const known = streamId === undefined ? undefined : state.versions.journal.find(streamId);
   if (known !== undefined) return known;
-  const recorded = streamId === undefined ? [] : findRecorded(records, streamId);
+  const recorded = (streamId !== undefined && recordedOrigins.get(streamId)) || [];
   if (recorded.length > 0) return recorded.length === 1 ? recorded[0] : undefined;
-  const inService = records.versions.get(service);
+  const inService = versions.get(service);
   if (inService === undefined) return undefined;
   const possible = [...new Set([...inService, ...listServiceVersions(state, service)])];
   return possible.length === 1 ? { service, version: possible[0]! } : undefined;
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -58,7 +58,8 @@
   return parsed.success ? parsed.data : NO_VERSIONS;
 }
 
-function decodeRecords(objects: readonly StoreObject[]): StreamRecords {
+/** Decodes the records of all routers; objects of other writers are passed over. */
+export function decodeRecords(objects: readonly StoreObject[]): StreamRecords {
   const versions = new Map<string, string[]>();
   const streams: StreamsByVersion[] = [];
   objects.forEach(({ spec }) => {
