Move what belongs to crashes into one folder, and take the circles of types apart

The files of core/direct on requests that crash servers are in core/direct/crashes; their news have a file of their own below events.ts. EdgeContext has a file below types.ts, and reporting.ts names what it needs. Behaviour is unchanged.

--- a/packages/core/src/direct/blocked-parts.ts
+++ b/packages/core/src/direct/crashes/blocked-traits.ts
@@ -1,5 +1,5 @@
 /** Traits whose requests are refused for a time, because they crash the servers that run them. */
-import { evictLeastRecentlyUsed, markRecentlyUsed } from '../collections/index.js';
+import { evictLeastRecentlyUsed, markRecentlyUsed } from '../../collections/index.js';
 
 /** Group of traits; only requests that contain all of them are blocked. */
 export interface BlockedTraits {
--- a/packages/core/src/direct/crash-evidence.ts
+++ b/packages/core/src/direct/crashes/crash-evidence.ts
@@ -1,21 +1,14 @@
 /** Event handling around requests that crash servers: collects evidence, exchanges it with peers and blocks traits. */
-import { createCrashBlocks } from './blocked-parts.js';
-import type { BlockedTraits, CrashBlocks } from './blocked-parts.js';
+import { createCrashBlocks } from './blocked-traits.js';
+import type { CrashBlocks } from './blocked-traits.js';
+import { createCrashNews } from './crash-news.js';
+import type { CrashNews } from './crash-news.js';
 import { createCrashSuspects } from './crash-suspects.js';
 import type { CrashSuspects } from './crash-suspects.js';
-import type { DirectEffect } from './events.js';
-import { createServedTraits } from './served-parts.js';
-import type { ServedTraits } from './served-parts.js';
-import { AttemptOutcome } from './types.js';
-
-/** What routers tell each other about requests that crash servers. */
-export interface CrashNews {
-  /** Traits of requests whose attempts broke when a server crashed. */
-  crashes: [serverKey: string, traits: string[]][];
-  /** Suspected traits of answered requests. */
-  served: string[];
-  blocked: BlockedTraits[];
-}
+import type { DirectEffect } from '../events.js';
+import { createServedTraits } from './served-traits.js';
+import type { ServedTraits } from './served-traits.js';
+import { AttemptOutcome } from '../types.js';
 
 /** Crash evidence of one router. */
 export interface CrashEvidence {
@@ -36,28 +29,6 @@
   AttemptOutcome.NotRun,
 ]);
 
-/** Returns news without content. */
-export function createCrashNews(): CrashNews {
-  return { crashes: [], served: [], blocked: [] };
-}
-
-/** Returns whether news have any content. */
-export function hasCrashNews({ crashes, served, blocked }: CrashNews): boolean {
-  return crashes.length + served.length + blocked.length > 0;
-}
-
-/** Maximum number of entries of each kind in one report. */
-const MAX_NEWS = 256;
-
-/** Adds later news to earlier ones; beyond the maximum, the oldest are dropped. */
-export function mergeCrashNews(earlier: CrashNews, later: CrashNews): CrashNews {
-  return {
-    crashes: [...earlier.crashes, ...later.crashes].slice(-MAX_NEWS),
-    served: [...new Set([...earlier.served, ...later.served])].slice(-MAX_NEWS),
-    blocked: [...earlier.blocked, ...later.blocked].slice(-MAX_NEWS),
-  };
-}
-
 /** Creates the evidence of a router that has seen no crash. */
 export function createCrashEvidence(): CrashEvidence {
   return {
--- a/packages/core/src/direct/crash-suspects.ts
+++ b/packages/core/src/direct/crashes/crash-suspects.ts
@@ -2,8 +2,8 @@
  * Finds the traits of requests that crash the servers that run them, from the requests whose attempts broke when servers crashed. A
  * trait of answered requests isn't suspected; among the others, the trait that explains most crashes is held responsible for them.
  */
-import { createServedTraits } from './served-parts.js';
-import type { ServedTraits } from './served-parts.js';
+import { CRASH_MEMORY_MS, createServedTraits } from './served-traits.js';
+import type { ServedTraits } from './served-traits.js';
 
 /** Evidence of crashes by trait. */
 export interface CrashSuspects {
@@ -49,8 +49,6 @@
 
 /** Maximum time between the first and the last broken attempt of one crash, over all routers' reports. */
 const SAME_CRASH_MS = 1500;
-/** Time for which a crash counts. */
-const CRASH_MEMORY_MS = 30_000;
 const MAX_CRASHES = 64;
 /** Maximum number of requests that are kept of one crash. */
 const MAX_REQUESTS_PER_CRASH = 128;
--- a/packages/core/src/direct/served-parts.ts
+++ b/packages/core/src/direct/crashes/served-traits.ts
@@ -1,5 +1,5 @@
 /** Traits of recently answered requests. */
-import { evictLeastRecentlyUsed, markRecentlyUsed } from '../collections/index.js';
+import { evictLeastRecentlyUsed, markRecentlyUsed } from '../../collections/index.js';
 
 /** Traits with the time of their last answer. */
 export interface ServedTraits {
@@ -10,8 +10,8 @@
 
 /** Time before a crash in which an answer counts. */
 const SERVED_MEMORY_MS = 10_000;
-/** Maximum age of the crashes that are asked about. */
-const MAX_CRASH_AGE_MS = 30_000;
+/** Time for which a crash counts. */
+export const CRASH_MEMORY_MS = 30_000;
 const MAX_SERVED_TRAITS = 8192;
 
 /** Creates an empty set. */
@@ -20,7 +20,7 @@
   /** Removes what no question can be about any more: most traits occur in one request only. */
   function prune(nowMs: number): void {
     for (const [trait, atMs] of servedAtMs) {
-      if (nowMs - atMs <= SERVED_MEMORY_MS + MAX_CRASH_AGE_MS) return;
+      if (nowMs - atMs <= SERVED_MEMORY_MS + CRASH_MEMORY_MS) return;
       servedAtMs.delete(trait);
     }
   }
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -1,5 +1,5 @@
 /** Description of a direct router's state as plain data, for summaries and dumps. */
-import type { BlockedTraits } from './blocked-parts.js';
+import type { BlockedTraits } from './crashes/blocked-traits.js';
 import type { DirectState, DirectTotals } from './state.js';
 
 /** Description of one backend server. */
--- a/packages/core/src/direct/pending-report.ts
+++ b/packages/core/src/direct/pending-report.ts
@@ -1,6 +1,6 @@
 /** Changes that wait for the next report on one link; several changes of one server or account cost one entry. */
-import { createCrashNews, hasCrashNews, mergeCrashNews } from './crash-evidence.js';
-import type { CrashNews } from './crash-evidence.js';
+import { createCrashNews, hasCrashNews, mergeCrashNews } from './crashes/crash-news.js';
+import type { CrashNews } from './crashes/crash-news.js';
 import type { ReportedServerLoad, RouterReport } from './events.js';
 import type { RequestCounts } from './service-demand.js';
 
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -1,7 +1,7 @@
 /** Reducer of the direct router, with one handler per kind of event. */
 import type { ReducerResult } from '../reducer/index.js';
 import { onRequest, onStreamsRead } from './arrivals.js';
-import { applyCrashNews, blockCulprits } from './crash-evidence.js';
+import { applyCrashNews, blockCulprits } from './crashes/crash-evidence.js';
 import type { DirectEffect, DirectEvent } from './events.js';
 import { extraRoundTripMs, requestedWaitMs } from './placement.js';
 import { applyPeerReport, removePeer } from './reports.js';
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -2,8 +2,8 @@
  * Sums of the load reports that pass a router. A report from one link changes the sums for the links to which it may be passed on;
  * what changed is sent with the next report of each link, so several changes of one server cost one entry.
  */
-import type { CrashBlocks } from './blocked-parts.js';
-import { createCrashNews } from './crash-evidence.js';
+import type { CrashBlocks } from './crashes/blocked-traits.js';
+import { createCrashNews } from './crashes/crash-news.js';
 import type { RouterReport } from './events.js';
 import { createPendingReport } from './pending-report.js';
 import type { PendingReport } from './pending-report.js';
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -1,5 +1,5 @@
 /** Creates the load reports that a router sends to its peers and applies those that it receives. */
-import { createCrashNews, hasCrashNews } from './crash-evidence.js';
+import { createCrashNews, hasCrashNews } from './crashes/crash-news.js';
 import type { ReportedServerLoad, RouterReport } from './events.js';
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,6 +1,6 @@
 /** Event handlers for the attempts of requests, and for requests that end. */
 import { refuseResumption, remainingBlockMs } from './arrivals.js';
-import { recordAttemptEnd } from './crash-evidence.js';
+import { recordAttemptEnd } from './crashes/crash-evidence.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
 import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
 import type { DirectEffect, Refusal } from './events.js';
--- a/packages/edge/src/admin/admin-server.ts
+++ b/packages/edge/src/admin/admin-server.ts
@@ -5,7 +5,8 @@
 import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
 import { parseAddress } from '../settings.js';
-import type { EdgeContext, EdgeParts } from '../types.js';
+import type { EdgeContext } from '../context.js';
+import type { EdgeParts } from '../types.js';
 
 interface Page {
   type: string;
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -4,7 +4,8 @@
 import type { Exchange } from './callers/exchange.js';
 import { BodyFraming } from './relay/types.js';
 import type { AttemptListener } from './relay/types.js';
-import type { EdgeContext, EdgeParts } from './types.js';
+import type { EdgeContext } from './context.js';
+import type { EdgeParts } from './types.js';
 
 /** Effect that starts an attempt. */
 export type SendEffect = Extract<DirectEffect, { kind: 'send' }>;
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -37,7 +37,8 @@
 import { createStoreEra } from './store/store-era.js';
 import { createStoreTransport } from './store/store-transport.js';
 import { createStreamStore } from './store/stream-store.js';
-import type { EdgeContext, EdgeParts } from './types.js';
+import type { EdgeContext } from './context.js';
+import type { EdgeParts } from './types.js';
 
 type EdgePart<K extends keyof EdgeParts> = ComponentDefinition<EdgeParts, EdgeParts[K]>;
 
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -9,7 +9,8 @@
 import { startAttempt } from './relay/attempt.js';
 import { listCachedParts } from './relay/list-cached-parts.js';
 import type { AttemptRequest, RunningAttempt } from './relay/types.js';
-import type { EdgeContext, EdgeParts } from './types.js';
+import type { EdgeContext } from './context.js';
+import type { EdgeParts } from './types.js';
 
 type EffectParts = Pick<
   EdgeParts,
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -2,4 +2,4 @@
 export { startEdge } from './edge.js';
 export { edgeSchema } from './settings.js';
 export type { EdgeSettings } from './settings.js';
-export type { EdgeContext } from './types.js';
+export type { EdgeContext } from './context.js';
--- a/packages/edge/src/peers/reporting.ts
+++ b/packages/edge/src/peers/reporting.ts
@@ -1,6 +1,8 @@
 /** Reports of this router's own load to the exchange. */
 import { createReporter } from '@kingcupsill/core/direct';
-import type { EdgeContext, EdgeParts } from '../types.js';
+import type { DirectState } from '@kingcupsill/core/direct';
+import type { EdgeContext } from '../context.js';
+import type { PeerLinks } from './peer-links.js';
 
 /** Reporting of the router's load. */
 export interface Reporting {
@@ -11,7 +13,7 @@
 /** @param router name and incarnation of this router */
 export function createReporting(
   { clock, logger }: Pick<EdgeContext, 'clock' | 'logger'>,
-  { state, peers }: Pick<EdgeParts, 'state' | 'peers'>,
+  { state, peers }: { state: DirectState; peers: Promise<PeerLinks> },
   router: string,
 ): Reporting {
   const reporter = createReporter(router);
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -3,7 +3,7 @@
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreObject } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
-import type { EdgeContext } from '../types.js';
+import type { EdgeContext } from '../context.js';
 import type { StoreEra } from './store-era.js';
 
 /** Stored content of a router's registration. */
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -1,8 +1,7 @@
-/** Types of the direct router's process. */
+/** Components of the direct router's process. */
 import type { DirectEvent, DirectState, StoreNews } from '@kingcupsill/core/direct';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
-import type { Clock, Logger, Loop } from '@kingcupsill/runtime';
-import type { Registry } from 'prom-client';
+import type { Loop } from '@kingcupsill/runtime';
 import type { CallerServer } from './callers/caller-server.js';
 import type { RequestValidator } from './callers/request-validator.js';
 import type { Closable } from './closable.js';
@@ -12,28 +11,12 @@
 import type { PeerLinks } from './peers/peer-links.js';
 import type { Reporting } from './peers/reporting.js';
 import type { ServerConnections } from './relay/server-connections.js';
-import type { EdgeSettings } from './settings.js';
 import type { FollowedNews } from './store/followed-news.js';
 import type { RouterRegistration } from './store/router-registration.js';
 import type { StoreEra } from './store/store-era.js';
 import type { StoreTransport } from './store/store-transport.js';
 import type { StreamStore } from './store/stream-store.js';
 
-/** Dependencies of the direct router's process. */
-export interface EdgeContext {
-  /** Returns the settings in force, which a reload replaces. */
-  settings: () => EdgeSettings;
-  logger: Logger;
-  /** Returns the number of log lines dropped because their reader was too slow. */
-  droppedLines: () => number;
-  registry: Registry;
-  clock: Clock;
-  /** Returns a random number in [0, 1). */
-  random: () => number;
-  /** Random id of this process run. */
-  incarnation: string;
-}
-
 /** Lifecycle phase of the process. */
 export interface Phase {
   draining: boolean;
--- a/packages/edge/test/callers/busy-router.test.ts
+++ b/packages/edge/test/callers/busy-router.test.ts
@@ -7,7 +7,8 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
 import { createRequestHandlers } from '../../src/callers/request-handler.js';
-import type { EdgeContext, EdgeParts } from '../../src/types.js';
+import type { EdgeContext } from '../../src/context.js';
+import type { EdgeParts } from '../../src/types.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
 
 const KEPT_CONNECTIONS = 60;
