Count a router as ready only once the versions of its servers have been recorded

Callers of a router that starts would have got 503 for its first moments. The router is now ready once the first attempt to record the versions of each service has ended, also if it has failed.

--- a/packages/core/src/direct/versions/version-records.ts
+++ b/packages/core/src/direct/versions/version-records.ts
@@ -74,12 +74,21 @@
   return listResumableServices(state).flatMap((service) => recordService(state, service, nowMs));
 }
 
+/** Returns whether the versions of all services with servers have been recorded after the start, or could not be. */
+export function areVersionsAttempted(state: DirectState): boolean {
+  return listResumableServices(state).every(
+    (service) =>
+      state.versions.attemptedServices.has(service) || listVersions(state, service).length === 0,
+  );
+}
+
 /** Applies the store's answer. */
 export function onVersionsRecorded(
-  { versions: { recorded, recordAgainAtMs } }: DirectState,
+  { versions: { recorded, recordAgainAtMs, attemptedServices } }: DirectState,
   { service, change, record }: Extract<VersionEvent, { kind: 'versions-recorded' }>,
   nowMs: number,
 ): DirectEffect[] {
+  attemptedServices.add(service);
   if (record === undefined) {
     const isUrgent = change.versions.some((version) => !recorded.has(service, version, nowMs));
     recordAgainAtMs.set(service, nowMs + (isUrgent ? URGENT_RETRY_MS : RETRY_MS));
--- a/packages/core/src/direct/versions/version-state.ts
+++ b/packages/core/src/direct/versions/version-state.ts
@@ -12,6 +12,8 @@
   recorded: RecordedVersions;
   /** Time before which the versions of a service aren't recorded again; infinite while a call is in progress. */
   recordAgainAtMs: Map<string, number>;
+  /** Services whose versions have been recorded at least once, or could not be. */
+  attemptedServices: Set<string>;
   journal: StreamJournal;
   /** State of the journal's copy in the store. */
   copy: {
@@ -31,6 +33,7 @@
   return {
     recorded: createRecordedVersions(),
     recordAgainAtMs: new Map(),
+    attemptedServices: new Set(),
     journal: createStreamJournal(),
     copy: {
       isWriting: false,
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -131,14 +131,8 @@
   }
 }
 
-export function createSampleRouter(
-  entries: BackendServerEntry[] = [sampleEntry('e1'), sampleEntry('e2')],
-  config: FleetConfig = sampleConfig(),
-  router = 'r1/1',
-  store = createSampleStore(),
-): SampleRouter {
-  let nowMs = 1000;
-  const state = createDirectState({
+export function createSampleState(router = 'r1/1'): DirectState {
+  return createDirectState({
     router,
     hasher,
     zone: 'z1',
@@ -148,6 +142,16 @@
     store: { writesPerSecond: 400, readsPerSecond: 2000 },
     shareWindowMs: 4000,
   });
+}
+
+export function createSampleRouter(
+  entries: BackendServerEntry[] = [sampleEntry('e1'), sampleEntry('e2')],
+  config: FleetConfig = sampleConfig(),
+  router = 'r1/1',
+  store = createSampleStore(),
+): SampleRouter {
+  let nowMs = 1000;
+  const state = createSampleState(router);
   const dispatch = (event: Untimed<DirectEvent>): DirectEffect[] =>
     directReducer(state, { ...event, nowMs }).effects.flatMap((effect) => {
       const answer = runStoreEffect(store, router, effect);
--- a/packages/core/test/direct/stream-versions.test.ts
+++ b/packages/core/test/direct/stream-versions.test.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { AttemptOutcome } from '../../src/direct/index.js';
+import { areVersionsAttempted, AttemptOutcome, directReducer } from '../../src/direct/index.js';
 import type {
   BackendServerEntry,
   DirectEffect,
+  DirectEvent,
   RequestAttributes,
 } from '../../src/direct/index.js';
 import {
   createSampleRouter,
+  createSampleState,
   createSampleStore,
   expectRefusal,
   expectSend,
@@ -183,6 +185,23 @@
   assert.ok(versions.includes('v2'));
 });
 
+// Guards against a router that takes connections and refuses all streams for its first moments.
+test('a router that starts counts as ready once the versions of its servers have been recorded', () => {
+  const state = createSampleState();
+  const dispatch = (event: DirectEvent) => directReducer(state, event).effects;
+  dispatch({ kind: 'configured', config: sampleConfig(), nowMs: 1000 });
+  const effects = [
+    ...dispatch({ kind: 'servers-listed', entries: BOTH, nowMs: 1000 }),
+    ...dispatch({ kind: 'tick', nowMs: 1050 }),
+  ];
+  const [effect] = effects.filter(({ kind }) => kind === 'record-versions');
+  assert.equal(areVersionsAttempted(state), false);
+  const record = { versions: ['v1', 'v2'], unused: [] };
+  assert.ok(effect?.kind === 'record-versions');
+  dispatch({ ...effect, kind: 'versions-recorded', record, nowMs: 1060 });
+  assert.equal(areVersionsAttempted(state), true);
+});
+
 test('a stream that a caller resumes is refused as not run while the store does not answer', () => {
   const store = createSampleStore();
   const router = startRouter(store, 'one', [sampleEntry('e1', OLD)]);
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,6 +1,7 @@
 /** Composition of the direct router's process. */
 import { setTimeout as delay } from 'node:timers/promises';
 import {
+  areVersionsAttempted,
   createDirectState,
   createStoreNews,
   describeState,
@@ -300,6 +301,7 @@
           !phase.draining &&
           state.routeTable !== undefined &&
           state.hasServerList &&
+          areVersionsAttempted(state) &&
           !checkOverload(),
       });
     },
--- a/packages/edge/test/callers/drain.test.ts
+++ b/packages/edge/test/callers/drain.test.ts
@@ -16,23 +16,26 @@
       else sendAnswer(arrival);
     },
   ]);
-  const { call, isReady, router } = deployment;
-  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  assert.equal((await call('/any/1', { agent })).headers.connection, 'keep-alive');
-  const stream = call('/stream/1', { method: 'POST' });
-  await waitUntil(() => openArrivals.length === 1);
-  const draining = router.drain();
-  assert.equal(await isReady(), false);
-  const lateAnswer = await call('/any/2', { agent });
-  assert.deepEqual([lateAnswer.status, lateAnswer.headers.connection], [200, 'close']);
-  const { res } = openArrivals[0]!;
-  res.writeHead(200, signedHeaders(openArrivals[0]!, { 'Content-Type': 'text/event-stream' }));
-  res.write('id: 1\n\n');
-  setTimeout(() => res.end('id: 2\n\n'), 3500);
-  const answer = await stream;
-  assert.deepEqual([answer.complete, answer.body], [true, 'id: 1\n\nid: 2\n\n']);
-  await draining;
-  await deployment.close();
+  try {
+    const { call, isReady, router } = deployment;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    assert.equal((await call('/any/1', { agent })).headers.connection, 'keep-alive');
+    const stream = call('/stream/1', { method: 'POST' });
+    await waitUntil(() => openArrivals.length === 1);
+    const draining = router.drain();
+    assert.equal(await isReady(), false);
+    const lateAnswer = await call('/any/2', { agent });
+    assert.deepEqual([lateAnswer.status, lateAnswer.headers.connection], [200, 'close']);
+    const { res } = openArrivals[0]!;
+    res.writeHead(200, signedHeaders(openArrivals[0]!, { 'Content-Type': 'text/event-stream' }));
+    res.write('id: 1\n\n');
+    setTimeout(() => res.end('id: 2\n\n'), 3500);
+    const answer = await stream;
+    assert.deepEqual([answer.complete, answer.body], [true, 'id: 1\n\nid: 2\n\n']);
+    await draining;
+  } finally {
+    await deployment.close();
+  }
 });
 
 test('a request that arrives on a kept connection after the router has stopped listening is refused as not run', async () => {
