--- a/packages/core/src/direct/crashes/crash-suspects.ts
+++ b/packages/core/src/direct/crashes/crash-suspects.ts
@@ -58,6 +58,8 @@
 const MIN_AMBIGUOUS_CRASHES = 4;
 /** Crashes from which a trait is suspected. */
 const MIN_SUSPECTED_CRASHES = 2;
+/** Minimum time between two searches, each of which looks at all crashes; while many servers fail, evidence changes constantly. */
+const SEARCH_PERIOD_MS = 200;
 /** Time after the last required crash in which an answer to a request with the trait can still clear it. */
 const CONFIRMATION_MS = 500;
 
@@ -65,6 +67,22 @@
   return crash.requests.some(({ traits }) => traits.has(trait));
 }
 
+function hasRequestWith({ requests }: Crash, traits: readonly string[]): boolean {
+  return requests.some((own) => traits.every((trait) => own.traits.has(trait)));
+}
+
+/** Returns the number of crashes for which a trait may be responsible. */
+function countCrashes(crashes: readonly Crash[], trait: string, served: ServedTraits): number {
+  const own = crashes.filter((crash) => hasTrait(crash, trait));
+  return own.filter(({ atMs }) => !served.isServed(trait, atMs)).length;
+}
+
+function removeTraits(crashes: readonly Crash[], traits: readonly string[]): void {
+  crashes.forEach(({ requests }) =>
+    requests.forEach((own) => traits.forEach((trait) => own.traits.delete(trait))),
+  );
+}
+
 function isDisproved(crash: Crash, serverKey: string, sentAtMs: number): boolean {
   return crash.serverKey === serverKey && crash.atMs < sentAtMs;
 }
@@ -144,8 +162,9 @@
 export function createCrashSuspects(): CrashSuspects {
   let crashes: Crash[] = [];
   const served = createServedTraits();
-  /** Undefined after a change of the evidence, since the search is costly and runs at each tick. */
+  /** Undefined after a change of the evidence. */
   let explanations: Explanation[] | undefined;
+  let searchedAtMs = Number.NEGATIVE_INFINITY;
 
   function replaceCrashes(kept: Crash[]): void {
     if (kept.length !== crashes.length) explanations = undefined;
@@ -158,6 +177,14 @@
     );
   }
 
+  function search(nowMs: number): Explanation[] {
+    if (explanations === undefined && nowMs - searchedAtMs >= SEARCH_PERIOD_MS) {
+      explanations = findExplanations(crashes, served);
+      searchedAtMs = nowMs;
+    }
+    return explanations ?? [];
+  }
+
   function getCrash(serverKey: string, nowMs: number): Crash {
     const known = crashes.find(
       (crash) => crash.serverKey === serverKey && nowMs - crash.atMs < SAME_CRASH_MS,
@@ -190,9 +217,7 @@
       if (crashes.length === 0) return [];
       const cleared = traits.filter((trait) => crashes.some((crash) => hasTrait(crash, trait)));
       if (cleared.length === 0) return [];
-      crashes.forEach(({ requests }) =>
-        requests.forEach((own) => cleared.forEach((trait) => own.traits.delete(trait))),
-      );
+      removeTraits(crashes, cleared);
       explanations = undefined;
       return cleared;
     },
@@ -200,17 +225,13 @@
     isSuspected(traits, nowMs) {
       if (crashes.length < MIN_SUSPECTED_CRASHES) return false;
       prune(nowMs);
-      return traits.some((trait) => {
-        const own = crashes.filter((crash) => hasTrait(crash, trait));
-        const unserved = own.filter(({ atMs }) => !served.isServed(trait, atMs));
-        return unserved.length >= MIN_SUSPECTED_CRASHES;
-      });
+      return traits.some((trait) => countCrashes(crashes, trait, served) >= MIN_SUSPECTED_CRASHES);
     },
     isServed: served.isServed,
     takeCulprits(nowMs) {
       prune(nowMs);
-      explanations ??= findExplanations(crashes, served);
-      const confirmed = explanations.filter((explanation) =>
+      const found = search(nowMs);
+      const confirmed = found.filter((explanation) =>
         explanation.groups.every(
           ([trait]) => nowMs - requiredAtMs(explanation, trait!) >= CONFIRMATION_MS,
         ),
@@ -221,9 +242,6 @@
       return confirmed.flatMap(({ groups }) => groups);
     },
     hasCrashedWith: (traits, sinceMs) =>
-      crashes.some(
-        ({ atMs, requests }) =>
-          atMs > sinceMs && requests.some((own) => traits.every((trait) => own.traits.has(trait))),
-      ),
+      crashes.some((crash) => crash.atMs > sinceMs && hasRequestWith(crash, traits)),
   };
 }
