Play the soak with servers of two software versions

Every second server of the soak is of another version and writes its version into each event, so that a stream joined from both breaks 'whole answers'.

--- a/packages/edge/test/soak/backends.ts
+++ b/packages/edge/test/soak/backends.ts
@@ -46,9 +46,13 @@
   return `${attemptId} ${path} `.repeat(20);
 }
 
+/** Versions of the servers' software, which write streams of their own. */
+export const SOFTWARE_VERSIONS = ['v1', 'v2'] as const;
+export type SoftwareVersion = (typeof SOFTWARE_VERSIONS)[number];
+
 /** Returns the expected event of a stream at a 1-based index. */
-export function streamEvent(attemptId: string, index: number): string {
-  return `id: ${index}\ndata: ${attemptId} ${index}/${STREAM_EVENTS}\n\n`;
+export function streamEvent(attemptId: string, index: number, version: SoftwareVersion): string {
+  return `id: ${index}\ndata: ${attemptId} ${index}/${STREAM_EVENTS} ${version}\n\n`;
 }
 
 function answerHeaders(
@@ -75,7 +79,7 @@
 /** Streams sent so far; every second one has neither a length nor chunks and ends with its connection. */
 let streamCount = 0;
 
-function sendStream(arrival: Arrival, truncates: boolean): void {
+function sendStream(arrival: Arrival, truncates: boolean, version: SoftwareVersion): void {
   const { res, header } = arrival;
   streamCount += 1;
   const isCloseDelimited = streamCount % 2 === 0;
@@ -91,7 +95,7 @@
       else res.write('id: 3\nda', () => res.destroy());
       return;
     }
-    res.write(streamEvent(header('attempt-id') ?? '', index));
+    res.write(streamEvent(header('attempt-id') ?? '', index, version));
     if (index < STREAM_EVENTS) return;
     clearInterval(timer);
     res.end();
@@ -99,7 +103,7 @@
   res.on('close', () => clearInterval(timer));
 }
 
-function processRequest(arrival: Arrival, behaviour: Behaviour): void {
+function processRequest(arrival: Arrival, behaviour: Behaviour, version: SoftwareVersion): void {
   const { req, res } = arrival;
   const truncates = behaviour === Behaviour.Break;
   if (behaviour === Behaviour.Hang) return;
@@ -108,13 +112,14 @@
   else if (behaviour === Behaviour.Fail) {
     res.writeHead(500, answerHeaders(arrival, { 'Content-Length': '6' }));
     res.end('failed');
-  } else if (/^\/(stream|talk)\//.test(req.url!)) sendStream(arrival, truncates);
+  } else if (/^\/(stream|talk)\//.test(req.url!)) sendStream(arrival, truncates, version);
   else sendPlain(arrival, truncates);
 }
 
 /** Starts a server behind a proxy, without an entry in the store; `onRun` is called for each execution. */
 export async function createBackend(
   id: string,
+  version: SoftwareVersion,
   store: StoreStandin,
   onRun: (run: Run) => void,
 ): Promise<Backend> {
@@ -134,12 +139,12 @@
       return;
     }
     onRun({ attemptId: header('attempt-id') ?? '', server: id, atMs: performance.now() });
-    processRequest(arrival, behaviour);
+    processRequest(arrival, behaviour, version);
   });
   const proxy = await createProxy(standin.port);
 
   function register(state: 'ready' | 'draining' = 'ready'): void {
-    store.put('servers', id, sampleEntry(proxy.port, { state, born: incarnation }));
+    store.put('servers', id, sampleEntry(proxy.port, { state, born: incarnation, version }));
   }
 
   return {
--- a/packages/edge/test/soak/find-breaches.ts
+++ b/packages/edge/test/soak/find-breaches.ts
@@ -1,5 +1,5 @@
 /** Checks the fleet's promises against the observations of callers and backend servers. */
-import { answerBody, STREAM_EVENTS, streamEvent } from './backends.js';
+import { answerBody, SOFTWARE_VERSIONS, STREAM_EVENTS, streamEvent } from './backends.js';
 import { DEADLINE_MS } from './callers.js';
 import { parseRouterName, RouteKind } from './types.js';
 import type { Breach, Call, Run, ServerDeparture, TimeSpan } from './types.js';
@@ -28,11 +28,14 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const AT_MOST_ONCE_KINDS: readonly RouteKind[] = [RouteKind.Unsafe, RouteKind.NonResumableStream];
 
-function expectedBody({ attemptId, kind, path }: Call): string {
-  if (kind === RouteKind.Unsafe || kind === RouteKind.Safe) return answerBody(attemptId, path);
-  return Array.from({ length: STREAM_EVENTS }, (_none, index) =>
-    streamEvent(attemptId, index + 1),
-  ).join('');
+/** Returns the body of an answer; a stream has all of its events from one version of the servers' software. */
+function expectedBodies({ attemptId, kind, path }: Call): string[] {
+  if (kind === RouteKind.Unsafe || kind === RouteKind.Safe) return [answerBody(attemptId, path)];
+  return SOFTWARE_VERSIONS.map((version) =>
+    Array.from({ length: STREAM_EVENTS }, (_none, index) =>
+      streamEvent(attemptId, index + 1, version),
+    ).join(''),
+  );
 }
 
 function checkAnswer(call: Call): string | undefined {
@@ -40,10 +43,10 @@
   if (status !== 200) return undefined;
   if (headers['response-signature'] !== 'signed') return 'status 200 without a response signature';
   if (headers['attempt-id'] !== attemptId) return 'attempt id of another request';
-  const expected = expectedBody(call);
-  if (complete && body !== expected)
-    return `complete answer of ${body.length} bytes does not match the expected ${expected.length} bytes`;
-  return expected.startsWith(body)
+  const expected = expectedBodies(call);
+  if (complete && !expected.includes(body))
+    return `complete answer of ${body.length} bytes does not match the expected ${expected[0]!.length} bytes`;
+  return expected.some((whole) => whole.startsWith(body))
     ? undefined
     : 'partial answer is not a prefix of the expected answer';
 }
--- a/packages/edge/test/soak/run-soak.ts
+++ b/packages/edge/test/soak/run-soak.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from '@kingcupsill/bench';
 import { createStoreStandin } from '../standins/store-standin.js';
-import { createBackend } from './backends.js';
+import { createBackend, SOFTWARE_VERSIONS } from './backends.js';
 import { startCallers } from './callers.js';
 import type { Callers } from './callers.js';
 import { createFaultSchedule, injectFault } from './faults.js';
@@ -59,7 +59,12 @@
   const runs: Run[] = [];
   const backends = await Promise.all(
     Array.from({ length: serverCount }, (_none, index) =>
-      createBackend(`i-${index}`, store, (run) => runs.push(run)),
+      createBackend(
+        `i-${index}`,
+        SOFTWARE_VERSIONS[index % SOFTWARE_VERSIONS.length]!,
+        store,
+        (run) => runs.push(run),
+      ),
     ),
   );
   backends.forEach((backend) => backend.register());
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -52,7 +52,9 @@
 }
 
 test('reports no breach for a correct answer', () => {
-  const body = Array.from({ length: STREAM_EVENTS }, (_none, index) => streamEvent(ID, index + 1));
+  const body = Array.from({ length: STREAM_EVENTS }, (_none, index) =>
+    streamEvent(ID, index + 1, 'v1'),
+  );
   assert.deepEqual(findBrokenPromises(createCall()), []);
   assert.deepEqual(
     findBrokenPromises(createCall({ kind: RouteKind.NonResumableStream, body: body.join('') })),
@@ -72,7 +74,19 @@
     ],
     [
       'whole answers',
-      createCall({ kind: RouteKind.NonResumableStream, body: streamEvent(ID, 2), complete: false }),
+      createCall({
+        kind: RouteKind.NonResumableStream,
+        body: streamEvent(ID, 2, 'v1'),
+        complete: false,
+      }),
+    ],
+    [
+      'whole answers',
+      createCall({
+        kind: RouteKind.ResumableStream,
+        body: streamEvent(ID, 1, 'v1') + streamEvent(ID, 2, 'v2'),
+        complete: false,
+      }),
     ],
     ['nothing allowed is denied', createCall({ status: 404 })],
     ['rejections say when to come back', createCall({ ...rejection, headers: {} }), []],
