--- a/packages/core/src/direct/crashes/crash-suspects.ts
+++ b/packages/core/src/direct/crashes/crash-suspects.ts
@@ -49,7 +49,9 @@
 
 /** Maximum time between the first and the last broken attempt of one crash, over all routers' reports. */
 const SAME_CRASH_MS = 1500;
-const MAX_CRASHES = 64;
+const MAX_CRASHES = 1024;
+/** Maximum number of broken requests of all crashes; the search looks at all of them. */
+const MAX_BROKEN_REQUESTS = 8192;
 /** Maximum number of requests that are kept of one crash. */
 const MAX_REQUESTS_PER_CRASH = 128;
 /** Crashes that one trait must explain to be held responsible. */
@@ -67,6 +69,16 @@
   return crash.requests.some(({ traits }) => traits.has(trait));
 }
 
+/** Returns the latest crashes with as many requests as are kept. */
+function keepLatest(crashes: Crash[]): Crash[] {
+  let requestCount = 0;
+  const firstKept = crashes.findLastIndex(({ requests }) => {
+    requestCount += requests.length;
+    return requestCount > MAX_BROKEN_REQUESTS;
+  });
+  return crashes.slice(firstKept + 1);
+}
+
 function hasRequestWith({ requests }: Crash, traits: readonly string[]): boolean {
   return requests.some((own) => traits.every((trait) => own.traits.has(trait)));
 }
@@ -124,8 +136,7 @@
 }
 
 /** Returns the crashes that one trait explains, as many as possible, and all traits that explain the same ones. */
-function findBestExplanation(crashes: readonly Crash[], served: ServedTraits): Explanation {
-  const byTrait = groupByTrait(crashes, served);
+function findBestExplanation(byTrait: ReadonlyMap<string, Crash[]>): Explanation {
   const explained = [...byTrait.values()].reduce(
     (best, next) => (next.length > best.length ? next : best),
     [],
@@ -138,6 +149,20 @@
   return { crashes: explained, groups, requiredCrashes };
 }
 
+/** Returns the traits that stand in enough of the crashes other than the explained ones. */
+function withoutExplained(
+  byTrait: ReadonlyMap<string, Crash[]>,
+  explained: readonly Crash[],
+): Map<string, Crash[]> {
+  const known = new Set(explained);
+  return new Map(
+    [...byTrait].flatMap(([trait, crashes]): [string, Crash[]][] => {
+      const others = crashes.filter((crash) => !known.has(crash));
+      return others.length >= MIN_CRASHES ? [[trait, others]] : [];
+    }),
+  );
+}
+
 /** Returns the time at which the last required crash broke a request with the trait. */
 function requiredAtMs({ crashes, requiredCrashes }: Explanation, trait: string): number {
   const timesMs = crashes.map(({ requests }) =>
@@ -149,13 +174,14 @@
 /** Returns all explanations that are based on enough crashes. */
 function findExplanations(crashes: readonly Crash[], served: ServedTraits): Explanation[] {
   const explanations: Explanation[] = [];
-  let unexplained = crashes;
-  for (;;) {
-    const best = findBestExplanation(unexplained, served);
-    if (best.crashes.length < MIN_CRASHES) return explanations;
-    unexplained = unexplained.filter((crash) => !best.crashes.includes(crash));
+  // Most traits stand in one crash only.
+  let byTrait = withoutExplained(groupByTrait(crashes, served), []);
+  while (byTrait.size > 0) {
+    const best = findBestExplanation(byTrait);
+    byTrait = withoutExplained(byTrait, best.crashes);
     if (best.crashes.length >= best.requiredCrashes) explanations.push(best);
   }
+  return explanations;
 }
 
 /** Creates the evidence of a router that has seen no crash. */
@@ -172,9 +198,8 @@
   }
 
   function prune(nowMs: number): void {
-    replaceCrashes(
-      crashes.filter(({ atMs }) => nowMs - atMs < CRASH_MEMORY_MS).slice(-MAX_CRASHES),
-    );
+    const recent = crashes.filter(({ atMs }) => nowMs - atMs < CRASH_MEMORY_MS);
+    replaceCrashes(keepLatest(recent.slice(-MAX_CRASHES)));
   }
 
   function search(nowMs: number): Explanation[] {
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -19,7 +19,7 @@
 
 type Untimed<T> = T extends DirectEvent ? Omit<T, 'nowMs'> : never;
 
-const hasher = {
+export const hasher = {
   hash32: (text: string) =>
     [...text].reduce((hash, char) => (hash * 31 + char.charCodeAt(0)) % 4_294_967_296, 7),
 };
