Keep versions and streams for as long as callers may wait, and say when to come back

Read again: routes with timeouts of minutes have callers that wait longer than the minute for which broken streams, and the two for which unused versions were kept; both now follow the timeouts of the routes. A record of versions that can't be read counted as empty, so that the next version would have been taken for the only one; it now counts as one version of its own. A stream that no router has recorded won't become certain within half a second: Retry-After is a minute, except where the store did not answer. Marking a version as unused is no longer repeated five times a second while the store is down.

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -76,6 +76,20 @@
   return send(state, request, best, decisionInputs, nowMs);
 }
 
+/** `Retry-After` of a stream that stays uncertain for as long as callers usually wait. */
+const UNCERTAIN_RETRY_MS = 60_000;
+
+/** Reasons why a stream can't be resumed, for logs, and when it is worth trying again. */
+export const ResumptionFailure = {
+  /** The configuration has moved the route to other services than the one at which the stream began. */
+  RouteMoved: { detail: 'route moved', retryAfterMs: UNCERTAIN_RETRY_MS },
+  /** No router has recorded the stream, and several versions may have begun it. */
+  NotRecorded: { detail: 'not recorded', retryAfterMs: UNCERTAIN_RETRY_MS },
+  NotRead: { detail: 'records not read', retryAfterMs: NO_SERVER_RETRY_MS },
+  TimeOver: { detail: 'time over', retryAfterMs: NO_SERVER_RETRY_MS },
+} as const;
+export type ResumptionFailure = (typeof ResumptionFailure)[keyof typeof ResumptionFailure];
+
 /** Sends a request that resumes a stream to the version that began it. */
 function resumeStream(
   state: DirectState,
@@ -87,7 +101,7 @@
   const { attributes } = request;
   // The configuration may have moved the route to another service since the stream began.
   if (!attributes.route.services.some((entry) => entry.service === service))
-    return refuseResumption(state, request, `began at service ${service}`, nowMs);
+    return refuseResumption(state, request, ResumptionFailure.RouteMoved, nowMs);
   request.attributes = { ...attributes, service };
   request.version = version;
   state.totals.resumed += 1;
@@ -98,12 +112,12 @@
 export function refuseResumption(
   state: DirectState,
   request: OpenRequest,
-  detail: string,
+  { detail, retryAfterMs }: ResumptionFailure,
   nowMs: number,
 ): DirectEffect[] {
   state.totals.resumptionsRefused += 1;
   const { account } = request.attributes;
-  const refusal = createNotRunRefusal(RefusalCode.StreamVersionUnknown, NO_SERVER_RETRY_MS);
+  const refusal = createNotRunRefusal(RefusalCode.StreamVersionUnknown, retryAfterMs);
   return refuse(state, request, refusal, { account, detail }, nowMs);
 }
 
@@ -161,10 +175,10 @@
   const origins = records && findRecordedOrigins(records, streamIds);
   const effects = waited.flatMap(({ request, draw }) => {
     if (records === undefined || origins === undefined)
-      return refuseResumption(state, request, 'records not read', nowMs);
+      return refuseResumption(state, request, ResumptionFailure.NotRead, nowMs);
     const origin = findStreamOrigin(state, records, origins, request.attributes);
     return origin === undefined
-      ? refuseResumption(state, request, 'not recorded', nowMs)
+      ? refuseResumption(state, request, ResumptionFailure.NotRecorded, nowMs)
       : resumeStream(state, request, origin, draw, nowMs);
   });
   return [...effects, ...readRecords(state, nowMs)];
--- a/packages/core/src/direct/request-end.ts
+++ b/packages/core/src/direct/request-end.ts
@@ -11,13 +11,14 @@
 /** Removes a request whose answer has ended. */
 export function closeRequest(
   { requests, versions: { journal } }: DirectState,
-  { id, attributes: { streamId, resumeAfter }, answerStarted }: OpenRequest,
+  { id, attributes: { streamId, resumeAfter, route }, answerStarted }: OpenRequest,
   isComplete: boolean,
   nowMs: number,
 ): void {
   requests.delete(id);
   if (streamId === undefined) return;
-  if (answerStarted || resumeAfter !== undefined) journal.end(streamId, isComplete, nowMs);
+  if (answerStarted || resumeAfter !== undefined)
+    journal.end(streamId, isComplete, route.timeoutMs, nowMs);
   else journal.forget(streamId);
 }
 
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,5 +1,5 @@
 /** Event handlers for the attempts of requests, and for requests that end. */
-import { refuseResumption, remainingBlockMs } from './arrivals.js';
+import { refuseResumption, remainingBlockMs, ResumptionFailure } from './arrivals.js';
 import { recordAttemptEnd } from './crashes/crash-evidence.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
 import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
@@ -208,7 +208,7 @@
     .filter(({ attributes }) => nowMs >= attributes.expiresAtMs)
     .flatMap((request) => {
       if (request.triedServerKeys.length === 0)
-        return refuseResumption(state, request, 'time over', nowMs);
+        return refuseResumption(state, request, ResumptionFailure.TimeOver, nowMs);
       const decisionInputs = { server: request.currentAttempt?.serverKey, detail: 'time over' };
       const refusal: Refusal = {
         status: 504,
--- a/packages/core/src/direct/versions/recorded-versions.ts
+++ b/packages/core/src/direct/versions/recorded-versions.ts
@@ -21,10 +21,14 @@
   has(service: string, version: string, nowMs: number): boolean;
   /** Returns whether streams of the service may have begun at several versions. */
   isMixed(service: string): boolean;
-  /** Returns how the record is to change, as the servers of the service have these versions; undefined if it is up to date. */
+  /**
+   * Returns how the record is to change, as the servers of the service have these versions; undefined if it is up to date.
+   * @param maxWaitMs longest time for which callers wait for a stream
+   */
   findChange(
     service: string,
     versions: readonly string[],
+    maxWaitMs: number,
     nowMs: number,
   ): VersionChange | undefined;
   /** Forgets all versions; the store may have lost them. */
@@ -43,8 +47,8 @@
 
 /** Time without a server of a version after which it is marked as unused, and must be recorded again before it is used. */
 const UNUSED_MS = 60_000;
-/** Time from the mark to the removal, longer than callers wait for a stream with all of their retries. */
-const REMOVAL_MS = 120_000;
+/** Time from the mark to the removal, beyond the longest time for which callers wait. */
+const REMOVAL_MARGIN_MS = 60_000;
 /** Time after which a used version is confirmed again, so that no router removes it because it sees none of its servers. */
 const CONFIRMATION_MS = 60_000;
 
@@ -69,13 +73,18 @@
     );
   }
 
-  function findUnused(service: string, nowMs: number): VersionChange | undefined {
+  function findUnused(
+    service: string,
+    maxWaitMs: number,
+    nowMs: number,
+  ): VersionChange | undefined {
+    const removalMs = maxWaitMs + REMOVAL_MARGIN_MS;
     const unused = [...(byService.get(service) ?? [])].filter(
       ([, recorded]) => !isRenewed(recorded, nowMs),
     );
     const unmarked = unused.filter(([, { unusedSinceMs }]) => unusedSinceMs === undefined);
     const removable = unused.filter(
-      ([, { unusedSinceMs }]) => unusedSinceMs !== undefined && nowMs - unusedSinceMs > REMOVAL_MS,
+      ([, { unusedSinceMs }]) => unusedSinceMs !== undefined && nowMs - unusedSinceMs > removalMs,
     );
     const kind = unmarked.length > 0 ? VersionChangeKind.MarkUnused : VersionChangeKind.Remove;
     const versions = (unmarked.length > 0 ? unmarked : removable).map(([version]) => version);
@@ -104,13 +113,13 @@
     },
     has,
     isMixed,
-    findChange(service, versions, nowMs) {
+    findChange(service, versions, maxWaitMs, nowMs) {
       const missing = versions.filter((version) => !has(service, version, nowMs));
       if (missing.length > 0) return { kind: VersionChangeKind.Use, versions: missing };
       if (isMixed(service) && needsConfirmation(service, versions, nowMs))
         return { kind: VersionChangeKind.Use, versions: [...versions] };
       // Without any server, nothing shows which versions will come back.
-      return versions.length > 0 ? findUnused(service, nowMs) : undefined;
+      return versions.length > 0 ? findUnused(service, maxWaitMs, nowMs) : undefined;
     },
     clear: () => byService.clear(),
     describe: () =>
--- a/packages/core/src/direct/versions/stream-journal.ts
+++ b/packages/core/src/direct/versions/stream-journal.ts
@@ -14,8 +14,11 @@
 export interface StreamJournal {
   /** Records that a stream begins, or continues, at a version. */
   begin(streamId: string, origin: StreamOrigin): void;
-  /** Records the end of an answer; `isComplete` if the caller has got all of the stream. */
-  end(streamId: string, isComplete: boolean, nowMs: number): void;
+  /**
+   * Records the end of an answer; `isComplete` if the caller has got all of the stream.
+   * @param timeoutMs timeout of the stream's route
+   */
+  end(streamId: string, isComplete: boolean, timeoutMs: number, nowMs: number): void;
   /** Forgets a stream of which the caller has got no event. */
   forget(streamId: string): void;
   find(streamId: string): StreamOrigin | undefined;
@@ -33,12 +36,19 @@
 
 /** Time in which a caller may still miss the end of a stream that was delivered completely. */
 const COMPLETE_MEMORY_MS = 3000;
-/** Longer than callers wait for a stream, with all of their retries. */
-const BROKEN_MEMORY_MS = 60_000;
+/** Minimum time for which callers are taken to wait for a stream, with all of their retries. */
+export const MIN_RESUMABLE_MS = 60_000;
+/** Timeouts of its route for which a caller waits at most: each of its retries may last as long. */
+const MAX_TIMEOUTS = 4;
 const MAX_STREAMS = 16_384;
 /** Callers choose the ids; longer ones aren't recorded. */
 const MAX_ID_CHARS = 64;
 
+/** Returns the time for which a broken stream may be resumed. */
+export function resumableForMs(timeoutMs: number): number {
+  return Math.max(MIN_RESUMABLE_MS, timeoutMs * MAX_TIMEOUTS);
+}
+
 /** Creates an empty journal. */
 export function createStreamJournal(): StreamJournal {
   const entries = new Map<string, JournalEntry>();
@@ -57,10 +67,10 @@
       evictLeastRecentlyUsed(entries, MAX_STREAMS);
       changes += 1;
     },
-    end(streamId, isComplete, nowMs) {
+    end(streamId, isComplete, timeoutMs, nowMs) {
       const entry = entries.get(streamId);
       if (entry !== undefined)
-        entry.forgetAtMs = nowMs + (isComplete ? COMPLETE_MEMORY_MS : BROKEN_MEMORY_MS);
+        entry.forgetAtMs = nowMs + (isComplete ? COMPLETE_MEMORY_MS : resumableForMs(timeoutMs));
     },
     forget: (streamId) => {
       entries.delete(streamId);
--- a/packages/core/src/direct/versions/version-records.ts
+++ b/packages/core/src/direct/versions/version-records.ts
@@ -4,6 +4,7 @@
 import type { DirectState } from '../state.js';
 import { RetryPolicy } from '../types.js';
 import type { FleetConfig } from '../types.js';
+import { MIN_RESUMABLE_MS, resumableForMs } from './stream-journal.js';
 import type { VersionEvent } from './types.js';
 import { VersionChangeKind } from './version-record.js';
 
@@ -29,19 +30,32 @@
   return versions;
 }
 
-const servicesByConfig = new WeakMap<FleetConfig, string[]>();
+/** What the configuration says about streams that callers may resume. */
+interface ResumableRoutes {
+  /** Services to which these routes lead. */
+  services: string[];
+  /** Longest time for which callers are taken to wait for a stream, with all of their retries. */
+  maxWaitMs: number;
+}
+
+const NO_ROUTES: ResumableRoutes = { services: [], maxWaitMs: MIN_RESUMABLE_MS };
+const resumableByConfig = new WeakMap<FleetConfig, ResumableRoutes>();
 
-/** Returns the services to which routes with resumable streams lead; they are kept until the configuration changes. */
-function listResumableServices({ routeTable }: DirectState): string[] {
-  if (routeTable === undefined) return [];
+/** Returns the routes with resumable streams; the result is kept until the configuration changes. */
+function findResumableRoutes({ routeTable }: DirectState): ResumableRoutes {
+  if (routeTable === undefined) return NO_ROUTES;
   const { config } = routeTable;
-  const known = servicesByConfig.get(config);
+  const known = resumableByConfig.get(config);
   if (known !== undefined) return known;
   const routes = config.routes.filter(({ retryPolicy }) => retryPolicy === RetryPolicy.Resume);
-  const services = routes.flatMap((route) => route.services.map(({ service }) => service));
-  const distinct = [...new Set(services)];
-  servicesByConfig.set(config, distinct);
-  return distinct;
+  const found = {
+    services: [
+      ...new Set(routes.flatMap(({ services }) => services.map((entry) => entry.service))),
+    ],
+    maxWaitMs: Math.max(...routes.map(({ timeoutMs }) => resumableForMs(timeoutMs)), 0),
+  };
+  resumableByConfig.set(config, found);
+  return found;
 }
 
 /** Period in which each router makes one call if all of them share a part of the store's rate. */
@@ -56,11 +70,16 @@
   return Math.floor(phase * sharedPeriodMs(state, store.readsPerSecond));
 }
 
-function recordService(state: DirectState, service: string, nowMs: number): DirectEffect[] {
+function recordService(
+  state: DirectState,
+  service: string,
+  maxWaitMs: number,
+  nowMs: number,
+): DirectEffect[] {
   const { recorded, recordAgainAtMs } = state.versions;
   const versions = listVersions(state, service);
   recorded.renew(service, versions, nowMs);
-  const change = recorded.findChange(service, versions, nowMs);
+  const change = recorded.findChange(service, versions, maxWaitMs, nowMs);
   if (change === undefined) return [];
   const againAtMs = recordAgainAtMs.get(service) ?? nowMs + recordDelayMs(state);
   recordAgainAtMs.set(service, againAtMs);
@@ -71,12 +90,13 @@
 
 /** Has the versions recorded at which servers accept requests, and those removed that no server has any more. */
 export function recordVersions(state: DirectState, nowMs: number): DirectEffect[] {
-  return listResumableServices(state).flatMap((service) => recordService(state, service, nowMs));
+  const { services, maxWaitMs } = findResumableRoutes(state);
+  return services.flatMap((service) => recordService(state, service, maxWaitMs, nowMs));
 }
 
 /** Returns whether the versions of all services with servers have been recorded after the start, or could not be. */
 export function areVersionsAttempted(state: DirectState): boolean {
-  return listResumableServices(state).every(
+  return findResumableRoutes(state).services.every(
     (service) =>
       state.versions.attemptedServices.has(service) || listVersions(state, service).length === 0,
   );
@@ -90,7 +110,9 @@
 ): DirectEffect[] {
   attemptedServices.add(service);
   if (record === undefined) {
-    const isUrgent = change.versions.some((version) => !recorded.has(service, version, nowMs));
+    const isUrgent =
+      change.kind === VersionChangeKind.Use &&
+      change.versions.some((version) => !recorded.has(service, version, nowMs));
     recordAgainAtMs.set(service, nowMs + (isUrgent ? URGENT_RETRY_MS : RETRY_MS));
     return [];
   }
@@ -110,7 +132,7 @@
 /** Writes the journal to the store while versions are mixed, and once more when they no longer are. */
 export function storeJournal(state: DirectState, nowMs: number): DirectEffect[] {
   const { recorded, journal, copy } = state.versions;
-  const mixed = listResumableServices(state).filter(recorded.isMixed).sort();
+  const mixed = findResumableRoutes(state).services.filter(recorded.isMixed).sort();
   const mixedServices = mixed.join(' ');
   const isCurrent =
     copy.mixedServices === mixedServices &&
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -43,6 +43,8 @@
 const EXPECTED_FAILURES = new Set<StoreFailure>([StoreFailure.Conflict, StoreFailure.NotFound]);
 
 const NO_VERSIONS: VersionRecord = { versions: [], unused: [] };
+/** Stands for the versions of a record that can't be read, so that no stream is taken for one of the only version. */
+const UNREADABLE: VersionRecord = { versions: ['unreadable'], unused: [] };
 
 const versionsSchema = z.object({
   service: z.string(),
@@ -55,7 +57,7 @@
 
 function readRecord(object: StoreObject): VersionRecord {
   const parsed = versionsSchema.safeParse(object.spec);
-  return parsed.success ? parsed.data : NO_VERSIONS;
+  return parsed.success ? parsed.data : UNREADABLE;
 }
 
 /** Decodes the records of all routers; objects of other writers are passed over. */
