--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -7,7 +7,6 @@
 export * from './exchange-topology.js';
 export * from './placement.js';
 export * from './prefix-cache-estimate.js';
-export { sharedPartIds } from './prompt-parts.js';
 export * from './reducer.js';
 export * from './report-exchange.js';
 export * from './reports.js';
