End a soak's stream that is resumed after its last event, and quote wrong answers

A connection that breaks between the last event and the end of the stream makes the router resume after the last event, and the soak's server wrote a seventh. The servers now end the stream, as nothing is left of it. The check is unchanged and quotes the end of a wrong answer, so that the next one shows which event it was.

--- a/packages/edge/test/soak/backends.ts
+++ b/packages/edge/test/soak/backends.ts
@@ -86,6 +86,11 @@
   if (isCloseDelimited) res.removeHeader('Transfer-Encoding');
   res.writeHead(200, answerHeaders(arrival, { 'Content-Type': 'text/event-stream' }));
   let index = Number(header('last-event-id') ?? 0);
+  if (index >= STREAM_EVENTS) {
+    // The connection broke between the last event and the end of the stream.
+    res.end();
+    return;
+  }
   const timer = setInterval(() => {
     index += 1;
     if (truncates && index === 3) {
--- a/packages/edge/test/soak/find-breaches.ts
+++ b/packages/edge/test/soak/find-breaches.ts
@@ -24,6 +24,8 @@
 const MAX_OVERRUN_MS = 1000;
 /** Time after a disruption during which callers may still be affected, such as those accepted after a pause. */
 const RECOVERY_MS = 1000;
+/** End of a wrong answer that a breach quotes. */
+const MAX_QUOTED_CHARS = 240;
 /** Statuses that state that the request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const AT_MOST_ONCE_KINDS: readonly RouteKind[] = [RouteKind.Unsafe, RouteKind.NonResumableStream];
@@ -45,7 +47,7 @@
   if (headers['attempt-id'] !== attemptId) return 'attempt id of another request';
   const expected = expectedBodies(call);
   if (complete && !expected.includes(body))
-    return `complete answer of ${body.length} bytes does not match the expected ${expected[0]!.length} bytes`;
+    return `complete answer of ${body.length} bytes does not match the expected ${expected[0]!.length} bytes: ${JSON.stringify(body.slice(-MAX_QUOTED_CHARS))}`;
   return expected.some((whole) => whole.startsWith(body))
     ? undefined
     : 'partial answer is not a prefix of the expected answer';
