List the records of streams by the feeds' own listing

stream-store.ts went through the pages of a listing by itself; listObjects does, and also gives up where the store is restored between two pages.

--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -23,7 +23,7 @@
 /** Lists all pages. Returns undefined if a call fails, the store is restored meanwhile, or the listing isn't wanted any more. */
 export async function listObjects(
   { client, kind, era }: { client: StoreClient; kind: StoreKind; era: StoreEra },
-  results: CallResults,
+  results: Pick<CallResults, 'record' | 'responseTimeoutMs'>,
   mode: ReadMode,
   isClosed: () => boolean,
 ): Promise<Listing | undefined> {
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -10,6 +10,7 @@
 import type { StoreClient, StoreObject, StoreResult } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
 import { z } from 'zod';
+import { listObjects } from './list-objects.js';
 import type { StoreEra } from './store-era.js';
 import { createStreamSweep, nameRun } from './stream-sweep.js';
 
@@ -140,15 +141,13 @@
   }
 
   async function listAll(kind: StoreKind): Promise<StoreObject[] | undefined> {
-    const objects: StoreObject[] = [];
-    let cursor: string | undefined;
-    do {
-      const page = check(await client.listPage(kind, cursor, READ_TIMEOUT_MS, ReadMode.Current));
-      if (!page?.ok) return undefined;
-      objects.push(...page.value.objects);
-      cursor = page.value.nextCursor;
-    } while (cursor !== undefined);
-    return objects;
+    const results = {
+      record: (result: StoreResult<unknown>) => check(result) !== undefined,
+      responseTimeoutMs: () => READ_TIMEOUT_MS,
+    };
+    const isClosed = (): boolean => false;
+    const listing = await listObjects({ client, kind, era }, results, ReadMode.Current, isClosed);
+    return listing?.objects;
   }
 
   const sweep = createStreamSweep({
