--- a/packages/core/src/direct/versions/stream-journal.ts
+++ b/packages/core/src/direct/versions/stream-journal.ts
@@ -22,8 +22,10 @@
   /** Forgets a stream of which the caller has got no event. */
   forget(streamId: string): void;
   find(streamId: string): StreamOrigin | undefined;
-  /** Returns the streams of these services and forgets those that can't be resumed any more. */
-  list(isIncluded: (service: string) => boolean, nowMs: number): StreamsByVersion;
+  /** Forgets the streams that can't be resumed any more; to be called regularly. */
+  prune(nowMs: number): void;
+  /** Returns the streams of these services. */
+  list(isIncluded: (service: string) => boolean): StreamsByVersion;
   /** Number of changes that a record of the journal lacks if it was made before them. */
   changeCount(): number;
   size(): number;
@@ -41,6 +43,8 @@
 /** Timeouts of its route for which a caller waits at most: each of its retries may last as long. */
 const MAX_TIMEOUTS = 4;
 const MAX_STREAMS = 16_384;
+/** Minimum time between two passes over all streams. */
+const PRUNE_PERIOD_MS = 1000;
 /** Callers choose the ids; longer ones aren't recorded. */
 const MAX_ID_CHARS = 64;
 
@@ -53,8 +57,11 @@
 export function createStreamJournal(): StreamJournal {
   const entries = new Map<string, JournalEntry>();
   let changes = 0;
+  let prunedAtMs = Number.NEGATIVE_INFINITY;
 
   function prune(nowMs: number): void {
+    if (nowMs - prunedAtMs < PRUNE_PERIOD_MS) return;
+    prunedAtMs = nowMs;
     entries.forEach(({ forgetAtMs }, streamId) => {
       if (forgetAtMs !== undefined && nowMs >= forgetAtMs) entries.delete(streamId);
     });
@@ -76,8 +83,8 @@
       entries.delete(streamId);
     },
     find: (streamId) => entries.get(streamId),
-    list(isIncluded, nowMs) {
-      prune(nowMs);
+    prune,
+    list(isIncluded) {
       const streams: StreamsByVersion = {};
       entries.forEach(({ service, version }, streamId) => {
         if (isIncluded(service)) ((streams[service] ??= {})[version] ??= []).push(streamId);
--- a/packages/core/src/direct/versions/version-records.ts
+++ b/packages/core/src/direct/versions/version-records.ts
@@ -129,9 +129,10 @@
   return [{ kind: 'note', event: 'versions-recorded', fields }];
 }
 
-/** Writes the journal to the store while versions are mixed, and once more when they no longer are. */
+/** Prunes the journal, and writes it to the store while versions are mixed, and once more when they no longer are. */
 export function storeJournal(state: DirectState, nowMs: number): DirectEffect[] {
   const { recorded, journal, copy } = state.versions;
+  journal.prune(nowMs);
   const mixed = findResumableRoutes(state).services.filter(recorded.isMixed).sort();
   const mixedServices = mixed.join(' ');
   const isCurrent =
@@ -148,7 +149,7 @@
     changeCount: journal.changeCount(),
     mixedServices,
   });
-  const streams = journal.list((service) => mixed.includes(service), nowMs);
+  const streams = journal.list((service) => mixed.includes(service));
   return [{ kind: 'store-streams', streams }];
 }
 
--- a/packages/core/test/direct/stream-versions.test.ts
+++ b/packages/core/test/direct/stream-versions.test.ts
@@ -254,3 +254,15 @@
     assert.deepEqual(store.versions.get('engines')?.versions, ['v1', 'v2']);
   }
 });
+
+// Guards against a journal that keeps the streams of a service with one version until it is full.
+test('streams are forgotten once no caller can resume them, also while only one version serves', () => {
+  const router = startRouter(createSampleStore(), 'one', [sampleEntry('e1', OLD)]);
+  beginStreams(router, 5).forEach((_version, id) =>
+    router.dispatch({ kind: 'caller-left', request: id }),
+  );
+  tick(router, 1000);
+  assert.equal(router.state.versions.journal.size(), 5);
+  waitMinutes(router, 2);
+  assert.equal(router.state.versions.journal.size(), 0);
+});
