--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -13,7 +13,7 @@
 import type { DirectState, OpenRequest } from './state.js';
 import { RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
-import { findRecordedOrigins, findStreamOrigin, readRecords } from './versions/resumed-streams.js';
+import { createOriginFinder, readRecords } from './versions/resumed-streams.js';
 import type { StreamOrigin } from './versions/stream-journal.js';
 import type { StreamRecords } from './versions/types.js';
 
@@ -172,11 +172,11 @@
   });
   state.versions.reading = undefined;
   const streamIds = new Set(waited.flatMap(({ request }) => request.attributes.streamId ?? []));
-  const origins = records && findRecordedOrigins(records, streamIds);
+  const findOrigin = records && createOriginFinder(state, records, streamIds);
   const effects = waited.flatMap(({ request, draw }) => {
-    if (records === undefined || origins === undefined)
+    if (findOrigin === undefined)
       return refuseResumption(state, request, ResumptionFailure.NotRead, nowMs);
-    const origin = findStreamOrigin(state, records, origins, request.attributes);
+    const origin = findOrigin(request.attributes);
     return origin === undefined
       ? refuseResumption(state, request, ResumptionFailure.NotRecorded, nowMs)
       : resumeStream(state, request, origin, draw, nowMs);
--- a/packages/core/src/direct/versions/resumed-streams.ts
+++ b/packages/core/src/direct/versions/resumed-streams.ts
@@ -1,4 +1,5 @@
 /** Finds the version that began a stream which a caller resumes. What isn't certain stays unknown. */
+import { groupBy } from '../../collections/index.js';
 import type { DirectEffect } from '../events.js';
 import type { DirectState } from '../state.js';
 import type { RequestAttributes } from '../types.js';
@@ -19,10 +20,15 @@
   return [{ kind: 'read-streams' }];
 }
 
-/** Returns the versions of a service's servers, also of those that leave. */
-function listServiceVersions({ registry }: DirectState, service: string): string[] {
-  const servers = registry.all().filter(({ entry }) => entry.service === service);
-  return servers.map(({ entry }) => entry.softwareVersion);
+/** Returns the versions of all servers by service, also of those that leave. */
+function listServiceVersions({ registry }: DirectState): Map<string, Set<string>> {
+  const byService = groupBy(registry.all(), ({ entry }) => entry.service);
+  return new Map(
+    [...byService].map(([service, servers]) => [
+      service,
+      new Set(servers.map(({ entry }) => entry.softwareVersion)),
+    ]),
+  );
 }
 
 /** Origins of streams by their ids, as the routers have recorded them. */
@@ -55,21 +61,24 @@
 }
 
 /**
- * Returns where the stream began, or undefined if it isn't certain. A stream that no router has recorded is certain only if no other
- * version may have begun streams of the service.
+ * Returns a function that finds where a stream began; undefined if it isn't certain. A stream that no router has recorded is certain
+ * only if no other version may have begun streams of the service.
  */
-export function findStreamOrigin(
+export function createOriginFinder(
   state: DirectState,
-  { versions }: StreamRecords,
-  recordedOrigins: RecordedOrigins,
-  { service, streamId }: RequestAttributes,
-): StreamOrigin | undefined {
-  const known = streamId === undefined ? undefined : state.versions.journal.find(streamId);
-  if (known !== undefined) return known;
-  const recorded = (streamId !== undefined && recordedOrigins.get(streamId)) || [];
-  if (recorded.length > 0) return recorded.length === 1 ? recorded[0] : undefined;
-  const inService = versions.get(service);
-  if (inService === undefined) return undefined;
-  const possible = [...new Set([...inService, ...listServiceVersions(state, service)])];
-  return possible.length === 1 ? { service, version: possible[0]! } : undefined;
+  records: StreamRecords,
+  streamIds: ReadonlySet<string>,
+): (attributes: RequestAttributes) => StreamOrigin | undefined {
+  const recordedOrigins = findRecordedOrigins(records, streamIds);
+  const listedVersions = listServiceVersions(state);
+  return ({ service, streamId }) => {
+    const known = streamId === undefined ? undefined : state.versions.journal.find(streamId);
+    if (known !== undefined) return known;
+    const recorded = (streamId !== undefined && recordedOrigins.get(streamId)) || [];
+    if (recorded.length > 0) return recorded.length === 1 ? recorded[0] : undefined;
+    const inService = records.versions.get(service);
+    if (inService === undefined) return undefined;
+    const possible = [...new Set([...inService, ...(listedVersions.get(service) ?? [])])];
+    return possible.length === 1 ? { service, version: possible[0]! } : undefined;
+  };
 }
