Watch the store after one age of silent peers, not two, when a timer fires early

A feed waits exactly the maximum age of its news, 1,600 ms; if its timer fires within a millisecond too early, the news are just within their age, and it waits the whole time again. Callers' side: a draining server or a configuration is noticed that much later where the watching routers have fallen silent. The wait now has a margin of 5 ms. The new test, with a clock that lags behind timers, failed before.

--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -39,6 +39,9 @@
 /** Delay after changes that other routers have announced: the first change is fetched at once, and those that follow together. */
 const FOLLOWING_BATCH_DELAY_MS = 700;
 
+/** Timers may fire early; news that are just within their age would be waited for the whole time again. */
+const TIMER_MARGIN_MS = 5;
+
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
   const { client, availability, kind, logger } = options;
@@ -107,7 +110,7 @@
     if (state !== NewsState.Unchanged) return watch(from, state);
     // Another router has just had an answer of the store.
     options.onResponse();
-    await options.news?.wait(kind, MAX_NEWS_AGE_MS);
+    await options.news?.wait(kind, MAX_NEWS_AGE_MS + TIMER_MARGIN_MS);
     return from;
   }
 
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 import { test } from 'node:test';
+import type { TestContext } from 'node:test';
 import { createStoreNews } from '@kingcupsill/core/direct';
 import { StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
@@ -12,15 +13,17 @@
 
 const kind = StoreKind.Servers;
 
-/** A feed whose store holds `revision` and answers watches as soon as it is later than the watched one. */
-function createFollower(isWatching = false) {
+/** A feed whose store holds `revision` and answers watches as soon as it is later than the watched one; closed after the test. */
+function createFollower(
+  t: TestContext,
+  { isWatching = false, clock = () => performance.now() } = {},
+) {
   const stored = { revision: 5 };
   const calls: string[] = [];
   const changed: number[] = [];
   const announced: string[] = [];
   let responses = 0;
   const news = createStoreNews();
-  const clock = () => performance.now();
   const followed = createFollowedNews({
     news,
     clock,
@@ -57,6 +60,11 @@
       onChanged: ({ object }) => changed.push(object.revision),
     }),
   );
+  t.after(() => {
+    feed.close();
+    followed.wake([kind]);
+  });
+
   /** Delivers news as a report of a peer would. */
   function hear(revision: number, era = 1): void {
     news.record(kind, { era, revision, confirmedAtMs: clock() });
@@ -69,15 +77,11 @@
     announced,
     hear,
     responseCount: () => responses,
-    close() {
-      feed.close();
-      followed.wake([kind]);
-    },
   };
 }
 
-test('while peers confirm that nothing has changed, a router makes no calls, and its store counts as answering', async () => {
-  const follower = createFollower();
+test('while peers confirm that nothing has changed, a router makes no calls, and its store counts as answering', async (t) => {
+  const follower = createFollower(t);
   follower.hear(5);
   for (let index = 0; index < 8; index += 1) {
     await delay(100);
@@ -85,11 +89,10 @@
   }
   assert.deepEqual(follower.calls, ['list']);
   assert.ok(follower.responseCount() >= 8);
-  follower.close();
 });
 
-test('an announced change is fetched at once, with one call', async () => {
-  const follower = createFollower();
+test('an announced change is fetched at once, with one call', async (t) => {
+  const follower = createFollower(t);
   follower.hear(5);
   await delay(50);
   follower.stored.revision = 9;
@@ -100,11 +103,10 @@
   follower.hear(8);
   await delay(100);
   assert.deepEqual([follower.calls, follower.changed], [['list', 'watch 5'], [9]]);
-  follower.close();
 });
 
-test('a router whose peers fall silent watches the store itself', async () => {
-  const follower = createFollower();
+test('a router whose peers fall silent watches the store itself', async (t) => {
+  const follower = createFollower(t);
   follower.hear(5);
   await delay(50);
   follower.stored.revision = 6;
@@ -112,23 +114,31 @@
   await waitUntil(() => follower.changed.length > 0);
   // Well within the shortest time in which a change must be in force.
   assert.ok(performance.now() - silentSinceMs < 2000);
-  follower.close();
 });
 
-test('news of a later era make the router ask the store', async () => {
-  const follower = createFollower();
+// Guards against a feed that finds its news just within their age when its timer fires early, and waits the whole time again.
+test('a router whose timers fire early watches the store itself when its peers fall silent', async (t) => {
+  const follower = createFollower(t, { clock: () => performance.now() * 0.998 });
+  follower.hear(5);
+  await delay(50);
+  follower.stored.revision = 6;
+  const silentSinceMs = performance.now();
+  await waitUntil(() => follower.changed.length > 0);
+  assert.ok(performance.now() - silentSinceMs < 2000);
+});
+
+test('news of a later era make the router ask the store', async (t) => {
+  const follower = createFollower(t);
   follower.hear(5);
   await delay(50);
   follower.hear(2, 2);
   await waitUntil(() => follower.calls.length > 1);
   assert.equal(follower.calls[1], 'watch 5');
-  follower.close();
 });
 
-test('a watching router announces what it confirms, and follows no one', async () => {
-  const follower = createFollower(true);
+test('a watching router announces what it confirms, and follows no one', async (t) => {
+  const follower = createFollower(t, { isWatching: true });
   await waitUntil(() => follower.calls.length >= 2);
   follower.stored.revision = 6;
   await waitUntil(() => follower.announced.length >= 1);
-  follower.close();
 });
