--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -6,7 +6,7 @@
 const HELD = 0;
 const BROKEN = 1;
 const NOT_RUN = 2;
-const MAX_MS = 115_000;
+const MAX_MS = 110_000;
 
 /**
  * Runs a case. `play({ trouble, note, onEnd })` returns the violations of the rule, a line each, or throws if the case couldn't run.
@@ -23,6 +23,9 @@
   note(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
   const limit = new Promise((_resolve, reject) => {
     setTimeout(() => reject(new Error('the case took too long')), MAX_MS).unref();
+    ['SIGTERM', 'SIGINT'].forEach((signal) =>
+      process.once(signal, () => reject(new Error(`stopped by ${signal}`))),
+    );
   });
   try {
     const violations = await Promise.race([play({ trouble, note, onEnd }), limit]);
--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -4,6 +4,7 @@
  * command for each machine, starts a process that ended again after a short delay, and enforces `memoryMb`.
  */
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -61,12 +62,10 @@
   });
 }
 
-/** Each machine has a loopback address of its own, so that the fixed port of the metrics is free. */
-let nextMachine = 1 + (process.pid % 200);
+/** Each machine has a loopback address of its own, so that the ports, which are the same on all machines, are free. */
 async function findHost(ports) {
   for (;;) {
-    const host = `127.77.${nextMachine % 250}.${1 + (Math.floor(nextMachine / 250) % 250)}`;
-    nextMachine += 1;
+    const host = ['127', randomInt(64, 250), randomInt(1, 250), randomInt(1, 250)].join('.');
     const free = await Promise.all(ports.map((port) => canListen(host, port)));
     if (free.every(Boolean)) return host;
   }
@@ -138,6 +137,14 @@
       child.stderr.on('data', keep);
       child.on('exit', (code, signal) => {
         if (closing) return;
+        // Another program has taken a port of this machine: the case says nothing.
+        if (machine.log.some((line) => line.includes('EADDRINUSE'))) {
+          note(`${name} can't listen: a port is taken`);
+          setTimeout(() => {
+            if (!closing) start();
+          }, RESTART_DELAY_MS);
+          return;
+        }
         machine.ownEnds.push({ code, signal, atMs: performance.now() });
         const cause = machine.log.find((line) => /uncaught|unhandled/.test(line));
         note(`process of ${name} ended: code ${code}, signal ${signal}`);
