--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -18,6 +18,8 @@
 import { CONFIG_APPLY_MS, CONTACT_MS } from '../lib/platform.mjs';
 
 const MACHINES_PER_ZONE = 3;
+/** Time for which watches hear nothing; `fleetbench kinds` allows a second. */
+const COMPACTION_MS = 500;
 /** Time after the acknowledgement at which the requests are sent: far beyond both bounds. */
 const WAIT_MS = CONTACT_MS + CONFIG_APPLY_MS + 6000;
 
@@ -63,11 +65,20 @@
   );
 
   const next = routeAll(12, 'new', ['key-1']);
-  if (trouble) store.putAndDiscardHistory('config', 'main', next);
-  else store.put('config', 'main', next);
+  if (trouble) {
+    note('the store starts to compact: watches hear nothing');
+    store.startCompaction();
+  }
+  await delay(COMPACTION_MS / 2);
+  store.put('config', 'main', next);
   const acknowledgedMs = performance.now();
-  note(`the store acknowledges version 12${trouble ? ' and discards its history' : ''}`);
+  note('the store acknowledges version 12');
   note('version 12 moves all routes from service old to service new, and takes key-2 away');
+  await delay(COMPACTION_MS / 2);
+  if (trouble) {
+    store.endCompaction();
+    note('the history is dropped, and the waiting watches are cut');
+  }
   await delay(WAIT_MS);
 
   const violations = [];
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -9,13 +9,13 @@
 import { deploy } from '../lib/deployment.mjs';
 
 /** Shares and lengths of the disruptions; claim.txt names where they stand. */
-const SHED_SHARE = 0.4;
+const SHED_SHARE = 0.2;
 const EXTRA_SHARE = 0.03;
 const TROUBLE_MS = 4000;
 const CALM_MS = 1000;
 const ROUNDS = 15;
-const CLIENTS_PER_MACHINE = 6;
-const PAUSE_MS = 30;
+const CLIENTS_PER_MACHINE = 8;
+const PAUSE_MS = 15;
 
 /** Pseudo-random numbers in (0, 1), the same in each run (Park and Miller). */
 function createRandom(seed) {
@@ -31,7 +31,7 @@
   const extras = [];
   const rejected = [];
 
-  function createBehaviour(random) {
+  function createBehaviour(random, { isFaulty, workMs }) {
     /** Second answers that are still to come, by connection. */
     const late = new WeakMap();
     return ({ req, res, startRun }) => {
@@ -46,7 +46,7 @@
           socket.write(extra.bytes);
         }
         const isShed = phase.disturbed && random() < SHED_SHARE;
-        const isTwice = phase.disturbed && random() < EXTRA_SHARE;
+        const isTwice = phase.disturbed && random() < EXTRA_SHARE && isFaulty;
         const run = isShed ? undefined : startRun(req);
         if (isShed) rejected.push(attemptId);
         const body = isShed ? '' : JSON.stringify({ ran: attemptId });
@@ -63,7 +63,7 @@
             res.writeHead(Number(status), headers);
             res.end(body);
           },
-          isShed ? 1 : 20,
+          isShed ? 1 : workMs,
         );
       });
       return true;
@@ -77,8 +77,12 @@
     engines: [1, 2].map((n) => ({
       id: `i-shop-${n}`,
       service: 'shop',
-      slots: 6,
-      behaviour: createBehaviour(createRandom(n * 7919)),
+      slots: 24,
+      // Only the first one, which is the faster, sends answers twice.
+      behaviour: createBehaviour(createRandom(n * 7919), {
+        isFaulty: n === 1,
+        workMs: n === 1 ? 10 : 50,
+      }),
     })),
   });
 
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -29,6 +29,8 @@
   let revision = 1;
   /** Watches from a revision below this one get 410. */
   let historyFrom = 1;
+  /** Revision at the start of a compaction; undefined while there is none. */
+  let heldAt;
 
   function objectsOf(kind) {
     if (!kinds.has(kind)) kinds.set(kind, new Map());
@@ -96,12 +98,15 @@
           send(res, 410, { error: 'history gone' });
           return;
         }
+        const until = heldAt ?? revision;
         const events = changes
           .filter((change) => change.kind === kind && change.revision > from)
+          .filter((change) => change.revision <= until)
           .map(({ event }) => event);
-        send(res, 200, { events, at: revision });
+        send(res, 200, { events, at: until });
       },
       check() {
+        if (heldAt !== undefined) return;
         const isDue =
           from < historyFrom ||
           changes.some((change) => change.kind === kind && change.revision > from);
@@ -175,24 +180,16 @@
     remove,
     names: (kind) => [...objectsOf(kind).keys()],
     revision: () => revision,
-    /** Discards the history: "It may discard its history sooner than `historyS`." Waiting watches learn it at once. */
-    discardHistory() {
-      historyFrom = revision;
-      changes = [];
-      [...watches].forEach((watch) => watch.check());
+    /** From now on, watches hear nothing; one that ends gets the position from before. */
+    startCompaction() {
+      heldAt = revision;
     },
-    /** Writes and discards the history before any watch has been answered. */
-    putAndDiscardHistory(kind, name, spec) {
-      const waiting = [...watches];
-      watches.clear();
-      const object = put(kind, name, spec);
+    /** Drops the history and cuts the waiting watches. */
+    endCompaction() {
+      heldAt = undefined;
       historyFrom = revision;
       changes = [];
-      waiting.forEach((watch) => {
-        watches.add(watch);
-        watch.check();
-      });
-      return object;
+      [...watches].forEach((watch) => watch.cut());
     },
     async close() {
       [...watches].forEach((watch) => watch.cut());
