Announce what a listing may have changed to the routers that follow

Cause: a router that watches for others announced the revision of the change that it had announced before, unless its watch returned changes. What it had learnt from a listing, or before it began to watch for others, was never announced, and it confirmed changes that its answers hadn't reached.

Change: the last change is what this router's own calls or its peers know, whichever is later. A listing counts as a change at its position. An answer confirms only changes that it has reached. Listings are logged (store-listed).

Four tests in followed-news.test.ts failed before (conditions not met in 10 s, a confirmation by an earlier answer) and pass.

--- a/packages/core/src/direct/store-news.ts
+++ b/packages/core/src/direct/store-news.ts
@@ -26,8 +26,15 @@
 /** Latest news of all kinds. */
 export interface StoreNews {
   get(kind: string): StoreNewsEntry | undefined;
-  /** Records news. Returns whether it is later than what was known. */
+  /** Records news of another router. Returns whether it is later than what was known. */
   record(kind: string, entry: StoreNewsEntry): boolean;
+  /** Records that the objects of a kind may have changed up to a position, which this router's own call has reached. */
+  recordOwnChange(kind: string, position: ChangePosition): void;
+  /**
+   * Records that, by an answer of the store at a position, nothing has changed since the last known change. Returns whether this is
+   * later than what was known; an answer from before that change confirms nothing.
+   */
+  confirm(kind: string, position: ChangePosition, nowMs: number): boolean;
   all(): ReadonlyMap<string, StoreNewsEntry>;
 }
 
@@ -39,18 +46,37 @@
 /** Creates the news of a router that knows nothing of the store. */
 export function createStoreNews(): StoreNews {
   const entries = new Map<string, StoreNewsEntry>();
-  return {
-    get: (kind) => entries.get(kind),
-    record(kind, entry) {
-      const known = entries.get(kind);
-      if (known === undefined || isLaterChange(entry, known)) {
-        entries.set(kind, entry);
-        return true;
-      }
-      // A confirmation of an earlier change says nothing about the later one.
-      if (isLaterChange(known, entry) || entry.confirmedAtMs <= known.confirmedAtMs) return false;
+  /** Also kept while this router tells no one, for the time when it begins to. */
+  const ownChanges = new Map<string, ChangePosition>();
+
+  function record(kind: string, entry: StoreNewsEntry): boolean {
+    const known = entries.get(kind);
+    if (known === undefined || isLaterChange(entry, known)) {
       entries.set(kind, entry);
       return true;
+    }
+    // A confirmation of an earlier change says nothing about the later one.
+    if (isLaterChange(known, entry) || entry.confirmedAtMs <= known.confirmedAtMs) return false;
+    entries.set(kind, entry);
+    return true;
+  }
+
+  function findLastChange(kind: string): ChangePosition | undefined {
+    const [heard, own] = [entries.get(kind), ownChanges.get(kind)];
+    if (heard === undefined || own === undefined) return heard ?? own;
+    return isLaterChange(own, heard) ? own : heard;
+  }
+
+  return {
+    get: (kind) => entries.get(kind),
+    record,
+    recordOwnChange(kind, { era, revision }) {
+      ownChanges.set(kind, { era, revision });
+    },
+    confirm(kind, position, nowMs) {
+      const { era, revision } = findLastChange(kind) ?? position;
+      if (isLaterChange({ era, revision }, position)) return false;
+      return record(kind, { era, revision, confirmedAtMs: nowMs });
     },
     all: () => entries,
   };
--- a/packages/edge/src/store/followed-news.ts
+++ b/packages/edge/src/store/followed-news.ts
@@ -1,6 +1,6 @@
 /** News of the store from other routers, which a feed follows in place of a watch of its own. */
 import type { StoreNews } from '@kingcupsill/core/direct';
-import type { StoreChange, StoreKind, StorePosition } from '@kingcupsill/prepared-platform';
+import type { StoreKind, StorePosition } from '@kingcupsill/prepared-platform';
 import type { Clock } from '@kingcupsill/runtime';
 
 /** Whether a feed may rely on the news, and what they say about its position. */
@@ -18,8 +18,11 @@
 export interface FollowedNews {
   /** Compares the news with the position of a feed. */
   compare(kind: StoreKind, position: StorePosition): NewsState;
-  /** Records and passes on the answer of this router's own watch, if it watches for others. */
-  publish(kind: StoreKind, position: StorePosition, changes: readonly StoreChange[]): void;
+  /**
+   * Records an answer of the store to this router's own call, and passes it on if it watches for others.
+   * @param mayHaveChanged whether the objects may differ from those before the call; a listing doesn't show what has changed
+   */
+  recordAnswer(kind: StoreKind, position: StorePosition, mayHaveChanged: boolean): void;
   /** Returns whether this router watches the store for others, with short waits so that its news stay recent. */
   isWatching(): boolean;
   /** Resolves when the news of a kind have been recorded or `ms` have passed. */
@@ -57,14 +60,10 @@
         ? NewsState.Unchanged
         : NewsState.Changed;
     },
-    publish(kind, { era, revision }, changes) {
-      if (!options.isWatching()) return;
-      const known = news.get(kind);
+    recordAnswer(kind, position, mayHaveChanged) {
       // The store's revision also rises with changes of other kinds, which are no news for this one.
-      const isNew = changes.length > 0 || known === undefined || known.era !== era;
-      const changedRevision = isNew ? revision : known.revision;
-      const entry = { era, revision: changedRevision, confirmedAtMs: clock() };
-      if (news.record(kind, entry)) options.announce(kind);
+      if (mayHaveChanged) news.recordOwnChange(kind, position);
+      if (options.isWatching() && news.confirm(kind, position, clock())) options.announce(kind);
     },
     isWatching: options.isWatching,
     wait(kind, ms) {
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -52,7 +52,9 @@
   async function list(): Promise<StorePosition | undefined> {
     const listed = await listObjects(options, results, readMode, () => closed);
     if (listed === undefined) return undefined;
+    logger.info('store-listed', { kind, objects: listed.objects.length, ...listed.position });
     options.onListed(listed.objects);
+    options.news?.recordAnswer(kind, listed.position, true);
     return listed.position;
   }
 
@@ -84,7 +86,7 @@
     // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
     if (reached.era !== from.era) return undefined;
     changes.forEach(options.onChanged);
-    options.news?.publish(kind, reached, changes);
+    options.news?.recordAnswer(kind, reached, changes.length > 0);
     const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
     if (changes.length > 0) await availability.pause(Math.max(options.batchDelayMs, followDelayMs));
     return reached;
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import type { TestContext } from 'node:test';
 import { createStoreNews } from '@kingcupsill/core/direct';
-import { StoreKind } from '@kingcupsill/prepared-platform';
+import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
 import { createFollowedNews } from '../../src/store/followed-news.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
@@ -18,7 +18,9 @@
   t: TestContext,
   { isWatching = false, clock = () => performance.now() } = {},
 ) {
-  const stored = { revision: 5 };
+  /** Watches from a revision below `historyFrom` fail. */
+  const stored = { revision: 5, era: 1, historyFrom: 0 };
+  const role = { isWatching };
   const calls: string[] = [];
   const changed: number[] = [];
   const announced: string[] = [];
@@ -27,26 +29,31 @@
   const followed = createFollowedNews({
     news,
     clock,
-    isWatching: () => isWatching,
+    isWatching: () => role.isWatching,
     announce: (announcedKind) => announced.push(announcedKind),
   });
   const client: Pick<StoreClient, 'listPage' | 'watch'> = {
     async listPage() {
       calls.push('list');
-      const position = { era: 1, revision: stored.revision };
-      return { ok: true, value: { objects: [], nextCursor: undefined, position }, era: 1 };
+      const position = { era: stored.era, revision: stored.revision };
+      return { ok: true, value: { objects: [], nextCursor: undefined, position }, era: stored.era };
     },
     async watch(_kind, { revision }, waitMs) {
       calls.push(`watch ${revision}`);
       const deadlineMs = clock() + waitMs;
-      while (stored.revision <= revision && clock() < deadlineMs) await delay(5);
-      const position = { era: 1, revision: stored.revision };
+      const { era } = stored;
+      const isDue = (): boolean =>
+        stored.revision > revision || stored.historyFrom > revision || stored.era !== era;
+      while (!isDue() && clock() < deadlineMs) await delay(5);
+      if (revision < stored.historyFrom)
+        return { ok: false, failure: StoreFailure.HistoryGone, detail: 'gone', era: stored.era };
+      const position = { era: stored.era, revision: stored.revision };
       const change: StoreChange = {
         object: { name: 'i-1', revision: stored.revision, spec: {} },
         removed: false,
       };
       const changes = stored.revision > revision ? [change] : [];
-      return { ok: true, value: { changes, position }, era: 1 };
+      return { ok: true, value: { changes, position }, era: stored.era };
     },
   };
   const feed = createObjectFeed(
@@ -75,6 +82,8 @@
     calls,
     changed,
     announced,
+    news,
+    role,
     hear,
     responseCount: () => responses,
   };
@@ -142,3 +151,55 @@
   follower.stored.revision = 6;
   await waitUntil(() => follower.announced.length >= 1);
 });
+
+/** Waits until a router that watches for others has told them of a change after revision 5. */
+async function waitForLaterNews({ news }: ReturnType<typeof createFollower>): Promise<void> {
+  await waitUntil(() => {
+    const latest = news.get(kind);
+    return latest !== undefined && (latest.era !== 1 || latest.revision > 5);
+  });
+}
+
+// Guards against routers that never apply a change because the router that watches for them has learnt of it from a listing.
+test('a watching router announces what a listing may have changed after the store has dropped its history', async (t) => {
+  const follower = createFollower(t, { isWatching: true });
+  await waitUntil(() => follower.announced.length >= 1);
+  follower.stored.historyFrom = 9;
+  follower.stored.revision = 9;
+  await waitForLaterNews(follower);
+  // The watch after the listing hasn't been answered yet.
+  assert.ok(follower.calls.slice(-2).includes('list'));
+  assert.equal(follower.news.get(kind)?.revision, 9);
+});
+
+// Guards against the same fault after a restore, whose listing differs from the one before it.
+test('a watching router announces what a listing may have changed after the store was restored', async (t) => {
+  const follower = createFollower(t, { isWatching: true });
+  await waitUntil(() => follower.announced.length >= 1);
+  follower.stored.era = 2;
+  await waitForLaterNews(follower);
+  // The watch after the listing hasn't been answered yet.
+  assert.ok(follower.calls.slice(-2).includes('list'));
+});
+
+// Guards against a change that a router has learnt of before it begins to watch for others, and never tells them.
+test('a router that begins to watch for others announces the changes that it knows', async (t) => {
+  const follower = createFollower(t);
+  await waitUntil(() => follower.calls.length >= 2);
+  follower.hear(5);
+  follower.stored.revision = 6;
+  await waitUntil(() => follower.changed.length > 0);
+  follower.role.isWatching = true;
+  await waitForLaterNews(follower);
+  assert.equal(follower.news.get(kind)?.revision, 6);
+});
+
+// Guards against news that are confirmed by an answer of the store from before the change that they name.
+test('a watching router does not confirm a change that its own answers have not reached', async (t) => {
+  const follower = createFollower(t, { isWatching: true });
+  await waitUntil(() => follower.calls.length >= 2);
+  follower.hear(8);
+  const heardAtMs = follower.news.get(kind)?.confirmedAtMs;
+  await waitUntil(() => follower.calls.length >= 4);
+  assert.equal(follower.news.get(kind)?.confirmedAtMs, heardAtMs);
+});
