Refuse heads of servers that can't be passed on

Cause: Node's parser accepts names with spaces, empty names and statuses below 100; its writer throws for them. Nothing between them looked at what was decoded.

Change: core/http-syntax defines what a token, a field value, a request target, a status and a socket address are. A head with anything else is no answer: the outcome is unknown, the connection is closed, and requests that may run again do.

--- /dev/null
+++ b/packages/core/src/http-syntax/index.ts
@@ -0,0 +1,2 @@
+/** Syntax of HTTP messages and addresses. */
+export * from './http-syntax.js';
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -77,7 +77,7 @@
     const classification = classifyResponseHead(res, req.attemptId);
     if (classification.announcement !== undefined)
       listener.onAnnounced(classification.announcement);
-    const detail = `status ${res.statusCode}`;
+    const { detail } = classification;
     if (getBodyFraming(res) === BodyFraming.Close) enableResetDetection(res);
     res.on('error', (err) => fail(err.message));
     res.on('close', () => fail('response ended early'));
--- a/packages/edge/src/relay/classify-response-head.ts
+++ b/packages/edge/src/relay/classify-response-head.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import type { ServerAnnouncement } from '@kingcupsill/core/direct';
+import { areHeadersValid, isStatus } from '@kingcupsill/core/http-syntax';
 import { parseAnnouncement, parseResponseHeaders } from '@kingcupsill/prepared-platform';
 
 /** Statuses that guarantee callers that the request didn't run. From a backend server, only its not-executed header guarantees that. */
@@ -20,6 +21,8 @@
   outcome: AttemptOutcome;
   /** The outcome is certain without the body. */
   isFinal: boolean;
+  /** Status or fault of the head, for logs. */
+  detail: string;
   /** What the server states about itself; undefined if another server has answered. */
   announcement: ServerAnnouncement | undefined;
 }
@@ -35,14 +38,27 @@
   return head.signed && !head.contentEncoded ? AttemptOutcome.Complete : AttemptOutcome.Unknown;
 }
 
+/** Returns whether the head can be passed on. Node's parser accepts names and statuses that can't be written. */
+function isWellFormed({ statusCode, rawHeaders }: IncomingMessage): boolean {
+  return isStatus(statusCode!) && areHeadersValid(rawHeaders);
+}
+
 /** Classifies the head of the response to the request with `attemptId`. */
 export function classifyResponseHead(
   res: IncomingMessage,
   attemptId: string | undefined,
 ): HeadClassification {
+  const detail = `status ${res.statusCode}`;
+  if (!isWellFormed(res))
+    return {
+      outcome: AttemptOutcome.Unknown,
+      isFinal: true,
+      detail: `${detail}, malformed head`,
+      announcement: undefined,
+    };
   const outcome = determineOutcome(res, attemptId);
   // Another server has taken over the address, so its statements don't concern this one.
   const isOtherServer = outcome === AttemptOutcome.WrongServer;
   const announcement = isOtherServer ? undefined : parseAnnouncement(res.statusCode!, res.headers);
-  return { outcome, isFinal: FINAL_OUTCOMES.has(outcome), announcement };
+  return { outcome, isFinal: FINAL_OUTCOMES.has(outcome), detail, announcement };
 }
--- a/packages/edge/test/relay/answers.test.ts
+++ b/packages/edge/test/relay/answers.test.ts
@@ -275,3 +275,43 @@
     assert.equal(arrivalsOf(deployment).length, 1);
   });
 });
+
+/** Lines of heads that Node's parser passes on, but that can't be written. */
+const MALFORMED_HEAD_LINES = ['q8 7f1: 0c', ': 0c'];
+
+for (const line of MALFORMED_HEAD_LINES) {
+  // Guards against a router that ends, with all of its requests, because of one head of a faulty server.
+  test(`does not pass on an answer whose head has the line "${line}"`, async () => {
+    const spoil = (arrival: Arrival) => {
+      writeRawAnswer(arrival, [line, 'Content-Length: 5'], 'wrong');
+    };
+    const sendSound = (arrival: Arrival) =>
+      sendAnswer(arrival, arrival.req.method === 'POST' ? formatEvent(1) : 'answer');
+    for (const path of ['/once/1', '/stream/1', '/talk/1']) {
+      await withDeployment([spoil], async ({ call }) => {
+        const answer = await call(path, { method: 'POST' });
+        assert.deepEqual([answer.status, JSON.parse(answer.body).ran], [502, 'unknown'], path);
+      });
+    }
+    await withDeployment([spoil, sendSound], async ({ call }) => {
+      for (let index = 0; index < 4; index += 1) {
+        const stream = await call(`/stream/${index}`, { method: 'POST' });
+        assert.deepEqual(
+          [(await call(`/any/${index}`)).body, stream.body],
+          ['answer', formatEvent(1)],
+        );
+      }
+    });
+  });
+}
+
+// Guards against the same end of a router by a status that can't be written.
+test('does not pass on an answer whose status is none', async () => {
+  const sendStatus = (arrival: Arrival) => {
+    arrival.req.socket.write('HTTP/1.1 099 Odd\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+  };
+  await withDeployment([sendStatus], async ({ call }) => {
+    const answer = await call('/once/1', { method: 'POST' });
+    assert.deepEqual([answer.status, JSON.parse(answer.body).ran], [502, 'unknown']);
+  });
+});
