End one request, not the process, by an error of its effects

Cause: the loop of the process took each error of an effect for a broken invariant; errors in callbacks of a response or of a received request were uncaught.

Change: an error of an effect that belongs to one request ends it: internal_error (500, not run) if nothing was sent, else outcome_unknown. Callbacks of a response end their attempt, and steps before the dispatch their request. Logged as request-error and counted. Errors of the reducer, and of effects of no request, still end the process.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -79,6 +79,8 @@
         detail: string;
       }
     | { kind: 'caller-left'; request: string }
+    /** An effect for the request could not be carried out; the last attempt, if any, was not sent. */
+    | { kind: 'request-failed'; request: string; detail: string }
     /** Response of an engine with the prompt parts in its cache. */
     | { kind: 'kept-listed'; serverKey: string; promptParts: PromptPart[] }
     | { kind: 'peer-report'; report: RouterReport }
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -11,6 +11,7 @@
   onAttemptEnded,
   onCallerLeft,
   onEventsDelivered,
+  onRequestFailed,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
 import { getServerState, recordSend } from './state.js';
@@ -197,6 +198,8 @@
   'attempt-ended': (state, { attempt, outcome, detail, nowMs }) =>
     onAttemptEnded(state, attempt, outcome, detail, nowMs),
   'caller-left': (state, { request, nowMs }) => onCallerLeft(state, request, nowMs),
+  'request-failed': (state, { request, detail, nowMs }) =>
+    onRequestFailed(state, request, detail, nowMs),
   'kept-listed': recordCacheContents,
   'peer-report': (state, event) => [
     ...applyPeerReport(state, event.report, event.nowMs).map((key) => noteLeaving(key, 'peer')),
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -202,6 +202,25 @@
   return cancelCurrentAttempt(state, request, nowMs);
 }
 
+/** Ends a request whose attempt could not be sent because of an error in this router. */
+export function onRequestFailed(
+  state: DirectState,
+  requestId: string,
+  detail: string,
+  nowMs: number,
+): DirectEffect[] {
+  const request = state.requests.get(requestId);
+  if (request === undefined) return [];
+  const refusal: Refusal =
+    request.possibleRuns === 0
+      ? { status: 500, code: RefusalCode.InternalError, ran: 'no', retryAfterMs: undefined }
+      : createFinalRefusal(AttemptOutcome.Unknown, false);
+  return [
+    ...cancelCurrentAttempt(state, request, nowMs),
+    ...refuse(state, request, refusal, { detail }, nowMs),
+  ];
+}
+
 /** Refuses the requests whose deadline has passed and cancels their attempts. */
 export function expireRequests(state: DirectState, nowMs: number): DirectEffect[] {
   return [...state.requests.values()]
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -180,5 +180,7 @@
   BodyTooLarge: 'body_too_large',
   HeaderTooLarge: 'header_too_large',
   Malformed: 'malformed_request',
+  /** An error in this router, whose log names it. */
+  InternalError: 'internal_error',
 } as const;
 export type RefusalCode = (typeof RefusalCode)[keyof typeof RefusalCode];
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -13,7 +13,7 @@
 /** Creates the listener. `onEnded` is called before the reducer learns that the attempt has ended. */
 export function createAttemptListener(
   { logger, clock }: Pick<EdgeContext, 'logger' | 'clock'>,
-  parts: Pick<EdgeParts, 'metrics' | 'loop'>,
+  parts: Pick<EdgeParts, 'metrics' | 'loop' | 'requestErrors'>,
   { attempt, request, serverKey }: SendEffect,
   exchange: Exchange,
   onEnded: () => void,
@@ -41,6 +41,7 @@
       if (partialEventBytes > 0) logger.warn('body-ended-inside-event', fields);
       else if (framing === BodyFraming.Close) logger.info('body-ended-by-close', fields);
     },
+    onError: (err) => parts.requestErrors.record('attempt', request, err),
     onEnded(outcome, detail, response) {
       onEnded();
       exchange.bufferedResponse = response;
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -15,7 +15,7 @@
 
 type HandlerParts = Pick<
   EdgeParts,
-  'validator' | 'exchanges' | 'loopLag' | 'loop' | 'metrics' | 'state'
+  'validator' | 'exchanges' | 'loopLag' | 'loop' | 'metrics' | 'state' | 'requestErrors'
 >;
 
 /** Valid request whose body has been read completely. */
@@ -42,6 +42,13 @@
   ran: 'no',
   retryAfterMs: 50,
 };
+/** Answer to a request that an error has kept from being dispatched. */
+const INTERNAL_ERROR_REFUSAL: Refusal = {
+  status: 500,
+  code: RefusalCode.InternalError,
+  ran: 'no',
+  retryAfterMs: undefined,
+};
 /** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_WAIT_FRACTION = 0.25;
 
@@ -55,7 +62,7 @@
 /** Creates the handlers of the server for callers. */
 export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
   const { logger, clock, random } = ctx;
-  const { validator, exchanges, loopLag, loop, metrics, state } = parts;
+  const { validator, exchanges, loopLag, loop, metrics, state, requestErrors } = parts;
   const queue = createRequestQueue(clock, setImmediate);
   let requestCount = 0;
 
@@ -70,6 +77,17 @@
     writeRefusal(res, refusal);
   }
 
+  /** Runs a step before the request is dispatched; an error in it ends the request and nothing else. */
+  function protect(res: ServerResponse, attemptId: string | undefined, step: () => void): void {
+    try {
+      step();
+    } catch (err) {
+      requestErrors.record('receive', attemptId, err);
+      if (res.headersSent) res.destroy();
+      else writeRefusal(res, INTERNAL_ERROR_REFUSAL);
+    }
+  }
+
   function submit(request: ReceivedRequest): void {
     requestCount += 1;
     const id = `${request.headers.attemptId ?? 'none'}-${requestCount}`;
@@ -98,12 +116,14 @@
       if (res.destroyed || req.socket.destroyed) return;
       const maxWaitMs = attributes.route.objectiveMs * MAX_WAIT_FRACTION;
       const isBusy = Math.max(loopLag.lagMs(), waitedMs) > maxWaitMs;
-      if (isBusy) reject(res, headers, BUSY_REFUSAL);
-      else submit(request);
+      protect(res, headers.attemptId, () => {
+        if (isBusy) reject(res, headers, BUSY_REFUSAL);
+        else submit(request);
+      });
     });
   }
 
-  function onRequest(req: IncomingMessage, res: ServerResponse): void {
+  function receive(req: IncomingMessage, res: ServerResponse): void {
     const headers = parseCallerHeaders(req.headers);
     const validation = validator.validate(req, headers, clock());
 
@@ -129,12 +149,16 @@
       else if (result.reason === 'too-large') reject(res, headers, BODY_TOO_LARGE_REFUSAL);
     }
 
-    readBody(req, validator.maxBodyBytes(), onBody);
+    readBody(req, validator.maxBodyBytes(), (result) =>
+      protect(res, headers.attemptId, () => onBody(result)),
+    );
   }
 
   return {
-    onRequest,
+    onRequest: (req, res) => protect(res, undefined, () => receive(req, res)),
     onLateRequest: (req, res) =>
-      reject(res, parseCallerHeaders(req.headers), SHUTTING_DOWN_REFUSAL),
+      protect(res, undefined, () =>
+        reject(res, parseCallerHeaders(req.headers), SHUTTING_DOWN_REFUSAL),
+      ),
   };
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -30,6 +30,7 @@
 import { createPeerLinks } from './peers/peer-links.js';
 import type { PeerLinks } from './peers/peer-links.js';
 import { createReporting } from './peers/reporting.js';
+import { createRequestErrors } from './request-errors.js';
 import { createServerConnections } from './relay/server-connections.js';
 import { parseAddress, parseZoneRegions } from './settings.js';
 import { createFeeds } from './store/feeds.js';
@@ -93,6 +94,7 @@
     },
     metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
     exchanges: exchangesPart(ctx),
+    requestErrors: { create: (parts) => createRequestErrors(ctx, parts) },
     loop: loopPart(ctx),
     transport: transportPart(ctx),
     store: { create: ({ transport }) => createStoreClient(transport.send) },
@@ -206,6 +208,7 @@
         initialState: parts.state,
         reduce: directReducer,
         handlers: createEffectHandlers(ctx, parts),
+        onEffectError: parts.requestErrors.handleEffect,
       }),
     close: (loop) => loop.close(),
   };
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -14,7 +14,7 @@
 
 type EffectParts = Pick<
   EdgeParts,
-  'exchanges' | 'connections' | 'metrics' | 'loop' | 'reporting' | 'streamStore'
+  'exchanges' | 'connections' | 'metrics' | 'loop' | 'reporting' | 'streamStore' | 'requestErrors'
 >;
 
 /**
@@ -132,17 +132,19 @@
       attempts.delete(attempt);
     },
     finish({ request }: Extract<DirectEffect, { kind: 'finish' }>) {
-      const exchange = parts.exchanges.take(request);
+      const exchange = parts.exchanges.get(request);
       if (exchange === undefined) return;
       writeResponse(exchange.res, exchange.bufferedResponse);
+      parts.exchanges.take(request);
       parts.metrics.countResponse(exchange.res.statusCode);
       parts.metrics.observeCompletion(exchange.attributes.service, clock() - exchange.receivedAtMs);
     },
     refuse({ request, refusal, decisionInputs }: Extract<DirectEffect, { kind: 'refuse' }>) {
-      const exchange = parts.exchanges.take(request);
+      const exchange = parts.exchanges.get(request);
       logger.warn('request-refused', { request, ...refusal, ...decisionInputs });
       parts.metrics.countRefusal(refusal.code);
       if (exchange !== undefined) writeRefusal(exchange.res, refusal);
+      parts.exchanges.take(request);
     },
     note({ event, fields }: Extract<DirectEffect, { kind: 'note' }>) {
       logger.info(event, fields);
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -26,6 +26,8 @@
   countBodyEnd(framing: BodyFraming, isInsideEvent: boolean): void;
   countResponse(status: number): void;
   countRefusal(code: RefusalCode): void;
+  /** Counts an error in this router that has ended one request; `place` is where it occurred. */
+  countRequestError(place: string): void;
   /** Records the time from the complete request to the first event or the response. */
   observeFirstEvent(service: string, durationMs: number): void;
   /** Records the time from the complete request to the end of its response. */
@@ -117,6 +119,11 @@
     'Requests refused or failed by the router.',
     'code',
   );
+  const requestErrors = counter(
+    'kingcupsill_request_errors_total',
+    'Requests ended by an error in the router.',
+    'place',
+  );
   const storeCallCounter = counter(
     'kingcupsill_store_calls_total',
     'Calls to the store.',
@@ -151,6 +158,7 @@
       bodyEnds.inc({ framing, inside_event: String(isInsideEvent) }),
     countResponse: (status) => responses.inc({ status: String(status) }),
     countRefusal: (code) => refusals.inc({ code }),
+    countRequestError: (place) => requestErrors.inc({ place }),
     observeFirstEvent: (service, durationMs) =>
       firstEventSeconds.observe({ service }, durationMs / 1000),
     observeCompletion: (service, durationMs) =>
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -5,6 +5,7 @@
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
 import { bufferResponse, discardResponse, relayEvents } from './read-response.js';
+import type { Protect, ResponseHandlers } from './read-response.js';
 import type { ServerConnections } from './server-connections.js';
 import { BodyFraming } from './types.js';
 import type {
@@ -73,6 +74,18 @@
     clientReq.destroy();
   }
 
+  /** Runs a callback of the response; an error in it ends this attempt and nothing else. */
+  const protect: Protect =
+    (callback) =>
+    (...args) => {
+      try {
+        callback(...args);
+      } catch (err) {
+        listener.onError(err);
+        fail('internal error');
+      }
+    };
+
   function onResponse(res: IncomingMessage): void {
     const classification = classifyResponseHead(res, req.attemptId);
     if (classification.announcement !== undefined)
@@ -87,7 +100,8 @@
       else discardResponse(res, () => clientReq.destroy());
       return;
     }
-    const handlers = {
+    const handlers: ResponseHandlers = {
+      protect,
       onComplete(response: BufferedResponse | undefined): void {
         // A connection can't be reused while the request is still being sent.
         if (!clientReq.writableFinished) clientReq.destroy();
@@ -104,7 +118,7 @@
     }
   }
 
-  clientReq.on('response', onResponse);
+  clientReq.on('response', protect(onResponse));
   clientReq.on('information', () => {
     interimResponses += 1;
     if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -15,8 +15,14 @@
 const MAX_DISCARDED_BYTES = 64 * 1024;
 const MAX_DISCARD_MS = 1000;
 
+/** Returns a callback whose errors end the attempt. */
+export type Protect = <TArgs extends unknown[]>(
+  callback: (...args: TArgs) => void,
+) => (...args: TArgs) => void;
+
 /** Callbacks for a response that is being read. */
 export interface ResponseHandlers {
+  protect: Protect;
   onComplete: (response: BufferedResponse | undefined) => void;
   onFailure: (detail: string) => void;
   /** Returns whether the attempt has ended or was cancelled, so that further bytes are dropped. */
@@ -39,20 +45,22 @@
   res: IncomingMessage,
   budget: ByteBudget,
   listener: AttemptListener,
-  { onComplete, onFailure, isEnded }: ResponseHandlers,
+  { protect, onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
   const chunks: Buffer[] = [];
   const account = budget.open();
   let receivedBytes = 0;
   res.on('close', account.close);
-  res.on('data', (chunk: Buffer) => {
+
+  function onData(chunk: Buffer): void {
     if (isEnded()) return;
     chunks.push(chunk);
     receivedBytes += chunk.length;
     if (receivedBytes > MAX_BUFFERED_BYTES) onFailure('response too large');
     else if (!account.add(chunk.length)) onFailure('response buffers full');
-  });
-  res.on('end', () => {
+  }
+
+  function onEnd(): void {
     if (!res.complete) {
       onFailure('response ended early');
       return;
@@ -64,7 +72,10 @@
     });
     const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
     onComplete({ status: res.statusCode!, headers, body: Buffer.concat(chunks) });
-  });
+  }
+
+  res.on('data', protect(onData));
+  res.on('end', protect(onEnd));
 }
 
 /** Settings of a stream. */
@@ -79,7 +90,7 @@
 export function relayEvents(
   res: IncomingMessage,
   { sink, listener, isResumed }: StreamOptions,
-  { onComplete, onFailure, isEnded }: ResponseHandlers,
+  { protect, onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
   const splitter = createEventSplitter();
   const framing = getBodyFraming(res);
@@ -93,14 +104,15 @@
     listener.onDelivered(lastEventId);
   }
 
-  res.on('data', (chunk: Buffer) => {
+  function onData(chunk: Buffer): void {
     if (isEnded()) return;
     receivedBytes += chunk.length;
     const events = splitter.push(chunk);
     if (events !== undefined) deliver(events.bytes, events.lastEventId);
     if (splitter.pendingBytes() > MAX_EVENT_BYTES) onFailure('event too large');
-  });
-  res.on('end', () => {
+  }
+
+  function onEnd(): void {
     if (isEnded()) return;
     if (!res.complete) {
       onFailure('stream ended early');
@@ -120,5 +132,8 @@
     const rest = splitter.remainder();
     if (rest.length > 0 || !sink.isHeadSent()) deliver(rest, undefined);
     onComplete(undefined);
-  });
+  }
+
+  res.on('data', protect(onData));
+  res.on('end', protect(onEnd));
 }
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -63,6 +63,8 @@
   onBodyEnded(end: BodyEnd): void;
   /** `response` is defined if the response was buffered and can still be sent to the caller. */
   onEnded(outcome: AttemptOutcome, detail: string, response: BufferedResponse | undefined): void;
+  /** An error in this router has broken off the attempt; `onEnded` follows. */
+  onError(err: unknown): void;
 }
 
 /** Attempt in progress. */
--- /dev/null
+++ b/packages/edge/src/request-errors.ts
@@ -0,0 +1,72 @@
+/** Errors in this router that end one request and must not affect the others. */
+import { RefusalCode } from '@kingcupsill/core/direct';
+import type { DirectEffect, DirectEvent, Refusal } from '@kingcupsill/core/direct';
+import { writeRefusal } from './callers/exchange.js';
+import type { EdgeContext } from './context.js';
+import type { EdgeParts } from './types.js';
+
+/** Handling of such errors. */
+export interface RequestErrors {
+  /** Logs and counts an error. `place` is the effect or the part of the relay in which it occurred. */
+  record(place: string, request: string | undefined, err: unknown): void;
+  /** Handles the error of an effect. Returns the events that end its request, or undefined if it belongs to no request. */
+  handleEffect(err: Error, effect: DirectEffect): DirectEvent[] | undefined;
+}
+
+type EffectOf<TKind extends DirectEffect['kind']> = Extract<DirectEffect, { kind: TKind }>;
+type ErrorHandlers = {
+  [TKind in DirectEffect['kind']]?: (effect: EffectOf<TKind>, err: Error) => DirectEvent[];
+};
+
+/** Answer to a request that has run, but whose response can't be written. */
+const LOST_RESPONSE_REFUSAL: Refusal = {
+  status: 502,
+  code: RefusalCode.OutcomeUnknown,
+  ran: 'unknown',
+  retryAfterMs: undefined,
+};
+
+/** Creates the handling. `parts` is accessed only when errors occur. */
+export function createRequestErrors(
+  { logger, clock }: Pick<EdgeContext, 'logger' | 'clock'>,
+  parts: Pick<EdgeParts, 'exchanges' | 'metrics'>,
+): RequestErrors {
+  function record(place: string, request: string | undefined, err: unknown): void {
+    logger.error('request-error', { place, request, err });
+    parts.metrics.countRequestError(place);
+  }
+
+  /** Answers with the refusal, or breaks the connection if that fails or there is none. */
+  function answer(request: string, refusal: Refusal | undefined): DirectEvent[] {
+    const res = parts.exchanges.take(request)?.res;
+    try {
+      if (res !== undefined && refusal !== undefined) writeRefusal(res, refusal);
+      else res?.destroy();
+    } catch (err) {
+      record('answer', request, err);
+      res?.destroy();
+    }
+    return [];
+  }
+
+  const handlers: ErrorHandlers = {
+    send: ({ request }, { message }) => [
+      { kind: 'request-failed', request, detail: message, nowMs: clock() },
+    ],
+    // The request has ended before.
+    cancel: () => [],
+    finish: ({ request }) => answer(request, LOST_RESPONSE_REFUSAL),
+    refuse: ({ request }) => answer(request, undefined),
+  };
+
+  return {
+    record,
+    handleEffect(err, effect) {
+      const handle = handlers[effect.kind] as
+        ((effect: DirectEffect, err: Error) => DirectEvent[]) | undefined;
+      if (handle === undefined) return undefined;
+      record(effect.kind, 'request' in effect ? effect.request : undefined, err);
+      return handle(effect, err);
+    },
+  };
+}
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -7,6 +7,7 @@
 import type { Closable } from './closable.js';
 import type { Exchanges } from './exchanges.js';
 import type { LoopLag } from './loop-lag.js';
+import type { RequestErrors } from './request-errors.js';
 import type { EdgeMetrics } from './metrics.js';
 import type { PeerLinks } from './peers/peer-links.js';
 import type { Reporting } from './peers/reporting.js';
@@ -28,6 +29,7 @@
   phase: Phase;
   loop: Loop<DirectState, DirectEvent>;
   exchanges: Exchanges;
+  requestErrors: RequestErrors;
   connections: ServerConnections;
   metrics: EdgeMetrics;
   transport: StoreTransport;
--- a/packages/runtime/src/loop/create-loop.ts
+++ b/packages/runtime/src/loop/create-loop.ts
@@ -18,7 +18,7 @@
 export function createLoop<TState, TEvent, TEffect extends { kind: string }>(
   options: LoopOptions<TState, TEvent, TEffect>,
 ): Loop<TState, TEvent> {
-  const { reduce, onError = throwAsync } = options;
+  const { reduce, onEffectError = () => undefined, onError = throwAsync } = options;
   const handlers = options.handlers as unknown as Record<
     string,
     (effect: TEffect, dispatch: (event: TEvent) => void) => void | Promise<void>
@@ -28,16 +28,20 @@
   let running = false;
   let closed = false;
 
-  function reportError(kind: string, err: unknown): void {
-    onError(new VError({ name: 'EffectError', cause: toError(err) }, 'effect %s failed', kind));
+  function handleError(effect: TEffect, cause: unknown): void {
+    const name = 'EffectError';
+    const err = new VError({ name, cause: toError(cause) }, 'effect %s failed', effect.kind);
+    const events = onEffectError(err, effect);
+    if (events === undefined) onError(err);
+    else events.forEach(dispatch);
   }
 
   function runEffect(effect: TEffect): void {
     try {
       const pending = handlers[effect.kind]!(effect, dispatch);
-      if (pending !== undefined) pending.catch((err: unknown) => reportError(effect.kind, err));
+      if (pending !== undefined) pending.catch((err: unknown) => handleError(effect, err));
     } catch (err) {
-      reportError(effect.kind, err);
+      handleError(effect, err);
     }
   }
 
--- a/packages/runtime/src/loop/types.ts
+++ b/packages/runtime/src/loop/types.ts
@@ -15,7 +15,13 @@
   reduce: Reducer<TState, TEvent, TEffect>;
   handlers: EffectHandlers<TEvent, TEffect>;
   /**
-   * Called with each error of the reducer or a handler; both are broken invariants. An error of the reducer closes the loop.
+   * Called with the error of a handler before `onError`. Returns the events that end what the effect belongs to, so that the error
+   * affects nothing else; undefined if the effect belongs to the whole process.
+   * @default every error is passed to `onError`
+   */
+  onEffectError?: (err: Error, effect: TEffect) => TEvent[] | undefined;
+  /**
+   * Called with each other error of the reducer or a handler; both are broken invariants. An error of the reducer closes the loop.
    * @default rethrows the error asynchronously, as an uncaught exception
    */
   onError?: (err: Error) => void;
--- a/packages/runtime/test/loop/loop.test.ts
+++ b/packages/runtime/test/loop/loop.test.ts
@@ -41,6 +41,34 @@
   assert.deepEqual(errors.map(String), ['EffectError: effect fail failed: no']);
 });
 
+// Guards against a process that ends with all its work because of an error that concerns one effect.
+test('an error of an effect that belongs to one request is handled by events, and no other error is', async () => {
+  const errors: string[] = [];
+  const recovered: string[] = [];
+  const loop = createLoop<string[], Event, Effect>({
+    initialState: [],
+    reduce,
+    handlers: {
+      note({ name }) {
+        if (name === 'a1') throw new Error('odd');
+      },
+      echo: () => undefined,
+      fail: () => Promise.reject(new Error('no')),
+    },
+    onEffectError(err, { kind }) {
+      if (kind !== 'note') return undefined;
+      recovered.push(String(err));
+      return [{ kind: 'add', name: 'ended' }];
+    },
+    onError: (err) => errors.push(String(err)),
+  });
+  loop.dispatch({ kind: 'add', name: 'a' });
+  await new Promise(setImmediate);
+  assert.deepEqual(loop.state(), ['a', 'ended']);
+  assert.deepEqual(recovered, ['EffectError: effect note failed: odd']);
+  assert.deepEqual(errors, ['EffectError: effect fail failed: no']);
+});
+
 test('a reducer error closes the loop', () => {
   const { loop, errors } = createSample();
   loop.dispatch({ kind: 'break' });
