Leave out stored objects that no connection or request can be built for

Cause: five digits counted as a port and any digits and dots as a host; Node throws for them when the request is built. One object without a readable name made its whole page unreadable.

Unreadable objects are left out one by one and logged. A call that can't be built fails like one without an answer.

--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -1,6 +1,6 @@
 /** HTTP call with a timeout and a buffered response. */
 import { request } from 'node:http';
-import type { Agent, IncomingHttpHeaders } from 'node:http';
+import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
 
 /** HTTP call. */
 export interface HttpCall {
@@ -20,20 +20,32 @@
   | { ok: true; status: number; headers: IncomingHttpHeaders; body: string }
   | { ok: false; detail: string };
 
+function openRequest(
+  { agent, host, port, method, path }: HttpCall,
+  body: Buffer | undefined,
+): ClientRequest {
+  const headers: Record<string, string | number> = { Host: `${host}:${port}` };
+  if (body !== undefined) {
+    headers['Content-Type'] = 'application/json';
+    headers['Content-Length'] = body.length;
+  }
+  return request({ agent, host, port, method, path, headers });
+}
+
 /**
  * Sends a call. The promise never rejects. A timeout closes the connection, so that a late response isn't taken for that of the
  * next call.
  */
 export function sendHttpCall(call: HttpCall): Promise<HttpCallResult> {
   return new Promise((resolve) => {
-    const { agent, host, port, method, path } = call;
     const body = call.body === undefined ? undefined : Buffer.from(call.body);
-    const headers: Record<string, string | number> = { Host: `${host}:${port}` };
-    if (body !== undefined) {
-      headers['Content-Type'] = 'application/json';
-      headers['Content-Length'] = body.length;
+    let req: ClientRequest;
+    try {
+      req = openRequest(call, body);
+    } catch (err) {
+      resolve({ ok: false, detail: (err as Error).message });
+      return;
     }
-    const req = request({ agent, host, port, method, path, headers });
     const timer = setTimeout(() => fail('response timeout'), call.timeoutMs);
 
     function settle(result: HttpCallResult): void {
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -1,8 +1,11 @@
 /** Settings of the direct router. */
+import { parseSocketAddress } from '@kingcupsill/core/http-syntax';
 import type { Settings } from '@kingcupsill/runtime';
 import { z } from 'zod';
 
-const address = z.string().regex(/^[0-9.]+:\d{1,5}$/, 'expected an IP address and a port');
+const address = z
+  .string()
+  .refine((text) => parseSocketAddress(text) !== undefined, 'expected an IP address and a port');
 const positive = z.number().positive();
 
 /** INI schema of `kingcupsill-edge`. */
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -104,6 +104,7 @@
   function add(object: StoreObject): void {
     const entry = readRouterEntry(object);
     if (entry !== undefined) routers.set(object.name, { name: object.name, ...entry });
+    else ctx.logger.warn('router-unreadable', { router: object.name, revision: object.revision });
   }
 
   function updateLinks(): void {
--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -12,6 +12,8 @@
 /** Objects of a kind, and the position from which their changes can be watched. */
 export interface Listing {
   objects: StoreObject[];
+  /** Reasons why further objects are left out. */
+  unreadable: string[];
   position: StorePosition;
 }
 
@@ -28,6 +30,7 @@
   isClosed: () => boolean,
 ): Promise<Listing | undefined> {
   const objects: StoreObject[] = [];
+  const unreadable: string[] = [];
   let cursor: string | undefined;
   let position: StorePosition | undefined;
   do {
@@ -37,7 +40,8 @@
     position ??= inCurrentEra(page.value.position, era);
     if (position.era !== era.current()) return undefined;
     objects.push(...page.value.objects);
+    unreadable.push(...page.value.unreadable);
     cursor = page.value.nextCursor;
   } while (cursor !== undefined);
-  return { objects, position };
+  return { objects, unreadable, position };
 }
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -49,10 +49,15 @@
   const readMode = options.allowsStale ? ReadMode.Stale : ReadMode.Current;
   let closed = false;
 
+  function logUnreadable(messages: readonly string[]): void {
+    messages.forEach((message) => logger.warn('object-unreadable', { kind, message }));
+  }
+
   async function list(): Promise<StorePosition | undefined> {
     const listed = await listObjects(options, results, readMode, () => closed);
     if (listed === undefined) return undefined;
     logger.info('store-listed', { kind, objects: listed.objects.length, ...listed.position });
+    logUnreadable(listed.unreadable);
     options.onListed(listed.objects);
     options.news?.recordAnswer(kind, listed.position, true);
     return listed.position;
@@ -78,13 +83,14 @@
   }
 
   async function applyChanges(
-    { changes, position }: StoreChangeBatch,
+    { changes, unreadable, position }: StoreChangeBatch,
     from: StorePosition,
     state: NewsState | undefined,
   ): Promise<StorePosition | undefined> {
     const reached = inCurrentEra(position, options.era);
     // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
     if (reached.era !== from.era) return undefined;
+    logUnreadable(unreadable);
     changes.forEach(options.onChanged);
     options.news?.recordAnswer(kind, reached, changes.length > 0);
     const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -1,5 +1,6 @@
 /** Registration of the router's address in the platform's store, where the other routers find it. */
 import type { RouterInfo } from '@kingcupsill/core/direct';
+import { parseSocketAddress } from '@kingcupsill/core/http-syntax';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreObject } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
@@ -27,11 +28,12 @@
   const spec = object.spec as Partial<RouterEntry> | null | undefined;
   if (typeof spec?.address !== 'string' || typeof spec.incarnation !== 'string') return undefined;
   const { address, incarnation, zone, cores } = spec;
+  if (parseSocketAddress(address) === undefined) return undefined;
   return {
     address,
     incarnation,
     zone: typeof zone === 'string' ? zone : '',
-    cores: typeof cores === 'number' ? cores : 0,
+    cores: typeof cores === 'number' && cores > 0 ? cores : 0,
   };
 }
 
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -147,6 +147,7 @@
     };
     const isClosed = (): boolean => false;
     const listing = await listObjects({ client, kind, era }, results, ReadMode.Current, isClosed);
+    listing?.unreadable.forEach((message) => logger.warn('object-unreadable', { kind, message }));
     return listing?.objects;
   }
 
--- a/packages/edge/test/store/era.test.ts
+++ b/packages/edge/test/store/era.test.ts
@@ -38,7 +38,11 @@
     async listPage() {
       record.lists += 1;
       const position = { era: listEra(), revision: 5 };
-      return { ok: true, value: { objects: [], nextCursor: undefined, position }, era: listEra() };
+      return {
+        ok: true,
+        value: { objects: [], unreadable: [], nextCursor: undefined, position },
+        era: listEra(),
+      };
     },
     watch(_kind, { revision }) {
       record.watchedRevisions.push(revision);
@@ -59,7 +63,7 @@
 const change = { object: { name: 'i-1', revision: 6, spec: {} }, removed: false };
 const answer = async (era: number): Promise<StoreResult<StoreChangeBatch>> => ({
   ok: true,
-  value: { changes: [change], position: { era, revision: 6 } },
+  value: { changes: [change], unreadable: [], position: { era, revision: 6 } },
   era,
 });
 
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -36,7 +36,11 @@
     async listPage() {
       calls.push('list');
       const position = { era: stored.era, revision: stored.revision };
-      return { ok: true, value: { objects: [], nextCursor: undefined, position }, era: stored.era };
+      return {
+        ok: true,
+        value: { objects: [], unreadable: [], nextCursor: undefined, position },
+        era: stored.era,
+      };
     },
     async watch(_kind, { revision }, waitMs) {
       calls.push(`watch ${revision}`);
@@ -53,7 +57,7 @@
         removed: false,
       };
       const changes = stored.revision > revision ? [change] : [];
-      return { ok: true, value: { changes, position }, era: stored.era };
+      return { ok: true, value: { changes, unreadable: [], position }, era: stored.era };
     },
   };
   const feed = createObjectFeed(
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -23,7 +23,10 @@
         storeCalls.push({ call: 'list', waitMs: 0, answerTimeoutMs });
         if (storeCalls.length > 1) setImmediate(() => resolve(storeCalls));
         const position = { era: undefined, revision: 5 };
-        return { ok: true, value: { objects: [], nextCursor: undefined, position } };
+        return {
+          ok: true,
+          value: { objects: [], unreadable: [], nextCursor: undefined, position },
+        };
       },
       async watch(_kind, _revision, waitMs, answerTimeoutMs) {
         storeCalls.push({ call: 'watch', waitMs, answerTimeoutMs });
--- a/packages/edge/test/store/store-calls.test.ts
+++ b/packages/edge/test/store/store-calls.test.ts
@@ -14,7 +14,10 @@
 function createClient(watch: () => ReturnType<StoreClient['watch']>): StoreClient {
   const client: Pick<StoreClient, 'listPage' | 'watch'> = {
     async listPage() {
-      return { ok: true, value: { objects: [], nextCursor: undefined, position: POSITION } };
+      return {
+        ok: true,
+        value: { objects: [], unreadable: [], nextCursor: undefined, position: POSITION },
+      };
     },
     watch,
   };
@@ -33,7 +36,7 @@
     callCount += 1;
     // Every watch returns another change.
     await delay(5);
-    return { ok: true, value: { changes: [change], position: POSITION } };
+    return { ok: true, value: { changes: [change], unreadable: [], position: POSITION } };
   });
   const feed = createObjectFeed(
     createFeedOptions(client, {
@@ -70,7 +73,7 @@
           watchTimer = setTimeout(resolve, 10_000);
         });
       } else await delay(20);
-      return { ok: true, value: { changes: [], position: POSITION } };
+      return { ok: true, value: { changes: [], unreadable: [], position: POSITION } };
     });
     const feed = createObjectFeed(
       createFeedOptions(client, { ...TIMING, availability: contact, kind }),
