Refuse requests of callers that can't be passed on with status 400

Cause: Node's parser accepts such targets and names; its client throws for them.

Change: the validator checks target and headers by the shared syntax before the body is read.

Evidence: odd-requests.test.ts sends these and 150 heads of arbitrary bytes (fixed seed); before the change 500 in place of 400.

--- a/packages/edge/src/callers/request-validator.ts
+++ b/packages/edge/src/callers/request-validator.ts
@@ -8,6 +8,7 @@
   RequestAttributes,
   Route,
 } from '@kingcupsill/core/direct';
+import { areHeadersValid, isRequestTarget } from '@kingcupsill/core/http-syntax';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 
 /** Attributes that are known before the body has been read. */
@@ -40,6 +41,11 @@
   );
 }
 
+/** Returns whether the request can be passed on. Node's parser accepts targets and names that can't be sent. */
+function isWellFormed({ url, rawHeaders }: IncomingMessage): boolean {
+  return url!.startsWith('/') && isRequestTarget(url!) && areHeadersValid(rawHeaders);
+}
+
 interface ValidRequest {
   route: Route;
   service: string;
@@ -81,7 +87,7 @@
     if (routeTable === undefined || !state.hasServerList) {
       return refuse(503, RefusalCode.NoConfiguration, RETRY_AFTER_MS);
     }
-    if (!req.url!.startsWith('/')) return refuse(400, RefusalCode.Malformed);
+    if (!isWellFormed(req)) return refuse(400, RefusalCode.Malformed);
     if (headerSizeBytes(req) > routeTable.config.limits.maxHeaderBytes) {
       return refuse(431, RefusalCode.HeaderTooLarge);
     }
