Take an idle timeout of many digits for none

Cause: the digits became Infinity, for which socket.setTimeout throws, in a callback of the agent.

Change: at most six digits count as a timeout in seconds.

Evidence: odd-responses.test.ts failed before with ERR_OUT_OF_RANGE; its property test plays 100 arbitrary heads and bodies.

--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -39,7 +39,8 @@
   const message = (socket as Socket & { _httpMessage?: ClientRequest & { res?: unknown } })
     ._httpMessage;
   const res = message?.res as { headers?: Record<string, string | undefined> } | undefined;
-  const match = /timeout=(\d+)/.exec(res?.headers?.['keep-alive'] ?? '');
+  // More digits than a timer can have count as no timeout.
+  const match = /timeout=(\d{1,6})(?!\d)/.exec(res?.headers?.['keep-alive'] ?? '');
   return match === null ? undefined : Number(match[1]) * 1000;
 }
 
--- /dev/null
+++ b/packages/edge/test/relay/odd-responses.test.ts
@@ -0,0 +1,76 @@
+/** Guards against bytes of one server that end the router with the requests at all others. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { createDeployment, waitUntil } from '../standins/deployment.js';
+import type { Deployment } from '../standins/deployment.js';
+import { sendAnswer, writeRawAnswer } from '../standins/server-standin.js';
+import type { Arrival } from '../standins/server-standin.js';
+
+const formatEvent = (id: string) => `id: ${id}\ndata: x\n\n`;
+
+async function withServer(
+  handle: (arrival: Arrival) => void,
+  run: (deployment: Deployment) => Promise<void>,
+): Promise<void> {
+  const deployment = await createDeployment([handle, handle]);
+  try {
+    await run(deployment);
+  } finally {
+    await deployment.close();
+  }
+}
+
+test('serves on a connection whose server states an endless idle timeout', async () => {
+  const handle = (arrival: Arrival) =>
+    writeRawAnswer(arrival, [`Keep-Alive: timeout=${'9'.repeat(400)}`, 'Content-Length: 2'], 'ok');
+  await withServer(handle, async ({ call }) => {
+    for (let index = 0; index < 3; index += 1)
+      assert.equal((await call(`/any/${index}`)).body, 'ok');
+  });
+});
+
+/** Text whose characters stand for arbitrary bytes. */
+const bytes = fc.string({
+  unit: fc.integer({ min: 0, max: 255 }).map((byte) => String.fromCharCode(byte)),
+  maxLength: 40,
+});
+
+test('survives arbitrary heads and bodies', async () => {
+  const raw = { text: '' };
+  const handle = (arrival: Arrival) => {
+    if (arrival.req.url === '/any/sound') sendAnswer(arrival);
+    else arrival.req.socket.end(Buffer.from(raw.text, 'latin1'));
+  };
+  const field = fc
+    .tuple(
+      fc.constantFrom(
+        'Keep-Alive',
+        'Server-Limit',
+        'Retry-After',
+        'Attempt-Id',
+        'Connection',
+        'X y',
+      ),
+      fc.oneof(bytes, fc.integer().map(String), fc.bigInt().map(String)),
+    )
+    .map(([name, value]) => `${name}: ${value}`);
+  const response = fc
+    .tuple(fc.integer({ min: 0, max: 999 }), fc.array(field), fc.array(bytes))
+    .map(([status, fields, ids]) => {
+      const code = String(status).padStart(3, '0');
+      const head = [`HTTP/1.1 ${code} Odd`, 'Response-Signature: s', ...fields].join('\r\n');
+      return `${head}\r\n\r\n${ids.map(formatEvent).join('')}`;
+    });
+  await withServer(handle, async ({ call }) => {
+    let count = 0;
+    const property = fc.asyncProperty(fc.oneof(response, bytes), async (text) => {
+      raw.text = text;
+      count += 1;
+      await call(`/stream/${count}`, { method: 'POST' }).catch(() => undefined);
+      await call(`/once/${count}`, { method: 'POST' }).catch(() => undefined);
+    });
+    await fc.assert(property, { seed: 20261205, numRuns: 100 });
+    await waitUntil(async () => (await call('/any/sound')).status === 200);
+  });
+});
