Break off a resumable stream before an event whose id can't be sent

Cause: the id of the last event became a header of the request that resumes the stream, for which Node throws.

Change: the relay of a stream that may be resumed takes such an event for the end of what can be used; another server continues after the last good event. Streams that are never resumed are passed on as they are.

Evidence: odd-responses.test.ts failed before: the stream ended with internal_error instead of its second event.

--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -25,6 +25,7 @@
 
 function buildAttemptRequest(effect: SendEffect, exchange: Exchange): AttemptRequest {
   const { req, attributes, headers, body } = exchange;
+  const { streaming, retryPolicy } = attributes.route;
   const routerHeaders = {
     remainingMs: effect.remainingMs,
     serverId: effect.serverId,
@@ -42,12 +43,12 @@
     ),
     body,
     attemptId: headers.attemptId,
-    streaming: attributes.route.streaming,
+    streaming,
+    isResumable: retryPolicy === RetryPolicy.Resume,
     isResumed: (routerHeaders.lastEventId ?? '') !== '',
     host: effect.host,
     port: effect.port,
-    maxIdleMs:
-      attributes.route.retryPolicy === RetryPolicy.Any ? undefined : NON_RETRYABLE_MAX_IDLE_MS,
+    maxIdleMs: retryPolicy === RetryPolicy.Any ? undefined : NON_RETRYABLE_MAX_IDLE_MS,
   };
 }
 
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -111,7 +111,7 @@
       isEnded: () => ended,
     };
     if (classification.outcome === AttemptOutcome.Complete && req.streaming) {
-      relayEvents(res, { sink, listener, isResumed: req.isResumed }, handlers);
+      relayEvents(res, { ...req, sink, listener }, handlers);
     } else {
       listener.onBegun();
       bufferResponse(res, connections.responseBudget, listener, handlers);
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -1,6 +1,7 @@
 /** Reading of a backend server's response, either buffered or streamed to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
+import { isFieldValue } from '@kingcupsill/core/http-syntax';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
@@ -82,6 +83,8 @@
 export interface StreamOptions {
   sink: ResponseSink;
   listener: AttemptListener;
+  /** Another server may continue the stream, so the ids of its events must fit into a request. */
+  isResumable: boolean;
   /** The stream continues an earlier one, so it may have no more events. */
   isResumed: boolean;
 }
@@ -89,7 +92,7 @@
 /** Forwards complete events as they arrive. The head is sent with the first event, so that a stream without events can still fail. */
 export function relayEvents(
   res: IncomingMessage,
-  { sink, listener, isResumed }: StreamOptions,
+  { sink, listener, isResumable, isResumed }: StreamOptions,
   { protect, onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
   const splitter = createEventSplitter();
@@ -108,7 +111,13 @@
     if (isEnded()) return;
     receivedBytes += chunk.length;
     const events = splitter.push(chunk);
-    if (events !== undefined) deliver(events.bytes, events.lastEventId);
+    if (events !== undefined) {
+      if (isResumable && !isFieldValue(events.lastEventId ?? '')) {
+        onFailure('event id malformed');
+        return;
+      }
+      deliver(events.bytes, events.lastEventId);
+    }
     if (splitter.pendingBytes() > MAX_EVENT_BYTES) onFailure('event too large');
   }
 
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -27,6 +27,8 @@
   body: Buffer;
   attemptId: string | undefined;
   streaming: boolean;
+  /** Another server may continue the stream after its last event. */
+  isResumable: boolean;
   /** The request asks for the events after an earlier one. */
   isResumed: boolean;
   host: string;
--- a/packages/edge/test/relay/odd-responses.test.ts
+++ b/packages/edge/test/relay/odd-responses.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import { createDeployment, waitUntil } from '../standins/deployment.js';
 import type { Deployment } from '../standins/deployment.js';
-import { sendAnswer, writeRawAnswer } from '../standins/server-standin.js';
+import { sendAnswer, signedHeaders, writeRawAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
 const formatEvent = (id: string) => `id: ${id}\ndata: x\n\n`;
@@ -30,6 +30,27 @@
   });
 });
 
+test('continues a stream elsewhere before an event whose id can not be sent', async () => {
+  const handle = (arrival: Arrival) => {
+    const isResumed = arrival.header('last-event-id') !== undefined;
+    arrival.res.writeHead(200, signedHeaders(arrival));
+    if (isResumed) {
+      arrival.res.end(formatEvent('2'));
+      return;
+    }
+    arrival.res.write(formatEvent('1'));
+    setTimeout(() => arrival.res.end(formatEvent('\u0001')), 20);
+  };
+  await withServer(handle, async ({ call, servers }) => {
+    const answer = await call('/stream/1', { method: 'POST' });
+    assert.deepEqual([answer.complete, answer.body], [true, formatEvent('1') + formatEvent('2')]);
+    const resumed = servers.flatMap(({ arrivals }) => arrivals).at(-1);
+    assert.equal(resumed?.header('last-event-id'), '1');
+    // A stream that is never resumed is passed on as it is.
+    assert.equal((await call('/talk/1', { method: 'POST' })).complete, true);
+  });
+});
+
 /** Text whose characters stand for arbitrary bytes. */
 const bytes = fc.string({
   unit: fc.integer({ min: 0, max: 255 }).map((byte) => String.fromCharCode(byte)),
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -61,6 +61,7 @@
         body: Buffer.alloc(0),
         attemptId: 'a1',
         streaming: true,
+        isResumable: true,
         isResumed: false,
         host: '127.0.0.1',
         port: server.port,
