Accept only reports of peers that have the expected shape

Cause: the codec cast what it had unpacked to the report's type.

Change: a zod schema of the wire format. Reports of earlier builds may lack the last elements, those of later ones may have more. A link that sends anything else is closed and logged, as for malformed bytes before.

Evidence: reports.test.ts, 1,000 spoilt reports.

--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -7,35 +7,46 @@
   RouterReport,
 } from '@kingcupsill/core/direct';
 import { Packr } from 'msgpackr';
+import { z } from 'zod';
 
-type WireLoad = [
-  serverKey: string,
-  running: number,
-  sentTokens: number,
-  promptParts: [string, number][],
-  /** Missing in reports of earlier builds. */
-  sentRequests?: number,
-];
-type WireReport = [
-  router: string,
-  loads: WireLoad[],
-  accounts: RouterReport['accounts'],
-  /** Missing in reports of earlier builds. */
-  leaving?: string[],
-  storeNews?: WireStoreNews[],
-  /** Null if there is none. */
-  crashNews?: WireCrashNews | null,
-  limits?: WireLimit[],
-  demand?: RouterReport['demand'],
-];
+const count = z.tuple([z.string(), z.number()]);
+const loadSchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(count),
+  /** Sent requests; missing in reports of earlier builds. */
+  z.number().optional(),
+]);
 /** The rate is null for a server whose limit is lifted. */
-type WireLimit = [serverKey: string, requestsPerSecond: number | null, ageMs: number];
-type WireCrashNews = [
-  crashes: [serverKey: string, traits: string[]][],
-  served: string[],
-  blocked: [traits: string[], remainingMs: number][],
-];
-type WireStoreNews = [kind: string, era: number | null, revision: number, ageMs: number];
+const limitSchema = z.tuple([z.string(), z.number().nullable(), z.number()]);
+const crashNewsSchema = z.tuple([
+  z.array(z.tuple([z.string(), z.array(z.string())])),
+  z.array(z.string()),
+  z.array(z.tuple([z.array(z.string()), z.number()])),
+]);
+/** Kind, era, revision and age in milliseconds. */
+const storeNewsSchema = z.tuple([z.string(), z.number().nullable(), z.number(), z.number()]);
+
+/** Reports of earlier builds lack the last elements, those of later ones may have more. */
+const reportSchema = z
+  .tuple([
+    z.string(),
+    z.array(loadSchema),
+    z.array(z.tuple([z.string(), z.number(), z.number()])),
+    z.array(z.string()).optional(),
+    z.array(storeNewsSchema).optional(),
+    crashNewsSchema.nullable().optional(),
+    z.array(limitSchema).optional(),
+    z.array(count).optional(),
+  ])
+  .rest(z.unknown());
+
+type WireReport = z.infer<typeof reportSchema>;
+type WireLoad = z.infer<typeof loadSchema>;
+type WireLimit = z.infer<typeof limitSchema>;
+type WireCrashNews = z.infer<typeof crashNewsSchema>;
+type WireStoreNews = z.infer<typeof storeNewsSchema>;
 
 /** Decoded report, or the reason why the bytes aren't one. */
 export type DecodedReport = { ok: true; value: RouterReport } | { ok: false; message: string };
@@ -82,6 +93,33 @@
   };
 }
 
+function readReport([
+  router,
+  loads,
+  accounts,
+  leaving = [],
+  news = [],
+  crashes = null,
+  limits = [],
+  demand = [],
+]: WireReport): RouterReport {
+  return {
+    router,
+    loads: loads.map(fromWire),
+    accounts,
+    leaving,
+    storeNews: news.map(([kind, era, revision, ageMs]) => ({
+      kind,
+      era: era ?? undefined,
+      revision,
+      ageMs,
+    })),
+    crashNews: crashNewsFromWire(crashes),
+    limits: limits.map(limitFromWire),
+    demand,
+  };
+}
+
 /** Creates a codec that packs reports with MessagePack. */
 export function createReportCodec(): ReportCodec {
   const packr = new Packr({ useRecords: false });
@@ -107,34 +145,7 @@
     },
     decode(bytes) {
       try {
-        const wire = packr.unpack(bytes) as WireReport;
-        const [
-          router,
-          loads,
-          accounts,
-          leaving = [],
-          news = [],
-          crashes = null,
-          limits = [],
-          demand = [],
-        ] = wire;
-        const storeNews = news.map(([kind, era, revision, ageMs]) => ({
-          kind,
-          era: era ?? undefined,
-          revision,
-          ageMs,
-        }));
-        const value = {
-          router,
-          loads: loads.map(fromWire),
-          accounts,
-          leaving,
-          storeNews,
-          crashNews: crashNewsFromWire(crashes),
-          limits: limits.map(limitFromWire),
-          demand,
-        };
-        return { ok: true, value };
+        return { ok: true, value: readReport(reportSchema.parse(packr.unpack(bytes))) };
       } catch (err) {
         return { ok: false, message: (err as Error).message };
       }
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -3,8 +3,16 @@
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createHasher } from '@kingcupsill/core/hash';
+import fc from 'fast-check';
+import { Packr } from 'msgpackr';
 import { WebSocket } from 'ws';
-import { createCrashBlocks, createServerLimits, createStoreNews } from '@kingcupsill/core/direct';
+import {
+  createCrashBlocks,
+  createDirectState,
+  createServerLimits,
+  createStoreNews,
+  directReducer,
+} from '@kingcupsill/core/direct';
 import type { RouterInfo, RouterReport } from '@kingcupsill/core/direct';
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
@@ -35,6 +43,19 @@
   demand: [['llm', 7]],
 };
 
+function createSampleState() {
+  return createDirectState({
+    router: 'r2/1',
+    hasher: { hash32: (text) => text.length },
+    zone: 'z1',
+    regionByZone: new Map(),
+    registry: { outageThresholdMs: 1000, renewalGraceMs: 1000 },
+    retryBudget: { ratio: 0.2, burst: 5, windowMs: 1000 },
+    store: { writesPerSecond: 10, readsPerSecond: 10 },
+    shareWindowMs: 1000,
+  });
+}
+
 test('decodes an encoded report unchanged and rejects malformed bytes', () => {
   const codec = createReportCodec();
   const limits = [
@@ -46,6 +67,32 @@
   assert.equal(codec.decode(Buffer.from([0xc1])).ok, false);
 });
 
+// Guards against a report of another shape that ends the router which applies it.
+test('applies only reports of the expected shape', () => {
+  const codec = createReportCodec();
+  const packr = new Packr({ useRecords: false });
+  const wire = packr.unpack(codec.encode(report)) as unknown[];
+  const spoilt = fc
+    .tuple(fc.nat(wire.length), fc.anything())
+    .map(([index, value]) => wire.with(index % wire.length, value));
+  const text = fc.oneof(
+    fc.uint8Array().map((bytes) => Buffer.from(bytes)),
+    fc.oneof(fc.anything(), spoilt).map((value) => packr.pack(value)),
+  );
+  const property = fc.property(text, (bytes) => {
+    const decoded = codec.decode(bytes);
+    if (!decoded.ok) return;
+    const state = createSampleState();
+    directReducer(state, { kind: 'peer-report', report: decoded.value, nowMs: 1 });
+    codec.encode(decoded.value);
+  });
+  fc.assert(property, { seed: 20261205, numRuns: 1000 });
+  const unusable = [wire.with(1, [['e1', 'x', 0, [], 0]]), wire.with(4, [[1, 2, 3, 4]])];
+  unusable.forEach((value) => assert.equal(codec.decode(packr.pack(value)).ok, false));
+  const longer = codec.decode(packr.pack([...wire, 'of a later build']));
+  assert.equal(longer.ok, true);
+});
+
 interface TestRouter {
   info: RouterInfo;
   links: PeerLinks;
