Keep the steps before a request's dispatch, and the log of unreadable objects, in one place

No change of behaviour; the response to a request whose step fails is written by the same function as the others of request-errors.ts.

--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -1,7 +1,7 @@
 /** Handler of callers' requests: validates them, reads their bodies and dispatches them to the reducer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { RefusalCode } from '@kingcupsill/core/direct';
-import type { Refusal } from '@kingcupsill/core/direct';
+import type { Refusal, RequestAttributes } from '@kingcupsill/core/direct';
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext } from '../context.js';
@@ -12,6 +12,7 @@
 import { readBody } from './read-body.js';
 import type { ReadBodyResult } from './read-body.js';
 import { createRequestQueue } from './request-queue.js';
+import type { ReceivedAttributes } from './request-validator.js';
 
 type HandlerParts = Pick<
   EdgeParts,
@@ -42,13 +43,6 @@
   ran: 'no',
   retryAfterMs: 50,
 };
-/** Answer to a request that an error has kept from being dispatched. */
-const INTERNAL_ERROR_REFUSAL: Refusal = {
-  status: 500,
-  code: RefusalCode.InternalError,
-  ran: 'no',
-  retryAfterMs: undefined,
-};
 /** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_WAIT_FRACTION = 0.25;
 
@@ -59,10 +53,29 @@
   onLateRequest(req: IncomingMessage, res: ServerResponse): void;
 }
 
+function addFingerprint(
+  req: IncomingMessage,
+  { host }: CallerHeaders,
+  attributes: ReceivedAttributes,
+  bodyDigest: Buffer,
+): RequestAttributes {
+  const { account } = attributes;
+  const { method, url } = req;
+  const fingerprint = fingerprintRequest({
+    method: method!,
+    host,
+    target: url!,
+    account,
+    bodyDigest,
+  });
+  return { ...attributes, fingerprint };
+}
+
 /** Creates the handlers of the server for callers. */
 export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
   const { logger, clock, random } = ctx;
-  const { validator, exchanges, loopLag, loop, metrics, state, requestErrors } = parts;
+  const { validator, exchanges, loopLag, loop, metrics, state } = parts;
+  const { protect } = parts.requestErrors;
   const queue = createRequestQueue(clock, setImmediate);
   let requestCount = 0;
 
@@ -77,17 +90,6 @@
     writeRefusal(res, refusal);
   }
 
-  /** Runs a step before the request is dispatched; an error in it ends the request and nothing else. */
-  function protect(res: ServerResponse, attemptId: string | undefined, step: () => void): void {
-    try {
-      step();
-    } catch (err) {
-      requestErrors.record('receive', attemptId, err);
-      if (res.headersSent) res.destroy();
-      else writeRefusal(res, INTERNAL_ERROR_REFUSAL);
-    }
-  }
-
   function submit(request: ReceivedRequest): void {
     requestCount += 1;
     const id = `${request.headers.attemptId ?? 'none'}-${requestCount}`;
@@ -129,24 +131,10 @@
 
     function onBody(result: ReadBodyResult): void {
       if (!validation.ok) reject(res, headers, validation.refusal);
-      else if (result.ok)
-        submitIfConnected({
-          req,
-          res,
-          headers,
-          attributes: {
-            ...validation.attributes,
-            fingerprint: fingerprintRequest({
-              method: req.method!,
-              host: headers.host,
-              target: req.url!,
-              account: validation.attributes.account,
-              bodyDigest: result.digest,
-            }),
-          },
-          body: result.body,
-        });
-      else if (result.reason === 'too-large') reject(res, headers, BODY_TOO_LARGE_REFUSAL);
+      else if (result.ok) {
+        const attributes = addFingerprint(req, headers, validation.attributes, result.digest);
+        submitIfConnected({ req, res, headers, attributes, body: result.body });
+      } else if (result.reason === 'too-large') reject(res, headers, BODY_TOO_LARGE_REFUSAL);
     }
 
     readBody(req, validator.maxBodyBytes(), (result) =>
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -130,11 +130,10 @@
     'kind',
     'outcome',
   );
-  const reportBytesCounter = new Counter({
-    name: 'kingcupsill_report_bytes_total',
-    help: 'Bytes of reports to peers, without WebSocket framing.',
-    registers,
-  });
+  const reportBytesCounter = counter(
+    'kingcupsill_report_bytes_total',
+    'Bytes of reports to peers, without WebSocket framing.',
+  );
   const control: ControlTotals = { storeCalls: {}, reports: 0, reportBytes: 0 };
   const firstEventSeconds = histogram(
     'kingcupsill_first_event_seconds',
--- a/packages/edge/src/request-errors.ts
+++ b/packages/edge/src/request-errors.ts
@@ -1,4 +1,5 @@
 /** Errors in this router that end one request and must not affect the others. */
+import type { ServerResponse } from 'node:http';
 import { RefusalCode } from '@kingcupsill/core/direct';
 import type { DirectEffect, DirectEvent, Refusal } from '@kingcupsill/core/direct';
 import { writeRefusal } from './callers/exchange.js';
@@ -9,6 +10,8 @@
 export interface RequestErrors {
   /** Logs and counts an error. `place` is the effect or the part of the relay in which it occurred. */
   record(place: string, request: string | undefined, err: unknown): void;
+  /** Runs a step of a request before it is dispatched; an error in it ends the request and nothing else. */
+  protect(res: ServerResponse, attemptId: string | undefined, step: () => void): void;
   /** Handles the error of an effect. Returns the events that end its request, or undefined if it belongs to no request. */
   handleEffect(err: Error, effect: DirectEffect): DirectEvent[] | undefined;
 }
@@ -18,6 +21,13 @@
   [TKind in DirectEffect['kind']]?: (effect: EffectOf<TKind>, err: Error) => DirectEvent[];
 };
 
+/** Answer to a request that wasn't dispatched. */
+const NOT_DISPATCHED_REFUSAL: Refusal = {
+  status: 500,
+  code: RefusalCode.InternalError,
+  ran: 'no',
+  retryAfterMs: undefined,
+};
 /** Answer to a request that has run, but whose response can't be written. */
 const LOST_RESPONSE_REFUSAL: Refusal = {
   status: 502,
@@ -37,15 +47,20 @@
   }
 
   /** Answers with the refusal, or breaks the connection if that fails or there is none. */
-  function answer(request: string, refusal: Refusal | undefined): DirectEvent[] {
-    const res = parts.exchanges.take(request)?.res;
+  function answer(res: ServerResponse, request: string | undefined, refusal?: Refusal): void {
     try {
-      if (res !== undefined && refusal !== undefined) writeRefusal(res, refusal);
-      else res?.destroy();
+      if (refusal === undefined) res.destroy();
+      else writeRefusal(res, refusal);
     } catch (err) {
       record('answer', request, err);
-      res?.destroy();
+      res.destroy();
     }
+  }
+
+  /** Ends a request that is closed in the state. */
+  function endClosed(request: string, refusal?: Refusal): DirectEvent[] {
+    const exchange = parts.exchanges.take(request);
+    if (exchange !== undefined) answer(exchange.res, request, refusal);
     return [];
   }
 
@@ -55,12 +70,20 @@
     ],
     // The request has ended before.
     cancel: () => [],
-    finish: ({ request }) => answer(request, LOST_RESPONSE_REFUSAL),
-    refuse: ({ request }) => answer(request, undefined),
+    finish: ({ request }) => endClosed(request, LOST_RESPONSE_REFUSAL),
+    refuse: ({ request }) => endClosed(request),
   };
 
   return {
     record,
+    protect(res, attemptId, step) {
+      try {
+        step();
+      } catch (err) {
+        record('receive', attemptId, err);
+        answer(res, attemptId, NOT_DISPATCHED_REFUSAL);
+      }
+    },
     handleEffect(err, effect) {
       const handle = handlers[effect.kind] as
         ((effect: DirectEffect, err: Error) => DirectEvent[]) | undefined;
--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -6,6 +6,7 @@
   StoreObject,
   StorePosition,
 } from '@kingcupsill/prepared-platform';
+import type { Logger } from '@kingcupsill/runtime';
 import type { CallResults } from './call-results.js';
 import type { StoreEra } from './store-era.js';
 
@@ -22,6 +23,14 @@
   return { era: era ?? current.current(), revision };
 }
 
+/** Logs why objects or changes of a kind are left out. */
+export function logUnreadable(
+  { kind, logger }: { kind: StoreKind; logger: Logger },
+  messages: readonly string[],
+): void {
+  messages.forEach((message) => logger.warn('object-unreadable', { kind, message }));
+}
+
 /** Lists all pages. Returns undefined if a call fails, the store is restored meanwhile, or the listing isn't wanted any more. */
 export async function listObjects(
   { client, kind, era }: { client: StoreClient; kind: StoreKind; era: StoreEra },
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -10,7 +10,7 @@
 } from '@kingcupsill/prepared-platform';
 import { createCallResults } from './call-results.js';
 import type { CallResultsOptions } from './call-results.js';
-import { inCurrentEra, listObjects } from './list-objects.js';
+import { inCurrentEra, listObjects, logUnreadable } from './list-objects.js';
 import { MAX_NEWS_AGE_MS, NewsState, WATCHING_WAIT_MS } from './followed-news.js';
 import type { FollowedNews } from './followed-news.js';
 
@@ -49,15 +49,11 @@
   const readMode = options.allowsStale ? ReadMode.Stale : ReadMode.Current;
   let closed = false;
 
-  function logUnreadable(messages: readonly string[]): void {
-    messages.forEach((message) => logger.warn('object-unreadable', { kind, message }));
-  }
-
   async function list(): Promise<StorePosition | undefined> {
     const listed = await listObjects(options, results, readMode, () => closed);
     if (listed === undefined) return undefined;
     logger.info('store-listed', { kind, objects: listed.objects.length, ...listed.position });
-    logUnreadable(listed.unreadable);
+    logUnreadable(options, listed.unreadable);
     options.onListed(listed.objects);
     options.news?.recordAnswer(kind, listed.position, true);
     return listed.position;
@@ -90,7 +86,7 @@
     const reached = inCurrentEra(position, options.era);
     // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
     if (reached.era !== from.era) return undefined;
-    logUnreadable(unreadable);
+    logUnreadable(options, unreadable);
     changes.forEach(options.onChanged);
     options.news?.recordAnswer(kind, reached, changes.length > 0);
     const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -10,7 +10,7 @@
 import type { StoreClient, StoreObject, StoreResult } from '@kingcupsill/prepared-platform';
 import type { Logger } from '@kingcupsill/runtime';
 import { z } from 'zod';
-import { listObjects } from './list-objects.js';
+import { listObjects, logUnreadable } from './list-objects.js';
 import type { StoreEra } from './store-era.js';
 import { createStreamSweep, nameRun } from './stream-sweep.js';
 
@@ -147,7 +147,7 @@
     };
     const isClosed = (): boolean => false;
     const listing = await listObjects({ client, kind, era }, results, ReadMode.Current, isClosed);
-    listing?.unreadable.forEach((message) => logger.warn('object-unreadable', { kind, message }));
+    logUnreadable({ kind, logger }, listing?.unreadable ?? []);
     return listing?.objects;
   }
 
--- a/packages/edge/test/callers/busy-router.test.ts
+++ b/packages/edge/test/callers/busy-router.test.ts
@@ -35,6 +35,9 @@
       add: (exchange: { id: string; res: { end(): void } }) => exchanges.set(exchange.id, exchange),
     },
     loopLag: { lagMs: () => 0 },
+    requestErrors: {
+      protect: (_res: unknown, _attemptId: unknown, step: () => void) => step(),
+    },
     loop: {
       dispatch({ request }: { request: string }) {
         occupyProcessor();
