Take a response for that of a request only if it can be no other's

Cause: a response that named the request, or none, counted as its own. A repeated refusal of the first attempt names the same request on the third one, which went to the first server again on the same connection; one without an id fits every request on a kept connection.

Change: no connection carries two attempts at one request. On a connection used before, a response that names no request proves nothing, also not about the server; on a new one there is no other request. The reason is logged.

--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -1,5 +1,6 @@
 /** Caller's request and the response to it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Refusal, RequestAttributes } from '@kingcupsill/core/direct';
 import { formatRetryAfter } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
@@ -17,6 +18,8 @@
   receivedAtMs: number;
   responseStarted: boolean;
   sink: ResponseSink;
+  /** Connections to servers on which the request has been sent. */
+  usedSockets: Set<Socket>;
   /** Complete response of the last attempt, until the reducer finishes or retries the request. */
   bufferedResponse: BufferedResponse | undefined;
 }
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -100,6 +100,7 @@
       receivedAtMs: nowMs,
       responseStarted: false,
       sink: createResponseSink(request.res),
+      usedSockets: new Set(),
       bufferedResponse: undefined,
     });
     loop.dispatch({
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -24,7 +24,7 @@
 const NON_RETRYABLE_MAX_IDLE_MS = 1000;
 
 function buildAttemptRequest(effect: SendEffect, exchange: Exchange): AttemptRequest {
-  const { req, attributes, headers, body } = exchange;
+  const { req, attributes, headers, body, usedSockets } = exchange;
   const { streaming, retryPolicy } = attributes.route;
   const routerHeaders = {
     remainingMs: effect.remainingMs,
@@ -49,6 +49,7 @@
     host: effect.host,
     port: effect.port,
     maxIdleMs: retryPolicy === RetryPolicy.Any ? undefined : NON_RETRYABLE_MAX_IDLE_MS,
+    usedSockets,
   };
 }
 
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -22,8 +22,13 @@
 const MAX_INTERIM_RESPONSES = 8;
 
 function openRequest(connections: ServerConnections, req: AttemptRequest): ClientRequest {
-  if (req.maxIdleMs !== undefined) connections.prune(req.host, req.port, req.maxIdleMs);
-  return httpRequest({
+  const { maxIdleMs = Number.POSITIVE_INFINITY, usedSockets } = req;
+  connections.prune(
+    req.host,
+    req.port,
+    (socket, idleMs) => idleMs > maxIdleMs || usedSockets.has(socket),
+  );
+  const clientReq = httpRequest({
     agent: connections.agent,
     host: req.host,
     port: req.port,
@@ -33,6 +38,8 @@
     headers: req.headers as unknown as Record<string, string>,
     setHost: false,
   });
+  clientReq.on('socket', (socket) => usedSockets.add(socket));
+  return clientReq;
 }
 
 /** Calls `onTimeout` if the connection isn't established in time. Returns a function that returns whether it is established. */
@@ -87,7 +94,9 @@
     };
 
   function onResponse(res: IncomingMessage): void {
-    const classification = classifyResponseHead(res, req.attemptId);
+    const { attemptId } = req;
+    const isReusedConnection = clientReq.reusedSocket;
+    const classification = classifyResponseHead(res, { attemptId, isReusedConnection });
     if (classification.announcement !== undefined)
       listener.onAnnounced(classification.announcement);
     const { detail } = classification;
--- a/packages/edge/src/relay/classify-response-head.ts
+++ b/packages/edge/src/relay/classify-response-head.ts
@@ -4,6 +4,7 @@
 import type { ServerAnnouncement } from '@kingcupsill/core/direct';
 import { areHeadersValid, isStatus } from '@kingcupsill/core/http-syntax';
 import { parseAnnouncement, parseResponseHeaders } from '@kingcupsill/prepared-platform';
+import type { ResponseHeaders } from '@kingcupsill/prepared-platform';
 
 /** Statuses that guarantee callers that the request didn't run. From a backend server, only its not-executed header guarantees that. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -23,19 +24,15 @@
   isFinal: boolean;
   /** Status or fault of the head, for logs. */
   detail: string;
-  /** What the server states about itself; undefined if another server has answered. */
+  /** What the server states about itself; undefined if the response isn't its response to the request. */
   announcement: ServerAnnouncement | undefined;
 }
 
-function determineOutcome(res: IncomingMessage, attemptId: string | undefined): AttemptOutcome {
-  const head = parseResponseHeaders(res.headers);
-  const status = res.statusCode!;
-  if (head.attemptId !== undefined && head.attemptId !== attemptId) return AttemptOutcome.Unknown;
-  if (status === 421) return AttemptOutcome.WrongServer;
-  if (head.notRun) return AttemptOutcome.NotRun;
-  if (NOT_RUN_STATUSES.has(status) || status < 200) return AttemptOutcome.Unknown;
-  if (status >= 300) return AttemptOutcome.Failed;
-  return head.signed && !head.contentEncoded ? AttemptOutcome.Complete : AttemptOutcome.Unknown;
+/** Request whose response is expected on a connection. */
+export interface ExpectedResponse {
+  attemptId: string | undefined;
+  /** The connection was used for an earlier request, whose response may come once more. */
+  isReusedConnection: boolean;
 }
 
 /** Returns whether the head can be passed on. Node's parser accepts names and statuses that can't be written. */
@@ -43,22 +40,48 @@
   return isStatus(statusCode!) && areHeadersValid(rawHeaders);
 }
 
-/** Classifies the head of the response to the request with `attemptId`. */
+/** Returns why the head can't be that of the response to the request; undefined if it is. */
+function findMismatch(
+  res: IncomingMessage,
+  namedId: string | undefined,
+  { attemptId, isReusedConnection }: ExpectedResponse,
+): string | undefined {
+  if (!isWellFormed(res)) return 'malformed head';
+  if (namedId === undefined) return isReusedConnection ? 'names no request' : undefined;
+  return namedId === attemptId ? undefined : 'names another request';
+}
+
+function determineOutcome(status: number, head: ResponseHeaders): AttemptOutcome {
+  if (status === 421) return AttemptOutcome.WrongServer;
+  if (head.notRun) return AttemptOutcome.NotRun;
+  if (NOT_RUN_STATUSES.has(status) || status < 200) return AttemptOutcome.Unknown;
+  if (status >= 300) return AttemptOutcome.Failed;
+  return head.signed && !head.contentEncoded ? AttemptOutcome.Complete : AttemptOutcome.Unknown;
+}
+
+/** Classifies the head of a response. One that isn't the response to the request proves nothing, neither about the server. */
 export function classifyResponseHead(
   res: IncomingMessage,
-  attemptId: string | undefined,
+  expected: ExpectedResponse,
 ): HeadClassification {
-  const detail = `status ${res.statusCode}`;
-  if (!isWellFormed(res))
+  const status = res.statusCode!;
+  const head = parseResponseHeaders(res.headers);
+  const mismatch = findMismatch(res, head.attemptId, expected);
+  if (mismatch !== undefined)
     return {
       outcome: AttemptOutcome.Unknown,
       isFinal: true,
-      detail: `${detail}, malformed head`,
+      detail: `status ${status}, ${mismatch}`,
       announcement: undefined,
     };
-  const outcome = determineOutcome(res, attemptId);
+  const outcome = determineOutcome(status, head);
   // Another server has taken over the address, so its statements don't concern this one.
   const isOtherServer = outcome === AttemptOutcome.WrongServer;
-  const announcement = isOtherServer ? undefined : parseAnnouncement(res.statusCode!, res.headers);
-  return { outcome, isFinal: FINAL_OUTCOMES.has(outcome), detail, announcement };
+  const announcement = isOtherServer ? undefined : parseAnnouncement(status, res.headers);
+  return {
+    outcome,
+    isFinal: FINAL_OUTCOMES.has(outcome),
+    detail: `status ${status}`,
+    announcement,
+  };
 }
--- a/packages/edge/src/relay/list-cached-parts.ts
+++ b/packages/edge/src/relay/list-cached-parts.ts
@@ -4,6 +4,7 @@
   CACHED_PARTS_PATH,
   decodeCachedParts,
   parseAnnouncement,
+  parseResponseHeaders,
 } from '@kingcupsill/prepared-platform';
 import type { DecodeResult } from '@kingcupsill/prepared-platform';
 import { sendHttpCall } from '../http-call.js';
@@ -34,6 +35,9 @@
     maxBytes: MAX_RESPONSE_BYTES,
   });
   if (!response.ok) return { ok: false, message: response.detail };
+  // A response to an earlier request, which has come once more.
+  if (parseResponseHeaders(response.headers).attemptId !== undefined)
+    return { ok: false, message: 'names another request' };
   const announcement = parseAnnouncement(response.status, response.headers);
   if (response.status !== 200)
     return { ok: false, message: `status ${response.status}`, announcement };
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -10,8 +10,8 @@
   agent: Agent;
   /** Memory of all buffered responses. */
   responseBudget: ByteBudget;
-  /** Closes connections to a server that have been idle for longer than `idleMs`. */
-  prune(host: string, port: number, idleMs: number): void;
+  /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
+  prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
   close(): void;
 }
 
@@ -78,14 +78,14 @@
     idleConnections.delete(socket);
   };
 
-  function prune(host: string, port: number, idleMs: number): void {
+  const prune: ServerConnections['prune'] = (host, port, isUnusable) => {
     const free = agent.freeSockets[agent.getName({ host, port })] ?? [];
     const currentMs = nowMs();
     [...free].forEach((socket) => {
       const idle = idleConnections.get(socket);
-      if (idle !== undefined && currentMs - idle.idleSinceMs > idleMs) socket.destroy();
+      if (idle !== undefined && isUnusable(socket, currentMs - idle.idleSinceMs)) socket.destroy();
     });
-  }
+  };
 
   const responseBudget = createByteBudget(RESPONSE_BUDGET);
   return { agent, responseBudget, prune, close: () => agent.destroy() };
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -1,4 +1,5 @@
 /** Types of the relay between callers and backend servers. */
+import type { Socket } from 'node:net';
 import type { AttemptOutcome, ServerAnnouncement } from '@kingcupsill/core/direct';
 
 /** Complete response that is buffered until the reducer finishes or retries the request. */
@@ -35,6 +36,11 @@
   port: number;
   /** Maximum idle time of a reused connection; undefined allows any. */
   maxIdleMs: number | undefined;
+  /**
+   * Connections of the earlier attempts at the request, to which this attempt adds its own. None is used twice: a response that comes
+   * once more can't be told from one to the later attempt.
+   */
+  usedSockets: Set<Socket>;
 }
 
 /** What determines the end of a response's body. */
--- a/packages/edge/test/relay/answers.test.ts
+++ b/packages/edge/test/relay/answers.test.ts
@@ -113,7 +113,8 @@
 
 test('retries at another server when a server reports that the request did not run', async () => {
   const rejectUnexecuted = (arrival: Arrival) => {
-    arrival.res.writeHead(503, { 'Not-Executed': '1' });
+    const { 'Attempt-Id': attemptId } = signedHeaders(arrival);
+    arrival.res.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': attemptId });
     arrival.res.end();
   };
   await withDeployment(
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -66,6 +66,7 @@
         host: '127.0.0.1',
         port: server.port,
         maxIdleMs: undefined,
+        usedSockets: new Set(),
       },
       {
         isHeadSent: () => false,
--- a/packages/edge/test/store/outage.test.ts
+++ b/packages/edge/test/store/outage.test.ts
@@ -68,7 +68,8 @@
 test('retries at another server when the instance id shows that a different server took over the address', async () => {
   const deployment = await createDeployment(oneServer);
   const otherServer = await createServerStandin((arrival) => {
-    arrival.res.writeHead(421, { 'Instance-Id': 'i-9' });
+    const attemptId = arrival.header('attempt-id')!;
+    arrival.res.writeHead(421, { 'Instance-Id': 'i-9', 'Attempt-Id': attemptId });
     arrival.res.end();
   });
   deployment.store.put('servers', 'i-1', sampleEntry(otherServer.port));
