Test that the sidecar takes a malformed head for a broken response

It holds without a change: undici refuses the head. The raw server of the test beside it is shared by both; its assertions are the same.

--- a/packages/sidecar/test/backend/backend-faults.test.ts
+++ b/packages/sidecar/test/backend/backend-faults.test.ts
@@ -207,29 +207,35 @@
   server.close();
 });
 
+/** Runs a request at a server that answers with these bytes and closes the connection. */
+async function runRaw(response: string): Promise<RunEnd> {
+  const server = createServer((req, res) => {
+    req.resume();
+    res.socket?.end(response);
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const client = createBackendClient({ url: `http://127.0.0.1:${port}`, kind: BackendKind.Plain });
+  const { end } = await run(client, chatRequest('a1', 'hello', true));
+  await client.close();
+  server.close();
+  server.closeAllConnections();
+  return end;
+}
+
+// Guards against a head that reaches the writer of the response, which throws for it.
+test('a response whose head can not be passed on is broken', async () => {
+  for (const line of ['q8 7f1: 0c', ': 0c']) {
+    assert.equal(
+      await runRaw(`HTTP/1.1 200 OK\r\n${line}\r\nContent-Length: 2\r\n\r\nok`),
+      RunEnd.Broken,
+    );
+  }
+});
+
 // Guards against a broken-off stream that reaches its caller as a complete answer.
 test('a stream that ends inside an event is broken, whatever its framing', async () => {
-  for (const [body, expectedEnd] of [
-    ['data: 1\n\ndata: 2', RunEnd.Broken],
-    ['data: 1\n\ndata: 2\n\n', RunEnd.Whole],
-  ]) {
-    const server = createServer((req, res) => {
-      req.resume();
-      res.socket?.end(
-        `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n${body}`,
-      );
-    }).listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    const { port } = server.address() as AddressInfo;
-    const client = createBackendClient({
-      url: `http://127.0.0.1:${port}`,
-      kind: BackendKind.Plain,
-    });
-    const { end } = await run(client, chatRequest('a1', 'hello', true));
-    // Closed before the assertion, since open servers would keep the process of a failed test alive.
-    await client.close();
-    server.close();
-    server.closeAllConnections();
-    assert.equal(end, expectedEnd);
-  }
+  const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n';
+  assert.equal(await runRaw(`${head}data: 1\n\ndata: 2`), RunEnd.Broken);
+  assert.equal(await runRaw(`${head}data: 1\n\ndata: 2\n\n`), RunEnd.Whole);
 });
