--- a/packages/edge/test/soak/backends.ts
+++ b/packages/edge/test/soak/backends.ts
@@ -1,6 +1,7 @@
 /** Backend servers of the soak test: they report each execution of a request and can be switched to faulty behaviours. */
+import type { Socket } from 'node:net';
 import type { Arrival, ServerStandin } from '../standins/server-standin.js';
-import { createServerStandin } from '../standins/server-standin.js';
+import { createServerStandin, writeRawAnswer } from '../standins/server-standin.js';
 import { sampleEntry } from '../standins/deployment.js';
 import type { StoreStandin } from '../standins/store-standin.js';
 import { createProxy } from './proxy.js';
@@ -20,6 +21,10 @@
   Reset: 'reset',
   /** Closes the connection in the middle of the answer. */
   Break: 'break',
+  /** Runs the request and answers with a header whose name has a space. */
+  Spoil: 'spoil',
+  /** Rejects every other request, and writes that rejection once more where the next response on its connection is expected. */
+  Repeat: 'repeat',
 } as const;
 export type Behaviour = (typeof Behaviour)[keyof typeof Behaviour];
 
@@ -108,6 +113,29 @@
   res.on('close', () => clearInterval(timer));
 }
 
+/** Rejections that come once more, by connection; every second one names no request. */
+const repeatedRefusals = new WeakMap<Socket, string>();
+let refusalCount = 0;
+
+function refuse(arrival: Arrival, behaviour: Behaviour): void {
+  const { req, res, header } = arrival;
+  res.writeHead(503, answerHeaders(arrival, { 'Not-Executed': '1', 'Content-Length': '0' }));
+  res.end();
+  if (behaviour !== Behaviour.Repeat) return;
+  refusalCount += 1;
+  const name = refusalCount % 2 === 0 ? `Attempt-Id: ${header('attempt-id')}\r\n` : '';
+  const text = `HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n${name}Content-Length: 0\r\n\r\n`;
+  repeatedRefusals.set(req.socket, text);
+}
+
+/** Writes the rejection of an earlier request on the connection once more. Returns whether there was one. */
+function repeatRefusal({ req: { socket } }: Arrival): boolean {
+  const text = repeatedRefusals.get(socket);
+  if (text === undefined) return false;
+  repeatedRefusals.delete(socket);
+  return socket.write(text);
+}
+
 function processRequest(arrival: Arrival, behaviour: Behaviour, version: SoftwareVersion): void {
   const { req, res } = arrival;
   const truncates = behaviour === Behaviour.Break;
@@ -117,7 +145,9 @@
   else if (behaviour === Behaviour.Fail) {
     res.writeHead(500, answerHeaders(arrival, { 'Content-Length': '6' }));
     res.end('failed');
-  } else if (/^\/(stream|talk)\//.test(req.url!)) sendStream(arrival, truncates, version);
+  } else if (behaviour === Behaviour.Spoil)
+    writeRawAnswer(arrival, ['q8 7f1: 0c', 'Content-Length: 2'], 'ok');
+  else if (/^\/(stream|talk)\//.test(req.url!)) sendStream(arrival, truncates, version);
   else sendPlain(arrival, truncates);
 }
 
@@ -138,9 +168,9 @@
       res.end();
       return;
     }
-    if (behaviour === Behaviour.Shed) {
-      res.writeHead(503, answerHeaders(arrival, { 'Not-Executed': '1', 'Content-Length': '0' }));
-      res.end();
+    const repeatsRefusal = repeatRefusal(arrival);
+    if (behaviour === Behaviour.Shed || (behaviour === Behaviour.Repeat && !repeatsRefusal)) {
+      refuse(arrival, behaviour);
       return;
     }
     onRun({ attemptId: header('attempt-id') ?? '', server: id, atMs: performance.now() });
--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -134,6 +134,8 @@
   'server-hangs': withBehaviour(Behaviour.Hang),
   'server-resets': withBehaviour(Behaviour.Reset),
   'server-breaks': withBehaviour(Behaviour.Break),
+  'server-spoils': withBehaviour(Behaviour.Spoil),
+  'server-repeats': withBehaviour(Behaviour.Repeat),
   'server-restarted': async ({ backends, departures }, fault) => {
     const backend = selectTarget(backends, fault);
     const hasDeparted = departures.some(
