--- a/packages/edge/src/request-errors.ts
+++ b/packages/edge/src/request-errors.ts
@@ -4,7 +4,8 @@
 import type { DirectEffect, DirectEvent, Refusal } from '@kingcupsill/core/direct';
 import { writeRefusal } from './callers/exchange.js';
 import type { EdgeContext } from './context.js';
-import type { EdgeParts } from './types.js';
+import type { Exchanges } from './exchanges.js';
+import type { EdgeMetrics } from './metrics.js';
 
 /** Handling of such errors. */
 export interface RequestErrors {
@@ -39,7 +40,7 @@
 /** Creates the handling. `parts` is accessed only when errors occur. */
 export function createRequestErrors(
   { logger, clock }: Pick<EdgeContext, 'logger' | 'clock'>,
-  parts: Pick<EdgeParts, 'exchanges' | 'metrics'>,
+  parts: { exchanges: Exchanges; metrics: Pick<EdgeMetrics, 'countRequestError'> },
 ): RequestErrors {
   function record(place: string, request: string | undefined, err: unknown): void {
     logger.error('request-error', { place, request, err });
--- a/packages/edge/test/relay/answers.test.ts
+++ b/packages/edge/test/relay/answers.test.ts
@@ -1,23 +1,11 @@
 /** Guards against truncated, stale or foreign answers that reach callers when backend servers misbehave. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createDeployment, waitUntil } from '../standins/deployment.js';
+import { waitUntil, withDeployment } from '../standins/deployment.js';
 import type { Deployment } from '../standins/deployment.js';
 import { sendAnswer, signedHeaders, writeRawAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
-async function withDeployment(
-  handlers: ((arrival: Arrival) => void)[],
-  run: (deployment: Deployment) => Promise<void>,
-): Promise<void> {
-  const deployment = await createDeployment(handlers);
-  try {
-    await run(deployment);
-  } finally {
-    await deployment.close();
-  }
-}
-
 const arrivalsOf = ({ servers }: Deployment) => servers.flatMap(({ arrivals }) => arrivals);
 
 test('forwards a request unchanged, with the account in place of the key', async () => {
--- a/packages/edge/test/relay/odd-responses.test.ts
+++ b/packages/edge/test/relay/odd-responses.test.ts
@@ -2,29 +2,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { createDeployment, waitUntil } from '../standins/deployment.js';
-import type { Deployment } from '../standins/deployment.js';
+import { waitUntil, withDeployment } from '../standins/deployment.js';
 import { sendAnswer, signedHeaders, writeRawAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
 const formatEvent = (id: string) => `id: ${id}\ndata: x\n\n`;
 
-async function withServer(
-  handle: (arrival: Arrival) => void,
-  run: (deployment: Deployment) => Promise<void>,
-): Promise<void> {
-  const deployment = await createDeployment([handle, handle]);
-  try {
-    await run(deployment);
-  } finally {
-    await deployment.close();
-  }
-}
-
 test('serves on a connection whose server states an endless idle timeout', async () => {
   const handle = (arrival: Arrival) =>
     writeRawAnswer(arrival, [`Keep-Alive: timeout=${'9'.repeat(400)}`, 'Content-Length: 2'], 'ok');
-  await withServer(handle, async ({ call }) => {
+  await withDeployment([handle, handle], async ({ call }) => {
     for (let index = 0; index < 3; index += 1)
       assert.equal((await call(`/any/${index}`)).body, 'ok');
   });
@@ -41,7 +28,7 @@
     arrival.res.write(formatEvent('1'));
     setTimeout(() => arrival.res.end(formatEvent('\u0001')), 20);
   };
-  await withServer(handle, async ({ call, servers }) => {
+  await withDeployment([handle, handle], async ({ call, servers }) => {
     const answer = await call('/stream/1', { method: 'POST' });
     assert.deepEqual([answer.complete, answer.body], [true, formatEvent('1') + formatEvent('2')]);
     const resumed = servers.flatMap(({ arrivals }) => arrivals).at(-1);
@@ -83,7 +70,7 @@
       const head = [`HTTP/1.1 ${code} Odd`, 'Response-Signature: s', ...fields].join('\r\n');
       return `${head}\r\n\r\n${ids.map(formatEvent).join('')}`;
     });
-  await withServer(handle, async ({ call }) => {
+  await withDeployment([handle, handle], async ({ call }) => {
     let count = 0;
     const property = fc.asyncProperty(fc.oneof(response, bytes), async (text) => {
       raw.text = text;
--- a/packages/edge/test/relay/repeated-responses.test.ts
+++ b/packages/edge/test/relay/repeated-responses.test.ts
@@ -1,8 +1,7 @@
 /** Guards against a response that a server repeats on a kept connection and that is taken for the answer to a later request. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createDeployment } from '../standins/deployment.js';
-import type { Deployment } from '../standins/deployment.js';
+import { withDeployment } from '../standins/deployment.js';
 import { sendAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
@@ -17,18 +16,6 @@
   return `HTTP/1.1 ${status} Repeated\r\n${lines.join('')}Content-Length: 0\r\n\r\n`;
 }
 
-async function withServers(
-  handlers: ((arrival: Arrival) => void)[],
-  run: (deployment: Deployment) => Promise<void>,
-): Promise<void> {
-  const deployment = await createDeployment(handlers);
-  try {
-    await run(deployment);
-  } finally {
-    await deployment.close();
-  }
-}
-
 REFUSALS.forEach(({ status, headers }) => {
   // Guards against "not run" for a request that runs: the refusal of its first attempt comes once more on its second one.
   test(`takes a repeated ${status} that names the request for no answer to a later attempt`, async () => {
@@ -50,7 +37,7 @@
       };
     };
     // Each server refuses a request once, so its third attempt is the second one at a server.
-    await withServers([createHandler(), createHandler()], async ({ call }) => {
+    await withDeployment([createHandler(), createHandler()], async ({ call }) => {
       const statuses = [];
       for (let index = 0; index < 4; index += 1)
         statuses.push((await call(`/once/${index}`, { method: 'POST' })).status);
@@ -71,7 +58,7 @@
         if (!socket.destroyed) sendAnswer(arrival, 'ran');
       }, 20);
     };
-    await withServers([handle, handle], async ({ call }) => {
+    await withDeployment([handle, handle], async ({ call }) => {
       const statuses = [];
       for (let index = 0; index < 6; index += 1)
         statuses.push((await call(`/once/${index}`, { method: 'POST' })).status);
@@ -89,7 +76,7 @@
   const refuse = (arrival: Arrival) => {
     arrival.req.socket.end(formatHead(503, { 'Not-Executed': '1' }));
   };
-  await withServers([refuse, (arrival) => sendAnswer(arrival, 'ran')], async ({ call }) => {
+  await withDeployment([refuse, (arrival) => sendAnswer(arrival, 'ran')], async ({ call }) => {
     for (let index = 0; index < 4; index += 1)
       assert.equal((await call(`/once/${index}`, { method: 'POST' })).body, 'ran');
   });
@@ -112,7 +99,7 @@
       if (!socket.destroyed) sendAnswer(arrival, 'own');
     }, 20);
   };
-  await withServers([handle], async ({ call, logLines }) => {
+  await withDeployment([handle], async ({ call, logLines }) => {
     const first = await call('/once/1', { method: 'POST' });
     const second = await call('/once/2', { method: 'POST' });
     assert.deepEqual([first.body, second.status], ['own', 502]);
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -107,7 +107,7 @@
   const exchanges = createExchanges(() => undefined);
   const errors = createRequestErrors(
     { logger: createRecordingLogger(logLines), clock: () => 0 },
-    { exchanges, metrics: { countRequestError: () => undefined } as never },
+    { exchanges, metrics: { countRequestError: () => undefined } },
   );
   const refusal = { status: 503, code: RefusalCode.NoServer, ran: 'no', retryAfterMs: 1 } as const;
   const effects: DirectEffect[] = [
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -167,6 +167,19 @@
   };
 }
 
+/** Runs a test with a deployment, and closes it. */
+export async function withDeployment(
+  handlers: ((arrival: Arrival) => void)[],
+  run: (deployment: Deployment) => Promise<void>,
+): Promise<void> {
+  const deployment = await createDeployment(handlers);
+  try {
+    await run(deployment);
+  } finally {
+    await deployment.close();
+  }
+}
+
 /** Starts one router and a backend server per handler, and waits until the router is ready. */
 export async function createDeployment(
   handlers: ((arrival: Arrival) => void)[],
