Refuse prompts at once that no server can hold

Cause: stated sizes went into the estimate of the server's backlog and of the account's usage without a bound, though the configuration states how much a server holds.

A request whose stated prompt, or the sum of its parts, exceeds the KV cache of one server gets 503 prompt_too_large, not run, before anything is counted. It could never run, so nothing is lost by not trying.

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -9,7 +9,7 @@
   NO_SERVER_RETRY_MS,
   refuse,
 } from './request-end.js';
-import { requestTokens } from './request-tokens.js';
+import { exceedsCapacity, requestTokens } from './request-tokens.js';
 import type { DirectState, OpenRequest } from './state.js';
 import { RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
@@ -26,6 +26,9 @@
   return crashEvidence.blocks.remainingMs(listCrashTraits(attributes), nowMs);
 }
 
+/** `Retry-After` of a request that no server can run until the configuration changes. */
+const PROMPT_TOO_LARGE_RETRY_MS = 60_000;
+
 /** Selects a server for a request and sends it, or refuses it. */
 function admitRequest(
   state: DirectState,
@@ -34,6 +37,13 @@
   nowMs: number,
 ): DirectEffect[] {
   const { attributes } = request;
+  const kvCapacityTokens = state.routeTable?.findService(attributes.service)?.engine
+    ?.kvCapacityTokens;
+  if (exceedsCapacity(attributes, kvCapacityTokens)) {
+    const refusal = createNotRunRefusal(RefusalCode.PromptTooLarge, PROMPT_TOO_LARGE_RETRY_MS);
+    const { account, promptTokens } = attributes;
+    return refuse(state, request, refusal, { account, promptTokens, kvCapacityTokens }, nowMs);
+  }
   const tokens = requestTokens(attributes);
   state.retryBudget.recordRequest(attributes.service, nowMs);
   state.serviceDemand.recordOwn(attributes.service, nowMs);
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -117,6 +117,9 @@
   meanWaitMs?: number;
   /** Prompt tokens that the server is expected to compute. */
   readTokens?: number;
+  /** Tokens that the caller states for the prompt, and capacity of one server's KV cache. */
+  promptTokens?: number;
+  kvCapacityTokens?: number | undefined;
   /** Ratio of the account's served tokens to its fair share; 0 while capacity is sufficient. */
   shareUsed?: number;
   /** How far capacity is insufficient for all accounts, from 0 to 1. */
--- a/packages/core/src/direct/prompt-parts.ts
+++ b/packages/core/src/direct/prompt-parts.ts
@@ -15,3 +15,8 @@
 export function sharedPartIds(parts: readonly PromptPart[]): string[] {
   return sharedParts(parts).map(({ id }) => id);
 }
+
+/** Tokens of all parts. */
+export function sumTokens(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/packages/core/src/direct/request-tokens.ts
+++ b/packages/core/src/direct/request-tokens.ts
@@ -1,4 +1,5 @@
-/** Size of a request in weighted tokens. */
+/** Size of a request in tokens. */
+import { sumTokens } from './prompt-parts.js';
 import type { RequestAttributes } from './types.js';
 
 /** Weight of a generated token relative to a prompt token, as in the configured engine throughput. */
@@ -10,3 +11,15 @@
 export function requestTokens(attributes: RequestAttributes): number {
   return attributes.promptTokens + OUTPUT_WEIGHT * OUTPUT_FRACTION * attributes.maxOutputTokens;
 }
+
+/**
+ * Returns whether the prompt is larger than the memory of the service's engines, so that none of them will ever run the request.
+ * @param kvCapacityTokens capacity of one engine; undefined if it isn't known
+ */
+export function exceedsCapacity(
+  { promptTokens, promptParts }: RequestAttributes,
+  kvCapacityTokens: number | undefined,
+): boolean {
+  if (kvCapacityTokens === undefined) return false;
+  return Math.max(promptTokens, sumTokens(promptParts)) > kvCapacityTokens;
+}
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -171,6 +171,8 @@
   /** This router is shutting down; other routers may accept the request. */
   ShuttingDown: 'router_shutting_down',
   AccountOverShare: 'account_over_share',
+  /** The prompt is larger than the memory of any server of the service. */
+  PromptTooLarge: 'prompt_too_large',
   /** Such a request, or requests with the same part of the prompt, have crashed their servers. */
   CrashingRequest: 'crashing_request',
   /** It isn't certain which version of the servers' software began the stream that the request resumes. */
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -304,3 +304,24 @@
     { seed: 20261204, numRuns: 400 },
   );
 });
+
+// Guards against a prompt size that one caller states and that makes a server count as busy for all others.
+test('a prompt that no server can hold is refused at once and leaves the estimates of the servers as they are', () => {
+  const tooLarge = [
+    { promptTokens: 999_999_999_999 },
+    { promptTokens: 10, promptParts: [{ id: 'own', tokens: 999_999_999_999 }] },
+  ];
+  for (const attributes of tooLarge) {
+    const router = createSampleRouter();
+    const { refusal } = expectRefusal(router.request('1', attributes));
+    assert.deepEqual(
+      [refusal.status, refusal.code, refusal.ran],
+      [503, RefusalCode.PromptTooLarge, 'no'],
+    );
+    expectSend(router.request('2'));
+    expectSend(router.request('3'));
+  }
+  const router = createSampleRouter();
+  const atCapacity = { promptTokens: 500_000, promptParts: [{ id: 'own', tokens: 500_000 }] };
+  expectSend(router.request('1', atCapacity));
+});
