Refuse an account's own excess with status 429

Callers got 503 both when their account had used more than its share and when the service lacked capacity, so neither they nor circuit breakers between could tell one account's excess from an outage.

account_over_share has status 429 now (RFC 6585), with the same body, ran 'no' and Retry-After; all other refusals of requests that have not run keep 503. Ways weighed: docs/design/0016. The test failed before (503 in place of 429).

--- a/packages/core/src/direct/request-end.ts
+++ b/packages/core/src/direct/request-end.ts
@@ -35,9 +35,15 @@
   return [{ kind: 'refuse', request: request.id, refusal, decisionInputs }];
 }
 
+/** Status of refusals whose cause is the caller's own usage (RFC 6585); the others have 503. */
+const STATUS_BY_CODE: Partial<Record<RefusalCode, number>> = {
+  [RefusalCode.AccountOverShare]: 429,
+};
+const DEFAULT_STATUS = 503;
+
 /** Returns the refusal of a request that has not run. */
 export function createNotRunRefusal(code: RefusalCode, retryAfterMs: number): Refusal {
-  return { status: 503, code, ran: 'no', retryAfterMs };
+  return { status: STATUS_BY_CODE[code] ?? DEFAULT_STATUS, code, ran: 'no', retryAfterMs };
 }
 
 /** Jitter of `Retry-After` for a wait that servers asked for: callers that were refused together come back spread out. */
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -325,3 +325,20 @@
   const atCapacity = { promptTokens: 500_000, promptParts: [{ id: 'own', tokens: 500_000 }] };
   expectSend(router.request('1', atCapacity));
 });
+
+// Guards against an account's own excess that its callers can't tell from a lack of capacity.
+test('a request beyond the fair share of its account is refused with status 429, one without capacity with 503', () => {
+  const router = createSampleRouter([sampleEntry('e1')]);
+  const refusals = Array.from({ length: 400 }, (_none, index) => {
+    router.advance(5);
+    const account = index % 8 === 0 ? 'modest' : 'flooding';
+    return router.request(`${index}`, { account, promptParts: [{ id: `${index}`, tokens: 5000 }] });
+  })
+    .flat()
+    .flatMap((effect) => (effect.kind === 'refuse' ? [effect.refusal] : []));
+  const statusesOf = (code: RefusalCode) =>
+    new Set(refusals.filter((refusal) => refusal.code === code).map(({ status }) => status));
+  assert.deepEqual([...statusesOf(RefusalCode.AccountOverShare)], [429]);
+  assert.deepEqual([...statusesOf(RefusalCode.Overloaded)], [503]);
+  assert.ok(refusals.every(({ ran, retryAfterMs }) => ran === 'no' && (retryAfterMs ?? 0) > 0));
+});
