--- a/packages/edge/src/admin/admin-server.ts
+++ b/packages/edge/src/admin/admin-server.ts
@@ -4,6 +4,7 @@
 import { describeState } from '@kingcupsill/core/direct';
 import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
+import { logListenerErrors } from '../listener-errors.js';
 import { parseAddress } from '../settings.js';
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
@@ -48,6 +49,9 @@
       res.destroy();
     });
   });
-  await listenOn(server, parseAddress(ctx.settings().admin.address));
+  await listenOn(server, {
+    ...parseAddress(ctx.settings().admin.address),
+    onError: logListenerErrors(ctx.logger, 'admin'),
+  });
   return { close: () => closeServer(server) };
 }
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -6,6 +6,7 @@
 import { closeServer, listenOn } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { repeatEvery } from '../closable.js';
+import { logListenerErrors } from '../listener-errors.js';
 import { createAcceptQueue } from './accept-queue.js';
 import { afterNextPoll } from './after-next-poll.js';
 import { createConnectionTable } from './connection-table.js';
@@ -120,7 +121,12 @@
     connections.add(socket);
   });
   server.on('clientError', onClientError);
-  await listenOn(server, { host: options.host, port: options.port, backlog: BACKLOG });
+  await listenOn(server, {
+    host: options.host,
+    port: options.port,
+    backlog: BACKLOG,
+    onError: logListenerErrors(options.logger, 'callers'),
+  });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
     const idleTimeoutMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
     connections.closeIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
--- a/packages/edge/src/callers/readiness-server.ts
+++ b/packages/edge/src/callers/readiness-server.ts
@@ -2,7 +2,9 @@
 import { createServer } from 'node:http';
 import { READINESS_PATH } from '@kingcupsill/prepared-platform';
 import { closeServer, listenOn } from '@kingcupsill/runtime';
+import type { Logger } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
+import { logListenerErrors } from '../listener-errors.js';
 
 /** Long enough that the platform's connections stay open between two checks. */
 const KEEP_ALIVE_MS = 30_000;
@@ -12,6 +14,7 @@
   host: string;
   port: number;
   isReady: () => boolean;
+  logger: Logger;
 }): Promise<Closable> {
   const server = createServer((req, res) => {
     const isReadinessPath = req.url === READINESS_PATH;
@@ -20,6 +23,10 @@
     res.end();
   });
   server.keepAliveTimeout = KEEP_ALIVE_MS;
-  await listenOn(server, { host: options.host, port: options.port });
+  await listenOn(server, {
+    host: options.host,
+    port: options.port,
+    onError: logListenerErrors(options.logger, 'readiness'),
+  });
   return { close: () => closeServer(server) };
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -300,6 +300,7 @@
       }
       return createReadinessServer({
         ...parseAddress(ctx.settings().callers.readinessAddress),
+        logger: ctx.logger,
         isReady: () =>
           !phase.draining &&
           state.routeTable !== undefined &&
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
+import { logListenerErrors } from '../listener-errors.js';
 import { createOpenLink } from './open-link.js';
 import { LINK_TIMEOUT_MS, LinkRole } from './types.js';
 import type { LinkListener, OpenLink } from './types.js';
@@ -81,8 +82,12 @@
     else socket.close(CLOSE_NOT_HUB);
   });
   await new Promise<void>((resolve, reject) => {
-    server.once('listening', resolve);
     server.once('error', reject);
+    server.once('listening', () => {
+      server.off('error', reject);
+      server.on('error', logListenerErrors(logger, 'peers'));
+      resolve();
+    });
   });
 
   return {
--- a/packages/runtime/src/http-server/listen.ts
+++ b/packages/runtime/src/http-server/listen.ts
@@ -9,13 +9,20 @@
   port: number;
   /** Maximum number of connections waiting to be accepted. @default Node's default */
   backlog?: number;
+  /** Called with each error after the start, such as one of accepting a connection; without it these errors are uncaught. */
+  onError?: (err: Error) => void;
 }
 
 /** Starts listening. Resolves with the bound port; rejects if the server can't listen on the address. */
 export async function listenOn(server: Server, options: ListenOptions): Promise<number> {
+  const { onError, ...address } = options;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(options, resolve);
+    server.listen(address, () => {
+      server.off('error', reject);
+      if (onError !== undefined) server.on('error', onError);
+      resolve();
+    });
   });
   return (server.address() as AddressInfo).port;
 }
