Judge in the drain whether an attempt can end, when it is sent

Cause: whether a request is late was judged once, when its head arrived (LATE_AFTER_MS). Between that and the send lie the body, the wait for the records of streams, and each retry and resumption; nothing compared what an attempt takes with what is left.

Change: the event `drain-started` carries the time at which the drain ends, and the two places that send (admission, with resumed streams in it, and retries) ask whether an attempt can be expected to end by then. The expected duration is learned per route from complete attempts of this router, with the estimator of TCP's retransmission timeout; without observations it is the route's timeout; the request's deadline bounds both. What isn't sent is refused with 503 `router_shutting_down` if it certainly hasn't run, else with 502; a stream that broke off is broken off at the caller at once. It isn't counted as demand, since another router gets it.

Evidence: the new test in late-work.test.ts on the code before: "'none' !== '503'": no answer at all, after the request had been sent to its server.

Why at the send: it is the last moment at which "not run" is certain, and all ways into the drain lead through it.

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -2,8 +2,10 @@
 import { admit } from './admission.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
 import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
+import { canEndInDrain, describeDrain } from './drain.js';
 import type { DirectEffect } from './events.js';
 import {
+  createDrainingRefusal,
   createNoServerRefusal,
   createNotRunRefusal,
   NO_SERVER_RETRY_MS,
@@ -29,6 +31,12 @@
 /** `Retry-After` of a request that no server can run until the configuration changes. */
 const PROMPT_TOO_LARGE_RETRY_MS = 60_000;
 
+/** Refuses a request that isn't expected to end before the drain does. */
+function refuseInDrain(state: DirectState, request: OpenRequest, nowMs: number): DirectEffect[] {
+  const decisionInputs = describeDrain(state, request.attributes, nowMs);
+  return refuse(state, request, createDrainingRefusal(), decisionInputs, nowMs);
+}
+
 /** Selects a server for a request and sends it, or refuses it. */
 function admitRequest(
   state: DirectState,
@@ -44,6 +52,8 @@
     const { account, promptTokens } = attributes;
     return refuse(state, request, refusal, { account, promptTokens, kvCapacityTokens }, nowMs);
   }
+  // Not counted as demand, since another router gets the request.
+  if (!canEndInDrain(state, attributes, nowMs)) return refuseInDrain(state, request, nowMs);
   const tokens = requestTokens(attributes);
   state.retryBudget.recordRequest(attributes.service, nowMs);
   state.serviceDemand.recordOwn(attributes.service, nowMs);
@@ -165,6 +175,7 @@
     return admitRequest(state, request, draw, nowMs);
   const origin = streamId === undefined ? undefined : state.versions.journal.find(streamId);
   if (origin !== undefined) return resumeStream(state, request, origin, draw, nowMs);
+  if (!canEndInDrain(state, attributes, nowMs)) return refuseInDrain(state, request, nowMs);
   state.requests.set(requestId, request);
   state.versions.waiting.set(requestId, draw);
   return readRecords(state, nowMs);
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -87,6 +87,8 @@
     /** The reports of a link no longer hold; `router` is the name under which they were applied. */
     | { kind: 'peer-gone'; router: string }
     | { kind: 'peers-counted'; routerCount: number }
+    /** The router has begun to drain and closes at `endsAtMs`. */
+    | { kind: 'drain-started'; endsAtMs: number }
     | { kind: 'tick' }
   );
 
@@ -126,6 +128,10 @@
   shortfall?: number;
   /** Number of all routers' requests in progress at the server. */
   running?: number;
+  /** Expected duration of the attempt, or the time to the request's deadline if that is shorter. */
+  expectedMs?: number;
+  /** Time until the drain ends. */
+  drainLeftMs?: number;
   /** Number of attempts sent so far. */
   tried?: number;
   /** Observed error or response. */
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -10,6 +10,7 @@
 export * from './reducer.js';
 export * from './report-exchange.js';
 export * from './reports.js';
+export { createDrainingRefusal } from './request-end.js';
 export * from './retry-budget.js';
 export * from './route-table.js';
 export * from './server-health.js';
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -44,6 +44,8 @@
   const currentVersion = state.routeTable?.config.version;
   if (currentVersion !== undefined && config.version <= currentVersion) return [];
   state.routeTable = createRouteTable(config);
+  const routeNames = new Set(config.routes.map(({ name }) => name));
+  state.runDurations.prune((name) => routeNames.has(name));
   const fields = { version: config.version, routes: config.routes.length };
   return [
     { kind: 'note', event: 'configuration-in-force', fields },
@@ -214,6 +216,10 @@
     state.routerCount = routerCount;
     return [];
   },
+  'drain-started': (state, { endsAtMs }) => {
+    state.drainEndsAtMs = endsAtMs;
+    return [];
+  },
   tick: (state, { nowMs }) => [
     ...requestCacheContents(state, nowMs),
     ...removeServers(state, state.registry.expire(nowMs), nowMs),
--- a/packages/core/src/direct/request-end.ts
+++ b/packages/core/src/direct/request-end.ts
@@ -46,6 +46,14 @@
   return { status: STATUS_BY_CODE[code] ?? DEFAULT_STATUS, code, ran: 'no', retryAfterMs };
 }
 
+/** `Retry-After` of a router that drains: a retry reaches another router at once. */
+const DRAINING_RETRY_MS = 50;
+
+/** Returns the refusal of a request that a draining router doesn't send to a server. */
+export function createDrainingRefusal(): Refusal {
+  return createNotRunRefusal(RefusalCode.ShuttingDown, DRAINING_RETRY_MS);
+}
+
 /** Jitter of `Retry-After` for a wait that servers asked for: callers that were refused together come back spread out. */
 const WAIT_JITTER = 0.5;
 
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -3,9 +3,11 @@
 import { recordAttemptEnd } from './crashes/crash-evidence.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
 import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
+import { canEndInDrain, describeDrain } from './drain.js';
 import type { DirectEffect, Refusal } from './events.js';
 import {
   closeRequest,
+  createDrainingRefusal,
   createNotRunRefusal,
   finish,
   NO_SERVER_RETRY_MS,
@@ -79,6 +81,8 @@
   if (serverState === undefined) return effects;
   if (!attempt.prediction.hasBegun) serverState.unansweredAttempts -= 1;
   state.endedServerKeys.add(attempt.serverKey);
+  if (outcome === AttemptOutcome.Complete && attributes !== undefined)
+    state.runDurations.record(attributes.route.name, nowMs - sentAtMs);
   serverState.load.recordEnd(attempt.prediction, nowMs, outcome === AttemptOutcome.Complete);
   serverState.health.recordOutcome(outcome, nowMs);
   return effects;
@@ -104,9 +108,15 @@
 }
 
 /** Returns the error response after the last attempt. */
-function createFinalRefusal(outcome: AttemptOutcome, hasNotRun: boolean): Refusal {
+function createFinalRefusal(
+  outcome: AttemptOutcome,
+  hasNotRun: boolean,
+  isTooLate = false,
+): Refusal {
   if (NOT_RUN_OUTCOMES.has(outcome) && hasNotRun)
-    return createNotRunRefusal(RefusalCode.Overloaded, NO_SERVER_RETRY_MS);
+    return isTooLate
+      ? createDrainingRefusal()
+      : createNotRunRefusal(RefusalCode.Overloaded, NO_SERVER_RETRY_MS);
   return { status: 502, code: RefusalCode.OutcomeUnknown, ran: 'unknown', retryAfterMs: undefined };
 }
 
@@ -126,6 +136,7 @@
   const { attributes } = request;
   if (!canRetry(request, outcome) || request.sentAttempts >= MAX_SENT_ATTEMPTS) return undefined;
   if (attributes.expiresAtMs - nowMs < MIN_RETRY_REMAINING_MS) return undefined;
+  if (!canEndInDrain(state, attributes, nowMs)) return undefined;
   if (mayCrashServer(state, attributes, nowMs)) return undefined;
   const draw = (state.attemptCount * RETRY_DRAW_STEP) % 1;
   const best = chooseForRequest(state, request, draw, nowMs);
@@ -149,7 +160,8 @@
   if (outcome === AttemptOutcome.Failed && !request.answerStarted)
     return finish(state, request, nowMs);
   const tried = request.triedServerKeys.length;
-  const refusal = createFinalRefusal(outcome, request.possibleRuns === 0);
+  const isTooLate = !canEndInDrain(state, request.attributes, nowMs);
+  const refusal = createFinalRefusal(outcome, request.possibleRuns === 0, isTooLate);
   return refuse(
     state,
     request,
@@ -159,6 +171,7 @@
       detail,
       tried,
       ...describeVersion(request),
+      ...(isTooLate ? describeDrain(state, request.attributes, nowMs) : {}),
     },
     nowMs,
   );
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -8,6 +8,8 @@
 import { createRetryBudget } from './retry-budget.js';
 import type { RetryBudget, RetryBudgetOptions } from './retry-budget.js';
 import type { RouteTable } from './route-table.js';
+import { createRunDurations } from './run-durations.js';
+import type { RunDurations } from './run-durations.js';
 import { createServerHealth } from './server-health.js';
 import type { ServerHealth } from './server-health.js';
 import { createServerLoad } from './server-load.js';
@@ -127,6 +129,9 @@
   serverLimits: ServerLimits;
   serviceDemand: ServiceDemand;
   versions: VersionState;
+  runDurations: RunDurations;
+  /** Time by which requests must have ended; infinite until the router drains. */
+  drainEndsAtMs: number;
   /** Number of routers that share the fleet's budgets, including this one. */
   routerCount: number;
   attemptCount: number;
@@ -172,6 +177,8 @@
     serverLimits: createServerLimits(createPhase(options)),
     serviceDemand: createServiceDemand(),
     versions: createVersionState(),
+    runDurations: createRunDurations(),
+    drainEndsAtMs: Number.POSITIVE_INFINITY,
     routerCount: 1,
     attemptCount: 0,
   };
--- /dev/null
+++ b/packages/core/test/direct/drain.test.ts
@@ -0,0 +1,146 @@
+/** Guards against attempts that a draining router starts and can't end. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { AttemptOutcome, RefusalCode, RetryPolicy } from '../../src/direct/index.js';
+import {
+  createSampleRouter,
+  expectRefusal,
+  expectSend,
+  sampleConfig,
+  sampleEntry,
+  sampleRoute,
+} from './sample.js';
+import type { SampleRouter } from './sample.js';
+
+const GRACE_MS = 8000;
+const stream = sampleRoute({ timeoutMs: 12_000 });
+const lookup = sampleRoute({
+  name: 'looks',
+  streaming: false,
+  retryPolicy: RetryPolicy.Any,
+  timeoutMs: 12_000,
+});
+const order = { ...lookup, name: 'orders', retryPolicy: RetryPolicy.Never };
+
+function createRouter(): SampleRouter {
+  const entries = [sampleEntry('e1'), sampleEntry('e2')];
+  return createSampleRouter(entries, sampleConfig(1, [stream, lookup, order]));
+}
+
+const startDrain = (router: SampleRouter) =>
+  router.dispatch({ kind: 'drain-started', endsAtMs: router.now() + GRACE_MS });
+
+function endAttempt(router: SampleRouter, attempt: string, outcome: AttemptOutcome) {
+  return router.dispatch({ kind: 'attempt-ended', attempt, outcome, detail: '' });
+}
+
+/** Lets requests of a route run for the given times. */
+function learn(router: SampleRouter, route: typeof lookup, durationsMs: number[]): void {
+  durationsMs.forEach((durationMs, index) => {
+    const { attempt } = expectSend(router.request(`learn-${route.name}-${index}`, { route }));
+    router.advance(durationMs);
+    endAttempt(router, attempt, AttemptOutcome.Complete);
+  });
+}
+
+// Guards against requests that are judged when they arrive and cut when the grace period ends.
+test('in the drain, requests are sent as long as their route can be expected to answer in time', () => {
+  const router = createRouter();
+  learn(router, lookup, Array<number>(40).fill(900));
+  startDrain(router);
+  router.advance(GRACE_MS - 1500);
+  expectSend(router.request('in time', { route: lookup }));
+  router.advance(700);
+  const { refusal, decisionInputs } = expectRefusal(router.request('late', { route: lookup }));
+  assert.deepEqual(
+    [refusal.status, refusal.code, refusal.ran],
+    [503, RefusalCode.ShuttingDown, 'no'],
+  );
+  assert.equal(decisionInputs.drainLeftMs, 800);
+});
+
+test('in the drain, a route without observations is expected to use its timeout or the deadline', () => {
+  const router = createRouter();
+  startDrain(router);
+  expectRefusal(router.request('long', { route: lookup }));
+  expectSend(router.request('short', { route: lookup, expiresAtMs: router.now() + 2000 }));
+  router.advance(GRACE_MS - 1000);
+  expectRefusal(router.request('late', { route: lookup, expiresAtMs: router.now() + 2000 }));
+});
+
+test('the durations of one route say nothing about another', () => {
+  const router = createRouter();
+  learn(router, lookup, Array<number>(40).fill(20));
+  startDrain(router);
+  expectSend(router.request('1', { route: lookup }));
+  expectRefusal(router.request('2', { route: stream }));
+});
+
+test('durations that vary are expected to be longer than their mean', () => {
+  const router = createRouter();
+  learn(
+    router,
+    lookup,
+    Array.from({ length: 40 }, (_none, index) => (index % 2) * 2000 + 500),
+  );
+  startDrain(router);
+  router.advance(GRACE_MS - 3000);
+  expectRefusal(router.request('1', { route: lookup }));
+});
+
+// Guards against retries that are sent at the end of the grace period and cut.
+test('in the drain, a request that did not run is refused if a retry can no longer end in time', () => {
+  const router = createRouter();
+  learn(router, order, Array<number>(40).fill(900));
+  startDrain(router);
+  router.advance(GRACE_MS - 1200);
+  const first = expectSend(router.request('1', { route: order }));
+  router.advance(600);
+  const { refusal } = expectRefusal(endAttempt(router, first.attempt, AttemptOutcome.NotRun));
+  assert.deepEqual([refusal.status, refusal.code], [503, RefusalCode.ShuttingDown]);
+});
+
+test('in the drain, a request that may have run gets an unknown outcome if a retry can no longer end in time', () => {
+  const router = createRouter();
+  learn(router, lookup, Array<number>(40).fill(900));
+  startDrain(router);
+  router.advance(GRACE_MS - 1200);
+  const first = expectSend(router.request('1', { route: lookup }));
+  router.advance(600);
+  const { refusal } = expectRefusal(endAttempt(router, first.attempt, AttemptOutcome.Unknown));
+  assert.deepEqual([refusal.status, refusal.ran], [502, 'unknown']);
+});
+
+// Guards against streams that go on at another server and are cut once more when the grace period ends.
+test('in the drain, a stream that broke off ends at once if it can no longer end in time', () => {
+  const router = createRouter();
+  learn(router, stream, Array<number>(8).fill(3000));
+  startDrain(router);
+  const { attempt } = expectSend(router.request('1', { route: stream }));
+  router.dispatch({ kind: 'events-delivered', request: '1', lastEventId: '4' });
+  router.advance(GRACE_MS - 2000);
+  const { refusal } = expectRefusal(endAttempt(router, attempt, AttemptOutcome.Unknown));
+  assert.equal(refusal.status, 502);
+});
+
+// Guards against resumed streams that wait for the records of versions in the drain and are sent once these are read.
+test('in the drain, a stream that waited for the records is refused if it can no longer end in time', () => {
+  const router = createRouter();
+  learn(router, stream, Array<number>(8).fill(1000));
+  router.dispatch({ kind: 'tick' });
+  const expectedMs = router.state.runDurations.expectedMs(stream.name)!;
+  router.dispatch({ kind: 'drain-started', endsAtMs: router.now() + expectedMs + 100 });
+  const resume = (id: string) => router.request(id, { resumeAfter: '3', streamId: id });
+  expectSend(resume('1'));
+  assert.deepEqual(resume('2'), []);
+  router.advance(200);
+  const { request, refusal } = expectRefusal(router.dispatch({ kind: 'tick' }));
+  assert.deepEqual([request, refusal.code], ['2', RefusalCode.ShuttingDown]);
+});
+
+test('estimates of routes that the configuration drops are removed', () => {
+  const router = createRouter();
+  learn(router, lookup, [20]);
+  router.dispatch({ kind: 'configured', config: sampleConfig(2, [stream]) });
+  assert.equal(router.state.runDurations.expectedMs(lookup.name), undefined);
+});
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -1,6 +1,6 @@
 /** Handler of callers' requests: validates them, reads their bodies and dispatches them to the reducer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { RefusalCode } from '@kingcupsill/core/direct';
+import { createDrainingRefusal, RefusalCode } from '@kingcupsill/core/direct';
 import type { Refusal, RequestAttributes } from '@kingcupsill/core/direct';
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
@@ -36,13 +36,6 @@
   // A retry usually reaches another router; this one needs about this long to process its backlog.
   retryAfterMs: 300,
 };
-/** A retry reaches another router at once. */
-const SHUTTING_DOWN_REFUSAL: Refusal = {
-  status: 503,
-  code: RefusalCode.ShuttingDown,
-  ran: 'no',
-  retryAfterMs: 50,
-};
 /** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_WAIT_FRACTION = 0.25;
 
@@ -147,7 +140,7 @@
     onRequest: (req, res) => protect(res, undefined, () => receive(req, res)),
     onLateRequest: (req, res) =>
       protect(res, undefined, () =>
-        reject(res, parseCallerHeaders(req.headers), SHUTTING_DOWN_REFUSAL),
+        reject(res, parseCallerHeaders(req.headers), createDrainingRefusal()),
       ),
   };
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -74,6 +74,7 @@
 async function drain(ctx: EdgeContext, parts: EdgeParts): Promise<void> {
   const deadlineMs = ctx.clock() + ctx.settings().shutdown.graceS * 1000 - EXIT_MARGIN_MS;
   parts.phase.draining = true;
+  parts.loop.dispatch({ kind: 'drain-started', endsAtMs: deadlineMs, nowMs: ctx.clock() });
   const callers = await parts.callers;
   callers.startDrain();
   const deregistered = parts.registration.remove();
--- /dev/null
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -0,0 +1,54 @@
+/** Guards against requests that a draining router takes and can't end. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { sampleDocument, waitUntil, withDeployment } from '../standins/deployment.js';
+import type { Deployment } from '../standins/deployment.js';
+import { createRawCaller, requestHead } from '../standins/raw-caller.js';
+import { sendAnswer } from '../standins/server-standin.js';
+import type { Arrival } from '../standins/server-standin.js';
+
+const WORK_MS = 900;
+const answerAfterWork = (arrival: Arrival) => setTimeout(() => sendAnswer(arrival), WORK_MS);
+
+/** Gives all routes a timeout beyond the grace period. */
+async function allowLongRequests({ store, logLines }: Deployment): Promise<void> {
+  const { routes } = sampleDocument();
+  const longRoutes = routes.map((route) => ({ ...route, timeoutMs: 9000 }));
+  store.put('config', 'main', sampleDocument(2, { routes: longRoutes }));
+  await waitUntil(() =>
+    logLines.some(
+      ({ event, fields }) => event === 'configuration-in-force' && fields.version === 2,
+    ),
+  );
+}
+
+/** Drains the router and closes it, as its process does on SIGTERM. */
+async function stop({ router }: Deployment): Promise<void> {
+  await router.drain();
+  await router.close();
+}
+
+// Guards against requests that are sent to a server so late in the drain that they are cut without an answer when it ends.
+test('a request whose body ends when its server can no longer answer in time is refused as not run', async () => {
+  await withDeployment([answerAfterWork], async (deployment) => {
+    await allowLongRequests(deployment);
+    const [early, late] = [createRawCaller(deployment), createRawCaller(deployment)];
+    // From this one, the router learns how long such requests take.
+    assert.equal((await deployment.call('/once/1', { method: 'POST' })).status, 200);
+    const stopped = stop(deployment);
+    await delay(1000);
+    early.write(requestHead('/once/1', ['Attempt-Id: early', 'Content-Length: 4']));
+    early.write('body');
+    late.write(requestHead('/once/1', ['Attempt-Id: late', 'Content-Length: 4']));
+    late.write('bo');
+    assert.equal(await early.answer(), '200');
+    await delay(2200);
+    late.write('dy');
+    assert.equal(await late.answer(), '503');
+    assert.match(late.received(), /"router_shutting_down","ran":"no"/);
+    assert.equal(deployment.servers[0]!.arrivals.length, 2);
+    await stopped;
+    [early, late].forEach((caller) => caller.close());
+  });
+});
