Answer the requests that are still open when the drain ends

What callers saw: requests that were open at the end of the grace period lost their connection without an answer: the router closed while servers worked, bodies were incomplete or requests waited for the store's records.

Cause: the drain only waited. At its end, the process closed all connections, whatever was open on them.

Change: at the end of the drain, 400 ms before the end of the grace period, the event `drain-ended` gives each open request its final answer: 503 `router_shutting_down` if it certainly hasn't run (it waits for records, its body is incomplete, or it isn't dispatched yet), 502 `outcome_unknown` if a server may run it, and a visible break in a stream that has begun. The router then waits until the answers are sent, at most 250 ms. The drain has a module of its own, edge/src/drain.ts.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -87,8 +87,9 @@
     /** The reports of a link no longer hold; `router` is the name under which they were applied. */
     | { kind: 'peer-gone'; router: string }
     | { kind: 'peers-counted'; routerCount: number }
-    /** The router has begun to drain and closes at `endsAtMs`. */
+    /** The router has begun to drain; requests that are open at `endsAtMs` get their final answers then. */
     | { kind: 'drain-started'; endsAtMs: number }
+    | { kind: 'drain-ended' }
     | { kind: 'tick' }
   );
 
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -6,6 +6,7 @@
 import { extraRoundTripMs, requestedWaitMs } from './placement.js';
 import { applyPeerReport, removePeer } from './reports.js';
 import {
+  endOpenRequests,
   expireRequests,
   onAttemptBegun,
   onAttemptEnded,
@@ -220,6 +221,7 @@
     state.drainEndsAtMs = endsAtMs;
     return [];
   },
+  'drain-ended': (state, { nowMs }) => endOpenRequests(state, nowMs),
   tick: (state, { nowMs }) => [
     ...requestCacheContents(state, nowMs),
     ...removeServers(state, state.registry.expire(nowMs), nowMs),
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -254,3 +254,19 @@
       ];
     });
 }
+
+/** Gives all open requests their final answers. Only those that wait for the store's records certainly haven't run. */
+export function endOpenRequests(state: DirectState, nowMs: number): DirectEffect[] {
+  return [...state.requests.values()].flatMap((request) => {
+    const server = request.currentAttempt?.serverKey;
+    const decisionInputs = { detail: 'drain ended', ...(server === undefined ? {} : { server }) };
+    const refusal =
+      request.triedServerKeys.length === 0
+        ? createDrainingRefusal()
+        : createFinalRefusal(AttemptOutcome.Unknown, false);
+    return [
+      ...cancelCurrentAttempt(state, request, nowMs),
+      ...refuse(state, request, refusal, decisionInputs, nowMs),
+    ];
+  });
+}
--- a/packages/core/test/direct/drain.test.ts
+++ b/packages/core/test/direct/drain.test.ts
@@ -138,6 +138,31 @@
   assert.deepEqual([request, refusal.code], ['2', RefusalCode.ShuttingDown]);
 });
 
+// Guards against connections that are closed without an answer when the grace period ends.
+test('requests that are open at the end of the drain are refused, as not run only if they certainly have not', () => {
+  const router = createRouter();
+  router.dispatch({ kind: 'tick' });
+  const sent = expectSend(router.request('sent', { route: order }));
+  expectSend(router.request('1', { resumeAfter: '3', streamId: '1' }));
+  assert.deepEqual(router.request('waiting', { resumeAfter: '3', streamId: '2' }), []);
+  const effects = router.dispatch({ kind: 'drain-ended' });
+  const statuses = effects.flatMap((effect) =>
+    effect.kind === 'refuse' ? [[effect.request, effect.refusal.status, effect.refusal.ran]] : [],
+  );
+  assert.deepEqual(statuses, [
+    ['sent', 502, 'unknown'],
+    ['1', 502, 'unknown'],
+    ['waiting', 503, 'no'],
+  ]);
+  assert.ok(
+    effects.some(
+      ({ kind, ...rest }) =>
+        kind === 'cancel' && 'attempt' in rest && rest.attempt === sent.attempt,
+    ),
+  );
+  assert.equal(router.state.requests.size, 0);
+});
+
 test('estimates of routes that the configuration drops are removed', () => {
   const router = createRouter();
   learn(router, lookup, [20]);
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -44,6 +44,8 @@
   onRequest(req: IncomingMessage, res: ServerResponse): void;
   /** Refuses a request that arrives while the router is exiting. */
   onLateRequest(req: IncomingMessage, res: ServerResponse): void;
+  /** Refuses the requests that haven't been received completely, or haven't been dispatched yet. */
+  refusePending(): void;
 }
 
 function addFingerprint(
@@ -64,26 +66,38 @@
   return { ...attributes, fingerprint };
 }
 
+/** Refuses a request that hasn't been dispatched. */
+function rejectRequest(
+  { logger }: EdgeContext,
+  { metrics, state }: HandlerParts,
+  res: ServerResponse,
+  { attemptId }: CallerHeaders,
+  refusal: Refusal,
+): void {
+  const { status, code } = refusal;
+  const configuration = state.routeTable?.config.version;
+  metrics.countRefusal(code);
+  logger.warn('request-rejected', { attemptId, status, code, configuration });
+  writeRefusal(res, refusal);
+}
+
 /** Creates the handlers of the server for callers. */
 export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
-  const { logger, clock, random } = ctx;
-  const { validator, exchanges, loopLag, loop, metrics, state } = parts;
+  const { clock, random } = ctx;
+  const { validator, exchanges, loopLag, loop } = parts;
   const { protect } = parts.requestErrors;
   const queue = createRequestQueue(clock, setImmediate);
+  /** Requests that have been neither dispatched nor refused. */
+  const pending = new Map<ServerResponse, CallerHeaders>();
   let requestCount = 0;
 
   function reject(res: ServerResponse, headers: CallerHeaders, refusal: Refusal): void {
-    metrics.countRefusal(refusal.code);
-    logger.warn('request-rejected', {
-      attemptId: headers.attemptId,
-      status: refusal.status,
-      code: refusal.code,
-      configuration: state.routeTable?.config.version,
-    });
-    writeRefusal(res, refusal);
+    pending.delete(res);
+    rejectRequest(ctx, parts, res, headers, refusal);
   }
 
   function submit(request: ReceivedRequest): void {
+    pending.delete(request.res);
     requestCount += 1;
     const id = `${request.headers.attemptId ?? 'none'}-${requestCount}`;
     const nowMs = clock();
@@ -109,7 +123,7 @@
   function submitIfConnected(request: ReceivedRequest): void {
     queue.add((waitedMs) => {
       const { req, res, headers, attributes } = request;
-      if (res.destroyed || req.socket.destroyed) return;
+      if (!pending.has(res) || res.destroyed || req.socket.destroyed) return;
       const maxWaitMs = attributes.route.objectiveMs * MAX_WAIT_FRACTION;
       const isBusy = Math.max(loopLag.lagMs(), waitedMs) > maxWaitMs;
       protect(res, headers.attemptId, () => {
@@ -124,6 +138,7 @@
     const validation = validator.validate(req, headers, clock());
 
     function onBody(result: ReadBodyResult): void {
+      if (!pending.has(res)) return;
       if (!validation.ok) reject(res, headers, validation.refusal);
       else if (result.ok) {
         const attributes = addFingerprint(req, headers, validation.attributes, result.digest);
@@ -131,6 +146,8 @@
       } else if (result.reason === 'too-large') reject(res, headers, BODY_TOO_LARGE_REFUSAL);
     }
 
+    pending.set(res, headers);
+    res.on('close', () => pending.delete(res));
     readBody(req, validator.maxBodyBytes(), (result) =>
       protect(res, headers.attemptId, () => onBody(result)),
     );
@@ -142,5 +159,10 @@
       protect(res, undefined, () =>
         reject(res, parseCallerHeaders(req.headers), createDrainingRefusal()),
       ),
+    refusePending() {
+      pending.forEach((headers, res) =>
+        protect(res, headers.attemptId, () => reject(res, headers, createDrainingRefusal())),
+      );
+    },
   };
 }
--- /dev/null
+++ b/packages/edge/src/drain.ts
@@ -0,0 +1,46 @@
+/** Drain of the router: the end of its work within the grace period. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { EdgeContext } from './context.js';
+import type { EdgeParts } from './types.js';
+
+/** Time after SIGTERM in which new connections still arrive: until two readiness checks, one second apart, have failed. */
+const DRAIN_LISTEN_MS = 3000;
+/** Part of the grace period after the end of the drain: time to send the final answers, and to exit. */
+const EXIT_MARGIN_MS = 400;
+/** Maximum time to send the final answers. */
+const FINAL_ANSWERS_MS = 250;
+const DRAIN_POLL_MS = 50;
+
+type DrainParts = Pick<
+  EdgeParts,
+  'phase' | 'loop' | 'callers' | 'requestHandlers' | 'registration'
+>;
+
+/**
+ * Fails readiness checks at once, accepts connections until the platform sends none, then waits for the open requests. Those that are
+ * still open at the end of the drain get a final answer.
+ */
+export async function drain(ctx: EdgeContext, parts: DrainParts): Promise<void> {
+  const { clock, logger } = ctx;
+  const endsAtMs = clock() + ctx.settings().shutdown.graceS * 1000 - EXIT_MARGIN_MS;
+  parts.phase.draining = true;
+  parts.loop.dispatch({ kind: 'drain-started', endsAtMs, nowMs: clock() });
+  const callers = await parts.callers;
+  const { openRequestCount } = callers;
+
+  async function waitForAnswers(untilMs: number): Promise<void> {
+    while (openRequestCount() > 0 && clock() < untilMs) await delay(DRAIN_POLL_MS);
+  }
+
+  callers.startDrain();
+  const deregistered = parts.registration.remove();
+  await delay(DRAIN_LISTEN_MS);
+  callers.stopListening();
+  await waitForAnswers(endsAtMs);
+  const refused = openRequestCount();
+  parts.loop.dispatch({ kind: 'drain-ended', nowMs: clock() });
+  parts.requestHandlers.refusePending();
+  await waitForAnswers(endsAtMs + FINAL_ANSWERS_MS);
+  logger.info('drain-ended', { refused, open: openRequestCount() });
+  await deregistered;
+}
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -1,5 +1,4 @@
 /** Composition of the direct router's process. */
-import { setTimeout as delay } from 'node:timers/promises';
 import {
   areVersionsAttempted,
   createDirectState,
@@ -23,6 +22,7 @@
 import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
 import { repeatEvery } from './closable.js';
+import { drain } from './drain.js';
 import { createEffectHandlers } from './effect-handlers.js';
 import { createExchanges } from './exchanges.js';
 import { createLoopLag } from './loop-lag.js';
@@ -46,11 +46,6 @@
 
 /** Granularity of timeouts. */
 const TICK_MS = 50;
-/** Time after SIGTERM in which new connections still arrive: until two readiness checks, one second apart, have failed. */
-const DRAIN_LISTEN_MS = 3000;
-/** Part of the grace period reserved for an orderly exit. */
-const EXIT_MARGIN_MS = 400;
-const DRAIN_POLL_MS = 50;
 /** Period of summary log lines with the totals and the estimated state of the servers. */
 const SUMMARY_PERIOD_MS = 5000;
 /** Outage of the store, in heartbeats, after which it may have dropped the entries of live servers. */
@@ -70,21 +65,6 @@
   return { drain: () => drain(ctx, parts), close };
 }
 
-/** Fails readiness checks at once, accepts connections until the platform sends none, then waits for the open requests. */
-async function drain(ctx: EdgeContext, parts: EdgeParts): Promise<void> {
-  const deadlineMs = ctx.clock() + ctx.settings().shutdown.graceS * 1000 - EXIT_MARGIN_MS;
-  parts.phase.draining = true;
-  parts.loop.dispatch({ kind: 'drain-started', endsAtMs: deadlineMs, nowMs: ctx.clock() });
-  const callers = await parts.callers;
-  callers.startDrain();
-  const deregistered = parts.registration.remove();
-  await delay(DRAIN_LISTEN_MS);
-  callers.stopListening();
-  while (callers.openRequestCount() > 0 && ctx.clock() < deadlineMs) await delay(DRAIN_POLL_MS);
-  ctx.logger.info('drain-ended', { open: callers.openRequestCount() });
-  await deregistered;
-}
-
 function partTable(ctx: EdgeContext, hasher: Hasher): ComponentDefinitions<EdgeParts> {
   return {
     state: { create: () => createState(ctx, hasher) },
@@ -122,6 +102,7 @@
     followedNews: followedNewsPart(ctx),
     loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
+    requestHandlers: { create: (parts) => createRequestHandlers(ctx, parts) },
     peers: peersPart(ctx, hasher),
     feeds: {
       create: async (parts) => createFeeds(ctx, parts, await parts.peers),
@@ -279,7 +260,7 @@
       createCallerServer({
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
-        ...createRequestHandlers(ctx, parts),
+        ...parts.requestHandlers,
         clock: ctx.clock,
         logger: ctx.logger,
       }),
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -3,6 +3,7 @@
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import type { Loop } from '@kingcupsill/runtime';
 import type { CallerServer } from './callers/caller-server.js';
+import type { RequestHandlers } from './callers/request-handler.js';
 import type { RequestValidator } from './callers/request-validator.js';
 import type { Closable } from './closable.js';
 import type { Exchanges } from './exchanges.js';
@@ -40,6 +41,7 @@
   followedNews: FollowedNews;
   loopLag: LoopLag;
   validator: RequestValidator;
+  requestHandlers: RequestHandlers;
   peers: Promise<PeerLinks>;
   feeds: Promise<Closable>;
   registration: RouterRegistration;
--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -5,10 +5,11 @@
 import { sampleDocument, waitUntil, withDeployment } from '../standins/deployment.js';
 import type { Deployment } from '../standins/deployment.js';
 import { createRawCaller, requestHead } from '../standins/raw-caller.js';
-import { sendAnswer } from '../standins/server-standin.js';
+import { sendAnswer, signedHeaders } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
 const WORK_MS = 900;
+const LONG_DEADLINE = { 'Deadline-Ms': '9000' };
 const answerAfterWork = (arrival: Arrival) => setTimeout(() => sendAnswer(arrival), WORK_MS);
 
 /** Gives all routes a timeout beyond the grace period. */
@@ -52,3 +53,38 @@
     [early, late].forEach((caller) => caller.close());
   });
 });
+
+// Guards against connections that are closed without an answer when the grace period ends.
+test('requests that are still open when the drain ends get a final answer', async () => {
+  const ignoreRequest = () => undefined;
+  await withDeployment([ignoreRequest], async (deployment) => {
+    await allowLongRequests(deployment);
+    const [running, receiving] = [createRawCaller(deployment), createRawCaller(deployment)];
+    running.write(requestHead('/once/1', ['Attempt-Id: running', 'Content-Length: 0']));
+    receiving.write(requestHead('/once/1', ['Attempt-Id: receiving', 'Content-Length: 4']));
+    receiving.write('bo');
+    await waitUntil(() => deployment.servers[0]!.arrivals.length === 1);
+    await stop(deployment);
+    assert.equal(await running.answer(), '502');
+    assert.match(running.received(), /"outcome_unknown","ran":"unknown"/);
+    assert.equal(await receiving.answer(), '503');
+    assert.match(receiving.received(), /"router_shutting_down","ran":"no"/);
+    [running, receiving].forEach((caller) => caller.close());
+  });
+});
+
+// Guards against streams that look complete because the router answered in them or ended them when the grace period ended.
+test('a stream that is still open when the drain ends is broken off', async () => {
+  const beginStream = (arrival: Arrival) => {
+    arrival.res.writeHead(200, signedHeaders(arrival, { 'Content-Type': 'text/event-stream' }));
+    arrival.res.write('id: 1\n\n');
+  };
+  await withDeployment([beginStream], async (deployment) => {
+    await allowLongRequests(deployment);
+    const stream = deployment.call('/stream/1', { method: 'POST', headers: LONG_DEADLINE });
+    await waitUntil(() => deployment.servers[0]!.arrivals.length === 1);
+    await stop(deployment);
+    const { status, body, complete } = await stream;
+    assert.deepEqual([status, body, complete], [200, 'id: 1\n\n', false]);
+  });
+});
