Read a refused request's body before its connection is closed

What callers saw: a caller whose request was refused before its body had ended (503 in the drain, 413 with `Connection: close`) got its connection reset while it was still sending, and could lose the refusal with it: a write that fails hides what has been received. It then knows neither that the request hasn't run nor when to try again.

Cause: Node closes the connection of a response with `Connection: close` as soon as the response is written. Bytes of the body that arrive then, or are unread by then, make the kernel reset the connection.

Change: such a refusal is written at once and complete by its length, but its response ends, and with it the connection, only when the body has been received. Node's limit on the time to receive a request bounds the wait, in the drain the end of the drain.

Changed test: the stand-in of a response in request-errors.test.ts has no request; every response of Node has one. It got `req: { complete: true }`; all its assertions are as before.

--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -27,6 +27,21 @@
 /** Statuses of responses without a body. */
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
+/**
+ * Writes a response whose connection closes only after the request's body has been received: a connection that is closed with unread
+ * bytes is reset, and the caller may lose the response.
+ */
+function endAfterBody(res: ServerResponse, body: string): void {
+  const { req } = res;
+  if (req.complete || res.shouldKeepAlive) {
+    res.end(body);
+    return;
+  }
+  res.write(body);
+  req.once('end', () => res.end());
+  req.resume();
+}
+
 /** Writes a refusal by the router. Its body states whether the request ran. */
 export function writeRefusal(res: ServerResponse, refusal: Refusal): void {
   const { status, code, ran, retryAfterMs } = refusal;
@@ -39,7 +54,7 @@
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
   if (retryAfterMs !== undefined) headers.push('Retry-After', formatRetryAfter(retryAfterMs));
   res.writeHead(status, headers);
-  res.end(body);
+  endAfterBody(res, body);
 }
 
 /** Writes a buffered response, or ends a streamed one. */
--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -5,6 +5,7 @@
 import { sampleDocument, waitUntil, withDeployment } from '../standins/deployment.js';
 import type { Deployment } from '../standins/deployment.js';
 import { createRawCaller, requestHead } from '../standins/raw-caller.js';
+import type { RawCaller } from '../standins/raw-caller.js';
 import { sendAnswer, signedHeaders } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
@@ -88,3 +89,36 @@
     assert.deepEqual([status, body, complete], [200, 'id: 1\n\n', false]);
   });
 });
+
+/** Sends the parts of a body one by one, the first with the head, and returns the answer's status once the last one is sent. */
+async function sendSlowly(caller: RawCaller, head: string, parts: string[]): Promise<string> {
+  caller.write(head + parts[0]!);
+  const answered = caller.answer();
+  for (const part of parts.slice(1)) {
+    await delay(100);
+    caller.write(part);
+  }
+  await delay(100);
+  return answered;
+}
+
+// Guards against refusals that are lost with a connection that is reset because the router closed it before it had read the body.
+test('a connection on which a request is refused before its body ends is not reset', async () => {
+  await withDeployment([(arrival) => sendAnswer(arrival)], async (deployment) => {
+    const callers = Array.from({ length: 2 }, () => createRawCaller(deployment));
+    const [tooLarge, late] = callers as [RawCaller, RawCaller];
+    const parts = Array<string>(8).fill('x'.repeat(25_000));
+    const headers = (id: string) => [`Attempt-Id: ${id}`, 'Content-Length: 200000'];
+    const largeHead = requestHead('/once/1', [...headers('large'), 'Connection: close']);
+    assert.equal(await sendSlowly(tooLarge, largeHead, parts), '413');
+    const stopped = stop(deployment);
+    await delay(2600);
+    assert.equal(await sendSlowly(late, requestHead('/once/1', headers('late')), parts), '503');
+    assert.deepEqual(
+      callers.map((caller) => caller.error()),
+      [undefined, undefined],
+    );
+    callers.forEach((caller) => caller.close());
+    await stopped;
+  });
+});
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -93,6 +93,7 @@
 function createFailingResponse() {
   const written: unknown[] = [];
   const res = {
+    req: { complete: true },
     headersSent: false,
     on: () => undefined,
     writeHead: (status: number) => written.push(status),
