Define the join of a stream's runs in one place

What callers saw: a resumable stream broke off on the boundary of an event, and the next server's answer was taken for its continuation whatever it was. A signed 204, or a 200 without any event (Content-Length 0, or ended by its connection), ended the stream as complete with 3 of 10 events. A second head in the body, an event without an id, the first event again and a run that leaves events out were passed on, and the stream ended as complete.

Cause: nothing defined which response continues a stream. Any signed 2xx was appended to what the caller had, and any end that its framing allows was the end of the stream.

Change: core/event-stream/stream-join.ts holds the definition. A run continues a stream if its head has status 200 and the media type of the run whose events were delivered; its first event has an id; ids increase (whole numbers of any length; other ids: none comes twice); if the ids increased by one each, the run goes on so. With a single id delivered that isn't known yet: a run that leaves ids out and then itself counts by one is broken off. Every line is a field of the format, which a status line isn't. What has no events ends a stream only if the server marks the end behind its last byte (a chunked body): a length is stated before any event, and a connection may end with its server. A run that broke off inside an event or before its stated length shows that events are left, so then not even that. Whatever is rejected is rejected before a byte of it reaches the caller; the stream goes on at another server as far as the limits allow, or its connection is broken. The caller's own resumption is judged likewise, except for what no event has been delivered of: a whole answer without events remains the server's answer.

Such an attempt ends with the new outcome `invalid`: it may have run and is repeated under the same limits as `unknown`, but the server has answered, so it isn't evidence that the request crashes its servers. With `unknown` a stream that a second server didn't continue was suspected and never reached a third one.

Tests changed: event-splitter.test.ts and endless.test.ts read the ids from the decoded blocks, which replace `lastEventId`; request-errors.test.ts passes the join in place of `isResumable`. The same is asserted.

--- a/packages/core/src/direct/crashes/crash-evidence.ts
+++ b/packages/core/src/direct/crashes/crash-evidence.ts
@@ -26,6 +26,7 @@
 const ALIVE_OUTCOMES = new Set<AttemptOutcome>([
   AttemptOutcome.Complete,
   AttemptOutcome.Failed,
+  AttemptOutcome.Invalid,
   AttemptOutcome.NotRun,
 ]);
 
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -95,6 +95,12 @@
   AttemptOutcome.Unsent,
 ]);
 
+/** Outcomes after which another server may continue a stream or begin it anew. */
+const RESUMABLE_OUTCOMES = new Set<AttemptOutcome>([
+  AttemptOutcome.Unknown,
+  AttemptOutcome.Invalid,
+]);
+
 function canRetry(request: OpenRequest, outcome: AttemptOutcome): boolean {
   const { route } = request.attributes;
   if (NOT_RUN_OUTCOMES.has(outcome)) return true;
@@ -102,9 +108,7 @@
   if (route.retryPolicy === RetryPolicy.Any) return true;
   // A complete error response is the final answer; only an interrupted stream can be resumed, at a known event.
   const canContinue = !request.answerStarted || request.lastEventId !== undefined;
-  return (
-    route.retryPolicy === RetryPolicy.Resume && outcome === AttemptOutcome.Unknown && canContinue
-  );
+  return route.retryPolicy === RetryPolicy.Resume && RESUMABLE_OUTCOMES.has(outcome) && canContinue;
 }
 
 /** Returns the error response after the last attempt. */
--- a/packages/core/src/direct/server-health.ts
+++ b/packages/core/src/direct/server-health.ts
@@ -28,6 +28,7 @@
 const FAILURE_OUTCOMES = new Set<AttemptOutcome>([
   AttemptOutcome.Unsent,
   AttemptOutcome.Unknown,
+  AttemptOutcome.Invalid,
   AttemptOutcome.Failed,
 ]);
 
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -154,6 +154,8 @@
   Unsent: 'unsent',
   /** The request may have run: the connection broke, or the response isn't a valid answer to it. */
   Unknown: 'unknown',
+  /** The request may have run: the server answers, but with a response that can't be passed on. */
+  Invalid: 'invalid',
   /** The router cancelled the attempt. */
   Cancelled: 'cancelled',
 } as const;
--- a/packages/core/src/event-stream/event-splitter.ts
+++ b/packages/core/src/event-stream/event-splitter.ts
@@ -1,10 +1,12 @@
 /** Splitter of server-sent event streams at event boundaries, so that a caller never receives part of an event. */
+import { decodeBlocks } from './event-block.js';
+import type { EventBlock } from './event-block.js';
 
 /** Complete events of one or more chunks. */
 export interface CompleteEvents {
   bytes: Buffer;
-  /** Last event id among these events; undefined if none has an id. */
-  lastEventId: string | undefined;
+  /** The events, and the comments and blank lines between them. */
+  blocks: EventBlock[];
 }
 
 /** Splitter of one stream. */
@@ -23,15 +25,6 @@
 const EVENT_ENDS = ['\n\n', '\n\r\n'];
 const MAX_EVENT_END_LENGTH = 3;
 const LINE_BREAK = /\r\n|\r|\n/;
-const ID_FIELD = '\nid:';
-
-function findLastEventId(bytes: Buffer): string | undefined {
-  const text = `\n${bytes.toString('latin1')}`;
-  const fieldStart = text.lastIndexOf(ID_FIELD);
-  if (fieldStart < 0) return undefined;
-  const valueStart = fieldStart + ID_FIELD.length;
-  return text.slice(valueStart, text.indexOf('\n', valueStart)).trim();
-}
 
 function findLastEnd(bytes: Buffer | string): number {
   const ends = EVENT_ENDS.map((eventEnd) => {
@@ -77,7 +70,7 @@
       pendingBytes = 0;
       tail = '';
       keep(chunk.subarray(eventsEnd));
-      return { bytes, lastEventId: findLastEventId(bytes) };
+      return { bytes, blocks: decodeBlocks(bytes) };
     },
     remainder: () => Buffer.concat(pending),
     pendingBytes: () => pendingBytes,
--- /dev/null
+++ b/packages/core/src/event-stream/stream-join.ts
@@ -0,0 +1,169 @@
+/**
+ * Definition of the join of the runs that make up one caller's stream: which response continues a stream, which event follows
+ * another, and what proves that a stream has ended.
+ */
+import { isFieldValue } from '../http-syntax/index.js';
+import type { EventBlock } from './event-block.js';
+
+/** Why a run can't be passed on, as text for logs. */
+export const StreamFault = {
+  /** The response isn't one that can continue the stream. */
+  NoContinuation: 'not a continuation',
+  MalformedEvent: 'malformed event',
+  /** The id can't be sent in a request, so the stream couldn't be continued behind it. */
+  MalformedId: 'event id malformed',
+  /** The first event of a continuation has no id, or the event before it has none. */
+  WithoutId: 'event without id',
+  NotIncreasing: 'event id not increasing',
+  /** The ids increased by one each, and the continuation leaves some out. */
+  EventsMissing: 'events missing',
+  /** The continuation has no event, and nothing shows that the stream has none left. */
+  EndNotProven: 'end of stream not proven',
+} as const;
+export type StreamFault = (typeof StreamFault)[keyof typeof StreamFault];
+
+/** Head of a run's response. */
+export interface RunHead {
+  status: number;
+  contentType: string | undefined;
+}
+
+/** Runs of one caller's stream. */
+export interface StreamJoin {
+  /** Begins a run. Returns why it can't continue the events delivered so far, if any. */
+  beginRun(head: RunHead): StreamFault | undefined;
+  /** Adds a block of the run, unless it is faulty. */
+  accept(block: EventBlock): StreamFault | undefined;
+  /** Records that the run broke off and would have had another event. */
+  breakRun(): void;
+  /**
+   * Ends the run. `isEndExplicit` states that the server itself marked the end behind its last byte, as a chunked body does. A length
+   * is stated before any event, and the end of a connection may be that of the server.
+   */
+  endRun(isEndExplicit: boolean): StreamFault | undefined;
+}
+
+/** Settings of a stream. */
+export interface StreamJoinOptions {
+  /** Another server may continue the stream. Otherwise a server's events are passed on with any ids. */
+  isResumable: boolean;
+  /** Id of the event after which the caller resumes the stream; undefined if it asks for the whole stream. */
+  resumeAfter: string | undefined;
+}
+
+/** Limits of the ids that aren't numbers and that are recognized when they are repeated. */
+const MAX_KNOWN_IDS = 1000;
+const MAX_KNOWN_ID_CHARS = 100;
+const CONTINUATION_STATUS = 200;
+const WHOLE_NUMBER = /^\d+$/;
+
+function toNumber(id: string | undefined): bigint | undefined {
+  return id !== undefined && WHOLE_NUMBER.test(id) ? BigInt(id) : undefined;
+}
+
+function mediaType(contentType: string | undefined): string | undefined {
+  return contentType?.split(';')[0]!.trim().toLowerCase();
+}
+
+/** Ids of the events delivered so far. */
+function createEventOrder(resumeAfter: string | undefined) {
+  const knownIds = new Set<string>();
+  let lastId = resumeAfter;
+  let endsWithId = resumeAfter !== undefined;
+  /** The ids increased by one each; undefined before there are two. */
+  let isConsecutive: boolean | undefined;
+  if (resumeAfter !== undefined) knownIds.add(resumeAfter);
+
+  function stepTo(id: string): bigint | undefined {
+    const last = toNumber(lastId);
+    const next = toNumber(id);
+    return last === undefined || next === undefined ? undefined : next - last;
+  }
+
+  function remember(id: string): void {
+    const isKept = id.length <= MAX_KNOWN_ID_CHARS && knownIds.size < MAX_KNOWN_IDS;
+    // A copy, since a substring would retain the text of all events that were received with it.
+    if (isKept && toNumber(id) === undefined)
+      knownIds.add(Buffer.from(id, 'latin1').toString('latin1'));
+  }
+
+  return {
+    endsWithId: () => endsWithId,
+    isConsecutive: () => isConsecutive,
+    isNext: (id: string): boolean => stepTo(id) === 1n,
+    isRepeated(id: string): boolean {
+      const step = stepTo(id);
+      return step === undefined ? knownIds.has(id) : step <= 0n;
+    },
+    add(id: string | undefined): void {
+      endsWithId = id !== undefined;
+      if (id === undefined) return;
+      if (lastId !== undefined) isConsecutive = isConsecutive !== false && stepTo(id) === 1n;
+      remember(id);
+      lastId = id;
+    },
+  };
+}
+
+/** Creates the join of a stream of which nothing has been delivered. */
+export function createStreamJoin({ isResumable, resumeAfter }: StreamJoinOptions): StreamJoin {
+  const order = createEventOrder(resumeAfter);
+  let deliveredHead: RunHead | undefined;
+  let head: RunHead | undefined;
+  let runEvents = 0;
+  /** A run that broke off would have had another event. */
+  let hasMore = false;
+  /** The run left out ids at its beginning, when it wasn't known yet whether they increase by one each. */
+  let hasGap = false;
+
+  const isContinuation = (): boolean =>
+    runEvents === 0 && (resumeAfter !== undefined || deliveredHead !== undefined);
+
+  function leavesOut(id: string): boolean {
+    if (isContinuation()) return order.isConsecutive() === true && !order.isNext(id);
+    return hasGap && runEvents === 1 && order.isNext(id);
+  }
+
+  function findFault({ isEvent, isWellFormed, id }: EventBlock): StreamFault | undefined {
+    if (!isWellFormed) return StreamFault.MalformedEvent;
+    if (!isEvent || !isResumable) return undefined;
+    if (id === undefined) return isContinuation() ? StreamFault.WithoutId : undefined;
+    if (!isFieldValue(id)) return StreamFault.MalformedId;
+    if (order.isRepeated(id)) return StreamFault.NotIncreasing;
+    return leavesOut(id) ? StreamFault.EventsMissing : undefined;
+  }
+
+  function addEvent(id: string | undefined): void {
+    if (isContinuation() && id !== undefined)
+      hasGap = order.isConsecutive() === undefined && !order.isNext(id);
+    order.add(id);
+    deliveredHead ??= head;
+    runEvents += 1;
+    hasMore = false;
+  }
+
+  return {
+    beginRun(runHead) {
+      head = runHead;
+      runEvents = 0;
+      hasGap = false;
+      if (deliveredHead === undefined) return undefined;
+      const isSameType = mediaType(head.contentType) === mediaType(deliveredHead.contentType);
+      if (head.status !== CONTINUATION_STATUS || !isSameType) return StreamFault.NoContinuation;
+      return order.endsWithId() ? undefined : StreamFault.WithoutId;
+    },
+    accept(block) {
+      const fault = findFault(block);
+      if (fault === undefined && block.isEvent) addEvent(block.id);
+      return fault;
+    },
+    breakRun() {
+      hasMore = true;
+    },
+    endRun(isEndExplicit) {
+      if (runEvents > 0) return undefined;
+      const isProven = deliveredHead === undefined || isEndExplicit;
+      return isProven && !hasMore ? undefined : StreamFault.EndNotProven;
+    },
+  };
+}
--- a/packages/core/test/event-stream/event-splitter.test.ts
+++ b/packages/core/test/event-stream/event-splitter.test.ts
@@ -16,7 +16,7 @@
       for (let start = 0; start < text.length; start += chunkBytes) {
         const events = splitter.push(Buffer.from(text.slice(start, start + chunkBytes)));
         delivered += events?.bytes.toString() ?? '';
-        lastEventId = events?.lastEventId ?? lastEventId;
+        lastEventId = events?.blocks.findLast(({ id }) => id !== undefined)?.id ?? lastEventId;
         assert.ok(delivered === '' || delivered.endsWith(blankLine));
       }
       assert.deepEqual([delivered, lastEventId, splitter.isInsideEvent()], [text, '2', false]);
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Refusal, RequestAttributes } from '@kingcupsill/core/direct';
+import type { StreamJoin } from '@kingcupsill/core/event-stream';
 import { formatRetryAfter } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { BufferedResponse, ResponseSink } from '../relay/types.js';
@@ -18,6 +19,8 @@
   receivedAtMs: number;
   responseStarted: boolean;
   sink: ResponseSink;
+  /** Runs of a streamed response. */
+  streamJoin: StreamJoin;
   /** Connections to servers on which the request has been sent. */
   usedSockets: Set<Socket>;
   /** Complete response of the last attempt, until the reducer finishes or retries the request. */
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -1,7 +1,8 @@
 /** Handler of callers' requests: validates them, reads their bodies and dispatches them to the reducer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { createDrainingRefusal, RefusalCode } from '@kingcupsill/core/direct';
+import { createDrainingRefusal, RefusalCode, RetryPolicy } from '@kingcupsill/core/direct';
 import type { Refusal, RequestAttributes } from '@kingcupsill/core/direct';
+import { createStreamJoin } from '@kingcupsill/core/event-stream';
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext } from '../context.js';
@@ -101,12 +102,15 @@
     requestCount += 1;
     const id = `${request.headers.attemptId ?? 'none'}-${requestCount}`;
     const nowMs = clock();
+    const { route, resumeAfter } = request.attributes;
+    const isResumable = route.retryPolicy === RetryPolicy.Resume;
     exchanges.add({
       ...request,
       id,
       receivedAtMs: nowMs,
       responseStarted: false,
       sink: createResponseSink(request.res),
+      streamJoin: createStreamJoin({ isResumable, resumeAfter }),
       usedSockets: new Set(),
       bufferedResponse: undefined,
     });
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -24,7 +24,7 @@
 const NON_RETRYABLE_MAX_IDLE_MS = 1000;
 
 function buildAttemptRequest(effect: SendEffect, exchange: Exchange): AttemptRequest {
-  const { req, attributes, headers, body, usedSockets } = exchange;
+  const { req, attributes, headers, body, streamJoin, usedSockets } = exchange;
   const { streaming, retryPolicy } = attributes.route;
   const routerHeaders = {
     remainingMs: effect.remainingMs,
@@ -44,7 +44,7 @@
     body,
     attemptId: headers.attemptId,
     streaming,
-    isResumable: retryPolicy === RetryPolicy.Resume,
+    streamJoin,
     isResumed: (routerHeaders.lastEventId ?? '') !== '',
     host: effect.host,
     port: effect.port,
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -4,8 +4,9 @@
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
-import { bufferResponse, discardResponse, relayEvents } from './read-response.js';
+import { bufferResponse, discardResponse } from './read-response.js';
 import type { Protect, ResponseHandlers } from './read-response.js';
+import { relayEvents } from './relay-events.js';
 import type { ServerConnections } from './server-connections.js';
 import { BodyFraming } from './types.js';
 import type {
@@ -117,6 +118,10 @@
         end(classification.outcome, detail, response);
       },
       onFailure: fail,
+      onInvalid(invalidity): void {
+        end(AttemptOutcome.Invalid, invalidity);
+        clientReq.destroy();
+      },
       isEnded: () => ended,
     };
     if (classification.outcome === AttemptOutcome.Complete && req.streaming) {
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -1,17 +1,12 @@
-/** Reading of a backend server's response, either buffered or streamed to the caller event by event. */
+/** Reading of a backend server's response, either buffered or discarded. */
 import type { IncomingMessage } from 'node:http';
-import { createEventSplitter } from '@kingcupsill/core/event-stream';
-import { isFieldValue } from '@kingcupsill/core/http-syntax';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
-import { BodyFraming } from './types.js';
-import type { AttemptListener, BufferedResponse, ResponseSink } from './types.js';
+import type { AttemptListener, BufferedResponse } from './types.js';
 
 /** Maximum size of a buffered response. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
-/** Maximum size of one event of a stream. A server that exceeds it sends no event stream. */
-const MAX_EVENT_BYTES = 256 * 1024;
 /** Maximum size of a body whose content doesn't matter, and maximum time to receive it, before its connection is closed. */
 const MAX_DISCARDED_BYTES = 64 * 1024;
 const MAX_DISCARD_MS = 1000;
@@ -26,6 +21,8 @@
   protect: Protect;
   onComplete: (response: BufferedResponse | undefined) => void;
   onFailure: (detail: string) => void;
+  /** The server answers, but its response can't be passed on. */
+  onInvalid: (detail: string) => void;
   /** Returns whether the attempt has ended or was cancelled, so that further bytes are dropped. */
   isEnded: () => boolean;
 }
@@ -78,71 +75,3 @@
   res.on('data', protect(onData));
   res.on('end', protect(onEnd));
 }
-
-/** Settings of a stream. */
-export interface StreamOptions {
-  sink: ResponseSink;
-  listener: AttemptListener;
-  /** Another server may continue the stream, so the ids of its events must fit into a request. */
-  isResumable: boolean;
-  /** The stream continues an earlier one, so it may have no more events. */
-  isResumed: boolean;
-}
-
-/** Forwards complete events as they arrive. The head is sent with the first event, so that a stream without events can still fail. */
-export function relayEvents(
-  res: IncomingMessage,
-  { sink, listener, isResumable, isResumed }: StreamOptions,
-  { protect, onComplete, onFailure, isEnded }: ResponseHandlers,
-): void {
-  const splitter = createEventSplitter();
-  const framing = getBodyFraming(res);
-  const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
-  let receivedBytes = 0;
-
-  function deliver(bytes: Buffer, lastEventId: string | undefined): void {
-    listener.onBegun();
-    if (!sink.isHeadSent()) sink.writeHead(res.statusCode!, headers);
-    if (!sink.write(bytes, () => res.resume())) res.pause();
-    listener.onDelivered(lastEventId);
-  }
-
-  function onData(chunk: Buffer): void {
-    if (isEnded()) return;
-    receivedBytes += chunk.length;
-    const events = splitter.push(chunk);
-    if (events !== undefined) {
-      if (isResumable && !isFieldValue(events.lastEventId ?? '')) {
-        onFailure('event id malformed');
-        return;
-      }
-      deliver(events.bytes, events.lastEventId);
-    }
-    if (splitter.pendingBytes() > MAX_EVENT_BYTES) onFailure('event too large');
-  }
-
-  function onEnd(): void {
-    if (isEnded()) return;
-    if (!res.complete) {
-      onFailure('stream ended early');
-      return;
-    }
-    const partialEventBytes = splitter.isInsideEvent() ? splitter.pendingBytes() : 0;
-    listener.onBodyEnded({ framing, bodyBytes: receivedBytes, partialEventBytes });
-    if (partialEventBytes > 0) {
-      onFailure('stream ended inside an event');
-      return;
-    }
-    // The end of a connection that carried no event says nothing about the stream.
-    if (framing === BodyFraming.Close && !sink.isHeadSent() && !isResumed) {
-      onFailure('stream ended before its first event');
-      return;
-    }
-    const rest = splitter.remainder();
-    if (rest.length > 0 || !sink.isHeadSent()) deliver(rest, undefined);
-    onComplete(undefined);
-  }
-
-  res.on('data', protect(onData));
-  res.on('end', protect(onEnd));
-}
--- /dev/null
+++ b/packages/edge/src/relay/relay-events.ts
@@ -0,0 +1,157 @@
+/** Reading of a backend server's event stream, which is passed on to the caller event by event. */
+import type { IncomingMessage } from 'node:http';
+import { createEventSplitter } from '@kingcupsill/core/event-stream';
+import type { CompleteEvents, StreamFault, StreamJoin } from '@kingcupsill/core/event-stream';
+import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
+import { getBodyFraming } from './close-delimited.js';
+import type { ResponseHandlers } from './read-response.js';
+import { BodyFraming } from './types.js';
+import type { AttemptListener, ResponseSink } from './types.js';
+
+/** Maximum size of one event of a stream. A server that exceeds it sends no event stream. */
+const MAX_EVENT_BYTES = 256 * 1024;
+
+/** Settings of a stream. */
+export interface StreamOptions {
+  sink: ResponseSink;
+  listener: AttemptListener;
+  /** Runs of the caller's stream, to which this one is added. */
+  streamJoin: StreamJoin;
+  /** The stream continues an earlier one, so it may have no more events. */
+  isResumed: boolean;
+}
+
+/** Blocks that may be delivered, and why the next one may not. */
+interface AcceptedBlocks {
+  bytes: Buffer;
+  hasEvent: boolean;
+  lastEventId: string | undefined;
+  fault: StreamFault | undefined;
+}
+
+function acceptBlocks(streamJoin: StreamJoin, { bytes, blocks }: CompleteEvents): AcceptedBlocks {
+  let fault: StreamFault | undefined;
+  const faultyIndex = blocks.findIndex((block) => {
+    fault = streamJoin.accept(block);
+    return fault !== undefined;
+  });
+  const accepted = faultyIndex < 0 ? blocks : blocks.slice(0, faultyIndex);
+  return {
+    bytes: bytes.subarray(0, accepted.at(-1)?.end ?? 0),
+    hasEvent: accepted.some(({ isEvent }) => isEvent),
+    lastEventId: accepted.findLast(({ id }) => id !== undefined)?.id,
+    fault,
+  };
+}
+
+/** Writer of a run's accepted bytes to the caller. */
+interface Delivery {
+  write(blocks: Omit<AcceptedBlocks, 'fault'>): void;
+  /** Writes the bytes behind the last block of a stream that has ended, and its head if that hasn't been sent. */
+  finish(rest: Buffer): void;
+  /** Number of bytes that wait for the run's first event. */
+  heldBytes(): number;
+}
+
+function createDelivery(
+  res: IncomingMessage,
+  { sink, listener, isResumed }: StreamOptions,
+): Delivery {
+  const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
+  /** Only the first event of a resumed run shows that it continues the stream, so the comments before it wait. */
+  let isHolding = isResumed;
+  let held: Buffer = Buffer.alloc(0);
+
+  function deliver(bytes: Buffer, lastEventId: string | undefined): void {
+    listener.onBegun();
+    if (!sink.isHeadSent()) sink.writeHead(res.statusCode!, headers);
+    if (!sink.write(bytes, () => res.resume())) res.pause();
+    listener.onDelivered(lastEventId);
+  }
+
+  return {
+    write({ bytes, hasEvent, lastEventId }) {
+      isHolding &&= !hasEvent;
+      held = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
+      if (isHolding || held.length === 0) return;
+      deliver(held, lastEventId);
+      held = Buffer.alloc(0);
+    },
+    finish(rest) {
+      const bytes = Buffer.concat([held, rest]);
+      if (bytes.length > 0 || !sink.isHeadSent()) deliver(bytes, undefined);
+    },
+    heldBytes: () => held.length,
+  };
+}
+
+/** Forwards complete events as they arrive. The head is sent with the first event, so that a stream without events can still fail. */
+export function relayEvents(
+  res: IncomingMessage,
+  options: StreamOptions,
+  { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
+): void {
+  const { sink, listener, streamJoin, isResumed } = options;
+  const splitter = createEventSplitter();
+  const delivery = createDelivery(res, options);
+  const framing = getBodyFraming(res);
+  let receivedBytes = 0;
+
+  function onData(chunk: Buffer): void {
+    if (isEnded()) return;
+    receivedBytes += chunk.length;
+    const events = splitter.push(chunk);
+    if (events !== undefined) {
+      const accepted = acceptBlocks(streamJoin, events);
+      delivery.write(accepted);
+      if (accepted.fault !== undefined) {
+        onInvalid(accepted.fault);
+        return;
+      }
+    }
+    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES)
+      onFailure('event too large');
+  }
+
+  /** Returns why the end can't be passed on, if the connection may have ended in place of the stream. */
+  function findBreak(partialEventBytes: number): string | undefined {
+    if (partialEventBytes > 0) return 'stream ended inside an event';
+    // The end of a connection that carried no event says nothing about the stream.
+    if (framing !== BodyFraming.Close) return undefined;
+    if (!sink.isHeadSent() && !isResumed) return 'stream ended before its first event';
+    return streamJoin.endRun(false);
+  }
+
+  function onEnd(): void {
+    if (isEnded()) return;
+    if (!res.complete) {
+      onFailure('stream ended early');
+      return;
+    }
+    const partialEventBytes = splitter.isInsideEvent() ? splitter.pendingBytes() : 0;
+    listener.onBodyEnded({ framing, bodyBytes: receivedBytes, partialEventBytes });
+    const failure = findBreak(partialEventBytes);
+    const fault = failure ?? streamJoin.endRun(framing === BodyFraming.Chunked);
+    if (failure !== undefined) onFailure(failure);
+    else if (fault !== undefined) onInvalid(fault);
+    else {
+      delivery.finish(splitter.remainder());
+      onComplete(undefined);
+    }
+  }
+
+  function onClose(): void {
+    const isShort = !res.complete && framing === BodyFraming.Length;
+    if (isShort || splitter.isInsideEvent()) streamJoin.breakRun();
+  }
+
+  const head = { status: res.statusCode!, contentType: res.headers['content-type'] };
+  const headFault = streamJoin.beginRun(head);
+  if (headFault !== undefined) {
+    onInvalid(`status ${head.status}, ${headFault}`);
+    return;
+  }
+  res.on('data', protect(onData));
+  res.on('end', protect(onEnd));
+  res.on('close', onClose);
+}
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -1,6 +1,7 @@
 /** Types of the relay between callers and backend servers. */
 import type { Socket } from 'node:net';
 import type { AttemptOutcome, ServerAnnouncement } from '@kingcupsill/core/direct';
+import type { StreamJoin } from '@kingcupsill/core/event-stream';
 
 /** Complete response that is buffered until the reducer finishes or retries the request. */
 export interface BufferedResponse {
@@ -28,8 +29,8 @@
   body: Buffer;
   attemptId: string | undefined;
   streaming: boolean;
-  /** Another server may continue the stream after its last event. */
-  isResumable: boolean;
+  /** Runs of the caller's stream, to which the attempt adds one. */
+  streamJoin: StreamJoin;
   /** The request asks for the events after an earlier one. */
   isResumed: boolean;
   host: string;
--- a/packages/edge/test/relay/endless.test.ts
+++ b/packages/edge/test/relay/endless.test.ts
@@ -114,7 +114,10 @@
   const splitter = createEventSplitter();
   assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n')), undefined);
   const events = splitter.push(Buffer.from('\nid: 2'));
-  assert.deepEqual([events?.bytes.toString(), events?.lastEventId], ['id: 1\ndata: a\n\n', '1']);
+  assert.deepEqual(
+    [events?.bytes.toString(), events?.blocks.map(({ id }) => id)],
+    ['id: 1\ndata: a\n\n', ['1']],
+  );
   assert.equal(splitter.remainder().toString(), 'id: 2');
 });
 
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import type { ServerResponse } from 'node:http';
 import { test } from 'node:test';
+import { createStreamJoin } from '@kingcupsill/core/event-stream';
 import { AttemptOutcome, RefusalCode } from '@kingcupsill/core/direct';
 import type { DirectEffect } from '@kingcupsill/core/direct';
 import { createExchanges } from '../../src/exchanges.js';
@@ -61,7 +62,7 @@
         body: Buffer.alloc(0),
         attemptId: 'a1',
         streaming: true,
-        isResumable: true,
+        streamJoin: createStreamJoin({ isResumable: true, resumeAfter: undefined }),
         isResumed: false,
         host: '127.0.0.1',
         port: server.port,
