Bound the cost of comparing event ids

Found in review of the definition of the join: an id of 250,000 digits, which fits into an event, was converted to a number several times per event. Ids of more than 100 digits are compared as texts. The new test failed before ('100,100,100,101,100,101,101,200000').

--- a/packages/core/src/event-stream/stream-join.ts
+++ b/packages/core/src/event-stream/stream-join.ts
@@ -55,7 +55,8 @@
 const MAX_KNOWN_IDS = 1000;
 const MAX_KNOWN_ID_CHARS = 100;
 const CONTINUATION_STATUS = 200;
-const WHOLE_NUMBER = /^\d+$/;
+/** The number of digits bounds the cost of their conversion. */
+const WHOLE_NUMBER = /^\d{1,100}$/;
 
 function toNumber(id: string | undefined): bigint | undefined {
   return id !== undefined && WHOLE_NUMBER.test(id) ? BigInt(id) : undefined;
@@ -93,7 +94,7 @@
     isNext: (id: string): boolean => stepTo(id) === 1n,
     isRepeated(id: string): boolean {
       const step = stepTo(id);
-      return step === undefined ? knownIds.has(id) : step <= 0n;
+      return step === undefined ? id === lastId || knownIds.has(id) : step <= 0n;
     },
     add(id: string | undefined): void {
       endsWithId = id !== undefined;
--- a/packages/core/test/event-stream/stream-join.test.ts
+++ b/packages/core/test/event-stream/stream-join.test.ts
@@ -49,6 +49,7 @@
   [['1'], ['4', '5'], StreamFault.EventsMissing],
   [['99999999999999999998', '99999999999999999999'], ['100000000000000000000'], undefined],
   [['99999999999999999999'], ['99999999999999999998'], StreamFault.NotIncreasing],
+  [['7'.repeat(5000)], ['7'.repeat(5000)], StreamFault.NotIncreasing],
   [['a', 'b'], ['c', 'd'], undefined],
   [['a', 'b'], ['a'], StreamFault.NotIncreasing],
   [['a', 'b'], ['c', 'a'], StreamFault.NotIncreasing],
@@ -141,3 +142,15 @@
   });
   fc.assert(property, { seed: 20261205, numRuns: 500 });
 });
+
+// Guards against an id whose conversion to a number takes the event loop longer the more digits it has.
+test('ids of more digits than any counter has are compared as texts', (t) => {
+  const convert = t.mock.method(globalThis, 'BigInt');
+  const join = createJoin();
+  assert.equal(addIds(join, '8'.repeat(100), '9'.repeat(101), '1'.repeat(200_000)), undefined);
+  const digits = convert.mock.calls.map(({ arguments: [id] }) => String(id).length);
+  assert.ok(
+    digits.every((count) => count <= 100),
+    digits.join(),
+  );
+});
