Record signals before the router's program is loaded

Cause: Node ends a process by a signal that has no handler. The handlers were installed after the bundle of 1.1 MB had been compiled and evaluated, and the settings read.

Change: the entry point imports one module without dependencies, which installs handlers for SIGHUP, SIGINT and SIGTERM, and loads the program afterwards. Pending signals are handed to the handlers of the program: SIGHUP leads to another reading of the settings, SIGTERM before the settings have been read to an exit with code 0. The bundle is two files, because a single file is parsed as a whole before its first statement.

--- /dev/null
+++ b/packages/edge/test/start/router-process.ts
@@ -0,0 +1,123 @@
+/** Real router process for tests of its start and its signals. */
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { SETTINGS_VARIABLE } from '@kingcupsill/prepared-platform';
+import { findFreePort } from '../standins/deployment.js';
+
+const ENTRY_POINT = fileURLToPath(new URL('../../dist/bin/edge.js', import.meta.url));
+const WAIT_TIMEOUT_MS = 20_000;
+const POLL_MS = 10;
+
+export interface RouterExit {
+  code: number | null;
+  signal: NodeJS.Signals | null;
+}
+
+export interface RouterProcess {
+  send(signal: NodeJS.Signals): void;
+  /** Names of the events in its log, in order. */
+  events(): string[];
+  errorOutput(): string;
+  /** Resolves when the log has the event as often as stated; rejects if the process ends before. */
+  waitForEvent(event: string, count?: number): Promise<void>;
+  exited: Promise<RouterExit>;
+}
+
+export interface RouterProcessOptions {
+  settingsFile: string;
+  /** Arguments of Node, before the script. */
+  nodeArguments?: string[];
+}
+
+export type StartRouter = (options: RouterProcessOptions) => RouterProcess;
+
+async function createAddress(): Promise<string> {
+  return `127.0.0.1:${await findFreePort()}`;
+}
+
+/** Text of complete settings, by section; nothing listens on the store's address. */
+export async function createSettingsText(): Promise<string> {
+  return [
+    ['[process]', 'id = router-1', 'zone = z1', 'zone_regions = z1=r1'],
+    [
+      '[callers]',
+      `address = ${await createAddress()}`,
+      `readiness_address = ${await createAddress()}`,
+    ],
+    ['[peers]', `address = ${await createAddress()}`],
+    ['[admin]', `address = ${await createAddress()}`],
+    ['[store]', `address = ${await createAddress()}`, 'heartbeat_ms = 1200', 'notice_ms = 2500'],
+    ['[shutdown]', 'grace_s = 4'],
+    ['[repeats]', 'ratio = 0.2', 'burst = 50', 'window_s = 10'],
+    ['[shares]', 'window_s = 4', ''],
+  ]
+    .flat()
+    .join('\n');
+}
+
+/** Runs a test with a directory and ends the processes that it started. */
+export async function withProcesses(
+  run: (dir: string, start: StartRouter) => Promise<void>,
+): Promise<void> {
+  const dir = await mkdtemp(join(tmpdir(), 'kingcupsill-start-'));
+  const started: { kill: () => void; exited: Promise<unknown> }[] = [];
+  try {
+    await run(dir, (options) => {
+      const { process: routerProcess, kill } = startRouter(options);
+      started.push({ kill, exited: routerProcess.exited });
+      return routerProcess;
+    });
+  } finally {
+    started.forEach(({ kill }) => kill());
+    await Promise.all(started.map(({ exited }) => exited));
+    await rm(dir, { recursive: true });
+  }
+}
+
+function startRouter({ settingsFile, nodeArguments = [] }: RouterProcessOptions) {
+  const child = spawn(process.execPath, [...nodeArguments, ENTRY_POINT], {
+    env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: settingsFile },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const output = { log: '', errors: '' };
+  child.stdout.on('data', (chunk: Buffer) => {
+    output.log += chunk.toString();
+  });
+  child.stderr.on('data', (chunk: Buffer) => {
+    output.errors += chunk.toString();
+  });
+  let exit: RouterExit | undefined;
+  const exited = once(child, 'close').then(([code, signal]) => {
+    exit = { code: code as number | null, signal: signal as NodeJS.Signals | null };
+    return exit;
+  });
+  const events = (): string[] =>
+    output.log
+      .split('\n')
+      .slice(0, -1)
+      .map((line) => (JSON.parse(line) as { event: string }).event);
+
+  async function waitForEvent(event: string, count = 1): Promise<void> {
+    const deadline = performance.now() + WAIT_TIMEOUT_MS;
+    while (events().filter((logged) => logged === event).length < count) {
+      const state = `${JSON.stringify(exit)} ${output.log} ${output.errors}`;
+      if (exit !== undefined) throw new Error(`the router ended before ${event}: ${state}`);
+      if (performance.now() > deadline) throw new Error(`no ${event}: ${state}`);
+      await delay(POLL_MS);
+    }
+  }
+
+  const routerProcess: RouterProcess = {
+    send: (signal) => child.kill(signal),
+    events,
+    errorOutput: () => output.errors,
+    waitForEvent,
+    exited,
+  };
+  return { process: routerProcess, kill: () => child.kill('SIGKILL') };
+}
--- a/packages/runtime/src/binary/run-binary.ts
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -6,6 +6,7 @@
 import type { LogLevel } from '../logs/index.js';
 import { describeSettings, loadSettings } from '../settings/index.js';
 import type { Settings, SettingsSchema } from '../settings/index.js';
+import { recordSignals } from '../signals/index.js';
 import { exitOnUncaughtError } from './exit-on-uncaught-error.js';
 import { parseArguments } from './parse-arguments.js';
 import { shutDownOnSignals } from './shut-down-on-signals.js';
@@ -74,7 +75,7 @@
   ctx.logger.info('starting', { version });
   // Started in a microtask, so that the signal handlers are installed before `start` writes its first log line.
   const starting = Promise.resolve().then(() => options.start(ctx));
-  shutDownOnSignals(starting, ctx.logger);
+  shutDownOnSignals(starting, ctx.logger, recordSignals());
   try {
     await starting;
   } catch (err) {
--- a/packages/runtime/src/binary/shut-down-on-signals.ts
+++ b/packages/runtime/src/binary/shut-down-on-signals.ts
@@ -1,5 +1,6 @@
 /** Shutdown of a process on SIGTERM and SIGINT. */
 import type { Logger } from '../logs/index.js';
+import type { ReceivedSignals } from '../signals/index.js';
 import { ExitCode } from './types.js';
 import type { RunningProcess } from './types.js';
 
@@ -7,7 +8,11 @@
 const FORCED_CLOSE_TIMEOUT_MS = 2000;
 
 /** Installs signal handlers: the first signal drains and closes, the second closes immediately. Both wait until `starting` resolves. */
-export function shutDownOnSignals(starting: Promise<RunningProcess>, logger: Logger): void {
+export function shutDownOnSignals(
+  starting: Promise<RunningProcess>,
+  logger: Logger,
+  signals: ReceivedSignals,
+): void {
   let signalCount = 0;
 
   async function drainAndExit(): Promise<void> {
@@ -37,6 +42,6 @@
     }
   }
 
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
+  signals.handle('SIGTERM', onSignal);
+  signals.handle('SIGINT', onSignal);
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,3 +7,4 @@
 export * from './logs/index.js';
 export * from './loop/index.js';
 export * from './settings/index.js';
+export * from './signals/index.js';
--- /dev/null
+++ b/packages/runtime/src/signals/index.ts
@@ -0,0 +1,2 @@
+export { recordSignals } from './record-signals.js';
+export type { HandledSignal, ReceivedSignals } from './record-signals.js';
