Pass on whole answers on routes of streams that are no event stream

What callers saw: a server answered a request on a streaming route with a signed 204, or with a signed 200 or 202 whose content type is JSON or HTML. The caller got a 502 without the signature in place of that answer, and a request that may be resumed ran a second time.

Cause: each signed 2xx on such a route was read as an event stream. A 204 has no length, so it was taken for a stream whose connection closed before its first event; other text had no blank line at its end, so it ended inside an event.

Change: on streaming routes too, a successful response is buffered and passed on whole if it states another content type or a status that has no body, unless a stream has begun. Without a content type it is still an event stream.

--- a/packages/core/src/event-stream/stream-join.ts
+++ b/packages/core/src/event-stream/stream-join.ts
@@ -55,6 +55,8 @@
 const MAX_KNOWN_IDS = 1000;
 const MAX_KNOWN_ID_CHARS = 100;
 const CONTINUATION_STATUS = 200;
+const STATUSES_WITHOUT_BODY = new Set([204, 205]);
+const MEDIA_TYPE = 'text/event-stream';
 /** The number of digits bounds the cost of their conversion. */
 const WHOLE_NUMBER = /^\d{1,100}$/;
 
@@ -66,6 +68,12 @@
   return contentType?.split(';')[0]!.trim().toLowerCase();
 }
 
+/** Returns whether a response on a route of streams is an event stream; one that states no content type is taken for one. */
+export function isEventStream({ status, contentType }: RunHead): boolean {
+  const type = mediaType(contentType);
+  return !STATUSES_WITHOUT_BODY.has(status) && (type === undefined || type === MEDIA_TYPE);
+}
+
 /** Ids of the events delivered so far. */
 function createEventOrder(resumeAfter: string | undefined) {
   const knownIds = new Set<string>();
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -2,11 +2,12 @@
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { AttemptOutcome } from '@kingcupsill/core/direct';
+import { isEventStream } from '@kingcupsill/core/event-stream';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
 import { bufferResponse, discardResponse } from './read-response.js';
 import type { Protect, ResponseHandlers } from './read-response.js';
-import { relayEvents } from './relay-events.js';
+import { getRunHead, relayEvents } from './relay-events.js';
 import type { ServerConnections } from './server-connections.js';
 import { BodyFraming } from './types.js';
 import type {
@@ -59,6 +60,15 @@
   return () => connected;
 }
 
+/** Returns whether a successful response is passed on event by event. A whole answer is buffered, unless a stream has begun. */
+function isRelayed(
+  { streaming }: AttemptRequest,
+  res: IncomingMessage,
+  sink: ResponseSink,
+): boolean {
+  return streaming && (sink.isHeadSent() || isEventStream(getRunHead(res)));
+}
+
 /** Starts an attempt. The listener's `onEnded` is called exactly once, unless the attempt is cancelled. */
 export function startAttempt(
   connections: ServerConnections,
@@ -124,7 +134,7 @@
       },
       isEnded: () => ended,
     };
-    if (classification.outcome === AttemptOutcome.Complete && req.streaming) {
+    if (classification.outcome === AttemptOutcome.Complete && isRelayed(req, res, sink)) {
       relayEvents(res, { ...req, sink, listener }, handlers);
     } else {
       listener.onBegun();
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -1,7 +1,12 @@
 /** Reading of a backend server's event stream, which is passed on to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
-import type { CompleteEvents, StreamFault, StreamJoin } from '@kingcupsill/core/event-stream';
+import type {
+  CompleteEvents,
+  RunHead,
+  StreamFault,
+  StreamJoin,
+} from '@kingcupsill/core/event-stream';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { getBodyFraming } from './close-delimited.js';
 import type { ResponseHandlers } from './read-response.js';
@@ -21,6 +26,11 @@
   isResumed: boolean;
 }
 
+/** Returns what of a response's head determines whether it is, or continues, a stream. */
+export function getRunHead({ statusCode, headers }: IncomingMessage): RunHead {
+  return { status: statusCode!, contentType: headers['content-type'] };
+}
+
 /** Blocks that may be delivered, and why the next one may not. */
 interface AcceptedBlocks {
   bytes: Buffer;
@@ -145,10 +155,9 @@
     if (isShort || splitter.isInsideEvent()) streamJoin.breakRun();
   }
 
-  const head = { status: res.statusCode!, contentType: res.headers['content-type'] };
-  const headFault = streamJoin.beginRun(head);
+  const headFault = streamJoin.beginRun(getRunHead(res));
   if (headFault !== undefined) {
-    onInvalid(`status ${head.status}, ${headFault}`);
+    onInvalid(`status ${res.statusCode}, ${headFault}`);
     return;
   }
   res.on('data', protect(onData));
