--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -170,6 +170,8 @@
   Overloaded: 'overloaded',
   /** The CPU of this router is overloaded; other routers may accept the request. */
   RouterBusy: 'router_busy',
+  /** The memory of this router for request bodies is used up; other routers may accept the request. */
+  RouterMemoryFull: 'router_memory_full',
   /** This router is shutting down; other routers may accept the request. */
   ShuttingDown: 'router_shutting_down',
   AccountOverShare: 'account_over_share',
--- a/packages/edge/src/callers/read-body.ts
+++ b/packages/edge/src/callers/read-body.ts
@@ -1,36 +1,107 @@
 /** Buffered reading of a request body. */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
+import type { BodyReservation } from './body-budget.js';
 
 /** Complete body with its SHA-256 digest, or the reason why there is none. */
 export type ReadBodyResult =
-  { ok: true; body: Buffer; digest: Buffer } | { ok: false; reason: 'too-large' | 'broken' };
+  | { ok: true; body: Buffer; digest: Buffer }
+  | { ok: false; reason: 'too-large' | 'no-memory' | 'broken' };
 
-/** Reads a body into memory and calls back once. The rest of an oversized body is read and discarded. */
+/** Limits of a body. */
+export interface BodyLimits {
+  maxBytes: number;
+  reservation: BodyReservation;
+}
+
+interface BodyCollector {
+  add(chunk: Buffer): void;
+  collect(): Buffer;
+}
+
+/** Collects a body of a known length in one buffer, so that no copies of it wait for the garbage collector. */
+function createFixedCollector(lengthBytes: number): BodyCollector {
+  const body = Buffer.allocUnsafe(lengthBytes);
+  let filledBytes = 0;
+  return {
+    add(chunk) {
+      filledBytes += chunk.copy(body, filledBytes);
+    },
+    collect: () => body,
+  };
+}
+
+function createChunkCollector(): BodyCollector {
+  const chunks: Buffer[] = [];
+  return {
+    add(chunk) {
+      chunks.push(chunk);
+    },
+    collect: () => Buffer.concat(chunks),
+  };
+}
+
+/**
+ * Reads a body into reserved memory and calls back once: at once if its stated length is too large or can't be reserved. The rest of
+ * a body that isn't kept is read and discarded.
+ */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number,
+  { maxBytes, reservation }: BodyLimits,
   done: (result: ReadBodyResult) => void,
 ): void {
-  const chunks: Buffer[] = [];
   const hash = createHash('sha256');
+  const lengthHeader = req.headers['content-length'];
+  let collector: BodyCollector | undefined;
   let receivedBytes = 0;
   let finished = false;
 
   function finish(result: ReadBodyResult): void {
     if (finished) return;
     finished = true;
+    collector = undefined;
     done(result);
   }
 
+  /** Returns whether the body may have this size. */
+  function reserve(bytes: number): boolean {
+    if (bytes > maxBytes) finish({ ok: false, reason: 'too-large' });
+    else if (!reservation.growTo(bytes)) finish({ ok: false, reason: 'no-memory' });
+    return !finished;
+  }
+
   req.on('data', (chunk: Buffer) => {
     receivedBytes += chunk.length;
-    if (receivedBytes > maxBytes) finish({ ok: false, reason: 'too-large' });
-    if (finished) return;
-    chunks.push(chunk);
+    if (finished || !reserve(receivedBytes)) return;
+    collector?.add(chunk);
     hash.update(chunk);
   });
-  req.on('end', () => finish({ ok: true, body: Buffer.concat(chunks), digest: hash.digest() }));
+  req.on('end', () => {
+    const body = collector?.collect();
+    if (body !== undefined) finish({ ok: true, body, digest: hash.digest() });
+  });
   req.on('error', () => finish({ ok: false, reason: 'broken' }));
   req.on('close', () => finish({ ok: false, reason: 'broken' }));
+  if (lengthHeader === undefined) collector = createChunkCollector();
+  else if (reserve(Number(lengthHeader))) collector = createFixedCollector(Number(lengthHeader));
+}
+
+/** Reads and discards a body. Calls back once, at its end or as soon as it is too large. */
+export function discardBody(req: IncomingMessage, maxBytes: number, done: () => void): void {
+  let receivedBytes = 0;
+  let finished = false;
+
+  function finish(): void {
+    if (finished) return;
+    finished = true;
+    done();
+  }
+
+  req.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes > maxBytes) finish();
+  });
+  req.on('end', finish);
+  req.on('error', finish);
+  req.on('close', finish);
 }
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -7,17 +7,24 @@
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
-import { createResponseSink, writeRefusal } from './exchange.js';
+import { createResponseSink } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import { fingerprintRequest } from './fingerprint.js';
-import { readBody } from './read-body.js';
-import type { ReadBodyResult } from './read-body.js';
+import { createPendingRequests } from './pending-requests.js';
+import { discardBody, readBody } from './read-body.js';
 import { createRequestQueue } from './request-queue.js';
 import type { ReceivedAttributes } from './request-validator.js';
 
 type HandlerParts = Pick<
   EdgeParts,
-  'validator' | 'exchanges' | 'loopLag' | 'loop' | 'metrics' | 'state' | 'requestErrors'
+  | 'validator'
+  | 'bodyBudget'
+  | 'exchanges'
+  | 'loopLag'
+  | 'loop'
+  | 'metrics'
+  | 'state'
+  | 'requestErrors'
 >;
 
 /** Valid request whose body has been read completely. */
@@ -37,6 +44,18 @@
   // A retry usually reaches another router; this one needs about this long to process its backlog.
   retryAfterMs: 300,
 };
+const MEMORY_FULL_REFUSAL: Refusal = {
+  status: 503,
+  code: RefusalCode.RouterMemoryFull,
+  ran: 'no',
+  // A retry usually reaches another router.
+  retryAfterMs: 300,
+};
+/** Refusals of requests whose bodies aren't kept; none if the connection is broken. */
+const REFUSALS_BY_REASON: Record<string, Refusal | undefined> = {
+  'too-large': BODY_TOO_LARGE_REFUSAL,
+  'no-memory': MEMORY_FULL_REFUSAL,
+};
 /** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_WAIT_FRACTION = 0.25;
 
@@ -67,53 +86,36 @@
   return { ...attributes, fingerprint };
 }
 
-/** Refuses a request that hasn't been dispatched. */
-function rejectRequest(
-  { logger }: EdgeContext,
-  { metrics, state }: HandlerParts,
-  res: ServerResponse,
-  { attemptId }: CallerHeaders,
-  refusal: Refusal,
-): void {
-  const { status, code } = refusal;
-  const configuration = state.routeTable?.config.version;
-  metrics.countRefusal(code);
-  logger.warn('request-rejected', { attemptId, status, code, configuration });
-  writeRefusal(res, refusal);
+function createExchange(request: ReceivedRequest, id: string, receivedAtMs: number): Exchange {
+  const { route, resumeAfter } = request.attributes;
+  const isResumable = route.retryPolicy === RetryPolicy.Resume;
+  return {
+    ...request,
+    id,
+    receivedAtMs,
+    responseStarted: false,
+    sink: createResponseSink(request.res),
+    streamJoin: createStreamJoin({ isResumable, resumeAfter }),
+    usedSockets: new Set(),
+    bufferedResponse: undefined,
+  };
 }
 
 /** Creates the handlers of the server for callers. */
 export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
   const { clock, random } = ctx;
-  const { validator, exchanges, loopLag, loop } = parts;
+  const { validator, bodyBudget, exchanges, loopLag, loop } = parts;
   const { protect } = parts.requestErrors;
   const queue = createRequestQueue(clock, setImmediate);
-  /** Requests that have been neither dispatched nor refused. */
-  const pending = new Map<ServerResponse, CallerHeaders>();
+  const pending = createPendingRequests(ctx, parts);
   let requestCount = 0;
 
-  function reject(res: ServerResponse, headers: CallerHeaders, refusal: Refusal): void {
-    pending.delete(res);
-    rejectRequest(ctx, parts, res, headers, refusal);
-  }
-
   function submit(request: ReceivedRequest): void {
-    pending.delete(request.res);
+    pending.remove(request.res);
     requestCount += 1;
     const id = `${request.headers.attemptId ?? 'none'}-${requestCount}`;
     const nowMs = clock();
-    const { route, resumeAfter } = request.attributes;
-    const isResumable = route.retryPolicy === RetryPolicy.Resume;
-    exchanges.add({
-      ...request,
-      id,
-      receivedAtMs: nowMs,
-      responseStarted: false,
-      sink: createResponseSink(request.res),
-      streamJoin: createStreamJoin({ isResumable, resumeAfter }),
-      usedSockets: new Set(),
-      bufferedResponse: undefined,
-    });
+    exchanges.add(createExchange(request, id, nowMs));
     loop.dispatch({
       kind: 'request',
       request: id,
@@ -131,7 +133,7 @@
       const maxWaitMs = attributes.route.objectiveMs * MAX_WAIT_FRACTION;
       const isBusy = Math.max(loopLag.lagMs(), waitedMs) > maxWaitMs;
       protect(res, headers.attemptId, () => {
-        if (isBusy) reject(res, headers, BUSY_REFUSAL);
+        if (isBusy) pending.reject(res, headers, BUSY_REFUSAL);
         else submit(request);
       });
     });
@@ -139,34 +141,41 @@
 
   function receive(req: IncomingMessage, res: ServerResponse): void {
     const headers = parseCallerHeaders(req.headers);
+    const guard = (step: () => void): void => protect(res, headers.attemptId, step);
+    const refuse = (refusal: Refusal): void =>
+      guard(() => {
+        if (pending.has(res)) pending.reject(res, headers, refusal);
+      });
     const validation = validator.validate(req, headers, clock());
-
-    function onBody(result: ReadBodyResult): void {
-      if (!pending.has(res)) return;
-      if (!validation.ok) reject(res, headers, validation.refusal);
-      else if (result.ok) {
-        const attributes = addFingerprint(req, headers, validation.attributes, result.digest);
-        submitIfConnected({ req, res, headers, attributes, body: result.body });
-      } else if (result.reason === 'too-large') reject(res, headers, BODY_TOO_LARGE_REFUSAL);
+    const maxBytes = validator.maxBodyBytes();
+    pending.add(res, headers);
+    if (!validation.ok) {
+      discardBody(req, maxBytes, () => refuse(validation.refusal));
+      return;
     }
-
-    pending.set(res, headers);
-    res.on('close', () => pending.delete(res));
-    readBody(req, validator.maxBodyBytes(), (result) =>
-      protect(res, headers.attemptId, () => onBody(result)),
-    );
+    const { attributes } = validation;
+    const reservation = bodyBudget.open(attributes.account);
+    res.on('close', reservation.release);
+    readBody(req, { maxBytes, reservation }, (result) => {
+      if (!result.ok) {
+        const refusal = REFUSALS_BY_REASON[result.reason];
+        if (refusal !== undefined) refuse(refusal);
+        return;
+      }
+      if (!pending.has(res)) return;
+      guard(() => {
+        const received = addFingerprint(req, headers, attributes, result.digest);
+        submitIfConnected({ req, res, headers, attributes: received, body: result.body });
+      });
+    });
   }
 
   return {
     onRequest: (req, res) => protect(res, undefined, () => receive(req, res)),
     onLateRequest: (req, res) =>
       protect(res, undefined, () =>
-        reject(res, parseCallerHeaders(req.headers), createDrainingRefusal()),
+        pending.reject(res, parseCallerHeaders(req.headers), createDrainingRefusal()),
       ),
-    refusePending() {
-      pending.forEach((headers, res) =>
-        protect(res, headers.attemptId, () => reject(res, headers, createDrainingRefusal())),
-      );
-    },
+    refusePending: () => pending.rejectAll(createDrainingRefusal()),
   };
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -17,6 +17,7 @@
   RunningProcess,
 } from '@kingcupsill/runtime';
 import { createAdminServer } from './admin/admin-server.js';
+import { createBodyBudget } from './callers/body-budget.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
 import { createRequestHandlers } from './callers/request-handler.js';
@@ -101,6 +102,7 @@
     storeNews: { create: createStoreNews },
     followedNews: followedNewsPart(ctx),
     loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
+    bodyBudget: { create: () => createBodyBudget(ctx.settings().process.memoryMb) },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
     requestHandlers: { create: (parts) => createRequestHandlers(ctx, parts) },
     peers: peersPart(ctx, hasher),
@@ -133,7 +135,7 @@
 
 async function logSummary(
   { logger, clock, droppedLines }: EdgeContext,
-  { state, metrics, callers, loopLag }: EdgeParts,
+  { state, metrics, callers, loopLag, bodyBudget }: EdgeParts,
 ): Promise<void> {
   const { connectionTotals, acceptWaitMs } = await callers;
   const { totals, open, servers } = describeState(state, clock());
@@ -143,7 +145,9 @@
     acceptWaitMs: Math.round(acceptWaitMs()),
   };
   const connections = connectionTotals();
-  logger.info('summary', { ...totals, open, connections, ...lateness, ...control, servers });
+  const bodyBytes = bodyBudget.heldBytes();
+  const fields = { ...totals, open, connections, bodyBytes, ...lateness, ...control, servers };
+  logger.info('summary', fields);
 }
 
 function routerName(ctx: EdgeContext): string {
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -15,6 +15,7 @@
     zone: z.string().min(1).describe('availability zone of this instance'),
     zone_regions: z.string().default('').describe('comma-separated zone=region pairs'),
     cores: z.number().positive().default(1).describe('share of a processor core for this process'),
+    memory_mb: positive.default(256).describe('memory of this process, in megabytes'),
     log_level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
   }),
   callers: z.strictObject({
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -2,6 +2,7 @@
 import type { DirectEvent, DirectState, StoreNews } from '@kingcupsill/core/direct';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import type { Loop } from '@kingcupsill/runtime';
+import type { BodyBudget } from './callers/body-budget.js';
 import type { CallerServer } from './callers/caller-server.js';
 import type { RequestHandlers } from './callers/request-handler.js';
 import type { RequestValidator } from './callers/request-validator.js';
@@ -42,6 +43,7 @@
   loopLag: LoopLag;
   validator: RequestValidator;
   requestHandlers: RequestHandlers;
+  bodyBudget: BodyBudget;
   peers: Promise<PeerLinks>;
   feeds: Promise<Closable>;
   registration: RouterRegistration;
--- a/packages/edge/test/callers/busy-router.test.ts
+++ b/packages/edge/test/callers/busy-router.test.ts
@@ -6,6 +6,7 @@
 import { connect } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { test } from 'node:test';
+import { createBodyBudget } from '../../src/callers/body-budget.js';
 import { createRequestHandlers } from '../../src/callers/request-handler.js';
 import type { EdgeContext } from '../../src/context.js';
 import type { EdgeParts } from '../../src/types.js';
@@ -15,6 +16,7 @@
 const NEW_CONNECTIONS = 30;
 /** Time for which one request occupies the processor. */
 const WORK_MS = 4;
+const MEMORY_MB = 256;
 /** Time for which callers wait to be accepted. */
 const MAX_WAIT_MS = 1000;
 
@@ -31,6 +33,7 @@
       validate: () => ({ ok: true, attributes: { route: { objectiveMs: 60_000 } } }),
       maxBodyBytes: () => 1000,
     },
+    bodyBudget: createBodyBudget(MEMORY_MB),
     exchanges: {
       add: (exchange: { id: string; res: { end(): void } }) => exchanges.set(exchange.id, exchange),
     },
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -107,10 +107,20 @@
   }
 }
 
+/** Memory of the router; small, so that tests can use up the part for request bodies. */
+const MEMORY_MB = 16;
+
 async function createSettings(storePort: number): Promise<EdgeSettings> {
   const allocateAddress = async () => `127.0.0.1:${await findFreePort()}`;
   return {
-    process: { id: 'router-1', zone: 'z1', zoneRegions: 'z1=r1', cores: 1, logLevel: 'info' },
+    process: {
+      id: 'router-1',
+      zone: 'z1',
+      zoneRegions: 'z1=r1',
+      cores: 1,
+      memoryMb: MEMORY_MB,
+      logLevel: 'info',
+    },
     callers: { address: await allocateAddress(), readinessAddress: await allocateAddress() },
     admin: { address: await allocateAddress() },
     peers: { address: await allocateAddress() },
