Keep draining when a signal is repeated, and drain on SIGHUP

What callers saw: requests of a draining process were cut without an answer when its supervisor sent a second SIGTERM, and the process exited with code 1. A SIGHUP ended the processes of runBinary (router, sidecar, stand-ins) by the signal, with whatever they had accepted.

Cause: any second signal forced an immediate close, which is meant for an operator at a terminal; SIGHUP had no handler in binaries that read their settings only once.

Change: only SIGINT forces the close of a draining process. Other signals are logged (signal-ignored); a supervisor that doesn't want to wait has SIGKILL. The binaries of runBinary drain on SIGHUP like on SIGTERM. kingcupsill-edge reads its settings on SIGHUP as before, also while draining.

--- a/packages/edge/src/run-edge.ts
+++ b/packages/edge/src/run-edge.ts
@@ -67,7 +67,8 @@
     random: Math.random,
     incarnation,
   });
-  shutDownOnSignals(starting, logger, signals);
+  const shutdownSignals = ['SIGTERM', 'SIGINT'] as const;
+  shutDownOnSignals({ starting, logger, signals, shutdownSignals });
   followSettings(source, logger, signals);
   starting.catch((err: unknown) => {
     logger.error('start-failed', { err });
--- a/packages/runtime/src/binary/run-binary.ts
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -7,6 +7,7 @@
 import { describeSettings, loadSettings } from '../settings/index.js';
 import type { Settings, SettingsSchema } from '../settings/index.js';
 import { recordSignals } from '../signals/index.js';
+import type { ReceivedSignals } from '../signals/index.js';
 import { exitOnUncaughtError } from './exit-on-uncaught-error.js';
 import { parseArguments } from './parse-arguments.js';
 import { shutDownOnSignals } from './shut-down-on-signals.js';
@@ -64,6 +65,7 @@
 async function start<TSchema extends SettingsSchema>(
   options: BinaryOptions<TSchema>,
   configFile: string | undefined,
+  signals: ReceivedSignals,
 ): Promise<void> {
   const { name, version, schema } = options;
   const loaded = loadSettings({ schema, file: configFile, env: process.env });
@@ -75,7 +77,9 @@
   ctx.logger.info('starting', { version });
   // Started in a microtask, so that the signal handlers are installed before `start` writes its first log line.
   const starting = Promise.resolve().then(() => options.start(ctx));
-  shutDownOnSignals(starting, ctx.logger, recordSignals());
+  // These binaries read their settings only once, so a SIGHUP comes from a terminal that has been closed.
+  const shutdownSignals = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+  shutDownOnSignals({ starting, logger: ctx.logger, signals, shutdownSignals });
   try {
     await starting;
   } catch (err) {
@@ -86,10 +90,12 @@
 
 /**
  * Runs a binary. `--help` and `--version` print and exit. Invalid arguments or settings print one line to standard error and exit
- * with 2. SIGTERM or SIGINT drains, closes and exits with 0; a second signal closes immediately and exits with 1.
+ * with 2. SIGTERM, SIGINT or SIGHUP drains, closes and exits with 0; a SIGINT while draining closes immediately and exits with 1.
+ * @param signals signals recorded before this module was loaded
  */
 export async function runBinary<TSchema extends SettingsSchema>(
   options: BinaryOptions<TSchema>,
+  signals: ReceivedSignals = recordSignals(),
 ): Promise<void> {
   const args = parseArguments(process.argv.slice(2));
   switch (args.kind) {
@@ -103,6 +109,6 @@
       exitWithUsageError(options.name, args.message);
       break;
     default:
-      await start(options, args.configFile);
+      await start(options, args.configFile, signals);
   }
 }
--- a/packages/runtime/src/binary/shut-down-on-signals.ts
+++ b/packages/runtime/src/binary/shut-down-on-signals.ts
@@ -1,24 +1,35 @@
-/** Shutdown of a process on SIGTERM and SIGINT. */
+/** Shutdown of a process on signals. */
 import type { Logger } from '../logs/index.js';
-import type { ReceivedSignals } from '../signals/index.js';
+import type { HandledSignal, ReceivedSignals } from '../signals/index.js';
 import { ExitCode } from './types.js';
 import type { RunningProcess } from './types.js';
 
 /** Maximum duration of a forced close; the process exits after it regardless. */
 const FORCED_CLOSE_TIMEOUT_MS = 2000;
 
-/** Installs signal handlers: the first signal drains and closes, the second closes immediately. Both wait until `starting` resolves. */
-export function shutDownOnSignals(
-  starting: Promise<RunningProcess>,
-  logger: Logger,
-  signals: ReceivedSignals,
-): void {
-  let signalCount = 0;
+/** Options of `shutDownOnSignals`. */
+export interface ShutdownOptions {
+  starting: Promise<RunningProcess>;
+  logger: Logger;
+  signals: ReceivedSignals;
+  /** Signals that start the shutdown. */
+  shutdownSignals: readonly HandledSignal[];
+}
+
+/**
+ * Installs signal handlers: the first signal drains and closes. A SIGINT after it, which an operator sends, closes immediately; other
+ * signals are ignored then, since a supervisor may repeat them. Both wait until `starting` resolves.
+ */
+export function shutDownOnSignals(options: ShutdownOptions): void {
+  const { starting, logger, signals, shutdownSignals } = options;
+  const phase = { draining: false, forced: false };
 
   async function drainAndExit(): Promise<void> {
     const running = await starting;
     await running.drain();
     logger.info('drained');
+    // A forced close also closes the process, and determines its exit code.
+    if (phase.forced) return;
     await running.close();
     logger.info('closed');
     process.exit(ExitCode.Ok);
@@ -31,17 +42,19 @@
     process.exit(ExitCode.Failed);
   }
 
-  function onSignal(signal: NodeJS.Signals): void {
-    signalCount += 1;
-    if (signalCount === 1) {
+  function onSignal(signal: HandledSignal): void {
+    if (!phase.draining) {
+      phase.draining = true;
       logger.info('draining', { signal });
       void drainAndExit();
-    } else if (signalCount === 2) {
+    } else if (signal === 'SIGINT' && !phase.forced) {
+      phase.forced = true;
       logger.warn('forced-close', { signal });
       void forceClose();
+    } else {
+      logger.info('signal-ignored', { signal });
     }
   }
 
-  signals.handle('SIGTERM', onSignal);
-  signals.handle('SIGINT', onSignal);
+  shutdownSignals.forEach((signal) => signals.handle(signal, onSignal));
 }
--- a/packages/runtime/src/binary/types.ts
+++ b/packages/runtime/src/binary/types.ts
@@ -8,7 +8,7 @@
 export const ExitCode = {
   /** Drained and closed. */
   Ok: 0,
-  /** Startup failed, or a second signal forced the exit. */
+  /** Startup failed, or a SIGINT while draining forced the exit. */
   Failed: 1,
   /** Invalid arguments or settings. */
   Usage: 2,
