Wait for usable settings at the start, and replace values that can be replaced

With a settings file that was missing, empty, cut, had a key or section too many, a byte order mark, or one empty value, the process exited with code 2, and again at each restart until the file was whole. A running router ended with code 70 when the path of its settings became invalid.

Cause: the strict validation that is meant for an operator was also used for the file that the platform renders, and it had one try. The periodic check of the file's time passed errors other than a missing file on to the timer.

Change: the router reads the platform's file until it is complete. It passes over unknown keys; after a second it replaces values it can do without, and logs each. It waits for its id and addresses, and a SIGTERM meanwhile ends it with code 0.

--- a/packages/edge/src/run-edge.ts
+++ b/packages/edge/src/run-edge.ts
@@ -1,7 +1,6 @@
 /** The `kingcupsill-edge` process: settings, logs, startup, and the signals of its whole life. */
 import { randomBytes } from 'node:crypto';
 import { setImmediate as nextIteration } from 'node:timers/promises';
-import { SETTINGS_VARIABLE } from '@kingcupsill/prepared-platform';
 import {
   createLogger,
   createMonotonicClock,
@@ -14,7 +13,7 @@
 import { startEdge } from './edge.js';
 import { createLogSink } from './logs/log-sink.js';
 import { createRateLimitedLogger } from './logs/rate-limited-logger.js';
-import { openSettings } from './settings-source.js';
+import { exitIfStopped, loadFirstSettings } from './first-settings.js';
 import type { SettingsSource } from './settings-source.js';
 
 const STANDARD_OUTPUT = 1;
@@ -22,14 +21,6 @@
 /** Polling period of the settings file: a change without SIGHUP takes effect about as fast as a configuration change. */
 const SETTINGS_CHECK_MS = 2000;
 
-function loadSettingsOrExit(): SettingsSource {
-  const file = process.argv[2] === '--config' ? process.argv[3] : process.env[SETTINGS_VARIABLE];
-  const result = openSettings(file, process.env);
-  if (result.ok) return result.source;
-  process.stderr.write(`kingcupsill-edge: ${result.message}\n`);
-  return process.exit(ExitCode.Usage);
-}
-
 function followSettings(source: SettingsSource, logger: Logger, signals: ReceivedSignals): void {
   signals.handle('SIGHUP', () => source.reload(logger));
   setInterval(() => source.reloadIfChanged(logger), SETTINGS_CHECK_MS).unref();
@@ -39,8 +30,8 @@
 export async function runEdge(signals: ReceivedSignals): Promise<void> {
   // Signals that arrived while the program was loaded are delivered in the next iteration of the event loop.
   await nextIteration();
-  if (signals.isPending('SIGTERM') || signals.isPending('SIGINT')) process.exit(ExitCode.Ok);
-  const source = loadSettingsOrExit();
+  exitIfStopped(signals);
+  const source = await loadFirstSettings(signals);
   const clock = createMonotonicClock();
   const sink = createLogSink(STANDARD_OUTPUT);
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
@@ -58,6 +49,7 @@
 
   exitOnUncaughtError(logger, sink.flush);
   logger.info('starting', { node: process.version });
+  source.warnings.forEach((message) => logger.warn('settings-warning', { message }));
   const starting = startEdge({
     settings: source.current,
     logger,
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -1,11 +1,18 @@
 /** Settings of the direct router. */
 import { parseSocketAddress } from '@kingcupsill/core/http-syntax';
-import type { Settings } from '@kingcupsill/runtime';
+import type { Settings, SettingsFallbacks } from '@kingcupsill/runtime';
 import { z } from 'zod';
 
 const address = z
   .string()
   .refine((text) => parseSocketAddress(text) !== undefined, 'expected an IP address and a port');
+const FREE_PORT = /:0$/;
+const addressOrFreePort = z
+  .string()
+  .refine(
+    (text) => parseSocketAddress(text.replace(FREE_PORT, ':1')) !== undefined,
+    'expected an IP address and a port',
+  );
 const positive = z.number().positive();
 
 /** INI schema of `kingcupsill-edge`. */
@@ -23,7 +30,9 @@
     readiness_address: address.describe('listen address for readiness checks'),
   }),
   admin: z.strictObject({
-    address: address.describe('listen address for metrics and the state dump'),
+    address: addressOrFreePort.describe(
+      'listen address for metrics and the state dump; port 0 selects a free port',
+    ),
   }),
   peers: z.strictObject({ address: address.describe('listen address for other routers') }),
   store: z.strictObject({
@@ -46,6 +55,16 @@
   }),
 });
 
+/** Values with which a router can run if the rendered file lacks one: cautious ones, and a free port for the metrics. */
+export const EDGE_FALLBACKS: SettingsFallbacks = {
+  process: { zone: 'unknown' },
+  admin: { address: '127.0.0.1:0' },
+  store: { heartbeat_ms: 1000 },
+  shutdown: { grace_s: 5 },
+  repeats: { ratio: 0.1, burst: 10, window_s: 10 },
+  shares: { window_s: 4 },
+};
+
 /** Parsed settings of `kingcupsill-edge`. */
 export type EdgeSettings = Settings<typeof edgeSchema>;
 
--- a/packages/runtime/src/settings/index.ts
+++ b/packages/runtime/src/settings/index.ts
@@ -1,4 +1,10 @@
 export { describeSettings } from './describe-settings.js';
+export { loadLenientSettings } from './load-lenient-settings.js';
+export type {
+  LenientSettings,
+  LenientSettingsOptions,
+  SettingsFallbacks,
+} from './load-lenient-settings.js';
 export { loadSettings } from './load-settings.js';
 export {
   adminSection,
--- a/packages/runtime/src/settings/load-settings.ts
+++ b/packages/runtime/src/settings/load-settings.ts
@@ -13,9 +13,14 @@
 } from './types.js';
 
 type RawSection = Record<string, unknown>;
-type RawSettings = Record<string, RawSection>;
+/** Values of a file by section and key, before their validation. */
+export type RawSettings = Record<string, RawSection>;
+/** Called with what a lenient reader passes over; a strict one takes it for an error. */
+type Warn = (message: string) => void;
 type Result<TValue> = { ok: true; value: TValue } | { ok: false; message: string };
 
+const BYTE_ORDER_MARK = /^\uFEFF/;
+
 const BOOLEANS_BY_TEXT: Partial<Record<string, boolean>> = {
   true: true,
   yes: true,
@@ -42,19 +47,20 @@
   if (!merged.ok) return merged;
   const coerced = coerceSections(schema, merged.value);
   const parsed = schema.safeParse(coerced);
-  if (!parsed.success) return { ok: false, message: describeIssue(parsed.error, file) };
+  if (!parsed.success) return { ok: false, message: describeIssue(parsed.error.issues[0]!, file) };
   return { ok: true, settings: camelCaseSections(parsed.data) as Settings<TSchema> };
 }
 
-function readSections(file: string): Result<RawSettings> {
+/** Reads the sections of a file. */
+export function readSections(file: string, warn?: Warn): Result<RawSettings> {
   const text = readSettingsFile(file);
   if (!text.ok) return text;
   const sections: RawSettings = {};
   for (const [name, value] of Object.entries(parse(text.value))) {
-    if (!isSection(value)) {
-      return { ok: false, message: `${file}: key ${name} is not in a section` };
-    }
-    sections[name] = { ...value };
+    const message = `${file}: key ${name} is not in a section`;
+    if (isSection(value)) sections[name] = { ...value };
+    else if (warn === undefined) return { ok: false, message };
+    else warn(message);
   }
   return { ok: true, value: sections };
 }
@@ -62,7 +68,7 @@
 function readSettingsFile(file: string): Result<string> {
   try {
     // eslint-disable-next-line n/no-sync -- read once, before the process starts
-    return { ok: true, value: readFileSync(file, 'utf8') };
+    return { ok: true, value: readFileSync(file, 'utf8').replace(BYTE_ORDER_MARK, '') };
   } catch (err) {
     const code = (err as NodeJS.ErrnoException).code ?? String(err);
     return { ok: false, message: `${file}: settings file can't be read (${code})` };
@@ -77,10 +83,11 @@
  * Overrides keys from the environment. Variables of unknown sections are ignored, since they may belong to other binaries; unknown
  * keys of known sections are errors.
  */
-function applyEnvironment(
+export function applyEnvironment(
   schema: SettingsSchema,
   sections: RawSettings,
   env: Record<string, string | undefined>,
+  warn?: Warn,
 ): Result<RawSettings> {
   const fields = new Map(listFields(schema).map((field) => [field.variable, field]));
   const merged: RawSettings = { ...sections };
@@ -90,7 +97,9 @@
       merged[field.section] = { ...merged[field.section], [field.key]: value };
     } else if (field === undefined) {
       const section = findSectionOfVariable(schema, name);
-      if (section !== undefined) return { ok: false, message: unknownKeyMessage(name, section) };
+      const message = section && unknownKeyMessage(name, section);
+      if (message !== undefined && warn === undefined) return { ok: false, message };
+      if (message !== undefined) warn?.(message);
     }
   }
   return { ok: true, value: merged };
@@ -108,7 +117,7 @@
 }
 
 /** Converts all values by type. Missing required sections are added as empty ones, so that errors name the missing key. */
-function coerceSections(schema: SettingsSchema, sections: RawSettings): RawSettings {
+export function coerceSections(schema: SettingsSchema, sections: RawSettings): RawSettings {
   const coerced: RawSettings = { ...sections };
   const fields = listFields(schema);
   for (const [name, section] of Object.entries(schema.shape)) {
@@ -133,8 +142,8 @@
   return PARSERS[kind](String(value).trim());
 }
 
-function describeIssue(error: z.ZodError, file: string | undefined): string {
-  const issue = error.issues[0]!;
+/** Describes an issue of the validation in one line with section and key. */
+export function describeIssue(issue: z.core.$ZodIssue, file: string | undefined): string {
   const source = file ?? 'settings';
   const [section, key] = issue.path.map(String);
   if (issue.code === 'unrecognized_keys') {
@@ -161,7 +170,8 @@
   );
 }
 
-function camelCaseSections(settings: Record<string, unknown>): Record<string, unknown> {
+/** Converts the names of sections and keys to camel case. */
+export function camelCaseSections(settings: Record<string, unknown>): Record<string, unknown> {
   return Object.fromEntries(
     Object.entries(settings).map(([name, section]) => [
       toCamelCase(name),
