--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -3,13 +3,19 @@
 import type { DirectEffect } from '@kingcupsill/core/direct';
 import type { Exchange } from './callers/exchange.js';
 import { BodyFraming } from './relay/types.js';
-import type { AttemptListener } from './relay/types.js';
+import type { AttemptListener, BufferedResponse } from './relay/types.js';
 import type { EdgeContext } from './context.js';
 import type { EdgeParts } from './types.js';
 
 /** Effect that starts an attempt. */
 export type SendEffect = Extract<DirectEffect, { kind: 'send' }>;
 
+/** Keeps the memory of a response reserved for as long as its caller may still be reading it. */
+function releaseWithCaller({ res }: Exchange, { release }: BufferedResponse): void {
+  if (res.destroyed) release();
+  else res.once('close', release);
+}
+
 /** Creates the listener. `onEnded` is called before the reducer learns that the attempt has ended. */
 export function createAttemptListener(
   { logger, clock }: Pick<EdgeContext, 'logger' | 'clock'>,
@@ -45,6 +51,7 @@
     onEnded(outcome, detail, response) {
       onEnded();
       exchange.bufferedResponse = response;
+      if (response !== undefined) releaseWithCaller(exchange, response);
       parts.metrics.countAttemptEnd(outcome);
       if (outcome !== AttemptOutcome.Complete) {
         logger.warn('attempt-ended', {
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -73,6 +73,15 @@
   res.end();
 }
 
+/** Calls `onUnread` and closes the connection if the caller hasn't read the response in `maxMs`. */
+export function limitReadTime(res: ServerResponse, maxMs: number, onUnread: () => void): void {
+  const timer = setTimeout(() => {
+    onUnread();
+    res.destroy();
+  }, maxMs);
+  res.once('close', () => clearTimeout(timer));
+}
+
 /** Creates the sink through which a streaming attempt writes to the caller. */
 export function createResponseSink(res: ServerResponse): ResponseSink {
   return {
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -4,7 +4,7 @@
 import { buildRequestHeaders } from '@kingcupsill/prepared-platform';
 import { createAttemptListener } from './attempt-listener.js';
 import type { SendEffect } from './attempt-listener.js';
-import { writeRefusal, writeResponse } from './callers/exchange.js';
+import { limitReadTime, writeRefusal, writeResponse } from './callers/exchange.js';
 import type { Exchange } from './callers/exchange.js';
 import { startAttempt } from './relay/attempt.js';
 import { listCachedParts } from './relay/list-cached-parts.js';
@@ -22,6 +22,8 @@
  * an idle connection.
  */
 const NON_RETRYABLE_MAX_IDLE_MS = 1000;
+/** Time after a request's deadline within which its caller may still read the response. */
+const MAX_UNREAD_MS = 2000;
 
 function buildAttemptRequest(effect: SendEffect, exchange: Exchange): AttemptRequest {
   const { req, attributes, headers, body, streamJoin, usedSockets } = exchange;
@@ -136,7 +138,12 @@
     finish({ request }: Extract<DirectEffect, { kind: 'finish' }>) {
       const exchange = parts.exchanges.get(request);
       if (exchange === undefined) return;
-      writeResponse(exchange.res, exchange.bufferedResponse);
+      const { res, attributes } = exchange;
+      const remainingMs = Math.max(0, attributes.expiresAtMs - clock());
+      limitReadTime(res, remainingMs + MAX_UNREAD_MS, () =>
+        logger.warn('response-unread', { request, unsentBytes: res.writableLength }),
+      );
+      writeResponse(res, exchange.bufferedResponse);
       parts.exchanges.take(request);
       parts.metrics.countResponse(exchange.res.statusCode);
       parts.metrics.observeCompletion(exchange.attributes.service, clock() - exchange.receivedAtMs);
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -48,7 +48,10 @@
   const chunks: Buffer[] = [];
   const account = budget.open();
   let receivedBytes = 0;
-  res.on('close', account.close);
+  let isDelivered = false;
+  res.on('close', () => {
+    if (!isDelivered) account.close();
+  });
 
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
@@ -69,7 +72,10 @@
       partialEventBytes: 0,
     });
     const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
-    onComplete({ status: res.statusCode!, headers, body: Buffer.concat(chunks) });
+    if (isEnded()) return;
+    isDelivered = true;
+    const body = Buffer.concat(chunks);
+    onComplete({ status: res.statusCode!, headers, body, release: account.close });
   }
 
   res.on('data', protect(onData));
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -9,6 +9,8 @@
   /** Alternating names and values. */
   headers: string[];
   body: Buffer;
+  /** Returns the body's memory to the budget. */
+  release: () => void;
 }
 
 /** Destination of a streamed response: the caller's connection. */
