--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -160,3 +160,11 @@
     caller.close();
   });
 });
+
+test('the drain ends in time though the store is down', async () => {
+  await withDeployment([(arrival) => sendAnswer(arrival)], async (deployment) => {
+    deployment.store.setDown(true);
+    const killed = delay(5000, 'killed');
+    assert.equal(await Promise.race([stop(deployment), killed]), undefined);
+  });
+});
