Reject a head that contains the status line of another one

What callers saw: a server stops in the middle of a head, and later writes a whole answer on the same connection. Node's parser reads both as one head. With a signed 500 behind `HTTP/1.1 200 O`, `...X-Other: a` or `...Response-Signature: s`, callers got a 200 with the server's signature and the body of its failure.

Cause: the parser accepts any text in the reason phrase and in values. The id of the attempt doesn't tell the two heads apart if it stands in the second one only.

Evidence: packages/edge/test/relay/merged-heads.test.ts fails on for these three of five beginnings ("200 failed, 200 !== 502"); the other two are no proper lines, which the parser rejects.

Change: a reason phrase, name or value in which a status line begins makes the head malformed, with the outcome that any malformed head has: it proves nothing, and nothing of it is passed on. In no proper head does a status line stand in a value.

--- a/packages/core/src/http-syntax/http-syntax.ts
+++ b/packages/core/src/http-syntax/http-syntax.ts
@@ -7,6 +7,7 @@
 const TOKEN = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
 const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
 const REQUEST_TARGET = /^[\x21-\x7e\x80-\xff]+$/;
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
 const MIN_STATUS = 100;
 const MAX_STATUS = 599;
 const MAX_PORT = 65_535;
@@ -44,6 +45,11 @@
   return rawHeaders.every((text, index) => (index % 2 === 0 ? isToken(text) : isFieldValue(text)));
 }
 
+/** Returns whether the text contains the beginning of a response's status line. */
+export function containsStatusLine(text: string): boolean {
+  return STATUS_LINE.test(text);
+}
+
 /** Encodes a text for a header, as UTF-8 with one character per byte. */
 export function encodeFieldValue(text: string): string {
   return Buffer.from(text, 'utf8').toString('latin1');
--- a/packages/edge/src/relay/classify-response-head.ts
+++ b/packages/edge/src/relay/classify-response-head.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import type { ServerAnnouncement } from '@kingcupsill/core/direct';
-import { areHeadersValid, isStatus } from '@kingcupsill/core/http-syntax';
+import { areHeadersValid, containsStatusLine, isStatus } from '@kingcupsill/core/http-syntax';
 import { parseAnnouncement, parseResponseHeaders } from '@kingcupsill/prepared-platform';
 import type { ResponseHeaders } from '@kingcupsill/prepared-platform';
 
@@ -35,9 +35,13 @@
   isReusedConnection: boolean;
 }
 
-/** Returns whether the head can be passed on. Node's parser accepts names and statuses that can't be written. */
-function isWellFormed({ statusCode, rawHeaders }: IncomingMessage): boolean {
-  return isStatus(statusCode!) && areHeadersValid(rawHeaders);
+/**
+ * Returns whether the head can be passed on. Node's parser accepts names and statuses that can't be written, and reads the beginning
+ * of a head and the head of a later response on its connection as one.
+ */
+function isWellFormed({ statusCode, statusMessage, rawHeaders }: IncomingMessage): boolean {
+  const isOneHead = ![statusMessage!, ...rawHeaders].some(containsStatusLine);
+  return isStatus(statusCode!) && areHeadersValid(rawHeaders) && isOneHead;
 }
 
 /** Returns why the head can't be that of the response to the request; undefined if it is. */
