Define in the sidecar which response is the rest of another

What callers saw: an engine's response broke off, the sidecar asked the engine for the bytes from that offset, and took any 200 for the rest. Text of another content type stood behind the received events; the whole response again, or nothing of what was left, made a JSON response that is too long or too short (`{"text": {"text": "whole"}`, `{"text": `); a connection that closed behind the head ended a stream. Each was reported as whole, and passed on so by the router.

Change: backend/response-parts.ts holds the definition. Parts of one run's kept response are joined by their offset, so ids need no check: a rest has the content type of the first part, its length fits the length that is known, all bytes of that length are there at the end, and an empty rest has an explicit end. Another answer is discarded and asked for again as before.

--- a/packages/sidecar/src/backend/backend-client.ts
+++ b/packages/sidecar/src/backend/backend-client.ts
@@ -12,6 +12,8 @@
 import { ResponseEnd } from '../response/types.js';
 import { createEngineClient } from './engine-client.js';
 import { acceptsConnections } from './accepts-connections.js';
+import { createResponseParts } from './response-parts.js';
+import type { ResponseParts } from './response-parts.js';
 import { BackendKind, RunEnd } from './types.js';
 import type { BackendClient, BackendClientOptions, BackendRequest } from './types.js';
 
@@ -22,6 +24,7 @@
   attempt: string;
   response: ResponseBuffer;
   splitter: EventSplitter;
+  parts: ResponseParts;
 }
 
 /** Creates a client of one backend server. */
@@ -56,7 +59,12 @@
   async function exchange(req: BackendRequest, response: ResponseBuffer, signal: AbortSignal) {
     const outcome = await send(req, signal).catch(toRunEnd);
     if (outcome === RunEnd.NotRun) return RunEnd.NotRun;
-    const reception = { attempt: req.attempt, response, splitter: createEventSplitter() };
+    const reception = {
+      attempt: req.attempt,
+      response,
+      splitter: createEventSplitter(),
+      parts: createResponseParts(),
+    };
     if (outcome !== RunEnd.Broken && (await receiveResponse(reception, outcome))) {
       return RunEnd.Whole;
     }
@@ -92,19 +100,20 @@
   };
 }
 
-/** Writes the response to the buffer. Resolves with false if it belongs to another request or is truncated. */
+/** Writes the response to the buffer. Resolves with false if it belongs to another request, isn't the missing part or is truncated. */
 async function receiveResponse(reception: Reception, res: BackendResponse): Promise<boolean> {
-  if (!isResponseTo(res, reception.attempt)) {
+  const { attempt, response, parts } = reception;
+  if (!isResponseTo(res, attempt) || !parts.begin(res.headers, response.length())) {
     discard(res);
     return false;
   }
   const headers = filterForwardedHeaders(res.headers);
-  reception.response.setHead({ status: res.statusCode, headers });
+  response.setHead({ status: res.statusCode, headers });
   return receiveBody(reception, res);
 }
 
 async function receiveBody(
-  { response, splitter }: Reception,
+  { response, splitter, parts }: Reception,
   { headers, body }: BackendResponse,
 ): Promise<boolean> {
   const isEventStream = String(headers['content-type']).startsWith('text/event-stream');
@@ -114,7 +123,7 @@
       await response.append(chunk as Buffer);
     }
     // A stream that ends inside an event is incomplete, also if its framing is satisfied.
-    return !splitter.isInsideEvent();
+    return !splitter.isInsideEvent() && parts.isWhole(response.length());
   } catch {
     return false;
   }
