--- a/packages/edge/test/soak/backends.ts
+++ b/packages/edge/test/soak/backends.ts
@@ -6,7 +6,10 @@
 import type { StoreStandin } from '../standins/store-standin.js';
 import { createProxy } from './proxy.js';
 import type { Proxy } from './proxy.js';
+import { Resumption, sendStream } from './streams.js';
 import type { Run } from './types.js';
+import { answerBody, parseWork } from './workload.js';
+import type { Service, SoftwareVersion } from './workload.js';
 
 /** Behaviour of a server towards requests. */
 export const Behaviour = {
@@ -25,13 +28,25 @@
   Spoil: 'spoil',
   /** Rejects every other request, and writes that rejection once more where the next response on its connection is expected. */
   Repeat: 'repeat',
+  /** Ends or resets the connection inside the answer's head. */
+  CutHead: 'cut-head',
 } as const;
 export type Behaviour = (typeof Behaviour)[keyof typeof Behaviour];
 
+export interface BackendOptions {
+  id: string;
+  version: SoftwareVersion;
+  service: Service;
+  /** Number of requests that the server runs at a time, as its entry states. */
+  slots: number;
+}
+
 export interface Backend {
   id: string;
   proxy: Proxy;
   setBehaviour(behaviour: Behaviour): void;
+  /** Sets what the server sends where it resumes a stream. */
+  setResumption(resumption: Resumption): void;
   /** Writes the server's entry into the store. */
   register(state?: 'ready' | 'draining'): void;
   /** Removes the server's entry; it continues to serve requests, as a departing server does. */
@@ -41,24 +56,8 @@
   close(): void;
 }
 
-/** Number of events in a stream. */
-export const STREAM_EVENTS = 6;
-const EVENT_INTERVAL_MS = 25;
-const SERVICE_TIME_MS = 20;
-
-/** Returns the expected body of a plain answer. */
-export function answerBody(attemptId: string, path: string): string {
-  return `${attemptId} ${path} `.repeat(20);
-}
-
-/** Versions of the servers' software, which write streams of their own. */
-export const SOFTWARE_VERSIONS = ['v1', 'v2'] as const;
-export type SoftwareVersion = (typeof SOFTWARE_VERSIONS)[number];
-
-/** Returns the expected event of a stream at a 1-based index. */
-export function streamEvent(attemptId: string, index: number, version: SoftwareVersion): string {
-  return `id: ${index}\ndata: ${attemptId} ${index}/${STREAM_EVENTS} ${version}\n\n`;
-}
+/** Step between the offsets of cut heads, coprime to the length of most heads. */
+const CUT_HEAD_STEP = 37;
 
 function answerHeaders(
   { header }: Arrival,
@@ -74,43 +73,19 @@
 function sendPlain(arrival: Arrival, truncates: boolean): void {
   const { req, res, header } = arrival;
   const body = answerBody(header('attempt-id') ?? '', req.url!);
-  setTimeout(() => {
-    res.writeHead(200, answerHeaders(arrival, { 'Content-Length': String(body.length) }));
-    if (!truncates) res.end(body);
-    else res.write(body.slice(0, 50), () => res.destroy());
-  }, SERVICE_TIME_MS);
+  res.writeHead(200, answerHeaders(arrival, { 'Content-Length': String(body.length) }));
+  if (!truncates) res.end(body);
+  else res.write(body.slice(0, 50), () => res.destroy());
 }
 
-/** Streams sent so far; every second one has neither a length nor chunks and ends with its connection. */
-let streamCount = 0;
-
-function sendStream(arrival: Arrival, truncates: boolean, version: SoftwareVersion): void {
-  const { res, header } = arrival;
-  streamCount += 1;
-  const isCloseDelimited = streamCount % 2 === 0;
-  if (isCloseDelimited) res.removeHeader('Transfer-Encoding');
-  res.writeHead(200, answerHeaders(arrival, { 'Content-Type': 'text/event-stream' }));
-  let index = Number(header('last-event-id') ?? 0);
-  if (index >= STREAM_EVENTS) {
-    // The connection broke between the last event and the end of the stream.
-    res.end();
-    return;
-  }
-  const timer = setInterval(() => {
-    index += 1;
-    if (truncates && index === 3) {
-      clearInterval(timer);
-      // Ends the answer inside the third event.
-      if (isCloseDelimited) res.end('id: 3\nda');
-      else res.write('id: 3\nda', () => res.destroy());
-      return;
-    }
-    res.write(streamEvent(header('attempt-id') ?? '', index, version));
-    if (index < STREAM_EVENTS) return;
-    clearInterval(timer);
-    res.end();
-  }, EVENT_INTERVAL_MS);
-  res.on('close', () => clearInterval(timer));
+let cutHeadCount = 0;
+
+/** Sends a part of a response head, then ends or resets the connection. */
+function cutHead({ req: { socket }, header }: Arrival): void {
+  cutHeadCount += 1;
+  const head = `HTTP/1.1 200 OK\r\nResponse-Signature: signed\r\nAttempt-Id: ${header('attempt-id')}\r\nContent-Length: 12\r\n\r\n`;
+  const part = head.slice(0, 1 + ((cutHeadCount * CUT_HEAD_STEP) % (head.length - 1)));
+  socket.write(part, () => (cutHeadCount % 2 === 0 ? socket.end() : socket.resetAndDestroy()));
 }
 
 /** Rejections that come once more, by connection; every second one names no request. */
@@ -136,29 +111,46 @@
   return socket.write(text);
 }
 
-function processRequest(arrival: Arrival, behaviour: Behaviour, version: SoftwareVersion): void {
-  const { req, res } = arrival;
+type Answer = (arrival: Arrival) => void;
+
+/** Answers of servers that misbehave; the others send what was asked for. */
+const ANSWERS: Partial<Record<Behaviour, Answer>> = {
+  [Behaviour.Hang]: () => undefined,
+  [Behaviour.Reset]: ({ req }) => req.socket.resetAndDestroy(),
+  [Behaviour.CutHead]: cutHead,
+  [Behaviour.Spoil]: (arrival) =>
+    writeRawAnswer(arrival, ['q8 7f1: 0c', 'Content-Length: 2'], 'ok'),
+  [Behaviour.Fail]: (arrival) =>
+    arrival.res.writeHead(500, answerHeaders(arrival, { 'Content-Length': '6' })).end('failed'),
+};
+
+function processRequest(
+  arrival: Arrival,
+  behaviour: Behaviour,
+  version: SoftwareVersion,
+  resumption: Resumption,
+): void {
+  const { req } = arrival;
   const truncates = behaviour === Behaviour.Break;
-  if (behaviour === Behaviour.Hang) return;
-  if (behaviour === Behaviour.Reset)
-    setTimeout(() => req.socket.resetAndDestroy(), SERVICE_TIME_MS);
-  else if (behaviour === Behaviour.Fail) {
-    res.writeHead(500, answerHeaders(arrival, { 'Content-Length': '6' }));
-    res.end('failed');
-  } else if (behaviour === Behaviour.Spoil)
-    writeRawAnswer(arrival, ['q8 7f1: 0c', 'Content-Length: 2'], 'ok');
-  else if (/^\/(stream|talk)\//.test(req.url!)) sendStream(arrival, truncates, version);
-  else sendPlain(arrival, truncates);
+  const sendAnswer =
+    ANSWERS[behaviour] ??
+    (() => {
+      const headers = answerHeaders(arrival, {});
+      if (!/^\/(stream|talk)\//.test(req.url!)) sendPlain(arrival, truncates);
+      else sendStream(arrival, { version, headers, truncates, resumption });
+    });
+  const timer = setTimeout(() => sendAnswer(arrival), parseWork(req.url!).serviceTimeMs);
+  arrival.res.on('close', () => clearTimeout(timer));
 }
 
 /** Starts a server behind a proxy, without an entry in the store; `onRun` is called for each execution. */
 export async function createBackend(
-  id: string,
-  version: SoftwareVersion,
+  { id, version, ...entry }: BackendOptions,
   store: StoreStandin,
   onRun: (run: Run) => void,
 ): Promise<Backend> {
   let behaviour: Behaviour = Behaviour.Serve;
+  let resumption: Resumption = Resumption.Correct;
   let incarnation = 1;
   const standin: ServerStandin = await createServerStandin((arrival) => {
     const { res, header } = arrival;
@@ -173,13 +165,22 @@
       refuse(arrival, behaviour);
       return;
     }
-    onRun({ attemptId: header('attempt-id') ?? '', server: id, atMs: performance.now() });
-    processRequest(arrival, behaviour, version);
+    const attemptId = header('attempt-id') ?? '';
+    const run: Run = { attemptId, server: id, atMs: performance.now(), behaviour };
+    onRun(run);
+    res.on('close', () => {
+      run.endedAtMs = performance.now();
+    });
+    processRequest(arrival, behaviour, version, resumption);
   });
   const proxy = await createProxy(standin.port);
 
   function register(state: 'ready' | 'draining' = 'ready'): void {
-    store.put('servers', id, sampleEntry(proxy.port, { state, born: incarnation, version }));
+    store.put(
+      'servers',
+      id,
+      sampleEntry(proxy.port, { state, born: incarnation, version, ...entry }),
+    );
   }
 
   return {
@@ -188,6 +189,9 @@
     setBehaviour(next) {
       behaviour = next;
     },
+    setResumption(next) {
+      resumption = next;
+    },
     register,
     deregister: () => store.remove('servers', id),
     restart() {
--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -4,10 +4,11 @@
 import { Behaviour } from './backends.js';
 import { ProxyMode } from './proxy.js';
 import type { Router } from './routers.js';
+import { Resumption } from './streams.js';
 import type { StoreStandin } from '../standins/store-standin.js';
 import type { Operator } from './operator.js';
 import { openSpan } from './types.js';
-import type { ServerDeparture, TimeSpan } from './types.js';
+import type { ServerSpan, TimeSpan } from './types.js';
 
 /** Components that faults are injected into, and the records of their effects. */
 export interface FaultTargets {
@@ -17,7 +18,9 @@
   operator: Operator;
   /** Spans during which the store or a router's connection path to it was disrupted. */
   storeDisruptions: TimeSpan[];
-  departures: ServerDeparture[];
+  departures: ServerSpan[];
+  /** Spans during which connections to a server were disrupted or reset. */
+  serverDisruptions: ServerSpan[];
 }
 
 /** Scheduled fault. */
@@ -45,33 +48,101 @@
   };
 }
 
-function withProxyMode(mode: ProxyMode, target: 'store' | 'server'): Handler {
-  return async ({ routers, backends, storeDisruptions }, fault) => {
-    const proxy =
-      target === 'store'
-        ? selectTarget(routers, fault).storeProxy
-        : selectTarget(backends, fault).proxy;
-    const endDisruption = target === 'store' ? openSpan(storeDisruptions, {}) : undefined;
-    proxy.setMode(mode);
+function withStoreProxy(mode: ProxyMode): Handler {
+  return async ({ routers, storeDisruptions }, fault) => {
+    const { storeProxy } = selectTarget(routers, fault);
+    const endDisruption = openSpan(storeDisruptions, {});
+    storeProxy.setMode(mode);
     await delay(fault.durationMs);
+    storeProxy.setMode(ProxyMode.Pass);
+    endDisruption();
+  };
+}
+
+/** Runs `disrupt` on a server's connections and records the span. */
+function withConnections(disrupt: (backend: Backend, fault: Fault) => Promise<void>): Handler {
+  return async ({ backends, serverDisruptions }, fault) => {
+    const backend = selectTarget(backends, fault);
+    const endDisruption = openSpan(serverDisruptions, { server: backend.id });
+    await disrupt(backend, fault);
+    endDisruption();
+  };
+}
+
+function withServerProxy(mode: ProxyMode): Handler {
+  return withConnections(async ({ proxy }, { durationMs }) => {
+    proxy.setMode(mode);
+    await delay(durationMs);
     proxy.setMode(ProxyMode.Pass);
-    endDisruption?.();
+  });
+}
+
+/** Breaks off the streams of one server; the others spoil those that they resume. */
+function withResumption(resumption: Resumption): Handler {
+  return async (targets, fault) => {
+    const { backends } = targets;
+    backends.forEach((backend) => backend.setResumption(resumption));
+    await withBehaviour(Behaviour.Break)(targets, fault);
+    backends.forEach((backend) => backend.setResumption(Resumption.Correct));
   };
 }
 
 /** Routers under a fault of their process; further process faults on them are skipped. */
 const routersUnderFault = new WeakSet<Router>();
 
+async function injectInto(
+  router: Router,
+  fault: Fault,
+  inject: (router: Router, fault: Fault) => Promise<void>,
+): Promise<void> {
+  if (routersUnderFault.has(router)) return;
+  routersUnderFault.add(router);
+  await inject(router, fault);
+  routersUnderFault.delete(router);
+}
+
 function withRouter(inject: (router: Router, fault: Fault) => Promise<void>): Handler {
+  return ({ routers }, fault) => injectInto(selectTarget(routers, fault), fault, inject);
+}
+
+/** Injects into every second router at the same moment. */
+function withRouters(inject: (router: Router, fault: Fault) => Promise<void>): Handler {
   return async ({ routers }, fault) => {
-    const router = selectTarget(routers, fault);
-    if (routersUnderFault.has(router)) return;
-    routersUnderFault.add(router);
-    await inject(router, fault);
-    routersUnderFault.delete(router);
+    const first = fault.selector < 0.5 ? 0 : 1;
+    const selected = routers.filter((_router, index) => index % 2 === first);
+    await Promise.all(selected.map((router) => injectInto(router, fault, inject)));
   };
 }
 
+async function killAndStart(router: Router): Promise<void> {
+  await router.kill();
+  await router.start();
+}
+
+async function stopAndStart(router: Router): Promise<void> {
+  await router.stop();
+  await router.start();
+}
+
+/** Maximum time from the start of a process, or from its SIGTERM, to a signal. */
+const MAX_SIGNAL_DELAY_MS = 500;
+
+/** Leaves a part of the settings file, empty or cut, for a while. */
+function withSettings(signals: boolean): Handler {
+  return withRouter(async (router, { selector, durationMs }) => {
+    // Without the last half, the file lacks sections; without the last tenth, one value is cut.
+    const fractions = [0, 0.5, 0.9];
+    await router.writeSettings(fractions[Math.floor(selector * 1000) % fractions.length]);
+    if (signals) router.reloadSettings();
+    await delay(durationMs);
+    await router.writeSettings();
+    if (signals) router.reloadSettings();
+  });
+}
+
+/** Time between configurations in quick succession. */
+const STORM_INTERVAL_MS = 150;
+
 /** Minimum time of a departure, longer than the grace time so that later work is detectable. */
 const MIN_DEPARTURE_MS = 3500;
 
@@ -87,12 +158,31 @@
 }
 
 const HANDLERS = {
-  'router-killed': withRouter(async (router) => {
+  'router-killed': withRouter(killAndStart),
+  'router-stopped': withRouter(stopAndStart),
+  'routers-killed': withRouters(killAndStart),
+  'routers-stopped': withRouters(stopAndStart),
+  'router-stopped-early': withRouter(async (router, { selector }) => {
     await router.kill();
+    router.launch();
+    await delay(((selector * 1000) % 1) * MAX_SIGNAL_DELAY_MS);
+    await stopAndStart(router);
+  }),
+  'router-stopped-with-settings-signal': withRouter(async (router, { selector }) => {
+    const stopped = router.stop();
+    await delay(((selector * 1000) % 1) * MAX_SIGNAL_DELAY_MS);
+    router.reloadSettings();
+    await stopped;
     await router.start();
   }),
-  'router-stopped': withRouter(async (router) => {
-    await router.stop();
+  'settings-incomplete': withSettings(false),
+  'settings-incomplete-with-signal': withSettings(true),
+  'settings-incomplete-at-start': withRouter(async (router, { durationMs }) => {
+    await router.kill();
+    await router.writeSettings(0);
+    router.launch();
+    await delay(Math.min(durationMs, MAX_SIGNAL_DELAY_MS));
+    await router.writeSettings();
     await router.start();
   }),
   'router-paused': withRouter(async (router, { durationMs }) => {
@@ -120,15 +210,14 @@
     endDisruption();
   },
   'store-history-lost': async ({ store }) => store.discardHistory(),
-  'store-delayed': withProxyMode(ProxyMode.Delay, 'store'),
-  'store-silent': withProxyMode(ProxyMode.Silent, 'store'),
-  'store-one-way': withProxyMode(ProxyMode.OneWay, 'store'),
-  'store-refused': withProxyMode(ProxyMode.Refuse, 'store'),
-  'server-delayed': withProxyMode(ProxyMode.Delay, 'server'),
-  'server-silent': withProxyMode(ProxyMode.Silent, 'server'),
-  'server-refused': withProxyMode(ProxyMode.Refuse, 'server'),
-  'server-connections-reset': async ({ backends }, fault) =>
-    selectTarget(backends, fault).proxy.resetAll(),
+  'store-delayed': withStoreProxy(ProxyMode.Delay),
+  'store-silent': withStoreProxy(ProxyMode.Silent),
+  'store-one-way': withStoreProxy(ProxyMode.OneWay),
+  'store-refused': withStoreProxy(ProxyMode.Refuse),
+  'server-delayed': withServerProxy(ProxyMode.Delay),
+  'server-silent': withServerProxy(ProxyMode.Silent),
+  'server-refused': withServerProxy(ProxyMode.Refuse),
+  'server-connections-reset': withConnections(async ({ proxy }) => proxy.resetAll()),
   'server-fails': withBehaviour(Behaviour.Fail),
   'server-sheds': withBehaviour(Behaviour.Shed),
   'server-hangs': withBehaviour(Behaviour.Hang),
@@ -136,37 +225,60 @@
   'server-breaks': withBehaviour(Behaviour.Break),
   'server-spoils': withBehaviour(Behaviour.Spoil),
   'server-repeats': withBehaviour(Behaviour.Repeat),
-  'server-restarted': async ({ backends, departures }, fault) => {
-    const backend = selectTarget(backends, fault);
-    const hasDeparted = departures.some(
-      ({ server, untilMs }) => server === backend.id && untilMs > performance.now(),
+  'server-cuts-heads': withBehaviour(Behaviour.CutHead),
+  'resumption-no-content': withResumption(Resumption.NoContent),
+  'resumption-empty': withResumption(Resumption.Empty),
+  'resumption-second-head': withResumption(Resumption.SecondHead),
+  'resumption-foreign-event': withResumption(Resumption.ForeignEvent),
+  'resumption-from-start': withResumption(Resumption.FromStart),
+  'resumption-gap': withResumption(Resumption.Gap),
+  'server-restarted': async (targets, fault) => {
+    const { id } = selectTarget(targets.backends, fault);
+    const hasDeparted = targets.departures.some(
+      ({ server, untilMs }) => server === id && untilMs > performance.now(),
     );
-    if (!hasDeparted) backend.restart();
+    if (!hasDeparted) await withConnections(async (backend) => backend.restart())(targets, fault);
   },
   'server-drains': withDeparture((backend) => backend.register('draining')),
   'server-leaves': withDeparture((backend) => backend.deregister()),
   'configuration-changed': async ({ operator }) => operator.changeConfiguration(),
+  'configuration-storm': async ({ operator }, { durationMs }) => {
+    const untilMs = performance.now() + durationMs;
+    while (performance.now() < untilMs) {
+      operator.changeConfiguration(true);
+      await delay(STORM_INTERVAL_MS);
+    }
+    operator.changeConfiguration();
+  },
 } satisfies Record<string, Handler>;
 
 export type FaultKind = keyof typeof HANDLERS;
 export const FAULT_KINDS = Object.keys(HANDLERS) as FaultKind[];
 
-/** Mean time between the starts of faults, shorter than most faults last, so that several are active at any time. */
-const MEAN_FAULT_INTERVAL_MS = 700;
 /** Bounds of a fault's duration; some kinds take longer or have none. */
 const MIN_FAULT_DURATION_MS = 300;
 const MAX_FAULT_DURATION_MS = 4000;
 
-/** Generates the faults for a run of `runDurationMs`. */
-export function createFaultSchedule(random: () => number, runDurationMs: number): Fault[] {
+export interface FaultScheduleOptions {
+  random: () => number;
+  runDurationMs: number;
+  /** Mean time between the starts of faults; shorter than most faults last, several are active at any time. */
+  meanIntervalMs: number;
+  /** @default FAULT_KINDS */
+  kinds?: readonly FaultKind[];
+}
+
+/** Generates the faults of a run. */
+export function createFaultSchedule(options: FaultScheduleOptions): Fault[] {
+  const { random, runDurationMs, meanIntervalMs, kinds = FAULT_KINDS } = options;
   const faults: Fault[] = [];
   let atMs = 1000;
   while (atMs < runDurationMs) {
-    const kind = FAULT_KINDS[Math.floor(random() * FAULT_KINDS.length)]!;
+    const kind = kinds[Math.floor(random() * kinds.length)]!;
     const durationMs =
       MIN_FAULT_DURATION_MS + random() * (MAX_FAULT_DURATION_MS - MIN_FAULT_DURATION_MS);
     faults.push({ atMs, kind, durationMs, selector: random() });
-    atMs += random() * 2 * MEAN_FAULT_INTERVAL_MS;
+    atMs += random() * 2 * meanIntervalMs;
   }
   return faults;
 }
--- a/packages/edge/test/soak/find-breaches.ts
+++ b/packages/edge/test/soak/find-breaches.ts
@@ -1,18 +1,30 @@
 /** Checks the fleet's promises against the observations of callers and backend servers. */
-import { answerBody, SOFTWARE_VERSIONS, STREAM_EVENTS, streamEvent } from './backends.js';
-import { DEADLINE_MS } from './callers.js';
-import { parseRouterName, RouteKind } from './types.js';
-import type { Breach, Call, Run, ServerDeparture, TimeSpan } from './types.js';
+import { overlaps, parseRouterName, RouteKind } from './types.js';
+import type {
+  Breach,
+  Call,
+  ProcessRecord,
+  RouterDisruption,
+  Run,
+  ServerSpan,
+  TimeSpan,
+} from './types.js';
+import { answerBody, parseWork, SOFTWARE_VERSIONS, streamEvent } from './workload.js';
 
 /** Observations of one soak run. */
 export interface Observations {
   calls: readonly Call[];
   runs: readonly Run[];
   /** Spans during which a router's process was disrupted, by router name. */
-  routerDisruptions: ReadonlyMap<string, readonly TimeSpan[]>;
+  routerDisruptions: ReadonlyMap<string, readonly RouterDisruption[]>;
+  processes: readonly ProcessRecord[];
+  /** Spans during which connections to a server were disrupted or reset. */
+  serverDisruptions: readonly ServerSpan[];
+  /** Time from SIGTERM within which a process ends its requests. */
+  graceMs: number;
   /** Spans during which the store or a connection path to it was disrupted. */
   storeDisruptions: readonly TimeSpan[];
-  departures: readonly ServerDeparture[];
+  departures: readonly ServerSpan[];
 }
 
 /** Time after its departure until which a server may receive new work, as specified by the platform's deployments. */
@@ -33,9 +45,10 @@
 /** Returns the body of an answer; a stream has all of its events from one version of the servers' software. */
 function expectedBodies({ attemptId, kind, path }: Call): string[] {
   if (kind === RouteKind.Unsafe || kind === RouteKind.Safe) return [answerBody(attemptId, path)];
+  const { events } = parseWork(path);
   return SOFTWARE_VERSIONS.map((version) =>
-    Array.from({ length: STREAM_EVENTS }, (_none, index) =>
-      streamEvent(attemptId, index + 1, version),
+    Array.from({ length: events }, (_none, index) =>
+      streamEvent(attemptId, index + 1, version, events),
     ).join(''),
   );
 }
@@ -71,17 +84,11 @@
   return counts;
 }
 
-/** Returns true if any of the spans, extended by `recoveryMs`, overlaps the given one. */
-function overlaps(
-  spans: readonly TimeSpan[],
-  { fromMs, untilMs }: TimeSpan,
-  recoveryMs: number,
-): boolean {
-  return spans.some((span) => span.fromMs <= untilMs && span.untilMs + recoveryMs >= fromMs);
-}
-
 /** Returns the disruptions of the router that received a call. */
-function disruptionsOfRouter(observations: Observations, call: Call): readonly TimeSpan[] {
+export function disruptionsOfRouter(
+  observations: Observations,
+  call: Call,
+): readonly RouterDisruption[] {
   return observations.routerDisruptions.get(parseRouterName(call.routerProcess)) ?? [];
 }
 
@@ -93,7 +100,7 @@
 
 function checkDeadline(observations: Observations, call: Call): string | undefined {
   const durationMs = call.endedAtMs - call.sentAtMs;
-  if (durationMs <= DEADLINE_MS + MAX_OVERRUN_MS || wasRouterDisrupted(observations, call))
+  if (durationMs <= call.deadlineMs + MAX_OVERRUN_MS || wasRouterDisrupted(observations, call))
     return undefined;
   return `ended after ${Math.round(durationMs)} ms`;
 }
--- a/packages/edge/test/soak/operator.ts
+++ b/packages/edge/test/soak/operator.ts
@@ -1,14 +1,16 @@
 /** Operator of the soak test: writes configurations and verifies through requests that they take effect and are never reverted. */
 import { sampleDocument } from '../standins/deployment.js';
 import type { StoreStandin } from '../standins/store-standin.js';
+import { formatApiKey } from './callers.js';
 import type { Callers } from './callers.js';
 import type { Router } from './routers.js';
 import { RouteKind } from './types.js';
 import type { Breach } from './types.js';
+import { MAX_BODY_BYTES, SAFE_TIMEOUT_MS, Service, TIMEOUT_MS } from './workload.js';
 
 export interface Operator {
-  /** Writes a new version with one additional route. */
-  changeConfiguration(): void;
+  /** Writes a new version with one additional route, beside many unused routes if `large`. */
+  changeConfiguration(large?: boolean): void;
   /** Requests added routes from each router; a process that has served a version must not fall back to an older one. */
   checkConfigurations(): Promise<void>;
   /** Verifies that all routers serve the newest version; call it after the routers had time to recover. */
@@ -16,48 +18,54 @@
   breaches: Breach[];
 }
 
-/** Below the deadline of callers, so that the router's own timeout is exercised too. */
-const ROUTE_TIMEOUT_MS = 2500;
+/** With these, the document has about 880 kB; the platform accepts values up to 1 MiB. */
+const UNUSED_ROUTES = Array.from({ length: 4600 }, (_none, index) => ({
+  ...sampleDocument().routes[1]!,
+  name: `unused-${index}`,
+  pathPrefix: `/unused-${index}/`,
+}));
 
 /** Creates the operator and writes the first configuration. */
 export function createOperator(
   store: StoreStandin,
   routers: readonly Router[],
   callers: () => Callers,
+  accounts: number,
 ): Operator {
   const breaches: Breach[] = [];
   const servedVersions = new Map<string, number>();
   let version = 1;
 
-  function writeConfiguration(): void {
-    const { routes } = sampleDocument();
-    const safeRoute = {
-      ...routes.find(({ name }) => name === 'any')!,
-      timeoutMs: ROUTE_TIMEOUT_MS,
-    };
-    const nonResumableRoute = {
-      ...safeRoute,
-      name: 'talk',
-      pathPrefix: '/talk/',
-      type: 'streaming',
-    };
+  function writeConfiguration(large: boolean): void {
+    const sample = sampleDocument();
+    const routes = sample.routes.map((route) => ({
+      ...route,
+      service: route.type === 'streaming' ? Service.Streams : Service.Plain,
+      timeoutMs: route.name === RouteKind.Safe ? SAFE_TIMEOUT_MS : TIMEOUT_MS,
+    }));
+    const safeRoute = routes.find(({ name }) => name === 'any')!;
     const addedRoutes = Array.from({ length: version - 1 }, (_none, index) => ({
       ...safeRoute,
       name: `added-${index + 2}`,
       pathPrefix: `/added-${index + 2}/`,
     }));
-    store.put(
-      'config',
-      'main',
-      sampleDocument(version, { routes: [...routes, nonResumableRoute, ...addedRoutes] }),
-    );
+    const document = sampleDocument(version, {
+      routes: [...routes, ...addedRoutes, ...(large ? UNUSED_ROUTES : [])],
+      services: Object.values(Service).map((name) => ({ name, maxConns: 370 })),
+      limits: { ...sample.limits, maxBodyBytes: 2 * MAX_BODY_BYTES },
+      tenants: Array.from({ length: accounts }, (_none, index) => ({
+        name: `t${index + 1}`,
+        apiKeys: [formatApiKey(index)],
+      })),
+    });
+    store.put('config', 'main', document);
   }
 
   async function servesVersion(
     router: Router,
     expectedVersion: number,
   ): Promise<boolean | undefined> {
-    const { status } = await callers().send(router, `/added-${expectedVersion}/x`, RouteKind.Safe);
+    const { status } = await callers().send(router, `/added-${expectedVersion}/x`);
     return status === undefined ? undefined : status !== 404;
   }
 
@@ -79,11 +87,11 @@
       servedVersions.set(processName, newestVersion);
   }
 
-  writeConfiguration();
+  writeConfiguration(false);
   return {
-    changeConfiguration() {
+    changeConfiguration(large = false) {
       version += 1;
-      writeConfiguration();
+      writeConfiguration(large);
     },
     async checkConfigurations() {
       await Promise.all(routers.map(checkRouter));
--- a/packages/edge/test/soak/routers.ts
+++ b/packages/edge/test/soak/routers.ts
@@ -1,21 +1,21 @@
 /** Routers of the soak test: real processes, each with its own proxy to the store. Only processes started here are ended, by their id. */
+import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
-import { ProcessRole, startProcess } from '@kingcupsill/bench';
-import type { Settings } from '@kingcupsill/bench';
 import { findFreePort } from '../standins/deployment.js';
 import { createProxy } from './proxy.js';
 import type { Proxy } from './proxy.js';
-import { formatProcessName, openSpan } from './types.js';
-import type { TimeSpan } from './types.js';
+import { createRouterProcess } from './router-process.js';
+import { DisruptionCause, openSpan } from './types.js';
+import type { ProcessRecord, RouterDisruption } from './types.js';
 
 export interface Router {
   name: string;
   address: string;
   storeProxy: Proxy;
-  /** Spans during which the process was stopped, killed, paused or starting. */
-  disruptions: TimeSpan[];
+  disruptions: RouterDisruption[];
+  /** All processes of the router, the newest last. */
+  processes: ProcessRecord[];
   processName(): string;
   kill(): Promise<void>;
   /** Sends SIGTERM; resolves when the process has ended. */
@@ -23,31 +23,51 @@
   pause(): void;
   resume(): void;
   reloadSettings(): void;
-  /** Starts the next process; resolves when it is ready. */
+  /** Writes the settings again, the first `fraction` of the file only. */
+  writeSettings(fraction?: number): Promise<void>;
+  /** Starts the next process; `start` also waits until it is ready. */
+  launch(): void;
   start(): Promise<void>;
   close(): Promise<void>;
 }
 
+export interface RouterOptions {
+  storePort: number;
+  /** Directory of the settings and logs. */
+  dir: string;
+  graceS: number;
+  /** Time from the start of a process to its first SIGHUP; undefined for none. */
+  firstReloadDelayMs: () => number | undefined;
+}
+
 /** Maximum wait for a started process to become ready. */
 const START_TIMEOUT_MS = 10_000;
-const GRACE_S = 4;
-/** The platform kills the process at the end of the grace period; one more second allows for a loaded machine. */
-const KILL_AFTER_MS = GRACE_S * 1000 + 1000;
 
-async function createSettings(name: string, storePort: number): Promise<Settings> {
+type Settings = Record<string, Record<string, string | number>>;
+
+async function createSettings(name: string, storePort: number, graceS: number): Promise<Settings> {
   const allocateAddress = async () => `127.0.0.1:${await findFreePort()}`;
   return {
-    process: { id: name, zone: 'z1', zone_regions: 'z1=r1' },
+    process: { id: name, zone: 'z1', cores: 0.513, zone_regions: 'z1=r1' },
     callers: { address: await allocateAddress(), readiness_address: await allocateAddress() },
     peers: { address: await allocateAddress() },
     admin: { address: await allocateAddress() },
     store: { address: `127.0.0.1:${storePort}`, heartbeat_ms: 1200 },
-    shutdown: { grace_s: GRACE_S },
+    shutdown: { grace_s: graceS },
     repeats: { ratio: 0.2, burst: 50, window_s: 10 },
     shares: { window_s: 4 },
   };
 }
 
+function formatSettings(settings: Settings): string {
+  return Object.entries(settings)
+    .flatMap(([section, values]) => [
+      `[${section}]`,
+      ...Object.entries(values).map(([key, value]) => `${key} = ${value}`),
+    ])
+    .join('\n');
+}
+
 async function waitUntilReady(address: string): Promise<void> {
   const deadline = performance.now() + START_TIMEOUT_MS;
   const isReady = () =>
@@ -58,29 +78,37 @@
 }
 
 /** Starts a router that logs to a file in `dir`. */
-export async function createRouter(name: string, storePort: number, dir: string): Promise<Router> {
+export async function createRouter(name: string, options: RouterOptions): Promise<Router> {
+  const { storePort, dir, graceS } = options;
   const storeProxy = await createProxy(storePort);
-  const settings = await createSettings(name, storeProxy.port);
-  const disruptions: TimeSpan[] = [];
-  let incarnation = 1;
-  let endDisruption: () => void = () => undefined;
+  const settings = await createSettings(name, storeProxy.port, graceS);
+  const settingsText = formatSettings(settings);
+  const settingsFile = join(dir, `${name}.ini`);
+  const disruptions: RouterDisruption[] = [];
+  const processes: ProcessRecord[] = [];
+  const readinessAddress = String(settings.callers!.readiness_address);
+  let closeSpan: (() => void) | undefined;
 
-  function beginDisruption(): void {
-    endDisruption = openSpan(disruptions, {});
+  function endDisruption(): void {
+    closeSpan?.();
+    closeSpan = undefined;
   }
 
-  const routerProcess = await startProcess({
+  function beginDisruption(cause: DisruptionCause): void {
+    endDisruption();
+    closeSpan = openSpan(disruptions, { cause });
+  }
+
+  const routerProcess = await createRouterProcess({
+    ...options,
     name,
-    role: ProcessRole.Router,
-    zone: 'z1',
-    region: 'r1',
-    script: fileURLToPath(new URL('../../dist/bin/edge.js', import.meta.url)),
-    settings,
-    settingsFile: join(dir, `${name}.ini`),
-    portSettings: {},
+    settingsFile,
     logFile: join(dir, `${name}.log`),
+    graceMs: graceS * 1000,
+    records: processes,
   });
-  const readinessAddress = String(settings.callers!.readiness_address);
+  await writeFile(settingsFile, settingsText);
+  routerProcess.start();
   await waitUntilReady(readinessAddress);
 
   return {
@@ -88,36 +116,35 @@
     address: String(settings.callers!.address),
     storeProxy,
     disruptions,
-    processName: () => formatProcessName(name, incarnation),
+    processes,
+    processName: routerProcess.processName,
     async kill() {
-      beginDisruption();
+      beginDisruption(DisruptionCause.Fault);
       await routerProcess.kill();
     },
     async stop() {
-      beginDisruption();
-      const timer = setTimeout(routerProcess.kill, KILL_AFTER_MS);
-      await routerProcess.drain();
-      clearTimeout(timer);
+      beginDisruption(DisruptionCause.PlannedStop);
+      await routerProcess.stop();
     },
     pause() {
-      beginDisruption();
-      routerProcess.pause();
+      beginDisruption(DisruptionCause.Fault);
+      routerProcess.signal('SIGSTOP');
     },
     resume() {
-      routerProcess.resume();
+      routerProcess.signal('SIGCONT');
       endDisruption();
     },
-    reloadSettings() {
-      if (routerProcess.pid !== undefined) process.kill(routerProcess.pid, 'SIGHUP');
-    },
+    reloadSettings: () => routerProcess.signal('SIGHUP'),
+    writeSettings: (fraction = 1) =>
+      writeFile(settingsFile, settingsText.slice(0, Math.round(settingsText.length * fraction))),
+    launch: routerProcess.start,
     async start() {
-      incarnation += 1;
-      await routerProcess.restart();
+      routerProcess.start();
       await waitUntilReady(readinessAddress);
       endDisruption();
     },
     async close() {
-      await routerProcess.kill();
+      await routerProcess.close();
       storeProxy.close();
     },
   };
--- a/packages/edge/test/soak/run-soak.ts
+++ b/packages/edge/test/soak/run-soak.ts
@@ -2,38 +2,68 @@
 import { mkdtemp } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from '@kingcupsill/bench';
 import { createStoreStandin } from '../standins/store-standin.js';
-import { createBackend, SOFTWARE_VERSIONS } from './backends.js';
+import { createBackend } from './backends.js';
 import { startCallers } from './callers.js';
 import type { Callers } from './callers.js';
 import { createFaultSchedule, injectFault } from './faults.js';
-import type { Fault, FaultTargets } from './faults.js';
+import type { Fault, FaultKind, FaultTargets } from './faults.js';
 import { findBreaches, findWorkAfterDeparture } from './find-breaches.js';
+import type { Observations } from './find-breaches.js';
+import { findCutAnswers, findCutsInStops } from './find-cut-answers.js';
+import type { CutAnswer } from './find-cut-answers.js';
+import { findProcessBreaches } from './find-process-breaches.js';
 import { createOperator } from './operator.js';
 import { createRouter } from './routers.js';
-import type { Breach, Run } from './types.js';
+import type { Router } from './routers.js';
+import type { Breach, Call, ProcessRecord, Run } from './types.js';
+import { Service, SOFTWARE_VERSIONS } from './workload.js';
 
-export interface SoakOptions {
+/** Deployment and load of a run, unless its options differ. */
+export const DEFAULTS = {
+  routers: 5,
+  streamServers: 6,
+  plainServers: 3,
+  callers: 30,
+  accounts: 16,
+  /** Requests of all callers per second. */
+  ratePerS: 140,
+  /** Grace period of planned stops. */
+  graceS: 8,
+  /** Limit of each router process. */
+  memoryLimitMb: 350,
+  /** Range of the time from each start of a process to a SIGHUP. */
+  minReloadDelayMs: 0,
+  maxReloadDelayMs: 300,
+  meanFaultIntervalMs: 700,
+};
+
+export interface SoakOptions extends Partial<typeof DEFAULTS> {
   seed: number;
   durationMs: number;
-  /** @default 3 */
-  routers?: number;
-  /** @default 6 */
-  servers?: number;
-  /** @default 24 */
-  callers?: number;
+  /** Kinds of faults; all if undefined. */
+  faultKinds?: readonly FaultKind[];
   /** Called at the start of each fault. */
   onFault?: (fault: Fault) => void;
 }
 
+type CompleteOptions = SoakOptions & typeof DEFAULTS;
+
 export interface SoakResult {
   requests: number;
   /** Requests with status 200 and a complete answer. */
   served: number;
   faults: number;
   breaches: Breach[];
+  processes: ProcessRecord[];
+  cutAnswers: CutAnswer[];
+  /** Longest delay of the soak's own event loop. Callers, servers and the store share it. */
+  ownLagMs: number;
+  /** False if the soak itself was too slow to judge the routers. */
+  judged: boolean;
   /** Directory of the routers' logs. */
   dir: string;
 }
@@ -44,38 +74,46 @@
 /** Minimum fraction of the requests sent after recovery that must be served. */
 const MIN_SERVED_FRACTION = 0.9;
 const RECOVERED_WINDOW_MS = 1500;
+/** Number of requests that servers run at a time. */
+const SLOTS: Record<Service, number> = { [Service.Streams]: 64, [Service.Plain]: 6 };
+const LAG_RESOLUTION_MS = 10;
+/** The checks allow for a second of delay; half of it is left to the routers. */
+const MAX_OWN_LAG_MS = 500;
+const NS_PER_MS = 1e6;
 
-/** Runs one seed to completion, then closes every process and stand-in that it started. */
-export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const {
-    seed,
-    durationMs,
-    routers: routerCount = 3,
-    servers: serverCount = 6,
-    callers: callerCount = 24,
-  } = options;
+function isServed({ status, complete }: Call): boolean {
+  return status === 200 && complete;
+}
+
+async function createTargets(options: CompleteOptions, callers: () => Callers, runs: Run[]) {
+  const { seed, streamServers, plainServers, accounts, graceS } = options;
+  const { minReloadDelayMs, maxReloadDelayMs } = options;
   const dir = await mkdtemp(join(tmpdir(), 'kingcupsill-soak-'));
   const store = await createStoreStandin();
-  const runs: Run[] = [];
+  const services = [
+    ...Array.from({ length: streamServers }, () => Service.Streams),
+    ...Array.from({ length: plainServers }, () => Service.Plain),
+  ];
   const backends = await Promise.all(
-    Array.from({ length: serverCount }, (_none, index) =>
-      createBackend(
-        `i-${index}`,
-        SOFTWARE_VERSIONS[index % SOFTWARE_VERSIONS.length]!,
-        store,
-        (run) => runs.push(run),
-      ),
-    ),
+    services.map((service, index) => {
+      const version = SOFTWARE_VERSIONS[index % SOFTWARE_VERSIONS.length]!;
+      const entry = { id: `i-${index}`, version, service, slots: SLOTS[service] };
+      return createBackend(entry, store, (run) => runs.push(run));
+    }),
   );
   backends.forEach((backend) => backend.register());
-  const routers: Awaited<ReturnType<typeof createRouter>>[] = [];
-  let callers: Callers | undefined;
-  const operator = createOperator(store, routers, () => callers!);
-  for (let index = 0; index < routerCount; index += 1) {
-    routers.push(await createRouter(`router-${index}`, store.port, dir));
+  const routers: Router[] = [];
+  const operator = createOperator(store, routers, callers, accounts);
+  const random = createRandom(seed, 'signals');
+  const routerOptions = {
+    storePort: store.port,
+    dir,
+    graceS,
+    firstReloadDelayMs: () => minReloadDelayMs + random() * (maxReloadDelayMs - minReloadDelayMs),
+  };
+  for (let index = 0; index < options.routers; index += 1) {
+    routers.push(await createRouter(`router-${index}`, routerOptions));
   }
-  callers = startCallers({ routers, count: callerCount, random: createRandom(seed, 'callers') });
-  const faults = createFaultSchedule(createRandom(seed, 'faults'), durationMs);
   const targets: FaultTargets = {
     routers,
     backends,
@@ -83,12 +121,74 @@
     operator,
     storeDisruptions: [],
     departures: [],
+    serverDisruptions: [],
   };
+  return { targets, dir };
+}
+
+async function injectFaults(targets: FaultTargets, options: CompleteOptions): Promise<number> {
+  const { seed, durationMs, meanFaultIntervalMs, faultKinds, onFault } = options;
+  const faults = createFaultSchedule({
+    random: createRandom(seed, 'faults'),
+    runDurationMs: durationMs,
+    meanIntervalMs: meanFaultIntervalMs,
+    kinds: faultKinds,
+  });
   const injections = faults.map(async (fault) => {
     await delay(fault.atMs);
-    options.onFault?.(fault);
+    onFault?.(fault);
     await injectFault(targets, fault);
   });
+  await Promise.all(injections);
+  return faults.length;
+}
+
+/** Checks that requests are served again, after the last fault. */
+async function checkRecovery(calls: readonly Call[]): Promise<() => Breach[]> {
+  await delay(SETTLE_MS);
+  const fromMs = performance.now();
+  await delay(RECOVERED_WINDOW_MS);
+  const untilMs = performance.now();
+  return () => {
+    const recovered = calls.filter(({ sentAtMs }) => sentAtMs >= fromMs && sentAtMs <= untilMs);
+    const served = recovered.filter(isServed).length;
+    if (served >= recovered.length * MIN_SERVED_FRACTION) return [];
+    const detail = `${served} of ${recovered.length} served`;
+    return [{ promise: 'all is served after faults', detail }];
+  };
+}
+
+function observe(
+  { routers, storeDisruptions, serverDisruptions, departures }: FaultTargets,
+  calls: readonly Call[],
+  runs: readonly Run[],
+  graceS: number,
+): Observations {
+  const probePath = /^\/added-/;
+  return {
+    calls: calls.filter(({ path }) => !probePath.test(path)),
+    runs,
+    routerDisruptions: new Map(routers.map(({ name, disruptions }) => [name, disruptions])),
+    processes: routers.flatMap(({ processes }) => processes),
+    storeDisruptions,
+    serverDisruptions,
+    departures,
+    graceMs: graceS * 1000,
+  };
+}
+
+/** Runs one seed to completion, then closes every process and stand-in that it started. */
+export async function runSoak(soakOptions: SoakOptions): Promise<SoakResult> {
+  const options = { ...DEFAULTS, ...soakOptions };
+  const { seed, callers: count, accounts, ratePerS } = options;
+  const runs: Run[] = [];
+  let callers: Callers | undefined;
+  const { targets, dir } = await createTargets(options, () => callers!, runs);
+  const { routers, operator } = targets;
+  const lag = monitorEventLoopDelay({ resolution: LAG_RESOLUTION_MS });
+  lag.enable();
+  const random = createRandom(seed, 'callers');
+  callers = startCallers({ routers, count, accounts, ratePerS, random });
   let checking = true;
   const checkLoop = (async () => {
     while (checking) {
@@ -96,51 +196,37 @@
       await delay(CHECK_INTERVAL_MS);
     }
   })();
-  await Promise.all(injections);
-  await delay(SETTLE_MS);
-  const recoveredFromMs = performance.now();
-  await delay(RECOVERED_WINDOW_MS);
-  const recoveredUntilMs = performance.now();
+  const faults = await injectFaults(targets, options);
+  const findRecoveryBreaches = await checkRecovery(callers.calls);
   await operator.checkFinalConfiguration();
   checking = false;
   await checkLoop;
   await callers.stop();
+  lag.disable();
   await Promise.all(routers.map((router) => router.close()));
-  backends.forEach((backend) => backend.close());
-  store.close();
+  targets.backends.forEach((backend) => backend.close());
+  targets.store.close();
 
   const { calls } = callers;
-  const routerDisruptions = new Map(routers.map(({ name, disruptions: spans }) => [name, spans]));
-  const probePath = /^\/added-/;
-  const { storeDisruptions, departures } = targets;
-  const callerRequests = calls.filter(({ path }) => !probePath.test(path));
-  const observations = {
-    calls: callerRequests,
-    runs,
-    routerDisruptions,
-    storeDisruptions,
-    departures,
-  };
-  const breaches = [
-    ...findBreaches(observations),
-    ...findWorkAfterDeparture(observations),
-    ...operator.breaches,
-  ];
-  const recoveredCalls = calls.filter(
-    ({ sentAtMs }) => sentAtMs >= recoveredFromMs && sentAtMs <= recoveredUntilMs,
-  );
-  const servedRecovered = recoveredCalls.filter(
-    ({ status, complete }) => status === 200 && complete,
-  ).length;
-  if (servedRecovered < recoveredCalls.length * MIN_SERVED_FRACTION) {
-    const detail = `${servedRecovered} of ${recoveredCalls.length} served`;
-    breaches.push({ promise: 'all is served after faults', detail });
-  }
+  const observations = observe(targets, calls, runs, options.graceS);
+  const cutAnswers = findCutAnswers(observations);
+  const ownLagMs = lag.max / NS_PER_MS - LAG_RESOLUTION_MS;
   return {
     requests: calls.length,
-    served: calls.filter(({ status, complete }) => status === 200 && complete).length,
-    faults: faults.length,
-    breaches,
+    served: calls.filter(isServed).length,
+    faults,
+    breaches: [
+      ...findProcessBreaches(observations.processes, options.memoryLimitMb),
+      ...findCutsInStops(cutAnswers),
+      ...findBreaches(observations),
+      ...findWorkAfterDeparture(observations),
+      ...operator.breaches,
+      ...findRecoveryBreaches(),
+    ],
+    processes: [...observations.processes],
+    cutAnswers,
+    ownLagMs,
+    judged: ownLagMs <= MAX_OWN_LAG_MS,
     dir,
   };
 }
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -5,13 +5,17 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { createRandom } from '@kingcupsill/bench';
-import { answerBody, STREAM_EVENTS, streamEvent } from './backends.js';
+import { Behaviour } from './backends.js';
 import { createFaultSchedule, FAULT_KINDS } from './faults.js';
 import { findBreaches, findWorkAfterDeparture } from './find-breaches.js';
+import type { Observations } from './find-breaches.js';
+import { findCutAnswers, findCutsInStops } from './find-cut-answers.js';
+import { findProcessBreaches } from './find-process-breaches.js';
 import { createProxy, ProxyMode } from './proxy.js';
 import { runSoak } from './run-soak.js';
-import { RouteKind } from './types.js';
-import type { Call, Run, TimeSpan } from './types.js';
+import { DisruptionCause, EndRequest, RouteKind } from './types.js';
+import type { Call, ProcessRecord, RouterDisruption, Run, TimeSpan } from './types.js';
+import { answerBody, DEADLINE_MS, STREAM_EVENTS, streamEvent } from './workload.js';
 
 const ID = 'c1';
 
@@ -23,7 +27,9 @@
     kind,
     path,
     routerProcess: 'router-0#1',
+    deadlineMs: DEADLINE_MS,
     sentAtMs: 1000,
+    lastByteAtMs: 1000,
     endedAtMs: 1100,
     status: 200,
     headers: { 'response-signature': 'signed', 'attempt-id': ID },
@@ -33,21 +39,35 @@
   };
 }
 
-const run: Run = { attemptId: ID, server: 'i-0', atMs: 1050 };
+const run: Run = {
+  attemptId: ID,
+  server: 'i-0',
+  atMs: 1050,
+  behaviour: Behaviour.Serve,
+  endedAtMs: 1090,
+};
+
+function createObservations(overrides: Partial<Observations>): Observations {
+  return {
+    calls: [],
+    runs: [],
+    routerDisruptions: new Map(),
+    processes: [],
+    serverDisruptions: [],
+    graceMs: 8000,
+    storeDisruptions: [],
+    departures: [],
+    ...overrides,
+  };
+}
 
 function findBrokenPromises(
   recordedCall: Call,
   runs: Run[] = [run],
-  spans: TimeSpan[] = [],
+  spans: RouterDisruption[] = [],
 ): string[] {
   const routerDisruptions = new Map([['router-0', spans]]);
-  const observations = {
-    calls: [recordedCall],
-    runs,
-    routerDisruptions,
-    storeDisruptions: [],
-    departures: [],
-  };
+  const observations = createObservations({ calls: [recordedCall], runs, routerDisruptions });
   return findBreaches(observations).map(({ promise }) => promise);
 }
 
@@ -101,36 +121,108 @@
 });
 
 test('allows lost answers of a router that was killed during the call', () => {
-  const span = { fromMs: 1040, untilMs: 1500 };
+  const span = { cause: DisruptionCause.Fault, fromMs: 1040, untilMs: 1500 };
   assert.deepEqual(findBrokenPromises(createCall({ status: undefined }), [run], [span]), []);
 });
 
 test('detects work at a departed server after the grace time, unless the store was disrupted', () => {
   const departures = [{ server: 'i-0', fromMs: 1000, untilMs: 9000 }];
   const countLateRuns = (sentAtMs: number, storeDisruptions: TimeSpan[] = []) =>
-    findWorkAfterDeparture({
-      calls: [createCall({ sentAtMs })],
-      runs: [{ ...run, atMs: sentAtMs + 10 }],
-      routerDisruptions: new Map(),
-      storeDisruptions,
-      departures,
-    }).length;
+    findWorkAfterDeparture(
+      createObservations({
+        calls: [createCall({ sentAtMs })],
+        runs: [{ ...run, atMs: sentAtMs + 10 }],
+        storeDisruptions,
+        departures,
+      }),
+    ).length;
   assert.equal(countLateRuns(3400), 0);
   assert.equal(countLateRuns(3600), 1);
   assert.equal(countLateRuns(3600, [{ fromMs: 2000, untilMs: 2100 }]), 0);
   assert.equal(countLateRuns(9100), 0);
 });
 
+const stoppedProcess: ProcessRecord = {
+  name: 'router-0#1',
+  startedAtMs: 0,
+  endRequest: EndRequest.Stop,
+  stopRequestedAtMs: 10_000,
+  end: { atMs: 17_700, code: 0, signal: null },
+  peakMemoryMb: 100,
+};
+
+test('detects processes that end by themselves, also by a SIGHUP or in a planned stop, and memory over the limit', () => {
+  const findPromises = (overrides: Partial<ProcessRecord>) =>
+    findProcessBreaches([{ ...stoppedProcess, ...overrides }], 350).map(({ promise }) => promise);
+  const ownEnd = ['no process ends by itself'];
+  const end = (code: number | null, signal: NodeJS.Signals | null) => ({ atMs: 90, code, signal });
+  assert.deepEqual(findPromises({}), []);
+  assert.deepEqual(findPromises({ end: end(null, 'SIGTERM') }), []);
+  assert.deepEqual(findPromises({ endRequest: EndRequest.Kill, end: end(null, 'SIGKILL') }), []);
+  assert.deepEqual(findPromises({ end: undefined }), []);
+  assert.deepEqual(findPromises({ endRequest: undefined, end: end(0, null) }), ownEnd);
+  assert.deepEqual(findPromises({ endRequest: undefined, end: end(null, 'SIGHUP') }), ownEnd);
+  assert.deepEqual(findPromises({ end: end(null, 'SIGHUP') }), ownEnd);
+  assert.deepEqual(findPromises({ end: end(70, null) }), ownEnd);
+  assert.deepEqual(findPromises({ peakMemoryMb: 351 }), ['memory stays within its limit']);
+});
+
+test('detects answers that a planned stop cuts, unless the rules allow it', () => {
+  const countCuts = (
+    call: Partial<Call>,
+    runs: Run[] = [{ ...run, atMs: 13_600, endedAtMs: 17_600 }],
+    others: Partial<Observations> = {},
+  ) => {
+    const { Unsafe: kind } = RouteKind;
+    const sent = { kind, sentAtMs: 13_500, lastByteAtMs: 13_500, endedAtMs: 17_600 };
+    const recordedCall = createCall({ ...sent, deadlineMs: 9000, status: undefined, ...call });
+    const processes = [stoppedProcess];
+    const observations = createObservations({ calls: [recordedCall], runs, processes, ...others });
+    return findCutsInStops(findCutAnswers(observations)).length;
+  };
+  assert.equal(countCuts({}), 1);
+  assert.equal(countCuts({ kind: RouteKind.ResumableStream, status: 200, complete: false }), 1);
+  assert.equal(countCuts({}, []), 1, 'not passed on, cut long after its last byte');
+  assert.equal(countCuts({ status: 200 }), 0);
+  assert.equal(countCuts({ status: 503 }), 0);
+  assert.equal(countCuts({ endedAtMs: 13_600 }, []), 0, 'not passed on, cut at its last byte');
+  assert.equal(countCuts({ lastByteAtMs: 12_900 }), 0, 'sent early, its server works late');
+  assert.equal(countCuts({ lastByteAtMs: 12_900, endedAtMs: 15_000 }, [run]), 1);
+  assert.equal(countCuts({ deadlineMs: 4000 }), 0);
+  assert.equal(countCuts({}, [{ ...run, behaviour: Behaviour.Break }]), 0);
+  const span = { fromMs: 14_000, untilMs: 14_100 };
+  assert.equal(countCuts({}, [run], { serverDisruptions: [{ ...span, server: 'i-0' }] }), 0);
+  assert.equal(countCuts({}, [run], { serverDisruptions: [{ ...span, server: 'i-1' }] }), 1);
+  const countWithDisruption = (cause: DisruptionCause) =>
+    countCuts({}, [run], { routerDisruptions: new Map([['router-0', [{ ...span, cause }]]]) });
+  assert.equal(countWithDisruption(DisruptionCause.Fault), 0);
+  assert.equal(countWithDisruption(DisruptionCause.PlannedStop), 1);
+});
+
 test('generates the same faults for the same seed, and every kind of fault', () => {
   const createSchedule = (seed: number) =>
-    createFaultSchedule(createRandom(seed, 'faults'), 600_000);
+    createFaultSchedule({
+      random: createRandom(seed, 'faults'),
+      runDurationMs: 600_000,
+      meanIntervalMs: 700,
+    });
   assert.deepEqual(createSchedule(5), createSchedule(5));
   assert.notDeepEqual(createSchedule(5), createSchedule(6));
   assert.equal(new Set(createSchedule(5).map(({ kind }) => kind)).size, FAULT_KINDS.length);
 });
 
 test('keeps every promise in a short run', { timeout: 90_000 }, async () => {
-  const { breaches, served, requests } = await runSoak({ seed: 1, durationMs: 8000, callers: 12 });
+  const { breaches, served, requests } = await runSoak({
+    seed: 1,
+    durationMs: 8000,
+    routers: 3,
+    callers: 12,
+    ratePerS: 60,
+    graceS: 4,
+    // No process can handle signals before its runtime has started.
+    minReloadDelayMs: 300,
+    maxReloadDelayMs: 600,
+  });
   assert.deepEqual(breaches, []);
   assert.ok(served > requests / 2, `${served} of ${requests} served`);
 });
--- a/packages/edge/test/soak/soak.ts
+++ b/packages/edge/test/soak/soak.ts
@@ -1,36 +1,65 @@
 /** `npm run soak -- --seed N --minutes M`: exits with 0 only if every promise held, and prints the verdict on the last line. */
 import { parseArgs } from 'node:util';
-import { runSoak } from './run-soak.js';
+import { FAULT_KINDS } from './faults.js';
+import { formatReport } from './report.js';
+import { DEFAULTS, runSoak } from './run-soak.js';
 
 const DEFAULT_MINUTES = 1;
 const MS_PER_MINUTE = 60_000;
 /** Maximum number of breaches listed; the verdict counts all of them. */
 const MAX_PRINTED_BREACHES = 20;
+const ExitCode = { Held: 0, Broken: 1, Usage: 2, NotJudged: 3 } as const;
 
 const { values } = parseArgs({
-  options: { seed: { type: 'string' }, minutes: { type: 'string' }, faults: { type: 'boolean' } },
+  options: {
+    seed: { type: 'string' },
+    minutes: { type: 'string' },
+    faults: { type: 'boolean' },
+    /** Kinds of faults, or the beginnings of their names. */
+    only: { type: 'string', multiple: true },
+    /** NAME=NUMBER for a name in `DEFAULTS`. */
+    set: { type: 'string', multiple: true },
+  },
 });
 const seed = Number(values.seed ?? Date.now() % 1_000_000);
 const minutes = Number(values.minutes ?? DEFAULT_MINUTES);
-if (!Number.isInteger(seed) || !(minutes > 0)) {
-  process.stderr.write('soak: --seed must be a whole number, --minutes above 0\n');
-  process.exit(2);
+const settings = (values.set ?? []).map((text) => text.split('=') as [string, string]);
+const { only } = values;
+const faultKinds = FAULT_KINDS.filter(
+  (kind) => only === undefined || only.some((name) => kind.startsWith(name)),
+);
+const isValid =
+  Number.isInteger(seed) &&
+  minutes > 0 &&
+  settings.every(([name, value]) => name in DEFAULTS && Number(value) >= 0) &&
+  faultKinds.length > 0;
+if (!isValid) {
+  process.stderr.write('soak: unknown name, or a number out of range\n');
+  process.exit(ExitCode.Usage);
 }
-const { requests, served, faults, breaches, dir } = await runSoak({
+const result = await runSoak({
+  ...Object.fromEntries(settings.map(([name, value]) => [name, Number(value)])),
   seed,
   durationMs: minutes * MS_PER_MINUTE,
+  faultKinds,
   onFault: ({ atMs, kind, durationMs }) => {
     if (values.faults) {
       process.stdout.write(`${Math.round(atMs)} ms: ${kind} for ${Math.round(durationMs)} ms\n`);
     }
   },
 });
+const { requests, served, faults, breaches, judged, ownLagMs, dir } = result;
+formatReport(result).forEach((line) => process.stdout.write(`${line}\n`));
 breaches.slice(0, MAX_PRINTED_BREACHES).forEach(({ promise, detail }) => {
   process.stdout.write(`broken: ${promise}: ${detail}\n`);
 });
 if (breaches.length > 0) process.stdout.write(`logs: ${dir}\n`);
-const verdict = breaches.length === 0 ? 'every promise held' : `${breaches.length} breaches`;
+const held = breaches.length === 0 ? 'every promise held' : `${breaches.length} breaches`;
+const verdict = judged
+  ? held
+  : `not judged, own event loop ${Math.round(ownLagMs)} ms late (${held})`;
 process.stdout.write(
   `soak: seed ${seed}, ${minutes} min, ${requests} requests, ${served} served, ${faults} faults: ${verdict}\n`,
 );
-process.exit(breaches.length === 0 ? 0 : 1);
+if (!judged) process.exit(ExitCode.NotJudged);
+process.exit(breaches.length === 0 ? ExitCode.Held : ExitCode.Broken);
--- a/packages/edge/test/soak/types.ts
+++ b/packages/edge/test/soak/types.ts
@@ -1,4 +1,5 @@
 /** Types and helpers shared by the modules of the soak test. */
+import type { Behaviour } from './backends.js';
 
 /** Time span on the clock of `performance.now()`. */
 export interface TimeSpan {
@@ -37,7 +38,10 @@
   path: string;
   /** Name of the router process that received the request. */
   routerProcess: string;
+  deadlineMs: number;
   sentAtMs: number;
+  /** Time at which the last byte of the request was sent; undefined if the connection ended before. */
+  lastByteAtMs: number | undefined;
   endedAtMs: number;
   /** Undefined if no response head arrived. */
   status: number | undefined;
@@ -52,6 +56,39 @@
   attemptId: string;
   server: string;
   atMs: number;
+  behaviour: Behaviour;
+  /** Time at which the server sent the last byte of the answer or lost the connection; undefined while it works. */
+  endedAtMs?: number;
+}
+
+/** How the soak ends a process. */
+export const EndRequest = { Kill: 'kill', Stop: 'stop' } as const;
+export type EndRequest = (typeof EndRequest)[keyof typeof EndRequest];
+
+/** One process of a router, from its start to its end. */
+export interface ProcessRecord {
+  name: string;
+  startedAtMs: number;
+  /** Last request of the soak to end the process. */
+  endRequest?: EndRequest;
+  /** Time of the SIGTERM of a planned stop. */
+  stopRequestedAtMs?: number;
+  end?: { atMs: number; code: number | null; signal: NodeJS.Signals | null };
+  /** Highest resident memory; 0 where the system doesn't report it. */
+  peakMemoryMb: number;
+}
+
+/** Cause of a router's disruption; a process that ends by itself is none. */
+export const DisruptionCause = {
+  /** Kill or pause by the soak. */
+  Fault: 'fault',
+  PlannedStop: 'planned-stop',
+} as const;
+export type DisruptionCause = (typeof DisruptionCause)[keyof typeof DisruptionCause];
+
+/** Span during which a router's process was stopped, killed, paused or starting. */
+export interface RouterDisruption extends TimeSpan {
+  cause: DisruptionCause;
 }
 
 /** Violation of one of the fleet's promises. */
@@ -60,8 +97,8 @@
   detail: string;
 }
 
-/** Span during which a backend server was draining or deregistered. */
-export interface ServerDeparture extends TimeSpan {
+/** Span that concerns one backend server: of a departure, or of a fault of its connections. */
+export interface ServerSpan extends TimeSpan {
   server: string;
 }
 
@@ -76,3 +113,12 @@
     span.untilMs = performance.now();
   };
 }
+
+/** Returns true if any of the spans, extended by `recoveryMs`, overlaps the given one. */
+export function overlaps(
+  spans: readonly TimeSpan[],
+  { fromMs, untilMs }: TimeSpan,
+  recoveryMs: number,
+): boolean {
+  return spans.some((span) => span.fromMs <= untilMs && span.untilMs + recoveryMs >= fromMs);
+}
