--- a/packages/edge/test/soak/report.ts
+++ b/packages/edge/test/soak/report.ts
@@ -1,8 +1,34 @@
 /** Summary of a soak run: ends of processes, memory, and answers that were cut. */
-import type { CutAnswer } from './find-cut-answers.js';
+import type { CutAnswer } from './find-process-breaches.js';
 import { hasEndedByItself } from './router-process.js';
 import type { SoakResult } from './run-soak.js';
 import { EndRequest } from './types.js';
+import type { Breach } from './types.js';
+
+export const ExitCode = { Held: 0, Broken: 1, Usage: 2, NotJudged: 3 } as const;
+
+/** Longest delay of the soak's own event loop in a run that is judged: half of the second that the checks allow for. */
+const MAX_OWN_LAG_MS = 500;
+/** Maximum number of breaches of a promise that are listed; the verdict counts all of them. */
+const MAX_LISTED_BREACHES = 8;
+
+/** Returns the verdict; a run whose own event loop was late is neither held nor broken. */
+export function judge({ breaches, ownLagMs }: Pick<SoakResult, 'breaches' | 'ownLagMs'>) {
+  const held = breaches.length === 0;
+  const text = held ? 'every promise held' : `${breaches.length} breaches`;
+  if (ownLagMs <= MAX_OWN_LAG_MS) return { text, exitCode: held ? ExitCode.Held : ExitCode.Broken };
+  const lag = `own event loop ${Math.round(ownLagMs)} ms late`;
+  return { text: `not judged, ${lag} (${text})`, exitCode: ExitCode.NotJudged };
+}
+
+function listBreaches(breaches: readonly Breach[]): string[] {
+  return [...new Set(breaches.map(({ promise }) => promise))].flatMap((promise) =>
+    breaches
+      .filter((breach) => breach.promise === promise)
+      .slice(0, MAX_LISTED_BREACHES)
+      .map(({ detail }) => `broken: ${promise}: ${detail}`),
+  );
+}
 
 function countBy<T>(items: readonly T[], keyOf: (item: T) => string): string {
   const counts = new Map<string, number>();
@@ -27,6 +53,7 @@
       describe,
     )}`,
     `passed on and cut elsewhere: ${countBy(elsewhere, describe)}`,
+    ...listBreaches(breaches),
     `broken: ${countBy(breaches, ({ promise }) => promise)}`,
   ];
 }
