Wait for addresses that are in use or not assigned yet

The process exited with code 70, and a restart met the same state.

Cause: each of the four listeners had one attempt, and all were needed to start, even the one for metrics.

Change: a router tries again until it listens for callers and readiness checks. The listeners for other routers and for metrics don't delay the start. Errors that don't pass, such as a missing permission, still end the start if callers need the listener. A SIGTERM meanwhile ends the attempts, and the drain handles what has been accepted elsewhere. The WebSocket server gets its connections from an HTTP server, since its own can't listen twice.

--- a/packages/edge/src/admin/admin-server.ts
+++ b/packages/edge/src/admin/admin-server.ts
@@ -2,9 +2,9 @@
 import { createServer } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { describeState } from '@kingcupsill/core/direct';
-import { closeServer, listenOn } from '@kingcupsill/runtime';
+import { closeServer } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
-import { logListenerErrors } from '../listener-errors.js';
+import { listenWhenFree } from '../listen-when-free.js';
 import { parseAddress } from '../settings.js';
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
@@ -49,9 +49,12 @@
       res.destroy();
     });
   });
-  await listenOn(server, {
+  await listenWhenFree(server, {
     ...parseAddress(ctx.settings().admin.address),
-    onError: logListenerErrors(ctx.logger, 'admin'),
+    listener: 'admin',
+    isRequired: false,
+    logger: ctx.logger,
+    stopping: ctx.stopping,
   });
   return { close: () => closeServer(server) };
 }
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -3,10 +3,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@kingcupsill/core/direct';
-import { closeServer, listenOn } from '@kingcupsill/runtime';
+import { closeServer } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { repeatEvery } from '../closable.js';
-import { logListenerErrors } from '../listener-errors.js';
+import { listenWhenFree } from '../listen-when-free.js';
 import { createAcceptQueue } from './accept-queue.js';
 import { afterNextPoll } from './after-next-poll.js';
 import { createConnectionTable } from './connection-table.js';
@@ -23,6 +23,7 @@
   onLateRequest: (req: IncomingMessage, res: ServerResponse) => void;
   clock: Clock;
   logger: Logger;
+  stopping?: AbortSignal;
 }
 
 /** Server for callers. */
@@ -121,12 +122,9 @@
     connections.add(socket);
   });
   server.on('clientError', onClientError);
-  await listenOn(server, {
-    host: options.host,
-    port: options.port,
-    backlog: BACKLOG,
-    onError: logListenerErrors(options.logger, 'callers'),
-  });
+  const { host, port, logger, stopping } = options;
+  const policy = { listener: 'callers', isRequired: true, logger, stopping };
+  await listenWhenFree(server, { host, port, backlog: BACKLOG, ...policy });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
     const idleTimeoutMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
     connections.closeIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
--- a/packages/edge/src/callers/readiness-server.ts
+++ b/packages/edge/src/callers/readiness-server.ts
@@ -1,10 +1,10 @@
 /** HTTP server for the platform's readiness checks. */
 import { createServer } from 'node:http';
 import { READINESS_PATH } from '@kingcupsill/prepared-platform';
-import { closeServer, listenOn } from '@kingcupsill/runtime';
+import { closeServer } from '@kingcupsill/runtime';
 import type { Logger } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
-import { logListenerErrors } from '../listener-errors.js';
+import { listenWhenFree } from '../listen-when-free.js';
 
 /** Long enough that the platform's connections stay open between two checks. */
 const KEEP_ALIVE_MS = 30_000;
@@ -15,6 +15,7 @@
   port: number;
   isReady: () => boolean;
   logger: Logger;
+  stopping?: AbortSignal;
 }): Promise<Closable> {
   const server = createServer((req, res) => {
     const isReadinessPath = req.url === READINESS_PATH;
@@ -23,10 +24,8 @@
     res.end();
   });
   server.keepAliveTimeout = KEEP_ALIVE_MS;
-  await listenOn(server, {
-    host: options.host,
-    port: options.port,
-    onError: logListenerErrors(options.logger, 'readiness'),
-  });
+  const { host, port, logger, stopping } = options;
+  const policy = { listener: 'readiness', isRequired: true, logger, stopping };
+  await listenWhenFree(server, { host, port, ...policy });
   return { close: () => closeServer(server) };
 }
--- a/packages/edge/src/context.ts
+++ b/packages/edge/src/context.ts
@@ -14,6 +14,8 @@
   clock: Clock;
   /** Returns a random number in [0, 1). */
   random: () => number;
+  /** Aborted when the process has been asked to end. @default never */
+  stopping?: AbortSignal;
   /** Random id of this process run. */
   incarnation: string;
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -54,7 +54,7 @@
 /** Time within which live servers renew lapsed entries after the store has recovered. */
 const ENTRY_RENEWAL_MS = 2200;
 
-/** Starts the router. Rejects if it can't listen on one of its addresses. */
+/** Starts the router. Waits until its addresses are free; rejects if it can't listen on them for another reason. */
 export async function startEdge(ctx: EdgeContext): Promise<RunningProcess> {
   const { components: parts, close } = composeProcess<EdgeParts>(
     partTable(ctx, await createHasher()),
@@ -218,6 +218,7 @@
         hasher,
         clock,
         logger,
+        stopping: ctx.stopping,
         storeNews: parts.storeNews,
         blocks: parts.state.crashEvidence.blocks,
         serverLimits: parts.state.serverLimits,
@@ -267,6 +268,7 @@
         ...parts.requestHandlers,
         clock: ctx.clock,
         logger: ctx.logger,
+        stopping: ctx.stopping,
       }),
     close: (server) => server.close(),
   };
@@ -287,6 +289,7 @@
       return createReadinessServer({
         ...parseAddress(ctx.settings().callers.readinessAddress),
         logger: ctx.logger,
+        stopping: ctx.stopping,
         isReady: () =>
           !phase.draining &&
           state.routeTable !== undefined &&
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -1,8 +1,9 @@
 /** Links that other routers open to this one. */
+import { createServer } from 'node:http';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
-import { logListenerErrors } from '../listener-errors.js';
+import { listenWhenFree } from '../listen-when-free.js';
 import { createOpenLink } from './open-link.js';
 import { LINK_TIMEOUT_MS, LinkRole } from './types.js';
 import type { LinkListener, OpenLink } from './types.js';
@@ -13,6 +14,7 @@
   port: number;
   clock: Clock;
   logger: Logger;
+  stopping?: AbortSignal;
   /** Returns whether links of this role are accepted now. */
   accepts: (role: LinkRole) => boolean;
   listeners: Record<LinkRole, LinkListener>;
@@ -34,6 +36,7 @@
 
 /** Maximum size of a report, which has a few dozen bytes per backend server and account. */
 const MAX_REPORT_BYTES = 1024 * 1024;
+const UPGRADE_REQUIRED = 426;
 /** Application-defined close code of WebSocket: this router isn't a hub. */
 const CLOSE_NOT_HUB = 4001;
 
@@ -50,8 +53,7 @@
   const { clock, logger, listeners } = options;
   const peers = new Map<WebSocket, Peer>();
   const server = new WebSocketServer({
-    host: options.host,
-    port: options.port,
+    noServer: true,
     perMessageDeflate: false,
     maxPayload: MAX_REPORT_BYTES,
   });
@@ -81,14 +83,13 @@
     if (options.accepts(role)) accept(socket, role, router);
     else socket.close(CLOSE_NOT_HUB);
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.once('listening', () => {
-      server.off('error', reject);
-      server.on('error', logListenerErrors(logger, 'peers'));
-      resolve();
-    });
+  const httpServer = createServer((_req, res) => res.writeHead(UPGRADE_REQUIRED).end());
+  httpServer.on('upgrade', (req, socket, head) => {
+    server.handleUpgrade(req, socket, head, (link) => server.emit('connection', link, req));
   });
+  const { host, port, stopping } = options;
+  const policy = { listener: 'peers', isRequired: false, logger, stopping };
+  await listenWhenFree(httpServer, { host, port, ...policy });
 
   return {
     check() {
@@ -101,6 +102,7 @@
     close() {
       peers.forEach((_peer, socket) => socket.terminate());
       server.close();
+      httpServer.close();
     },
   };
 }
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -21,6 +21,7 @@
 export interface PeerLinksOptions extends Omit<LinkContext, 'nextLinkNumber'> {
   host: string;
   port: number;
+  stopping?: AbortSignal;
   hasher: Hasher;
   /** Name and incarnation of this router, which its reports carry. */
   router: string;
@@ -84,6 +85,7 @@
     ...ctx,
     host: options.host,
     port: options.port,
+    stopping: options.stopping,
     accepts: (role) => role === LinkRole.Member || groups.isHub(),
     listeners: {
       [LinkRole.Member]: listen(LinkKind.Member, true),
--- a/packages/edge/src/run-edge.ts
+++ b/packages/edge/src/run-edge.ts
@@ -50,6 +50,7 @@
   exitOnUncaughtError(logger, sink.flush);
   logger.info('starting', { node: process.version });
   source.warnings.forEach((message) => logger.warn('settings-warning', { message }));
+  const stopping = new AbortController();
   const starting = startEdge({
     settings: source.current,
     logger,
@@ -58,9 +59,11 @@
     clock,
     random: Math.random,
     incarnation,
+    stopping: stopping.signal,
   });
   const shutdownSignals = ['SIGTERM', 'SIGINT'] as const;
-  shutDownOnSignals({ starting, logger, signals, shutdownSignals });
+  const onShutdown = (): void => stopping.abort();
+  shutDownOnSignals({ starting, logger, signals, shutdownSignals, onShutdown });
   followSettings(source, logger, signals);
   starting.catch((err: unknown) => {
     logger.error('start-failed', { err });
--- a/packages/runtime/src/binary/shut-down-on-signals.ts
+++ b/packages/runtime/src/binary/shut-down-on-signals.ts
@@ -14,6 +14,8 @@
   signals: ReceivedSignals;
   /** Signals that start the shutdown. */
   shutdownSignals: readonly HandledSignal[];
+  /** Called at the first signal, also while the process is still starting. */
+  onShutdown?: () => void;
 }
 
 /**
@@ -46,6 +48,7 @@
     if (!phase.draining) {
       phase.draining = true;
       logger.info('draining', { signal });
+      options.onShutdown?.();
       void drainAndExit();
     } else if (signal === 'SIGINT' && !phase.forced) {
       phase.forced = true;
--- a/packages/runtime/src/http-server/listen.ts
+++ b/packages/runtime/src/http-server/listen.ts
@@ -17,12 +17,18 @@
 export async function listenOn(server: Server, options: ListenOptions): Promise<number> {
   const { onError, ...address } = options;
   await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address, () => {
-      server.off('error', reject);
+    function onListening(): void {
+      server.off('error', onStartError);
       if (onError !== undefined) server.on('error', onError);
       resolve();
-    });
+    }
+    function onStartError(err: Error): void {
+      server.off('listening', onListening);
+      reject(err);
+    }
+    server.once('error', onStartError);
+    server.once('listening', onListening);
+    server.listen(address);
   });
   return (server.address() as AddressInfo).port;
 }
