Serve the last connections before the router stops listening

A connection without a request counted as idle and was closed at once, though its first request was on its way. And when the event loop is late, the timer that ends listening runs before the loop accepts the connections that the kernel has queued; closing the listener resets them.

Change: connections that have carried no request stay open for up to 300 ms after the router has stopped listening, and their requests are refused with 503. Before it stops listening, the router accepts what waits, by the monitor of the accept queue, for at most 200 ms.

Evidence: two new tests in late-work.test.ts. What remains is a connection that is established between the last accept and the end of listening.

--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -30,9 +30,11 @@
 export interface CallerServer {
   /** Makes each further response close its connection. */
   startDrain(): void;
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections and closes idle ones, except for those whose first request may be on its way. */
   stopListening(): void;
   openRequestCount(): number;
+  /** Number of connections on which no request has arrived. */
+  unusedConnectionCount(): number;
   connectionTotals(): ConnectionTotals;
   /** Estimated wait of connections that haven't been accepted yet. */
   acceptWaitMs(): number;
@@ -137,9 +139,10 @@
     stopListening() {
       phase.closing = true;
       server.close();
-      connections.closeIdle(0);
+      connections.closeUsed();
     },
     openRequestCount: connections.openRequestCount,
+    unusedConnectionCount: connections.unusedCount,
     connectionTotals: connections.totals,
     acceptWaitMs: acceptQueue.waitMs,
     async close() {
--- a/packages/edge/src/callers/connection-table.ts
+++ b/packages/edge/src/callers/connection-table.ts
@@ -17,6 +17,10 @@
   isIdle(socket: Socket): boolean;
   /** Closes connections that have been idle for longer than `idleMs`. */
   closeIdle(idleMs: number): void;
+  /** Closes the idle connections that have carried a request. */
+  closeUsed(): void;
+  /** Number of connections that haven't carried a request. */
+  unusedCount(): number;
   /** Number of requests whose response isn't complete. */
   openRequestCount(): number;
   totals(): ConnectionTotals;
@@ -25,6 +29,7 @@
 interface Connection {
   idleSinceMs: number;
   requests: number;
+  used: boolean;
   answered: boolean;
 }
 
@@ -36,7 +41,7 @@
 
   return {
     add(socket) {
-      const connection = { idleSinceMs: nowMs(), requests: 0, answered: false };
+      const connection = { idleSinceMs: nowMs(), requests: 0, used: false, answered: false };
       totals.accepted += 1;
       connections.set(socket, connection);
       socket.on('close', () => {
@@ -47,7 +52,9 @@
     requestStarted(socket) {
       openRequests += 1;
       const connection = connections.get(socket);
-      if (connection !== undefined) connection.requests += 1;
+      if (connection === undefined) return;
+      connection.used = true;
+      connection.requests += 1;
     },
     requestEnded(socket, isAnswered) {
       openRequests -= 1;
@@ -64,6 +71,12 @@
         if (requests === 0 && idleSinceMs <= idleBeforeMs) socket.end();
       });
     },
+    closeUsed() {
+      connections.forEach(({ requests, used }, socket) => {
+        if (requests === 0 && used) socket.end();
+      });
+    },
+    unusedCount: () => [...connections.values()].filter(({ used }) => !used).length,
     openRequestCount: () => openRequests,
     totals: () => totals,
   };
--- a/packages/edge/src/drain.ts
+++ b/packages/edge/src/drain.ts
@@ -9,6 +9,11 @@
 const EXIT_MARGIN_MS = 400;
 /** Maximum time to send the final answers. */
 const FINAL_ANSWERS_MS = 250;
+/** Maximum time to accept the connections that wait when the router stops listening. */
+const MAX_ACCEPT_MS = 200;
+const ACCEPT_POLL_MS = 10;
+/** Time in which the first requests arrive on connections that were accepted just before the router stopped listening. */
+const FIRST_REQUEST_MS = 300;
 const DRAIN_POLL_MS = 50;
 
 type DrainParts = Pick<
@@ -26,7 +31,7 @@
   parts.phase.draining = true;
   parts.loop.dispatch({ kind: 'drain-started', endsAtMs, nowMs: clock() });
   const callers = await parts.callers;
-  const { openRequestCount } = callers;
+  const { openRequestCount, unusedConnectionCount } = callers;
 
   async function waitForAnswers(untilMs: number): Promise<void> {
     while (openRequestCount() > 0 && clock() < untilMs) await delay(DRAIN_POLL_MS);
@@ -35,7 +40,13 @@
   callers.startDrain();
   const deregistered = parts.registration.remove();
   await delay(Math.min(DRAIN_LISTEN_MS, endsAtMs - clock()));
+  const acceptedByMs = Math.min(clock() + MAX_ACCEPT_MS, endsAtMs);
+  // If the event loop is late, this timer runs before waiting connections are accepted.
+  do await delay(ACCEPT_POLL_MS);
+  while (callers.acceptWaitMs() > 0 && clock() < acceptedByMs);
   callers.stopListening();
+  const firstRequestsByMs = Math.min(clock() + FIRST_REQUEST_MS, endsAtMs);
+  while (unusedConnectionCount() > 0 && clock() < firstRequestsByMs) await delay(DRAIN_POLL_MS);
   await waitForAnswers(endsAtMs);
   const refused = openRequestCount();
   parts.loop.dispatch({ kind: 'drain-ended', nowMs: clock() });
--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -168,3 +168,35 @@
     assert.equal(await Promise.race([stop(deployment), killed]), undefined);
   });
 });
+
+// Guards against connections that are reset because their first request was on its way when the router stopped listening.
+test('a request on a connection that was opened just before the router stops listening is refused as not run', async () => {
+  await withDeployment([(arrival) => sendAnswer(arrival)], async (deployment) => {
+    const stopped = stop(deployment);
+    await delay(2900);
+    const caller = createRawCaller(deployment);
+    await delay(200);
+    caller.write(requestHead('/once/1', ['Attempt-Id: a', 'Content-Length: 0']));
+    assert.equal(await caller.answer(), '503');
+    await stopped;
+    caller.close();
+  });
+});
+
+// Guards against connections that are reset because a late event loop stopped listening before it accepted them.
+test('connections that wait to be accepted when the router stops listening are accepted and refused as not run', async () => {
+  await withDeployment([(arrival) => sendAnswer(arrival)], async (deployment) => {
+    const stopped = stop(deployment);
+    await delay(2900);
+    const callers = Array.from({ length: 5 }, () => createRawCaller(deployment));
+    callers.forEach((caller) =>
+      caller.write(requestHead('/once/1', ['Attempt-Id: a', 'Content-Length: 0'])),
+    );
+    const blockedUntilMs = performance.now() + 200;
+    while (performance.now() < blockedUntilMs);
+    const answers = await Promise.all(callers.map((caller) => caller.answer()));
+    assert.deepEqual(answers, Array<string>(5).fill('503'));
+    await stopped;
+    callers.forEach((caller) => caller.close());
+  });
+});
