--- a/packages/edge/src/callers/body-budget.ts
+++ b/packages/edge/src/callers/body-budget.ts
@@ -27,7 +27,7 @@
 const MAX_SMALL_BYTES = 64 * 1024;
 /** Fractions of the process's memory. */
 const SMALL_FRACTION = 0.1;
-const LARGE_FRACTION = 0.25;
+const LARGE_FRACTION = 0.15;
 const BYTES_PER_MB = 1024 * 1024;
 const NO_ACCOUNT = '';
 
--- a/packages/edge/test/callers/body-budget.test.ts
+++ b/packages/edge/test/callers/body-budget.test.ts
@@ -51,7 +51,7 @@
   assert.equal(budget.heldBytes(), heldBytes - SMALL_BYTES);
 });
 
-test('never holds more than two fifths of the memory and a body of each size class', () => {
+test('never holds more than a quarter of the memory and a body of each size class', () => {
   const maxBodyBytes = 4 * MB;
   const step = fc.record({
     body: fc.nat(40),
@@ -77,7 +77,7 @@
         }
         const heldBytes = [...bodies.values()].reduce((sum, held) => sum + held.bytes, 0);
         assert.equal(budget.heldBytes(), heldBytes);
-        assert.ok(heldBytes <= MEMORY_MB * MB * 0.4 + maxBodyBytes + 64 * 1024);
+        assert.ok(heldBytes <= (MEMORY_MB * MB) / 4 + maxBodyBytes + 64 * 1024);
       });
       bodies.forEach(({ reservation }) => reservation.release());
       assert.equal(budget.heldBytes(), 0);
--- a/packages/edge/test/callers/held-bodies.test.ts
+++ b/packages/edge/test/callers/held-bodies.test.ts
@@ -68,7 +68,7 @@
       refused.filter((answer) => !isMemoryFull(answer)),
       [],
     );
-    assert.ok(waiting.length * BODY.length <= settings.process.memoryMb * 1024 * 1024 * 0.4);
+    assert.ok(waiting.length * BODY.length <= (settings.process.memoryMb * 1024 * 1024) / 4);
     assert.ok(isMemoryFull(await callInChunks(settings.callers.address)));
     assert.ok(isMemoryFull(await call('/any/x', { method: 'POST', body: BODY })));
     assert.equal((await call('/any/x', { method: 'POST', body: 'small' })).status, 200);
