--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -48,8 +48,8 @@
 function watchConnection(clientReq: ClientRequest, onTimeout: () => void): () => boolean {
   let connected = false;
   clientReq.on('socket', (socket) => {
-    connected = !socket.connecting;
-    if (connected) return;
+    connected = !socket.connecting && !socket.destroyed;
+    if (!socket.connecting) return;
     const timer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       connected = true;
