Record signals before the router and the sidecar are loaded

Both entry points record the signals now and load the program afterwards; runBinary gets what was received meanwhile.

--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -1,14 +1,6 @@
 #!/usr/bin/env node
-/** Entry point of the `kingcupsill-router` binary. */
-import { readPackageVersion, runBinary } from '@kingcupsill/runtime';
+/** Entry point of the `kingcupsill-router` binary. The program is loaded after the signals are recorded. */
+import { recordSignals } from '@kingcupsill/runtime/signals';
 
-import { startRouter } from '../router.js';
-import { routerSchema } from '../settings.js';
-
-await runBinary({
-  name: 'kingcupsill-router',
-  version: readPackageVersion(import.meta.url),
-  description: 'Entry point of the fleet: queues requests by client account and relays responses.',
-  schema: routerSchema,
-  start: startRouter,
-});
+const signals = recordSignals();
+void import('../run-router.js').then(({ runRouter }) => runRouter(signals));
--- a/packages/sidecar/src/bin/sidecar.ts
+++ b/packages/sidecar/src/bin/sidecar.ts
@@ -1,14 +1,6 @@
 #!/usr/bin/env node
-/** Entry point of the `kingcupsill-sidecar` binary. */
-import { readPackageVersion, runBinary } from '@kingcupsill/runtime';
+/** Entry point of the `kingcupsill-sidecar` binary. The program is loaded after the signals are recorded. */
+import { recordSignals } from '@kingcupsill/runtime/signals';
 
-import { sidecarSchema } from '../settings.js';
-import { startSidecar } from '../sidecar.js';
-
-await runBinary({
-  name: 'kingcupsill-sidecar',
-  version: readPackageVersion(import.meta.url),
-  description: 'Sidecar of a backend server: grants its slots to routers and runs their attempts.',
-  schema: sidecarSchema,
-  start: startSidecar,
-});
+const signals = recordSignals();
+void import('../run-sidecar.js').then(({ runSidecar }) => runSidecar(signals));
