--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -11,6 +11,7 @@
 import { afterNextPoll } from './after-next-poll.js';
 import { createConnectionTable } from './connection-table.js';
 import type { ConnectionTotals } from './connection-table.js';
+import { createQueuedResponses } from './queued-responses.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -85,6 +86,7 @@
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock);
+  const queuedResponses = createQueuedResponses();
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
@@ -98,6 +100,7 @@
       return;
     }
     connections.requestStarted(socket);
+    queuedResponses.add(socket, res);
     res.sendDate = false;
     if (options.clock() >= phase.drainedFromMs) res.shouldKeepAlive = false;
     res.on('close', () => {
