--- a/packages/edge/src/run-edge.ts
+++ b/packages/edge/src/run-edge.ts
@@ -28,6 +28,8 @@
 
 /** Runs the router until a signal ends it. Signals that were received before are handled as well. */
 export async function runEdge(signals: ReceivedSignals): Promise<void> {
+  // The process must not exit when the reader of its messages closes the pipe.
+  process.stderr.on('error', () => {});
   // Signals that arrived while the program was loaded are delivered in the next iteration of the event loop.
   await nextIteration();
   exitIfStopped(signals);
--- a/packages/edge/test/start/router-process.ts
+++ b/packages/edge/test/start/router-process.ts
@@ -23,6 +23,8 @@
   /** Names of the events in its log, in order. */
   events(): string[];
   errorOutput(): string;
+  /** Closes the pipe from which its standard error is read. */
+  closeErrorOutput(): void;
   /** Resolves when there is a line on standard error. */
   waitForErrorOutput(): Promise<void>;
   /** Resolves when the log has the event; rejects if the process ends before. */
@@ -122,6 +124,7 @@
     send: (signal) => child.kill(signal),
     events,
     errorOutput: () => output.errors,
+    closeErrorOutput: () => child.stderr.destroy(),
     waitForErrorOutput: () => waitFor('error output', () => output.errors.includes('\n')),
     waitForEvent: (event) => waitFor(event, () => events().includes(event)),
     exited,
--- a/packages/edge/test/start/settings.test.ts
+++ b/packages/edge/test/start/settings.test.ts
@@ -3,12 +3,16 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { openSettings } from '../../src/settings-source.js';
 import type { SettingsSource } from '../../src/settings-source.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
 import type { LoggedLine } from '../standins/recording-logger.js';
 import { createSettingsText, withProcesses } from './router-process.js';
 
+/** Time in which a waiting router reads its file again. */
+const SEVERAL_READINGS_MS = 500;
+
 let directory = '';
 let completeText = '';
 
@@ -140,6 +144,20 @@
   });
 });
 
+// Guards against: a router that waits for its settings ends because nobody reads its standard error.
+test('a router whose standard error is closed waits for its settings', async () => {
+  await withProcesses(async (dir, start) => {
+    const settingsFile = join(dir, 'settings.ini');
+    const router = start({ settingsFile });
+    await router.waitForErrorOutput();
+    router.closeErrorOutput();
+    await writeFile(settingsFile, '');
+    await Promise.race([router.exited, delay(SEVERAL_READINGS_MS)]);
+    await writeFile(settingsFile, await createSettingsText());
+    await router.waitForEvent('listening');
+  });
+});
+
 test('a router without an unneeded value starts with a warning', async () => {
   await withProcesses(async (dir, start) => {
     const settingsFile = join(dir, 'settings.ini');
