--- a/packages/edge/test/relay/unread-responses.test.ts
+++ b/packages/edge/test/relay/unread-responses.test.ts
@@ -8,7 +8,7 @@
 
 /** Within the limit of one response, and more than the send buffers of the kernel hold. */
 const LARGE_BODY = 'x'.repeat(7 * 1024 * 1024);
-const CALLERS = 12;
+const CALLERS = 6;
 /** All responses that the router holds together. */
 const MAX_HELD_BYTES = 32 * 1024 * 1024;
 
