Show that the sidecar takes a reset for the end of a response

Fails, and is listed in KNOWN-RED.txt: of 20 responses without a length that are reset right behind their data, none is reported as broken. undici takes ECONNRESET for the end of such a response.

--- /dev/null
+++ b/packages/sidecar/test/backend/reset-responses.test.ts
@@ -0,0 +1,65 @@
+/** Guards against a response without a length that is cut by a reset and reported as whole. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { test } from 'node:test';
+
+import { createBackendClient } from '../../src/backend/backend-client.js';
+import { BackendKind, RunEnd } from '../../src/backend/types.js';
+import { createResponseBuffer } from '../../src/response/response-buffer.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n';
+const RUNS = 20;
+
+/** Runs requests at a plain server and returns the ends of their responses. */
+async function runAll(respond: (socket: Socket) => void): Promise<RunEnd[]> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => respond(socket));
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = createBackendClient({ url, kind: BackendKind.Plain });
+  const ends: RunEnd[] = [];
+  for (let index = 0; index < RUNS; index += 1) {
+    const req = {
+      attempt: `a${index}`,
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+    };
+    const response = createResponseBuffer();
+    const run = client.run(req, response);
+    for await (const chunk of response.read(0)) assert.ok(chunk.length > 0);
+    ends.push(await run);
+  }
+  await client.close();
+  server.close();
+  return ends;
+}
+
+const allEnds = (end: RunEnd) => Array.from({ length: RUNS }, () => end);
+
+// Fails, see KNOWN-RED.txt.
+const todo = 'issue 45';
+test(
+  'a response without a length whose connection is reset right behind its data is broken',
+  { todo },
+  async () => {
+    const behindBody = await runAll((socket) => {
+      socket.write(`${HEAD}par`);
+      setTimeout(() => socket.write('t', () => socket.resetAndDestroy()), 5);
+    });
+    assert.deepEqual(behindBody, allEnds(RunEnd.Broken));
+    const behindHead = await runAll((socket) => {
+      socket.write(`${HEAD}part`, () => socket.resetAndDestroy());
+    });
+    assert.deepEqual(behindHead, allEnds(RunEnd.Broken));
+  },
+);
+
+test('a response without a length that ends with its connection is whole', async () => {
+  assert.deepEqual(await runAll((socket) => socket.end(`${HEAD}part`)), allEnds(RunEnd.Whole));
+});
