--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -92,6 +92,9 @@
   const isLate = (): boolean =>
     phase.closing || options.clock() - phase.drainedFromMs >= LATE_AFTER_MS;
 
+  /** Connections that close behind a response that is still open. */
+  const closingSockets = new WeakSet<Socket>();
+
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     // The request arrived while the router was closing the connection. It must not run, since its response can't be sent.
@@ -99,10 +102,18 @@
       socket.destroy();
       return;
     }
+    // No response is sent behind the one that closes the connection, so the request must not run either.
+    if (closingSockets.has(socket)) {
+      req.resume();
+      return;
+    }
     connections.requestStarted(socket);
     queuedResponses.add(socket, res);
     res.sendDate = false;
-    if (options.clock() >= phase.drainedFromMs) res.shouldKeepAlive = false;
+    if (options.clock() >= phase.drainedFromMs) {
+      res.shouldKeepAlive = false;
+      closingSockets.add(socket);
+    }
     res.on('close', () => {
       connections.requestEnded(socket, res.writableFinished);
       if (phase.closing && connections.isIdle(socket)) socket.end();
--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -200,3 +200,23 @@
     callers.forEach((caller) => caller.close());
   });
 });
+
+// Guards against requests that run although their connection closes behind the response before theirs.
+test('a request that follows an unanswered one on its connection does not run in the drain', async () => {
+  await withDeployment([answerAfterWork], async (deployment) => {
+    await allowLongRequests(deployment);
+    assert.equal((await deployment.call('/once/1', { method: 'POST' })).status, 200);
+    const stopped = stop(deployment);
+    await delay(100);
+    const caller = createRawCaller(deployment);
+    const heads = ['first', 'second'].map((id) =>
+      requestHead('/once/1', [`Attempt-Id: ${id}`, 'Content-Length: 0']),
+    );
+    caller.write(heads.join(''));
+    assert.equal(await caller.answer(), '200');
+    await stopped;
+    const ids = deployment.servers[0]!.arrivals.map(({ header }) => header('attempt-id'));
+    assert.deepEqual(ids.slice(1), ['first']);
+    caller.close();
+  });
+});
