--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -69,7 +69,7 @@
 function partTable(ctx: EdgeContext, hasher: Hasher): ComponentDefinitions<EdgeParts> {
   return {
     state: { create: () => createState(ctx, hasher) },
-    phase: { create: () => ({ draining: false }) },
+    phase: { create: () => ({ accepting: false, draining: false }) },
     connections: {
       create: () => createServerConnections(ctx.clock),
       close: (connections) => connections.close(),
@@ -261,15 +261,18 @@
 
 function callersPart(ctx: EdgeContext): EdgePart<'callers'> {
   return {
-    create: (parts) =>
-      createCallerServer({
+    create: async (parts) => {
+      const server = await createCallerServer({
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
         ...parts.requestHandlers,
         clock: ctx.clock,
         logger: ctx.logger,
         stopping: ctx.stopping,
-      }),
+      });
+      parts.phase.accepting = true;
+      return server;
+    },
     close: (server) => server.close(),
   };
 }
@@ -291,6 +294,7 @@
         logger: ctx.logger,
         stopping: ctx.stopping,
         isReady: () =>
+          phase.accepting &&
           !phase.draining &&
           state.routeTable !== undefined &&
           state.hasServerList &&
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -22,6 +22,8 @@
 
 /** Lifecycle phase of the process. */
 export interface Phase {
+  /** Callers can connect. */
+  accepting: boolean;
   draining: boolean;
 }
 
--- a/packages/edge/test/start/taken-addresses.test.ts
+++ b/packages/edge/test/start/taken-addresses.test.ts
@@ -1,9 +1,13 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { writeFile } from 'node:fs/promises';
+import { get } from 'node:http';
 import { createServer } from 'node:net';
 import { join } from 'node:path';
 import { test } from 'node:test';
+import { READINESS_PATH } from '@kingcupsill/prepared-platform';
+import { sampleDocument, sampleEntry, waitUntil } from '../standins/deployment.js';
+import { createStoreStandin } from '../standins/store-standin.js';
 import { createSettingsText, withProcesses } from './router-process.js';
 import type { RouterProcess } from './router-process.js';
 
@@ -23,8 +27,9 @@
 async function withTakenAddress(
   listener: Listener,
   run: (router: RouterProcess, release: () => void) => Promise<void>,
+  givenText?: string,
 ): Promise<void> {
-  const text = await createSettingsText();
+  const text = givenText ?? (await createSettingsText());
   const [, host, port] = ADDRESS_PATTERNS[listener].exec(text)!;
   const holder = createServer().listen(Number(port), host);
   await once(holder, 'listening');
@@ -52,6 +57,37 @@
   });
 });
 
+function fetchReadiness(text: string): Promise<number> {
+  const [, host, port] = ADDRESS_PATTERNS.readiness.exec(text)!;
+  return new Promise((resolve, reject) => {
+    get({ host, port, path: READINESS_PATH, agent: false }, (res) => {
+      res.resume();
+      resolve(res.statusCode!);
+    }).on('error', reject);
+  });
+}
+
+// Guards against: callers are sent to a router that refuses their connections.
+test('a router is not ready until callers can connect', async () => {
+  const store = await createStoreStandin();
+  store.put('config', 'main', sampleDocument());
+  store.put('servers', 'i-0', sampleEntry(1));
+  const storeAddress = `[store]\naddress = 127.0.0.1:${store.port}`;
+  const settingsText = await createSettingsText();
+  const text = settingsText.replace(/\[store\]\naddress = .*/, storeAddress);
+  const waitForTakenAddress = async (router: RouterProcess, release: () => void) => {
+    await router.waitForEvent('versions-recorded');
+    assert.equal(await fetchReadiness(text), 503);
+    release();
+    await waitUntil(async () => (await fetchReadiness(text)) === 200);
+  };
+  try {
+    await withTakenAddress('callers', waitForTakenAddress, text);
+  } finally {
+    store.close();
+  }
+});
+
 // Guards against: a router doesn't serve callers because an address that they don't need is in use.
 (['peers', 'admin'] as const).forEach((listener) => {
   test(`a router starts without its ${listener} listener and listens later`, async () => {
