--- a/packages/edge/src/run-edge.ts
+++ b/packages/edge/src/run-edge.ts
@@ -3,6 +3,7 @@
 import { setImmediate as nextIteration } from 'node:timers/promises';
 import {
   createLogger,
+  createLogSink,
   createMonotonicClock,
   ExitCode,
   exitOnUncaughtError,
@@ -11,12 +12,10 @@
 import type { Logger, ReceivedSignals } from '@kingcupsill/runtime';
 import { Registry } from 'prom-client';
 import { startEdge } from './edge.js';
-import { createLogSink } from './logs/log-sink.js';
 import { createRateLimitedLogger } from './logs/rate-limited-logger.js';
 import { exitIfStopped, loadFirstSettings } from './first-settings.js';
 import type { SettingsSource } from './settings-source.js';
 
-const STANDARD_OUTPUT = 1;
 const INCARNATION_BYTES = 4;
 /** Polling period of the settings file: a change without SIGHUP takes effect about as fast as a configuration change. */
 const SETTINGS_CHECK_MS = 2000;
@@ -35,7 +34,8 @@
   exitIfStopped(signals);
   const source = await loadFirstSettings(signals);
   const clock = createMonotonicClock();
-  const sink = createLogSink(STANDARD_OUTPUT);
+  const sink = createLogSink(process.stdout);
+  process.on('exit', sink.flush);
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const { id, logLevel } = source.current().process;
   const logger = createRateLimitedLogger({
@@ -49,7 +49,7 @@
     clock,
   });
 
-  exitOnUncaughtError(logger, sink.flush);
+  exitOnUncaughtError(logger);
   logger.info('starting', { node: process.version });
   source.warnings.forEach((message) => logger.warn('settings-warning', { message }));
   const stopping = new AbortController();
@@ -69,7 +69,6 @@
   followSettings(source, logger, signals);
   starting.catch((err: unknown) => {
     logger.error('start-failed', { err });
-    sink.flush();
     process.exit(ExitCode.Internal);
   });
 }
--- a/packages/edge/test/logs/flood-log-sink.ts
+++ b/packages/edge/test/logs/flood-log-sink.ts
@@ -1,8 +1,8 @@
 /** Writes more lines than a pipe buffers, then reports dropped lines and the longest event loop delay on standard error. */
 import { writeSync } from 'node:fs';
-import { createLogSink } from '../../src/logs/log-sink.js';
+import { createLogSink } from '@kingcupsill/runtime';
 
-const sink = createLogSink(1);
+const sink = createLogSink(process.stdout);
 const line = `${'x'.repeat(1000)}\n`;
 let longestMs = 0;
 let lastTickMs = performance.now();
--- a/packages/edge/test/start/router-process.ts
+++ b/packages/edge/test/start/router-process.ts
@@ -4,6 +4,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import type { Readable } from 'node:stream';
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { SETTINGS_VARIABLE } from '@kingcupsill/prepared-platform';
@@ -38,6 +39,8 @@
   nodeArguments?: string[];
   /** Arguments of the router, in place of the variable with the settings file. */
   routerArguments?: string[];
+  /** File descriptor of the log, in place of a pipe that is read. */
+  log?: number;
 }
 
 export type StartRouter = (options: RouterProcessOptions) => RouterProcess;
@@ -86,14 +89,14 @@
 }
 
 function startRouter(options: RouterProcessOptions) {
-  const { settingsFile, nodeArguments = [], routerArguments = [] } = options;
+  const { settingsFile, nodeArguments = [], routerArguments = [], log = 'pipe' } = options;
   const settingsEnv = routerArguments.length === 0 ? { [SETTINGS_VARIABLE]: settingsFile } : {};
   const child = spawn(process.execPath, [...nodeArguments, ENTRY_POINT, ...routerArguments], {
     env: { PATH: process.env.PATH, ...settingsEnv },
-    stdio: ['ignore', 'pipe', 'pipe'],
+    stdio: ['ignore', log, 'pipe'] as ['ignore', 'pipe', 'pipe'],
   });
   const output = { log: '', errors: '' };
-  child.stdout.on('data', (chunk: Buffer) => {
+  (child.stdout as Readable | null)?.on('data', (chunk: Buffer) => {
     output.log += chunk.toString();
   });
   child.stderr.on('data', (chunk: Buffer) => {
--- a/packages/runtime/src/binary/exit-on-uncaught-error.ts
+++ b/packages/runtime/src/binary/exit-on-uncaught-error.ts
@@ -5,12 +5,10 @@
 /**
  * Logs uncaught exceptions and unhandled rejections and exits immediately, because a broken invariant may have left
  * inconsistent state.
- * @param beforeExit writes the remaining lines of a buffered log
  */
-export function exitOnUncaughtError(logger: Logger, beforeExit?: () => void): void {
+export function exitOnUncaughtError(logger: Logger): void {
   const createHandler = (event: string) => (err: unknown) => {
     logger.error(event, { err });
-    beforeExit?.();
     process.exit(ExitCode.Internal);
   };
   process.on('uncaughtException', createHandler('uncaught-exception'));
--- a/packages/runtime/src/binary/run-binary.ts
+++ b/packages/runtime/src/binary/run-binary.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto';
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { createMonotonicClock } from '../clock/index.js';
-import { createLogger } from '../logs/index.js';
+import { createLogger, createLogSink } from '../logs/index.js';
 import type { LogLevel } from '../logs/index.js';
 import { describeSettings, loadSettings } from '../settings/index.js';
 import type { Settings, SettingsSchema } from '../settings/index.js';
@@ -42,6 +42,8 @@
 ): BinaryContext<TSchema> {
   const processSettings = (settings as { process?: { id: string; logLevel: LogLevel } }).process;
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  const sink = createLogSink(process.stdout);
+  process.on('exit', sink.flush);
   const registry = new Registry();
   collectDefaultMetrics({
     register: registry,
@@ -54,6 +56,7 @@
       id: processSettings?.id ?? name,
       incarnation,
       level: processSettings?.logLevel,
+      write: sink.write,
     }),
     incarnation,
     registry,
@@ -72,8 +75,6 @@
   if (!loaded.ok) exitWithUsageError(name, loaded.message);
   const ctx = createContext<TSchema>(name, loaded.settings);
   exitOnUncaughtError(ctx.logger);
-  // The process must not exit when the reader of its log closes the pipe.
-  process.stdout.on('error', () => {});
   ctx.logger.info('starting', { version });
   // Started in a microtask, so that the signal handlers are installed before `start` writes its first log line.
   const starting = Promise.resolve().then(() => options.start(ctx));
