--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -1,5 +1,4 @@
 /** Feeds from the platform's store: configuration, backend servers and the other routers. */
-import type { RouterInfo } from '@kingcupsill/core/direct';
 import {
   CONFIGURATION_NAME,
   decodeConfiguration,
@@ -13,9 +12,10 @@
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
 import { DEFAULT_RESPONSE_TIMEOUT_MS } from './call-results.js';
+import { createKnownRouters } from './known-routers.js';
 import { createObjectFeed } from './object-feed.js';
 import type { ObjectFeedOptions } from './object-feed.js';
-import { ownRouterEntry, readRouterEntry } from './router-registration.js';
+import { ownRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
 type FeedParts = Pick<
@@ -99,21 +99,17 @@
   peers: PeerLinks,
 ): FeedHandlers {
   const { id } = ctx.settings().process;
-  const routers = new Map<string, RouterInfo>();
+  const routers = createKnownRouters(() => ({ name: id, ...ownRouterEntry(ctx) }));
 
   function add(object: StoreObject): void {
-    const entry = readRouterEntry(object);
-    if (entry !== undefined) routers.set(object.name, { name: object.name, ...entry });
-    else ctx.logger.warn('router-unreadable', { router: object.name, revision: object.revision });
+    if (!routers.add(object))
+      ctx.logger.warn('router-unreadable', { router: object.name, revision: object.revision });
   }
 
   function updateLinks(): void {
-    // This router's own entry may still be that of an earlier run, or missing.
-    const self = { name: id, ...ownRouterEntry(ctx) };
-    const known = [...routers.values()].filter(({ name }) => name !== id);
-    peers.setRouters([...known, self]);
-    const routerCount = known.length + 1;
-    loop.dispatch({ kind: 'peers-counted', routerCount, nowMs: ctx.clock() });
+    const known = routers.list();
+    peers.setRouters(known);
+    loop.dispatch({ kind: 'peers-counted', routerCount: known.length, nowMs: ctx.clock() });
   }
 
   return {
@@ -127,7 +123,7 @@
     },
     onChanged({ object, removed }) {
       if (object.name === id) registration.verify(removed ? undefined : object);
-      if (removed) routers.delete(object.name);
+      if (removed) routers.remove(object.name);
       else add(object);
       updateLinks();
     },
