--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -1,4 +1,5 @@
 /** Feed of one kind of stored objects: lists them, then watches their changes, and retries through outages. */
+import { exponentialBackoffMs } from '@kingcupsill/core/backoff';
 import { ReadMode, StoreFailure } from '@kingcupsill/prepared-platform';
 import type {
   StoreChange,
@@ -39,18 +40,43 @@
 /** Delay after changes that other routers have announced: the first change is fetched at once, and those that follow together. */
 const FOLLOWING_BATCH_DELAY_MS = 700;
 
+/** Delays before further listings while the store has no history of the one before. */
+const RELIST_DELAYS = { initialMs: 50, maxMs: 400 };
+
 /** Timers may fire early; news that are just within their age would be waited for the whole time again. */
 const TIMER_MARGIN_MS = 5;
 
+/** Mode and pace of the listings; they are delayed while the store has no history of their positions. */
+function createListingPace({ availability, allowsStale }: ObjectFeedOptions) {
+  const readMode = allowsStale ? ReadMode.Stale : ReadMode.Current;
+  /** Listings in a row whose position was older than the history. */
+  let outdated = 0;
+  return {
+    readMode,
+    /** Waits until the next listing may be made, and returns its mode. */
+    async waitForTurn(): Promise<ReadMode> {
+      if (outdated > 1) await availability.pause(exponentialBackoffMs(outdated - 2, RELIST_DELAYS));
+      // Data that may be out of date may be older than the history again.
+      return outdated > 0 ? ReadMode.Current : readMode;
+    },
+    /** Records the result of a watch from the position of a listing, or later. */
+    recordWatch(result: StoreResult<unknown>): void {
+      if (result.ok) outdated = 0;
+      else if (result.failure === StoreFailure.HistoryGone) outdated += 1;
+    },
+  };
+}
+
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
   const { client, availability, kind, logger } = options;
   const results = createCallResults(options);
-  const readMode = options.allowsStale ? ReadMode.Stale : ReadMode.Current;
+  const listings = createListingPace(options);
   let closed = false;
 
   async function list(): Promise<StorePosition | undefined> {
-    const listed = await listObjects(options, results, readMode, () => closed);
+    const listMode = await listings.waitForTurn();
+    const listed = await listObjects(options, results, listMode, () => closed);
     if (listed === undefined) return undefined;
     logger.info('store-listed', { kind, objects: listed.objects.length, ...listed.position });
     logUnreadable(options, listed.unreadable);
@@ -72,7 +98,7 @@
     waitMs: number,
   ): Promise<StoreResult<StoreChangeBatch> | undefined> {
     const nextEra = options.era.waitForNext();
-    const call = client.watch(kind, from, waitMs, results.responseTimeoutMs(), readMode);
+    const call = client.watch(kind, from, waitMs, results.responseTimeoutMs(), listings.readMode);
     const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
     nextEra.stop();
     return result;
@@ -100,6 +126,7 @@
   ): Promise<StorePosition | undefined> {
     const result = await requestChanges(from, watchWaitMs(state));
     if (closed || result === undefined || !results.record(result)) return undefined;
+    listings.recordWatch(result);
     if (result.ok) return applyChanges(result.value, from, state);
     if (result.failure === StoreFailure.HistoryGone) {
       logger.info('store-history-gone', { kind, revision: from.revision });
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { StoreFailure } from '@kingcupsill/prepared-platform';
+import { ReadMode, StoreFailure } from '@kingcupsill/prepared-platform';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
+import { createStoreAvailability } from '../../src/store/store-availability.js';
 import { createFeedOptions } from '../standins/feed-options.js';
 
 interface StoreCall {
@@ -61,3 +62,49 @@
     ['list', 'watch', 'list'],
   );
 });
+
+const GONE = { ok: false as const, failure: StoreFailure.HistoryGone, detail: 'gone' };
+
+/** Runs a feed that may use old data, whose store has no history after any listing; returns the modes of its listings and its pauses. */
+async function recordRelistings(listings: number): Promise<{ modes: string[]; pauses: number[] }> {
+  const modes: string[] = [];
+  const pauses: number[] = [];
+  const position = { era: undefined, revision: 5 };
+  return new Promise((resolve) => {
+    const client: Pick<StoreClient, 'listPage' | 'watch'> = {
+      async listPage(_kind, _after, _timeoutMs, mode) {
+        modes.push(mode!);
+        return {
+          ok: true,
+          value: { objects: [], unreadable: [], nextCursor: undefined, position },
+        };
+      },
+      watch: async () => GONE,
+    };
+    const availability = {
+      ...createStoreAvailability(),
+      pause: async (ms: number) => {
+        pauses.push(ms);
+      },
+    };
+    const feed = createObjectFeed(
+      createFeedOptions(client, {
+        availability,
+        allowsStale: true,
+        onListed() {
+          if (modes.length < listings) return;
+          feed.close();
+          resolve({ modes, pauses });
+        },
+      }),
+    );
+  });
+}
+
+// Guards against: a router lists without a pause while its listings are older than the store's history.
+test('lists current data, then ever less often, while the store has no history of its listings', async () => {
+  const { modes, pauses } = await recordRelistings(6);
+  const { Stale, Current } = ReadMode;
+  assert.deepEqual(modes, [Stale, Current, Current, Current, Current, Current]);
+  assert.deepEqual(pauses, [50, 100, 200, 400]);
+});
