--- a/packages/edge/src/store/followed-news.ts
+++ b/packages/edge/src/store/followed-news.ts
@@ -55,8 +55,10 @@
       const latest = news.get(kind);
       if (options.isWatching() || latest === undefined) return NewsState.Absent;
       if (clock() - latest.confirmedAtMs > MAX_NEWS_AGE_MS) return NewsState.Absent;
-      const isSameEra = latest.era === position.era;
-      return isSameEra && latest.revision <= position.revision
+      const [newsEra, ownEra] = [latest.era ?? 0, position.era ?? 0];
+      // The other routers haven't noticed yet that the store was restored; nothing shows that there are changes.
+      if (newsEra < ownEra) return NewsState.Absent;
+      return newsEra === ownEra && latest.revision <= position.revision
         ? NewsState.Unchanged
         : NewsState.Changed;
     },
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -6,7 +6,7 @@
 import { createStoreNews } from '@kingcupsill/core/direct';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
-import { createFollowedNews } from '../../src/store/followed-news.js';
+import { createFollowedNews, NewsState } from '../../src/store/followed-news.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
 import { createFeedOptions } from '../standins/feed-options.js';
 import { waitUntil } from '../standins/deployment.js';
@@ -207,3 +207,16 @@
   await waitUntil(() => follower.calls.length >= 4);
   assert.equal(follower.news.get(kind)?.confirmedAtMs, heardAtMs);
 });
+
+// Guards against: after a restore a router asks the store without a pause until its peers have noticed the new era as well.
+test('news of an earlier era show no change', () => {
+  const news = createStoreNews();
+  const followed = createFollowedNews({
+    news,
+    clock: () => 100,
+    isWatching: () => false,
+    announce: () => undefined,
+  });
+  news.record(kind, { era: 1, revision: 90, confirmedAtMs: 100 });
+  assert.equal(followed.compare(kind, { era: 2, revision: 5 }), NewsState.Absent);
+});
