--- a/packages/edge/test/start/early-signals.test.ts
+++ b/packages/edge/test/start/early-signals.test.ts
@@ -1,15 +1,17 @@
 import assert from 'node:assert/strict';
 import { execFile } from 'node:child_process';
 import { constants } from 'node:fs';
-import { open, rename, writeFile } from 'node:fs/promises';
+import { open, readFile, readdir, rename, writeFile } from 'node:fs/promises';
 import type { FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { createSettingsText, withProcesses } from './router-process.js';
 import type { RouterProcess, StartRouter } from './router-process.js';
 
+const ROOT = fileURLToPath(new URL('../../../..', import.meta.url));
 const OPEN_TIMEOUT_MS = 20_000;
 const POLL_MS = 5;
 
@@ -84,3 +86,28 @@
     assert.deepEqual(JSON.parse(router.errorOutput()), { signal: 'SIGHUP', modules: 0 });
   });
 });
+
+/** Returns what the deploy file runs, as arguments of Node and the script. */
+async function readRunCommand(): Promise<{ nodeArguments: string[]; entryPoint: string }> {
+  const text = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const words = /^run = "node (.*)"$/m.exec(text)![1]!.split(' ');
+  return { nodeArguments: words.slice(0, -1), entryPoint: join(ROOT, words.at(-1)!) };
+}
+
+// Guards against: a SIGHUP while Node loads its entry file ends a starting router, or writes a report.
+test('SIGHUP before the first line of the entry file leads to a second reading of the settings', async () => {
+  await withProcesses(async (dir, start) => {
+    const settingsFile = join(dir, 'settings.ini');
+    await writeFile(settingsFile, await createSettingsText());
+    const preloaded = join(dir, 'signal.cjs');
+    await writeFile(preloaded, `process.kill(process.pid, 'SIGHUP');`);
+    const { nodeArguments, entryPoint } = await readRunCommand();
+    const reports = [`--report-directory=${dir}`, '--require', preloaded];
+    const options = { settingsFile, entryPoint, nodeArguments: [...nodeArguments, ...reports] };
+    const router = start(options);
+    await router.waitForEvent('listening');
+    assert.ok(router.events().includes('settings-reloaded'));
+    assert.deepEqual((await readdir(dir)).sort(), ['settings.ini', 'signal.cjs']);
+    assert.equal(router.errorOutput(), '');
+  });
+});
--- a/packages/edge/test/start/router-process.ts
+++ b/packages/edge/test/start/router-process.ts
@@ -37,6 +37,8 @@
   settingsFile: string;
   /** Arguments of Node, before the script. */
   nodeArguments?: string[];
+  /** @default the compiled entry point */
+  entryPoint?: string;
   /** Arguments of the router, in place of the variable with the settings file. */
   routerArguments?: string[];
   /** File descriptor of the log, in place of a pipe that is read. */
@@ -90,8 +92,9 @@
 
 function startRouter(options: RouterProcessOptions) {
   const { settingsFile, nodeArguments = [], routerArguments = [], log = 'pipe' } = options;
+  const { entryPoint = ENTRY_POINT } = options;
   const settingsEnv = routerArguments.length === 0 ? { [SETTINGS_VARIABLE]: settingsFile } : {};
-  const child = spawn(process.execPath, [...nodeArguments, ENTRY_POINT, ...routerArguments], {
+  const child = spawn(process.execPath, [...nodeArguments, entryPoint, ...routerArguments], {
     env: { PATH: process.env.PATH, ...settingsEnv },
     stdio: ['ignore', log, 'pipe'] as ['ignore', 'pipe', 'pipe'],
   });
