--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -217,8 +217,9 @@
     state.routerCount = routerCount;
     return [];
   },
-  'drain-started': (state, { endsAtMs }) => {
+  'drain-started': (state, { endsAtMs, nowMs }) => {
     state.drainEndsAtMs = endsAtMs;
+    state.drainMs = endsAtMs - nowMs;
     return [];
   },
   'drain-ended': (state, { nowMs }) => endOpenRequests(state, nowMs),
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -132,6 +132,8 @@
   runDurations: RunDurations;
   /** Time by which requests must have ended; infinite until the router drains. */
   drainEndsAtMs: number;
+  /** Length of the drain; 0 until the router drains. */
+  drainMs: number;
   /** Number of routers that share the fleet's budgets, including this one. */
   routerCount: number;
   attemptCount: number;
@@ -179,6 +181,7 @@
     versions: createVersionState(),
     runDurations: createRunDurations(),
     drainEndsAtMs: Number.POSITIVE_INFINITY,
+    drainMs: 0,
     routerCount: 1,
     attemptCount: 0,
   };
--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -57,6 +57,24 @@
   });
 });
 
+// Guards against a router that refuses everything when it is stopped before it has served anything.
+test('a router that has served nothing yet serves what arrives when it is stopped', async () => {
+  await withDeployment([answerAfterWork], async (deployment) => {
+    await allowLongRequests(deployment);
+    const stopped = stop(deployment);
+    const answers = Array.from({ length: 4 }, async (_none, index) => {
+      await delay(index * 400);
+      const { status } = await deployment.call('/once/1', {
+        method: 'POST',
+        headers: LONG_DEADLINE,
+      });
+      return status;
+    });
+    assert.deepEqual(await Promise.all(answers), Array<number>(4).fill(200));
+    await stopped;
+  });
+});
+
 // Guards against connections that are closed without an answer when the grace period ends.
 test('requests that are still open when the drain ends get a final answer', async () => {
   const ignoreRequest = () => undefined;
