--- a/packages/core/src/direct/pending-report.ts
+++ b/packages/core/src/direct/pending-report.ts
@@ -37,6 +37,9 @@
   promptParts: [string, number][];
 }
 
+/** Maximum number of prompt parts of one server, of which the latest are kept: a link may take no reports for a while. */
+export const MAX_PENDING_PARTS = 512;
+
 /** Creates a report without changes. */
 export function createPendingReport(): PendingReport {
   const loads = new Map<string, PendingLoad>();
@@ -81,7 +84,7 @@
         const load = getLoad(serverKey);
         load.sentTokens += sentTokens;
         load.sentRequests += sentRequests;
-        load.promptParts.push(...promptParts);
+        load.promptParts = [...load.promptParts, ...promptParts].slice(-MAX_PENDING_PARTS);
       });
       report.accounts.forEach(addAccount);
       report.leaving.forEach((serverKey) => leaving.add(serverKey));
--- a/packages/core/src/direct/prefix-cache-estimate.ts
+++ b/packages/core/src/direct/prefix-cache-estimate.ts
@@ -12,6 +12,9 @@
   cachedTokens(): number;
 }
 
+/** Maximum number of parts: callers state how many tokens each has, also none. */
+export const MAX_CACHED_PARTS = 8192;
+
 /** Creates an empty cache of `capacityTokens`. */
 export function createPrefixCacheEstimate(capacityTokens: number): PrefixCacheEstimate {
   // A Map keeps insertion order, so the first key is the least recently used.
@@ -25,7 +28,7 @@
 
   function evict(): void {
     for (const id of cached.keys()) {
-      if (totalTokens <= capacityTokens) return;
+      if (totalTokens <= capacityTokens && cached.size <= MAX_CACHED_PARTS) return;
       remove(id);
     }
   }
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -11,6 +11,9 @@
   pickService,
 } from '../../src/direct/index.js';
 import { createLineFit } from '../../src/direct/line-fit.js';
+import { createPendingReport, MAX_PENDING_PARTS } from '../../src/direct/pending-report.js';
+import { MAX_CACHED_PARTS } from '../../src/direct/prefix-cache-estimate.js';
+import { createEmptyReport } from '../../src/direct/reports.js';
 import { sampleConfig, sampleRoute } from './sample.js';
 
 const createLoad = () =>
@@ -68,6 +71,35 @@
   assert.ok(cache.cachedTokens() <= 100);
 });
 
+// Guards against a router that ends for lack of heap, because callers state prompt parts of no tokens.
+test('the number of remembered prompt parts is bounded, however few tokens they have', () => {
+  const cache = createPrefixCacheEstimate(1000);
+  const parts = Array.from({ length: 2 * MAX_CACHED_PARTS }, (_item, n) => ({
+    id: `p${n}`,
+    tokens: 0,
+  }));
+  cache.record(parts);
+  const kept = parts.filter((part) => cache.containsAll([part]));
+  assert.deepEqual(kept, parts.slice(-MAX_CACHED_PARTS));
+});
+
+// Guards against a router that ends for lack of heap, because a peer takes no reports.
+test('a report that waits keeps the latest prompt parts of a server', () => {
+  const pending = createPendingReport();
+  const ids = Array.from({ length: 2 * MAX_PENDING_PARTS }, (_item, n) => `p${n}`);
+  ids.forEach((id) => {
+    const promptParts: [string, number][] = [[id, 10]];
+    const load = { serverKey: 's', running: 1, sentTokens: 10, sentRequests: 1, promptParts };
+    pending.add({ ...createEmptyReport('r'), loads: [load] });
+  });
+  const [load] = pending.take(1).loads;
+  assert.deepEqual(
+    load!.promptParts.map(([id]) => id),
+    ids.slice(-MAX_PENDING_PARTS),
+  );
+  assert.equal(load!.sentRequests, ids.length);
+});
+
 test('the estimated wait at a server includes the prompts of all routers', () => {
   const server = createLoad();
   server.recordSend(0, 10_000);
