--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -172,6 +172,8 @@
   RouterBusy: 'router_busy',
   /** The memory of this router for request bodies is used up; other routers may accept the request. */
   RouterMemoryFull: 'router_memory_full',
+  /** The file descriptors of this router are used up; other routers may accept the request. */
+  RouterConnectionsFull: 'router_connections_full',
   /** This router is shutting down; other routers may accept the request. */
   ShuttingDown: 'router_shutting_down',
   AccountOverShare: 'account_over_share',
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -22,6 +22,12 @@
   onRequest: (req: IncomingMessage, res: ServerResponse) => void;
   /** Called in place of `onRequest` shortly before the server stops listening, and afterwards. */
   onLateRequest: (req: IncomingMessage, res: ServerResponse) => void;
+  /** Called in place of `onRequest` on connections beyond `maxConnections`. */
+  onExcessRequest: (req: IncomingMessage, res: ServerResponse) => void;
+  /** Maximum number of connections that are served. */
+  maxConnections: number;
+  /** Maximum number of further connections, which get a refusal. */
+  maxRefusedConnections: number;
   clock: Clock;
   logger: Logger;
   stopping?: AbortSignal;
@@ -85,7 +91,7 @@
 
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
-  const connections = createConnectionTable(options.clock);
+  const connections = createConnectionTable(options.clock, options.maxConnections);
   const queuedResponses = createQueuedResponses();
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
@@ -107,10 +113,11 @@
       req.resume();
       return;
     }
+    const isServed = connections.isServed(socket);
     connections.requestStarted(socket);
     queuedResponses.add(socket, res);
     res.sendDate = false;
-    if (options.clock() >= phase.drainedFromMs) {
+    if (!isServed || options.clock() >= phase.drainedFromMs) {
       res.shouldKeepAlive = false;
       closingSockets.add(socket);
     }
@@ -120,6 +127,7 @@
     });
     // A request may arrive on a kept connection before the close of the response before it has been handled.
     if (isLate()) options.onLateRequest(req, res);
+    else if (!isServed) options.onExcessRequest(req, res);
     else options.onRequest(req, res);
   }
 
@@ -139,6 +147,8 @@
   });
   server.on('clientError', onClientError);
   const { host, port, logger, stopping } = options;
+  server.maxConnections = options.maxConnections + options.maxRefusedConnections;
+  server.on('drop', () => logger.warn('connection-dropped', { limit: server.maxConnections }));
   const policy = { listener: 'callers', isRequired: true, logger, stopping };
   await listenWhenFree(server, { host, port, backlog: BACKLOG, ...policy });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -51,6 +51,13 @@
   // A retry usually reaches another router.
   retryAfterMs: 300,
 };
+const CONNECTIONS_FULL_REFUSAL: Refusal = {
+  status: 503,
+  code: RefusalCode.RouterConnectionsFull,
+  ran: 'no',
+  // A retry usually reaches another router.
+  retryAfterMs: 300,
+};
 /** Refusals of requests whose bodies aren't kept; none if the connection is broken. */
 const REFUSALS_BY_REASON: Record<string, Refusal | undefined> = {
   'too-large': BODY_TOO_LARGE_REFUSAL,
@@ -64,6 +71,8 @@
   onRequest(req: IncomingMessage, res: ServerResponse): void;
   /** Refuses a request that arrives while the router is exiting. */
   onLateRequest(req: IncomingMessage, res: ServerResponse): void;
+  /** Refuses a request on a connection for which the router has no descriptors. */
+  onExcessRequest(req: IncomingMessage, res: ServerResponse): void;
   /** Refuses the requests that haven't been received completely, or haven't been dispatched yet. */
   refusePending(): void;
 }
@@ -170,12 +179,14 @@
     });
   }
 
+  function refuseUnread(req: IncomingMessage, res: ServerResponse, refusal: Refusal): void {
+    protect(res, undefined, () => pending.reject(res, parseCallerHeaders(req.headers), refusal));
+  }
+
   return {
     onRequest: (req, res) => protect(res, undefined, () => receive(req, res)),
-    onLateRequest: (req, res) =>
-      protect(res, undefined, () =>
-        pending.reject(res, parseCallerHeaders(req.headers), createDrainingRefusal()),
-      ),
+    onLateRequest: (req, res) => refuseUnread(req, res, createDrainingRefusal()),
+    onExcessRequest: (req, res) => refuseUnread(req, res, CONNECTIONS_FULL_REFUSAL),
     refusePending: () => pending.rejectAll(createDrainingRefusal()),
   };
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -23,6 +23,7 @@
 import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
 import { repeatEvery } from './closable.js';
+import { divideDescriptors, readDescriptorLimit } from './descriptors.js';
 import { drain } from './drain.js';
 import { createEffectHandlers } from './effect-handlers.js';
 import { createExchanges } from './exchanges.js';
@@ -70,8 +71,13 @@
   return {
     state: { create: () => createState(ctx, hasher) },
     phase: { create: () => ({ accepting: false, draining: false }) },
+    connectionLimits: {
+      create: () =>
+        divideDescriptors(Math.min(ctx.settings().process.maxFds, readDescriptorLimit(ctx.logger))),
+    },
     connections: {
-      create: () => createServerConnections(ctx.clock),
+      create: ({ connectionLimits }) =>
+        createServerConnections({ nowMs: ctx.clock, maxConnections: connectionLimits.servers }),
       close: (connections) => connections.close(),
     },
     metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
@@ -266,6 +272,8 @@
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
         ...parts.requestHandlers,
+        maxConnections: parts.connectionLimits.callers,
+        maxRefusedConnections: parts.connectionLimits.refusedCallers,
         clock: ctx.clock,
         logger: ctx.logger,
         stopping: ctx.stopping,
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { createByteBudget } from './byte-budget.js';
 import type { ByteBudget } from './byte-budget.js';
 
@@ -16,7 +17,7 @@
 }
 
 /** Limits of buffered responses: many servers at once may send bodies without end. */
-const RESPONSE_BUDGET = { maxBytes: 32 * 1024 * 1024, freeBytesPerBuffer: 64 * 1024 };
+export const RESPONSE_BUDGET = { maxBytes: 32 * 1024 * 1024, freeBytesPerBuffer: 64 * 1024 };
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -29,7 +30,14 @@
   destroySocket: () => void;
 }
 
+/** Node calls back with an error in place of a connection. Its types lack the callback. */
+type CreateConnection = (
+  options: object,
+  onCreated: (err: Error | null, socket?: Duplex) => void,
+) => Socket | undefined;
+
 interface KeepAliveAgent extends Agent {
+  createConnection: CreateConnection;
   keepSocketAlive(socket: Socket): boolean;
   reuseSocket(socket: Socket, req: ClientRequest): void;
 }
@@ -44,16 +52,48 @@
   return match === null ? undefined : Number(match[1]) * 1000;
 }
 
+/** Options of the pool. */
+export interface ServerConnectionsOptions {
+  nowMs: () => number;
+  /** Maximum number of connections. The one that has been idle for longest is closed in favour of a new one. */
+  maxConnections: number;
+}
+
 /** Creates the pool. A connection that receives bytes while idle is closed, since they belong to no request. */
-export function createServerConnections(nowMs: () => number): ServerConnections {
+export function createServerConnections({
+  nowMs,
+  maxConnections,
+}: ServerConnectionsOptions): ServerConnections {
   const agent = new Agent({
     keepAlive: true,
     scheduling: 'lifo',
     maxFreeSockets: MAX_IDLE_PER_SERVER,
     noDelay: true,
   }) as KeepAliveAgent;
-  const idleConnections = new WeakMap<Socket, IdleConnection>();
+  /** By time of their last use. */
+  const idleConnections = new Map<Socket, IdleConnection>();
+  let openCount = 0;
   const reuse = agent.reuseSocket.bind(agent);
+  const connect = agent.createConnection.bind(agent);
+
+  agent.createConnection = (connectOptions, onCreated) => {
+    if (openCount >= maxConnections) {
+      const [longestIdle] = idleConnections.keys();
+      if (longestIdle === undefined) {
+        onCreated(new Error('connections to servers used up'));
+        return undefined;
+      }
+      idleConnections.delete(longestIdle);
+      longestIdle.destroy();
+    }
+    const socket = connect(connectOptions, onCreated);
+    openCount += 1;
+    socket?.once('close', () => {
+      openCount -= 1;
+      idleConnections.delete(socket);
+    });
+    return socket;
+  };
 
   agent.keepSocketAlive = (socket) => {
     const serverTimeoutMs =
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -7,6 +7,7 @@
 import type { RequestHandlers } from './callers/request-handler.js';
 import type { RequestValidator } from './callers/request-validator.js';
 import type { Closable } from './closable.js';
+import type { ConnectionLimits } from './descriptors.js';
 import type { Exchanges } from './exchanges.js';
 import type { LoopLag } from './loop-lag.js';
 import type { RequestErrors } from './request-errors.js';
@@ -34,6 +35,7 @@
   loop: Loop<DirectState, DirectEvent>;
   exchanges: Exchanges;
   requestErrors: RequestErrors;
+  connectionLimits: ConnectionLimits;
   connections: ServerConnections;
   metrics: EdgeMetrics;
   transport: StoreTransport;
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -46,7 +46,10 @@
 
 test('ends one attempt whose response can not be relayed', async (t) => {
   const server = await createServerStandin((arrival) => sendAnswer(arrival, 'id: 1\ndata: 1\n\n'));
-  const connections = createServerConnections(() => performance.now());
+  const connections = createServerConnections({
+    nowMs: () => performance.now(),
+    maxConnections: 100,
+  });
   t.after(() => {
     connections.close();
     server.close();
--- a/packages/edge/test/relay/unsent.test.ts
+++ b/packages/edge/test/relay/unsent.test.ts
@@ -15,7 +15,10 @@
 }
 
 test('an attempt without a descriptor for its connection is unsent', async () => {
-  const connections = createServerConnections(() => performance.now());
+  const connections = createServerConnections({
+    nowMs: () => performance.now(),
+    maxConnections: 100,
+  });
   Object.assign(connections.agent, { createConnection: openWithoutDescriptor });
   const req: Partial<AttemptRequest> = {
     method: 'POST',
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -120,6 +120,7 @@
       zoneRegions: 'z1=r1',
       cores: 1,
       memoryMb: MEMORY_MB,
+      maxFds: 1024,
       logLevel: 'info',
     },
     callers: { address: await allocateAddress(), readinessAddress: await allocateAddress() },
--- a/packages/edge/test/start/router-process.ts
+++ b/packages/edge/test/start/router-process.ts
@@ -39,6 +39,8 @@
   nodeArguments?: string[];
   /** @default the compiled entry point */
   entryPoint?: string;
+  /** Limit of its file descriptors. */
+  maxFds?: number;
   /** Arguments of the router, in place of the variable with the settings file. */
   routerArguments?: string[];
   /** File descriptor of the log, in place of a pipe that is read. */
@@ -92,9 +94,14 @@
 
 function startRouter(options: RouterProcessOptions) {
   const { settingsFile, nodeArguments = [], routerArguments = [], log = 'pipe' } = options;
-  const { entryPoint = ENTRY_POINT } = options;
+  const { entryPoint = ENTRY_POINT, maxFds } = options;
   const settingsEnv = routerArguments.length === 0 ? { [SETTINGS_VARIABLE]: settingsFile } : {};
-  const child = spawn(process.execPath, [...nodeArguments, entryPoint, ...routerArguments], {
+  const command = [process.execPath, ...nodeArguments, entryPoint, ...routerArguments];
+  const [file, ...args] =
+    maxFds === undefined
+      ? command
+      : ['/bin/sh', '-c', `ulimit -n ${maxFds}; exec "$@"`, 'sh', ...command];
+  const child = spawn(file!, args, {
     env: { PATH: process.env.PATH, ...settingsEnv },
     stdio: ['ignore', log, 'pipe'] as ['ignore', 'pipe', 'pipe'],
   });
