--- a/packages/edge/src/loop-lag.ts
+++ b/packages/edge/src/loop-lag.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@kingcupsill/runtime';
 import { repeatEvery } from './closable.js';
 import type { Closable } from './closable.js';
+import { createLagEstimate } from './lag-estimate.js';
 import { createOverloadDetector } from './overload.js';
 
 /** Measurement of the event loop lag. */
@@ -13,28 +14,23 @@
 }
 
 const PROBE_PERIOD_MS = 20;
-/** Smoothing factor for falling lag. A rise counts in full at once. */
-const FALL_SMOOTHING_FACTOR = 0.2;
 
 /** Starts the measurement. */
 export function createLoopLag(clock: Clock): LoopLag {
   let dueAtMs = clock() + PROBE_PERIOD_MS;
-  let smoothedMs = 0;
+  const estimate = createLagEstimate();
   const detector = createOverloadDetector();
 
   const probeTimer = repeatEvery(PROBE_PERIOD_MS, () => {
     const nowMs = clock();
     const observedMs = Math.max(0, nowMs - dueAtMs);
     detector.observe(observedMs, nowMs);
-    smoothedMs =
-      observedMs > smoothedMs
-        ? observedMs
-        : smoothedMs + FALL_SMOOTHING_FACTOR * (observedMs - smoothedMs);
+    estimate.observe(observedMs);
     dueAtMs = nowMs + PROBE_PERIOD_MS;
   });
 
   return {
-    lagMs: () => smoothedMs,
+    lagMs: estimate.lagMs,
     isOverloaded: () => detector.isOverloaded(clock()),
     close: probeTimer.close,
   };
--- a/packages/edge/src/overload.ts
+++ b/packages/edge/src/overload.ts
@@ -11,7 +11,7 @@
  * Lag that counts as late. The event loop accepts one connection per iteration, so at this lag the connections that wait to be
  * accepted are given up by their callers before their turn.
  */
-const LATE_LAG_MS = 250;
+export const LATE_LAG_MS = 250;
 /** Consecutive late probes that count as overload. A process that was paused sees only one. */
 const LATE_PROBES = 3;
 /** Time without overload after which the loop counts as keeping up; longer than two readiness checks. */
--- a/packages/edge/test/overload/overload.test.ts
+++ b/packages/edge/test/overload/overload.test.ts
@@ -1,6 +1,7 @@
 /** A router on a slow machine that gets most of its zone's callers: it must not take connections that it can't accept in time. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { createLagEstimate } from '../../src/lag-estimate.js';
 import { createOverloadDetector } from '../../src/overload.js';
 
 test('an event loop that stays late is overloaded until some time after it keeps up again', () => {
@@ -22,3 +23,21 @@
     detector.observe(nowMs % 300 === 0 ? 400 : 5, nowMs);
   assert.equal(detector.isOverloaded(5000), false);
 });
+
+function lagAfter(probesMs: readonly number[]): number {
+  const estimate = createLagEstimate();
+  probesMs.forEach((lagMs) => estimate.observe(lagMs));
+  return estimate.lagMs();
+}
+
+// Guards against: a router refuses requests as busy for half a second after a pause, although it has read all that waited.
+test('a single pause counts as lag until the loop has kept up for a few probes', () => {
+  assert.equal(lagAfter([0, 3500]), 3500);
+  assert.ok(lagAfter([0, 3500, 40, 2]) > 1000);
+  assert.equal(lagAfter([0, 3500, 40, 2, 2]), 2);
+});
+
+test('lag that stays or comes back falls slowly', () => {
+  assert.ok(lagAfter([0, 400, 380, 2, 2, 2]) > 100);
+  assert.ok(lagAfter([0, 400, 2, 2, 400, 2, 2]) > 100);
+});
