Decode the blocks of a stream in one pass, and an event's id once

Cause, by a profile: every chunk of a stream was searched twice in the buffer, copied, matched, split into blocks and lines and tested by four regular expressions; an event's id was converted to a number five times, and also on streams that no other server may continue.

Now a chunk becomes text once and is read line by line; what is complete isn't copied; an id is converted once, and only where the stream may be continued.

--- a/packages/core/src/event-stream/event-block.ts
+++ b/packages/core/src/event-stream/event-block.ts
@@ -12,41 +12,70 @@
   id: string | undefined;
 }
 
-/** Blank lines end a block. Each line break may be preceded by a carriage return. */
-const BLOCK_END = /\n(?:\r?\n)+/g;
-const LINE_BREAK = /\r\n|\r|\n/;
+const LINE_FEED = '\n';
+const CARRIAGE_RETURN = '\r';
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 /**
- * A blank line, a comment, or a field with or without a value. Field names are lowercase; besides those of the format, servers send
- * names of headers. The status line of a response is no field.
+ * A field with or without a value, or a comment behind a byte order mark. Field names are lowercase; besides those of the format,
+ * servers send names of headers. The status line of a response is no field.
  */
-const LINE = new RegExp(`^(?:${BYTE_ORDER_MARK})?(?::|$|[a-z][a-z0-9_-]*(?::|$))`);
+const FIELD = new RegExp(`^(?:${BYTE_ORDER_MARK})?(?::|$|[a-z][a-z0-9_-]*(?::|$))`);
 const ID_FIELD = /^id(?::|$)/;
 
-function findId(lines: readonly string[]): string | undefined {
-  const line = lines.findLast((text) => ID_FIELD.test(text));
-  const id = line?.slice('id:'.length).trim();
+/** Returns whether a line has a field, rather than being blank or a comment. */
+function isField(line: string): boolean {
+  return line !== '' && !line.startsWith(':');
+}
+
+function parseId(line: string): string | undefined {
+  const id = line.slice('id:'.length).trim();
   return id === '' ? undefined : id;
 }
 
-function decodeBlock(text: string, end: number): EventBlock {
-  const lines = text.split(LINE_BREAK);
-  return {
-    end,
-    isEvent: lines.some((line) => line !== '' && !line.startsWith(':')),
-    isWellFormed: lines.every((line) => LINE.test(line)),
-    id: findId(lines),
-  };
-}
-
-/** Decodes bytes that end with a complete block. */
-export function decodeBlocks(bytes: Buffer): EventBlock[] {
-  const text = bytes.toString('latin1');
-  let start = 0;
-  return [...text.matchAll(BLOCK_END)].map((match) => {
-    const end = match.index + match[0].length;
-    const block = decodeBlock(text.slice(start, end), end);
-    start = end;
-    return block;
-  });
+function addLine(block: EventBlock, line: string): void {
+  if (!isField(line)) return;
+  block.isEvent = true;
+  block.isWellFormed &&= FIELD.test(line);
+  if (ID_FIELD.test(line)) block.id = parseId(line);
+}
+
+/** Adds lines without their line feeds. A carriage return ends a line, too. */
+function addLines(block: EventBlock, lines: string): void {
+  if (lines.includes(CARRIAGE_RETURN))
+    lines.split(CARRIAGE_RETURN).forEach((line) => addLine(block, line));
+  else addLine(block, lines);
+}
+
+/** Returns the offset behind the line breaks at `start`. Each line feed may be preceded by a carriage return. */
+function skipLineBreaks(text: string, start: number): number {
+  let offset = start;
+  while (text.startsWith(LINE_FEED, offset) || text.startsWith(CARRIAGE_RETURN + LINE_FEED, offset))
+    offset += text.startsWith(LINE_FEED, offset) ? 1 : 2;
+  return offset;
+}
+
+/** Decodes the block that begins at `start`; a blank line ends it. Returns undefined if none does. */
+function decodeBlock(text: string, start: number): EventBlock | undefined {
+  const block: EventBlock = { end: start, isEvent: false, isWellFormed: true, id: undefined };
+  let lineStart = start;
+  let lineEnd = text.indexOf(LINE_FEED, lineStart);
+  while (lineEnd >= 0) {
+    addLines(block, text.slice(lineStart, lineEnd));
+    lineStart = lineEnd + 1;
+    block.end = skipLineBreaks(text, lineStart);
+    if (block.end > lineStart) return block;
+    lineEnd = text.indexOf(LINE_FEED, lineStart);
+  }
+  return undefined;
+}
+
+/** Decodes latin1 text that ends with a complete block. */
+export function decodeBlocks(text: string): EventBlock[] {
+  const blocks: EventBlock[] = [];
+  let block = decodeBlock(text, 0);
+  while (block !== undefined) {
+    blocks.push(block);
+    block = decodeBlock(text, block.end);
+  }
+  return blocks;
 }
--- a/packages/core/src/event-stream/event-splitter.ts
+++ b/packages/core/src/event-stream/event-splitter.ts
@@ -26,51 +26,59 @@
 const MAX_EVENT_END_LENGTH = 3;
 const LINE_BREAK = /\r\n|\r|\n/;
 
-function findLastEnd(bytes: Buffer | string): number {
+function findLastEnd(text: string): number {
+  if (EVENT_ENDS.some((eventEnd) => text.endsWith(eventEnd))) return text.length;
   const ends = EVENT_ENDS.map((eventEnd) => {
-    const start = bytes.lastIndexOf(eventEnd);
+    const start = text.lastIndexOf(eventEnd);
     return start < 0 ? 0 : start + eventEnd.length;
   });
   return Math.max(...ends);
 }
 
-/** Returns the offset behind the last event end in `chunk`, which follows the bytes `previous`; 0 if it contains none. */
-function findEventsEnd(chunk: Buffer, previous: string): number {
-  const end = findLastEnd(chunk);
+/** Returns the offset behind the last event end in `text`, which follows the text `previous`; 0 if it contains none. */
+function findEventsEnd(text: string, previous: string): number {
+  const end = findLastEnd(text);
   if (end > 0) return end;
-  const boundary = previous + chunk.toString('latin1', 0, MAX_EVENT_END_LENGTH - 1);
+  const boundary = previous + text.slice(0, MAX_EVENT_END_LENGTH - 1);
   return Math.max(0, findLastEnd(boundary) - previous.length);
 }
 
-/** Creates a splitter. Each byte is searched once and copied once, however long an event is. */
+/** Creates a splitter. Each byte is searched once and copied at most once, however long an event is. */
 export function createEventSplitter(): EventSplitter {
   let pending: Buffer[] = [];
   let pendingBytes = 0;
   /** Last pending bytes, which may be the beginning of an event end. */
   let tail = '';
 
-  function keep(bytes: Buffer): void {
-    if (bytes.length === 0) return;
+  function keep(bytes: Buffer, text: string): void {
     pending.push(bytes);
     pendingBytes += bytes.length;
-    const tailLength = MAX_EVENT_END_LENGTH - 1;
-    const newTail = bytes.toString('latin1', Math.max(0, bytes.length - tailLength));
-    tail = (tail + newTail).slice(-tailLength);
+    tail = (tail + text.slice(1 - MAX_EVENT_END_LENGTH)).slice(1 - MAX_EVENT_END_LENGTH);
+  }
+
+  /** Returns the pending bytes and those that follow them, and their text; nothing is pending afterwards. */
+  function take(bytes: Buffer, text: string): { bytes: Buffer; text: string } {
+    if (pendingBytes === 0) return { bytes, text };
+    const taken = Buffer.concat([...pending, bytes]);
+    pending = [];
+    pendingBytes = 0;
+    tail = '';
+    return { bytes: taken, text: taken.toString('latin1') };
   }
 
   return {
     push(chunk) {
-      const eventsEnd = findEventsEnd(chunk, tail);
+      const chunkText = chunk.toString('latin1');
+      const eventsEnd = findEventsEnd(chunkText, tail);
       if (eventsEnd === 0) {
-        keep(chunk);
+        if (chunk.length > 0) keep(chunk, chunkText);
         return undefined;
       }
-      const bytes = Buffer.concat([...pending, chunk.subarray(0, eventsEnd)]);
-      pending = [];
-      pendingBytes = 0;
-      tail = '';
-      keep(chunk.subarray(eventsEnd));
-      return { bytes, blocks: decodeBlocks(bytes) };
+      const endsWithEvent = eventsEnd === chunk.length;
+      const complete = endsWithEvent ? chunk : chunk.subarray(0, eventsEnd);
+      const { bytes, text } = take(complete, chunkText.slice(0, eventsEnd));
+      if (!endsWithEvent) keep(chunk.subarray(eventsEnd), chunkText.slice(eventsEnd));
+      return { bytes, blocks: decodeBlocks(text) };
     },
     remainder: () => Buffer.concat(pending),
     pendingBytes: () => pendingBytes,
--- a/packages/core/src/event-stream/stream-join.ts
+++ b/packages/core/src/event-stream/stream-join.ts
@@ -55,8 +55,8 @@
 /** The number of digits bounds the cost of their conversion. */
 const WHOLE_NUMBER = /^\d{1,100}$/;
 
-function toNumber(id: string | undefined): bigint | undefined {
-  return id !== undefined && WHOLE_NUMBER.test(id) ? BigInt(id) : undefined;
+function toNumber(id: string): bigint | undefined {
+  return WHOLE_NUMBER.test(id) ? BigInt(id) : undefined;
 }
 
 function mediaType(contentType: string | undefined): string | undefined {
@@ -69,42 +69,45 @@
   return !STATUSES_WITHOUT_BODY.has(status) && (type === undefined || type === MEDIA_TYPE);
 }
 
+/** Id of an event, and the number that it states, if any. */
+interface EventId {
+  text: string;
+  value: bigint | undefined;
+}
+
+function parseEventId(text: string): EventId {
+  return { text, value: toNumber(text) };
+}
+
 /** Ids of the events delivered so far. */
 function createEventOrder(resumeAfter: string | undefined) {
   const knownIds = new Set<string>();
-  let lastId = resumeAfter;
-  let endsWithId = resumeAfter !== undefined;
+  let last = resumeAfter === undefined ? undefined : parseEventId(resumeAfter);
   /** The ids increased by one each; undefined before there are two. */
   let isConsecutive: boolean | undefined;
   if (resumeAfter !== undefined) knownIds.add(resumeAfter);
 
-  function stepTo(id: string): bigint | undefined {
-    const last = toNumber(lastId);
-    const next = toNumber(id);
-    return last === undefined || next === undefined ? undefined : next - last;
+  function stepTo({ value }: EventId): bigint | undefined {
+    return last?.value === undefined || value === undefined ? undefined : value - last.value;
   }
 
-  function remember(id: string): void {
-    const isKept = id.length <= MAX_KNOWN_ID_CHARS && knownIds.size < MAX_KNOWN_IDS;
+  function remember({ text, value }: EventId): void {
+    const isKept = text.length <= MAX_KNOWN_ID_CHARS && knownIds.size < MAX_KNOWN_IDS;
     // A copy, since a substring would retain the text of all events that were received with it.
-    if (isKept && toNumber(id) === undefined)
-      knownIds.add(Buffer.from(id, 'latin1').toString('latin1'));
+    if (isKept && value === undefined) knownIds.add(Buffer.from(text, 'latin1').toString('latin1'));
   }
 
   return {
-    endsWithId: () => endsWithId,
     isConsecutive: () => isConsecutive,
-    isNext: (id: string): boolean => stepTo(id) === 1n,
-    isRepeated(id: string): boolean {
+    isNext: (id: EventId): boolean => stepTo(id) === 1n,
+    isRepeated(id: EventId): boolean {
       const step = stepTo(id);
-      return step === undefined ? id === lastId || knownIds.has(id) : step <= 0n;
+      return step === undefined ? id.text === last?.text || knownIds.has(id.text) : step <= 0n;
     },
-    add(id: string | undefined): void {
-      endsWithId = id !== undefined;
-      if (id === undefined) return;
-      if (lastId !== undefined) isConsecutive = isConsecutive !== false && stepTo(id) === 1n;
+    add(id: EventId): void {
+      if (last !== undefined) isConsecutive = isConsecutive !== false && stepTo(id) === 1n;
       remember(id);
-      lastId = id;
+      last = id;
     },
   };
 }
@@ -115,32 +118,34 @@
   let deliveredHead: RunHead | undefined;
   let head: RunHead | undefined;
   let runEvents = 0;
+  /** The last event has an id. */
+  let endsWithId = false;
   /** The run left out ids at its beginning, when it wasn't known yet whether they increase by one each. */
   let hasGap = false;
 
   const isContinuation = (): boolean =>
     runEvents === 0 && (resumeAfter !== undefined || deliveredHead !== undefined);
 
-  function leavesOut(id: string): boolean {
+  function leavesOut(id: EventId): boolean {
     if (isContinuation()) return order.isConsecutive() === true && !order.isNext(id);
     return hasGap && runEvents === 1 && order.isNext(id);
   }
 
-  function findFault({ isEvent, isWellFormed, id }: EventBlock): StreamFault | undefined {
-    if (!isWellFormed) return StreamFault.MalformedEvent;
-    if (!isEvent || !isResumable) return undefined;
+  function findFault(id: EventId | undefined): StreamFault | undefined {
     if (id === undefined) return isContinuation() ? StreamFault.WithoutId : undefined;
-    if (!isFieldValue(id)) return StreamFault.MalformedId;
+    if (id.value === undefined && !isFieldValue(id.text)) return StreamFault.MalformedId;
     if (order.isRepeated(id)) return StreamFault.NotIncreasing;
     return leavesOut(id) ? StreamFault.EventsMissing : undefined;
   }
 
-  function addEvent(id: string | undefined): void {
-    if (isContinuation() && id !== undefined)
-      hasGap = order.isConsecutive() === undefined && !order.isNext(id);
+  /** Adds an event of a stream that may be continued, unless its id is faulty. */
+  function acceptId(text: string | undefined): StreamFault | undefined {
+    const id = text === undefined ? undefined : parseEventId(text);
+    const fault = findFault(id);
+    if (fault !== undefined || id === undefined) return fault;
+    if (isContinuation()) hasGap = order.isConsecutive() === undefined && !order.isNext(id);
     order.add(id);
-    deliveredHead ??= head;
-    runEvents += 1;
+    return undefined;
   }
 
   return {
@@ -151,12 +156,18 @@
       if (deliveredHead === undefined) return undefined;
       const isSameType = mediaType(head.contentType) === mediaType(deliveredHead.contentType);
       if (head.status !== CONTINUATION_STATUS || !isSameType) return StreamFault.NoContinuation;
-      return order.endsWithId() ? undefined : StreamFault.WithoutId;
+      return endsWithId ? undefined : StreamFault.WithoutId;
     },
-    accept(block) {
-      const fault = findFault(block);
-      if (fault === undefined && block.isEvent) addEvent(block.id);
-      return fault;
+    accept({ isEvent, isWellFormed, id }) {
+      if (!isWellFormed) return StreamFault.MalformedEvent;
+      if (!isEvent) return undefined;
+      // Ids matter only for what continues the stream.
+      const fault = isResumable ? acceptId(id) : undefined;
+      if (fault !== undefined) return fault;
+      endsWithId = id !== undefined;
+      deliveredHead ??= head;
+      runEvents += 1;
+      return undefined;
     },
     endRun: () =>
       runEvents > 0 || deliveredHead === undefined ? undefined : StreamFault.EndNotProven,
--- a/packages/core/test/event-stream/stream-join.test.ts
+++ b/packages/core/test/event-stream/stream-join.test.ts
@@ -146,3 +146,14 @@
     digits.join(),
   );
 });
+
+// Guards against the cost of judging an event's id more than once, or at all where no other server may continue the stream.
+test('converts the id of an event once, and none of a stream that is never resumed', (t) => {
+  const convert = t.mock.method(globalThis, 'BigInt');
+  assert.equal(addIds(createJoin(undefined, false), '1', '2', '3'), undefined);
+  assert.equal(convert.mock.callCount(), 0);
+  const join = createJoin();
+  assert.equal(addIds(join, '1', '2', '3'), undefined);
+  assert.equal(addIds(join, '4', '5'), undefined);
+  assert.equal(convert.mock.callCount(), 5);
+});
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -40,18 +40,19 @@
 }
 
 function acceptBlocks(streamJoin: StreamJoin, { bytes, blocks }: CompleteEvents): AcceptedBlocks {
+  let end = 0;
+  let hasEvent = false;
+  let lastEventId: string | undefined;
   let fault: StreamFault | undefined;
-  const faultyIndex = blocks.findIndex((block) => {
+  for (const block of blocks) {
     fault = streamJoin.accept(block);
-    return fault !== undefined;
-  });
-  const accepted = faultyIndex < 0 ? blocks : blocks.slice(0, faultyIndex);
-  return {
-    bytes: bytes.subarray(0, accepted.at(-1)?.end ?? 0),
-    hasEvent: accepted.some(({ isEvent }) => isEvent),
-    lastEventId: accepted.findLast(({ id }) => id !== undefined)?.id,
-    fault,
-  };
+    if (fault !== undefined) break;
+    end = block.end;
+    hasEvent ||= block.isEvent;
+    lastEventId = block.id ?? lastEventId;
+  }
+  const isWhole = end === bytes.length;
+  return { bytes: isWhole ? bytes : bytes.subarray(0, end), hasEvent, lastEventId, fault };
 }
 
 /** Writer of a run's accepted bytes to the caller. */
