Report the beginning of an attempt once instead of at each event

Each event of a stream went through the reducer twice: as the beginning of its attempt, of which only the first counts, and as delivered events. The beginning is now reported once. What the repetitions did besides, to make a server whose stream goes on eligible again after failed connections, is done with the delivered events; a test shows it, which fails without that line. The parts are looked up once per attempt, and no empty buffer and no callback is made for an event.

--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -57,10 +57,11 @@
   lastEventId: string | undefined,
 ): DirectEffect[] {
   const request = state.requests.get(requestId);
-  if (request !== undefined) {
-    request.answerStarted = true;
-    request.lastEventId = lastEventId ?? request.lastEventId;
-  }
+  if (request === undefined) return [];
+  request.answerStarted = true;
+  request.lastEventId = lastEventId ?? request.lastEventId;
+  const serverKey = request.currentAttempt?.serverKey;
+  if (serverKey !== undefined) state.servers.get(serverKey)?.health.recordResponse();
   return [];
 }
 
--- a/packages/core/src/direct/server-health.ts
+++ b/packages/core/src/direct/server-health.ts
@@ -5,7 +5,7 @@
 /** Health of one backend server. */
 export interface ServerHealth {
   recordOutcome(outcome: AttemptOutcome, nowMs: number): void;
-  /** Records the start of an answer. */
+  /** Records a part of an answer. */
   recordResponse(): void;
   /** Recent fraction of failed attempts, from 0 to 1. */
   failureRate(nowMs: number): number;
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -93,6 +93,19 @@
   assert.notEqual(second.serverKey, first.serverKey);
 });
 
+// Guards against a server that is avoided after failed connections although events of a stream show that it works.
+test('a server gets requests again once one of its streams goes on', () => {
+  const router = createSampleRouter([sampleEntry('e1')]);
+  const stream = expectSend(router.request('1'));
+  router.dispatch({ kind: 'attempt-begun', attempt: stream.attempt });
+  const first = expectSend(router.request('2'));
+  const second = expectSend(router.dispatch(attemptEnded(first.attempt, AttemptOutcome.Unsent)));
+  expectRefusal(router.dispatch(attemptEnded(second.attempt, AttemptOutcome.Unsent)));
+  expectRefusal(router.request('3'));
+  router.dispatch({ kind: 'events-delivered', request: '1', lastEventId: '7' });
+  expectSend(router.request('4'));
+});
+
 test('a stream that must not be retried is aborted instead of continued by a second run', () => {
   const route = sampleRoute({ retryPolicy: RetryPolicy.Never });
   const router = createSampleRouter();
--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -24,25 +24,29 @@
   exchange: Exchange,
   onEnded: () => void,
 ): AttemptListener {
+  const { metrics, loop } = parts;
   const requestSentAtMs = clock();
+  let hasBegun = false;
   return {
     onAnnounced(announcement) {
       const event = { kind: 'server-announced' as const, serverKey, announcement };
-      parts.loop.dispatch({ ...event, requestSentAtMs, nowMs: clock() });
+      loop.dispatch({ ...event, requestSentAtMs, nowMs: clock() });
     },
     onBegun() {
+      if (hasBegun) return;
+      hasBegun = true;
       const nowMs = clock();
       if (!exchange.responseStarted) {
-        parts.metrics.observeFirstEvent(exchange.attributes.service, nowMs - exchange.receivedAtMs);
+        metrics.observeFirstEvent(exchange.attributes.service, nowMs - exchange.receivedAtMs);
       }
       exchange.responseStarted = true;
-      parts.loop.dispatch({ kind: 'attempt-begun', attempt, nowMs });
+      loop.dispatch({ kind: 'attempt-begun', attempt, nowMs });
     },
     onDelivered(lastEventId) {
-      parts.loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
+      loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
     },
     onBodyEnded({ framing, bodyBytes, partialEventBytes }) {
-      parts.metrics.countBodyEnd(framing, partialEventBytes > 0);
+      metrics.countBodyEnd(framing, partialEventBytes > 0);
       const fields = { request, attempt, framing, bodyBytes, partialEventBytes };
       if (partialEventBytes > 0) logger.warn('body-ended-inside-event', fields);
       else if (framing === BodyFraming.Close) logger.info('body-ended-by-close', fields);
@@ -52,7 +56,7 @@
       onEnded();
       exchange.bufferedResponse = response;
       if (response !== undefined) releaseWithCaller(exchange, response);
-      parts.metrics.countAttemptEnd(outcome);
+      metrics.countAttemptEnd(outcome);
       if (outcome !== AttemptOutcome.Complete) {
         logger.warn('attempt-ended', {
           request,
@@ -63,7 +67,7 @@
           traits: listCrashTraits(exchange.attributes),
         });
       }
-      parts.loop.dispatch({ kind: 'attempt-ended', attempt, outcome, detail, nowMs: clock() });
+      loop.dispatch({ kind: 'attempt-ended', attempt, outcome, detail, nowMs: clock() });
     },
   };
 }
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -15,6 +15,7 @@
 
 /** Maximum size of one event of a stream. A server that exceeds it sends no event stream. */
 const MAX_EVENT_BYTES = 256 * 1024;
+const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /** Settings of a stream. */
 export interface StreamOptions {
@@ -71,22 +72,24 @@
   const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
   /** Only the first event of a resumed run shows that it continues the stream, so the comments before it wait. */
   let isHolding = isResumed;
-  let held: Buffer = Buffer.alloc(0);
+  let held = NO_BYTES;
+  const resume = (): void => {
+    res.resume();
+  };
 
   function deliver(bytes: Buffer, lastEventId: string | undefined): void {
     listener.onBegun();
     if (!sink.isHeadSent()) sink.writeHead(res.statusCode!, headers);
-    if (!sink.write(bytes, () => res.resume())) res.pause();
+    if (!sink.write(bytes, resume)) res.pause();
     listener.onDelivered(lastEventId);
   }
 
   return {
     write({ bytes, hasEvent, lastEventId }) {
       isHolding &&= !hasEvent;
-      held = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
-      if (isHolding || held.length === 0) return;
-      deliver(held, lastEventId);
-      held = Buffer.alloc(0);
+      const unsent = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
+      held = isHolding ? unsent : NO_BYTES;
+      if (!isHolding && unsent.length > 0) deliver(unsent, lastEventId);
     },
     finish(rest) {
       const bytes = Buffer.concat([held, rest]);
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -69,7 +69,7 @@
 export interface AttemptListener {
   /** The head of a response states something about the server itself. */
   onAnnounced(announcement: ServerAnnouncement): void;
-  /** The response has begun, for a stream with its first event. */
+  /** A part of the response has arrived, for a stream an event; the first one begins it. */
   onBegun(): void;
   onDelivered(lastEventId: string | undefined): void;
   /** The body has ended as its framing states. */
