--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -11,7 +11,7 @@
 import { afterNextPoll } from './after-next-poll.js';
 import { createConnectionTable } from './connection-table.js';
 import type { ConnectionTotals } from './connection-table.js';
-import { createQueuedResponses } from './queued-responses.js';
+import type { QueuedResponses } from './queued-responses.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -28,6 +28,7 @@
   maxConnections: number;
   /** Maximum number of further connections, which get a refusal. */
   maxRefusedConnections: number;
+  queuedResponses: QueuedResponses;
   clock: Clock;
   logger: Logger;
   stopping?: AbortSignal;
@@ -92,7 +93,7 @@
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock, options.maxConnections);
-  const queuedResponses = createQueuedResponses();
+  const { queuedResponses } = options;
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
@@ -109,7 +110,7 @@
       return;
     }
     // No response is sent behind the one that closes the connection, so the request must not run either.
-    if (closingSockets.has(socket)) {
+    if (closingSockets.has(socket) || queuedResponses.isClosing(socket)) {
       req.resume();
       return;
     }
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -25,8 +25,13 @@
   usedSockets: Set<Socket>;
   /** Complete response of the last attempt, until the reducer finishes or retries the request. */
   bufferedResponse: BufferedResponse | undefined;
+  /** Response whose memory remains reserved until the caller's connection closes. */
+  heldWithConnection: BufferedResponse | undefined;
 }
 
+/** Maximum size of a response after which its connection is kept: the kernel may hold it for a caller that doesn't read. */
+export const MAX_KEPT_RESPONSE_BYTES = 64 * 1024;
+
 /** Statuses of responses without a body. */
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
@@ -74,13 +79,22 @@
   res.end();
 }
 
-/** Calls `onUnread` and closes the connection if the caller hasn't read the response in `maxMs`. */
-export function limitReadTime(res: ServerResponse, maxMs: number, onUnread: () => void): void {
+/**
+ * Calls `onUnread` and resets the connection if the caller hasn't read the response in `maxMs`; a mere close would leave in the kernel
+ * what it holds of the response. Without `closesBehind`, a response counts as read once the kernel has taken it.
+ */
+export function limitReadTime(
+  res: ServerResponse,
+  maxMs: number,
+  closesBehind: boolean,
+  onUnread: () => void,
+): void {
+  const { socket } = res.req;
   const timer = setTimeout(() => {
     onUnread();
-    res.destroy();
+    socket.resetAndDestroy();
   }, maxMs);
-  res.once('close', () => clearTimeout(timer));
+  (closesBehind ? socket : res).once('close', () => clearTimeout(timer));
 }
 
 /** Creates the sink through which a streaming attempt writes to the caller. */
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -107,6 +107,7 @@
     streamJoin: createStreamJoin({ isResumable, resumeAfter }),
     usedSockets: new Set(),
     bufferedResponse: undefined,
+    heldWithConnection: undefined,
   };
 }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -19,6 +19,7 @@
 import { createAdminServer } from './admin/admin-server.js';
 import { createBodyBudget } from './callers/body-budget.js';
 import { createCallerServer } from './callers/caller-server.js';
+import { createQueuedResponses } from './callers/queued-responses.js';
 import { createReadinessServer } from './callers/readiness-server.js';
 import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
@@ -82,6 +83,7 @@
     },
     metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
     exchanges: exchangesPart(ctx),
+    queuedResponses: { create: createQueuedResponses },
     requestErrors: { create: (parts) => createRequestErrors(ctx, parts) },
     loop: loopPart(ctx),
     transport: transportPart(ctx),
@@ -272,6 +274,7 @@
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
         ...parts.requestHandlers,
+        queuedResponses: parts.queuedResponses,
         maxConnections: parts.connectionLimits.callers,
         maxRefusedConnections: parts.connectionLimits.refusedCallers,
         clock: ctx.clock,
