--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -40,6 +40,9 @@
 /** Delay after changes that other routers have announced: the first change is fetched at once, and those that follow together. */
 const FOLLOWING_BATCH_DELAY_MS = 700;
 
+/** Shortest period of watches that show no change; a store may answer them before their wait is over. */
+const EMPTY_WATCH_PERIOD_MS = 250;
+
 /** Delays before further listings while the store has no history of the one before. */
 const RELIST_DELAYS = { initialMs: 50, maxMs: 400 };
 
@@ -67,9 +70,24 @@
   };
 }
 
+/** Returns the result of a watch, or undefined if a new era of the store has begun meanwhile. */
+async function requestChanges(
+  { client, era, kind }: ObjectFeedOptions,
+  from: StorePosition,
+  waitMs: number,
+  responseTimeoutMs: number,
+  mode: ReadMode,
+): Promise<StoreResult<StoreChangeBatch> | undefined> {
+  const nextEra = era.waitForNext();
+  const call = client.watch(kind, from, waitMs, responseTimeoutMs, mode);
+  const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
+  nextEra.stop();
+  return result;
+}
+
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
-  const { client, availability, kind, logger } = options;
+  const { availability, kind, logger } = options;
   const results = createCallResults(options);
   const listings = createListingPace(options);
   let closed = false;
@@ -92,22 +110,11 @@
     return options.news?.isWatching() === true ? WATCHING_WAIT_MS : options.watchWaitMs;
   }
 
-  /** Returns the result of a watch, or undefined if a new era of the store has begun meanwhile. */
-  async function requestChanges(
-    from: StorePosition,
-    waitMs: number,
-  ): Promise<StoreResult<StoreChangeBatch> | undefined> {
-    const nextEra = options.era.waitForNext();
-    const call = client.watch(kind, from, waitMs, results.responseTimeoutMs(), listings.readMode);
-    const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
-    nextEra.stop();
-    return result;
-  }
-
   async function applyChanges(
     { changes, unreadable, position }: StoreChangeBatch,
     from: StorePosition,
     state: NewsState | undefined,
+    periodOver: Promise<void>,
   ): Promise<StorePosition | undefined> {
     const reached = inCurrentEra(position, options.era);
     // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
@@ -117,6 +124,7 @@
     options.news?.recordAnswer(kind, reached, changes.length > 0);
     const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
     if (changes.length > 0) await availability.pause(Math.max(options.batchDelayMs, followDelayMs));
+    else await periodOver;
     return reached;
   }
 
@@ -124,10 +132,14 @@
     from: StorePosition,
     state: NewsState | undefined,
   ): Promise<StorePosition | undefined> {
-    const result = await requestChanges(from, watchWaitMs(state));
+    const periodOver = availability.pause(EMPTY_WATCH_PERIOD_MS);
+    const waitMs = watchWaitMs(state);
+    const { readMode } = listings;
+    const timeoutMs = results.responseTimeoutMs();
+    const result = await requestChanges(options, from, waitMs, timeoutMs, readMode);
     if (closed || result === undefined || !results.record(result)) return undefined;
     listings.recordWatch(result);
-    if (result.ok) return applyChanges(result.value, from, state);
+    if (result.ok) return applyChanges(result.value, from, state, periodOver);
     if (result.failure === StoreFailure.HistoryGone) {
       logger.info('store-history-gone', { kind, revision: from.revision });
       return undefined;
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setImmediate as nextIteration } from 'node:timers/promises';
 import { ReadMode, StoreFailure } from '@kingcupsill/prepared-platform';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import { createObjectFeed } from '../../src/store/object-feed.js';
@@ -106,5 +107,39 @@
   const { modes, pauses } = await recordRelistings(6);
   const { Stale, Current } = ReadMode;
   assert.deepEqual(modes, [Stale, Current, Current, Current, Current, Current]);
-  assert.deepEqual(pauses, [50, 100, 200, 400]);
+  // Each watch begins with its shortest period, which isn't waited for if it fails.
+  const period = 250;
+  assert.deepEqual(pauses, [period, period, 50, period, 100, period, 200, period, 400]);
+});
+
+// Guards against: a router uses up its processor with watches that the store answers at once, without changes.
+test('a watch that shows no change is not followed by another within its shortest period', async () => {
+  const position = { era: undefined, revision: 5 };
+  const periods: (() => void)[] = [];
+  let watches = 0;
+  const client: Pick<StoreClient, 'listPage' | 'watch'> = {
+    listPage: async () => ({
+      ok: true,
+      value: { objects: [], unreadable: [], nextCursor: undefined, position },
+    }),
+    async watch() {
+      watches += 1;
+      // A feed that doesn't wait would never hand back the processor.
+      if (watches > 10) await new Promise(() => {});
+      return { ok: true, value: { changes: [], unreadable: [], position } };
+    },
+  };
+  const pause = (): Promise<void> =>
+    new Promise((resolve) => {
+      periods.push(resolve);
+    });
+  const availability = { ...createStoreAvailability(), pause };
+  const feed = createObjectFeed(createFeedOptions(client, { availability }));
+  for (let expected = 1; expected <= 3; expected += 1) {
+    await nextIteration();
+    await nextIteration();
+    assert.equal(watches, expected);
+    if (expected === 3) feed.close();
+    periods.forEach((end) => end());
+  }
 });
