--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -22,6 +22,8 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Maximum number of interim responses (status 1xx) before the final one. */
 const MAX_INTERIM_RESPONSES = 8;
+/** Maximum size of a body of which the kernel may still send the rest once its attempt has been abandoned. */
+const MAX_LEFT_BODY_BYTES = 64 * 1024;
 
 function openRequest(connections: ServerConnections, req: AttemptRequest): ClientRequest {
   const { maxIdleMs = Number.POSITIVE_INFINITY, usedSockets } = req;
@@ -69,6 +71,14 @@
   return streaming && (sink.isHeadSent() || isEventStream(getRunHead(res)));
 }
 
+/** Ends the connection. A mere close would leave in the kernel what a slow server hasn't read of a large body. */
+function abandon(clientReq: ClientRequest, { body }: AttemptRequest): void {
+  // The connection of a request that has ended well may be in use again.
+  if (clientReq.destroyed) return;
+  if (body.length > MAX_LEFT_BODY_BYTES) clientReq.socket?.resetAndDestroy();
+  clientReq.destroy();
+}
+
 /** Starts an attempt. The listener's `onEnded` is called exactly once, unless the attempt is cancelled. */
 export function startAttempt(
   connections: ServerConnections,
@@ -89,7 +99,7 @@
 
   function fail(detail: string): void {
     end(isConnected() ? AttemptOutcome.Unknown : AttemptOutcome.Unsent, detail);
-    clientReq.destroy();
+    abandon(clientReq, req);
   }
 
   /** Runs a callback of the response; an error in it ends this attempt and nothing else. */
@@ -154,7 +164,7 @@
   return {
     cancel() {
       ended = true;
-      clientReq.destroy();
+      abandon(clientReq, req);
     },
   };
 }
