--- /dev/null
+++ b/packages/edge/test/relay/server-connections.test.ts
@@ -0,0 +1,40 @@
+/** Guards against requests that fail, or take the store's descriptors, because of connections to other backend servers. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { test } from 'node:test';
+import { setImmediate as nextIteration } from 'node:timers/promises';
+import { createServerConnections } from '../../src/relay/server-connections.js';
+import { createServerStandin } from '../standins/server-standin.js';
+import type { Arrival } from '../standins/server-standin.js';
+
+test('an idle connection makes room for a new one, a busy one does not', async () => {
+  const waiting: Arrival[] = [];
+  const servers = [
+    await createServerStandin(({ res }) => res.end()),
+    await createServerStandin((arrival) => waiting.push(arrival)),
+  ];
+  const connections = createServerConnections({
+    nowMs: () => performance.now(),
+    maxConnections: 1,
+  });
+  const send = (index: number) => {
+    const { port } = servers[index]!;
+    return request({ agent: connections.agent, host: '127.0.0.1', port }).end();
+  };
+  const [first] = (await once(send(0), 'response')) as [IncomingMessage];
+  await once(first.resume(), 'close');
+  await nextIteration();
+  const busy = send(1);
+  await once(busy, 'socket');
+  await assert.rejects(once(send(0), 'response'), { message: 'connections to servers used up' });
+  const answered = once(busy, 'response');
+  while (waiting.length === 0) await nextIteration();
+  waiting[0]!.res.end();
+  const [second] = (await answered) as [IncomingMessage];
+  assert.equal(second.statusCode, 200);
+  second.resume();
+  connections.close();
+  servers.forEach((server) => server.close());
+});
