--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -5,6 +5,7 @@
 import type { StreamJoin } from '@kingcupsill/core/event-stream';
 import { formatRetryAfter } from '@kingcupsill/prepared-platform';
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
+import { callAfter } from '@kingcupsill/runtime';
 import type { BufferedResponse, ResponseSink } from '../relay/types.js';
 
 /** Request in progress and its response. */
@@ -81,7 +82,8 @@
 
 /**
  * Calls `onUnread` and resets the connection if the caller hasn't read the response in `maxMs`; a mere close would leave in the kernel
- * what it holds of the response. Without `closesBehind`, a response counts as read once the kernel has taken it.
+ * what it holds of the response. Without `closesBehind`, a response counts as read once the kernel has taken it. Time in which this
+ * process couldn't send the rest of it doesn't count.
  */
 export function limitReadTime(
   res: ServerResponse,
@@ -90,11 +92,15 @@
   onUnread: () => void,
 ): void {
   const { socket } = res.req;
-  const timer = setTimeout(() => {
+  const timer = callAfter(maxMs, (lateMs) => {
+    if (lateMs > 0) {
+      limitReadTime(res, Math.min(lateMs, maxMs), closesBehind, onUnread);
+      return;
+    }
     onUnread();
     socket.resetAndDestroy();
-  }, maxMs);
-  (closesBehind ? socket : res).once('close', () => clearTimeout(timer));
+  });
+  (closesBehind ? socket : res).once('close', timer.close);
 }
 
 /** Creates the sink through which a streaming attempt writes to the caller. */
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -10,7 +10,7 @@
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { createStoreClient, StoreKind } from '@kingcupsill/prepared-platform';
-import { composeProcess, createLoop } from '@kingcupsill/runtime';
+import { composeProcess, createLoop, repeatEvery } from '@kingcupsill/runtime';
 import type {
   ComponentDefinition,
   ComponentDefinitions,
@@ -23,7 +23,6 @@
 import { createReadinessServer } from './callers/readiness-server.js';
 import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
-import { repeatEvery } from './closable.js';
 import { divideDescriptors, readDescriptorLimit } from './descriptors.js';
 import { drain } from './drain.js';
 import { createEffectHandlers } from './effect-handlers.js';
--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -1,3 +1,4 @@
+import { callAfter } from '@kingcupsill/runtime';
 /** HTTP call with a timeout and a buffered response. */
 import { request } from 'node:http';
 import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
@@ -46,10 +47,10 @@
       resolve({ ok: false, detail: (err as Error).message });
       return;
     }
-    const timer = setTimeout(() => fail('response timeout'), call.timeoutMs);
+    const timer = callAfter(call.timeoutMs, () => fail('response timeout'));
 
     function settle(result: HttpCallResult): void {
-      clearTimeout(timer);
+      timer.close();
       resolve(result);
     }
     function fail(detail: string): void {
--- a/packages/edge/src/loop-lag.ts
+++ b/packages/edge/src/loop-lag.ts
@@ -1,6 +1,5 @@
 /** Event loop lag, which equals the age of the work that waits in the kernel. */
 import type { Clock } from '@kingcupsill/runtime';
-import { repeatEvery } from './closable.js';
 import type { Closable } from './closable.js';
 import { createLagEstimate } from './lag-estimate.js';
 import { createOverloadDetector } from './overload.js';
@@ -21,17 +20,17 @@
   const estimate = createLagEstimate();
   const detector = createOverloadDetector();
 
-  const probeTimer = repeatEvery(PROBE_PERIOD_MS, () => {
+  const probeTimer = setInterval(() => {
     const nowMs = clock();
     const observedMs = Math.max(0, nowMs - dueAtMs);
     detector.observe(observedMs, nowMs);
     estimate.observe(observedMs);
     dueAtMs = nowMs + PROBE_PERIOD_MS;
-  });
+  }, PROBE_PERIOD_MS);
 
   return {
     lagMs: estimate.lagMs,
     isOverloaded: () => detector.isOverloaded(clock()),
-    close: probeTimer.close,
+    close: () => clearInterval(probeTimer),
   };
 }
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -8,7 +8,7 @@
   StoreNews,
 } from '@kingcupsill/core/direct';
 import type { Hasher } from '@kingcupsill/core/hash';
-import { repeatEvery } from '../closable.js';
+import { repeatEvery } from '@kingcupsill/runtime';
 import { createExchangeListener } from './exchange-listener.js';
 import { createGroupLinks } from './group-links.js';
 import { createIncomingLinks } from './incoming.js';
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { AttemptOutcome } from '@kingcupsill/core/direct';
 import { isEventStream } from '@kingcupsill/core/event-stream';
+import { callAfter } from '@kingcupsill/runtime';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
 import { bufferResponse, discardResponse } from './read-response.js';
@@ -52,12 +53,12 @@
   clientReq.on('socket', (socket) => {
     connected = !socket.connecting && !socket.destroyed;
     if (!socket.connecting) return;
-    const timer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
+    const timer = callAfter(CONNECT_TIMEOUT_MS, onTimeout);
     socket.once('connect', () => {
       connected = true;
-      clearTimeout(timer);
+      timer.close();
     });
-    socket.once('close', () => clearTimeout(timer));
+    socket.once('close', timer.close);
   });
   return () => connected;
 }
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -1,6 +1,7 @@
 /** Reading of a backend server's response, either buffered or discarded. */
 import type { IncomingMessage } from 'node:http';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
+import { callAfter } from '@kingcupsill/runtime';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
 import type { AttemptListener, BufferedResponse } from './types.js';
@@ -30,12 +31,12 @@
 /** Reads and discards a response, so that its connection can be reused. Calls `onExceeded` if it is too large or too slow. */
 export function discardResponse(res: IncomingMessage, onExceeded: () => void): void {
   let receivedBytes = 0;
-  const timer = setTimeout(onExceeded, MAX_DISCARD_MS);
+  const timer = callAfter(MAX_DISCARD_MS, onExceeded);
   res.on('data', (chunk: Buffer) => {
     receivedBytes += chunk.length;
     if (receivedBytes > MAX_DISCARDED_BYTES) onExceeded();
   });
-  res.on('close', () => clearTimeout(timer));
+  res.on('close', timer.close);
 }
 
 /** Buffers a response until it is complete. */
--- a/packages/edge/src/store/stream-sweep.ts
+++ b/packages/edge/src/store/stream-sweep.ts
@@ -1,7 +1,7 @@
 /** Removal of the stored streams of router runs that have ended. */
 import { StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreObject } from '@kingcupsill/prepared-platform';
-import { repeatEvery } from '../closable.js';
+import { repeatEvery } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
 import { readRouterEntry } from './router-registration.js';
 
--- a/packages/edge/test/standins/raw-caller.ts
+++ b/packages/edge/test/standins/raw-caller.ts
@@ -10,6 +10,10 @@
   /** Error of the connection; undefined without one. */
   error(): Error | undefined;
   isClosed(): boolean;
+  /** Returns whether the router has ended the connection. */
+  isEnded(): boolean;
+  pause(): void;
+  resume(): void;
   /** Waits until one whole answer has been received, or the connection has closed without it. Returns its status, or `none`. */
   answer(): Promise<string>;
   close(): void;
@@ -28,8 +32,11 @@
   return match !== null && match[3]!.length >= Number(match[2]) ? match[1] : undefined;
 }
 
-export function createRawCaller({ settings }: Deployment): RawCaller {
-  const [host, port] = settings.callers.address.split(':');
+/** @param router address of the router; a deployment has it in its settings */
+export function createRawCaller(router: {
+  settings: { callers: Pick<Deployment['settings']['callers'], 'address'> };
+}): RawCaller {
+  const [host, port] = router.settings.callers.address.split(':');
   const socket = connect({ host: host!, port: Number(port), noDelay: true, allowHalfOpen: true });
   let received = '';
   let error: Error | undefined;
@@ -48,6 +55,9 @@
     received: () => received,
     error: () => error,
     isClosed: () => socket.destroyed,
+    isEnded: () => ended || socket.destroyed,
+    pause: () => socket.pause(),
+    resume: () => socket.resume(),
     async answer() {
       await waitUntil(() => findAnswer(received) !== undefined || ended || socket.destroyed);
       return findAnswer(received) ?? 'none';
--- a/packages/fleet/src/http-listener.ts
+++ b/packages/fleet/src/http-listener.ts
@@ -1,7 +1,7 @@
 /** HTTP listener with graceful shutdown. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { closeServer } from '@kingcupsill/runtime';
+import type { AddressInfo, Socket } from 'node:net';
+import { afterNextPoll, closeServer } from '@kingcupsill/runtime';
 
 /** Listening HTTP server. */
 export interface HttpListener {
@@ -23,6 +23,7 @@
   return new Promise((resolve, reject) => {
     const server = app.listen(port, host);
     const waitForIdle = trackOpenResponses(server);
+    server.on('timeout', closeUnlessUsed);
     server.once('error', reject);
     server.once('listening', () => {
       const { port: boundPort } = server.address() as AddressInfo;
@@ -31,6 +32,14 @@
   });
 }
 
+/** Closes a connection at its idle timeout, unless a request has arrived on it that wasn't read before, as after a pause. */
+function closeUnlessUsed(socket: Socket): void {
+  const { bytesRead } = socket;
+  afterNextPoll(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** Returns a function that waits for the responses open at the time of its call. */
 function trackOpenResponses(server: Server): () => Promise<void> {
   const openResponses = new Map<ServerResponse, Promise<void>>();
--- a/packages/fleet/src/periodic-task.ts
+++ b/packages/fleet/src/periodic-task.ts
@@ -1,4 +1,6 @@
 /** Periodic execution of an asynchronous task. */
+import { callAfter } from '@kingcupsill/runtime';
+import type { Timer } from '@kingcupsill/runtime';
 
 /** Task that runs periodically until closed. */
 export interface PeriodicTask {
@@ -9,11 +11,11 @@
 /** Runs the task immediately, and again `delayMs` after the end of each run. The task must not reject. */
 export function startPeriodicTask(task: () => Promise<void>, delayMs: number): PeriodicTask {
   let closed = false;
-  let timer: NodeJS.Timeout | undefined;
+  let timer: Timer | undefined;
 
   async function run(): Promise<void> {
     await task();
-    if (!closed) timer = setTimeout(start, delayMs);
+    if (!closed) timer = callAfter(delayMs, start);
   }
 
   function start(): void {
@@ -29,7 +31,7 @@
   return {
     close() {
       closed = true;
-      clearTimeout(timer);
+      timer?.close();
     },
   };
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,3 +8,4 @@
 export * from './loop/index.js';
 export * from './settings/index.js';
 export * from './signals/index.js';
+export * from './timers/index.js';
--- a/packages/edge/src/callers/after-next-poll.ts
+++ b/packages/runtime/src/timers/after-next-poll.ts
@@ -2,3 +2,8 @@
 export function afterNextPoll(callback: () => void): void {
   setImmediate(() => setImmediate(callback));
 }
+
+/** Resolves after the event loop has polled all ready sockets. */
+export function polled(): Promise<void> {
+  return new Promise(afterNextPoll);
+}
