--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -1,14 +1,16 @@
 /** HTTP server for callers: keep-alive connections, their limits, and graceful shutdown. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@kingcupsill/core/direct';
-import { afterNextPoll, closeServer, repeatEvery } from '@kingcupsill/runtime';
+import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
+import { afterNextPoll, callAfter, closeServer, repeatEvery } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { listenWhenFree } from '../listen-when-free.js';
 import { createAcceptQueue } from './accept-queue.js';
 import { createConnectionTable } from './connection-table.js';
-import type { ConnectionTotals } from './connection-table.js';
+import type { ConnectionTable, ConnectionTotals } from './connection-table.js';
 import type { QueuedResponses } from './queued-responses.js';
 
 /** Options of the server for callers. */
@@ -18,7 +20,7 @@
   /** Returns the limits in force; undefined before a configuration is known. */
   limits: () => CallerLimits | undefined;
   onRequest: (req: IncomingMessage, res: ServerResponse) => void;
-  /** Called in place of `onRequest` shortly before the server stops listening, and afterwards. */
+  /** Called in place of `onRequest` for requests that must not run: shortly before the server stops listening, and afterwards. */
   onLateRequest: (req: IncomingMessage, res: ServerResponse) => void;
   /** Called in place of `onRequest` on connections beyond `maxConnections`. */
   onExcessRequest: (req: IncomingMessage, res: ServerResponse) => void;
@@ -36,11 +38,13 @@
 export interface CallerServer {
   /** Makes each further response close its connection. */
   startDrain(): void;
-  /** Stops accepting connections and closes idle ones, except for those whose first request may be on its way. */
+  /** Stops accepting connections and ends idle ones, except for those whose first request may be on its way. */
   stopListening(): void;
   openRequestCount(): number;
   /** Number of connections on which no request has arrived. */
   unusedConnectionCount(): number;
+  /** Number of idle connections on which another request may be on its way. */
+  keptConnectionCount(): number;
   connectionTotals(): ConnectionTotals;
   /** Estimated wait of connections that haven't been accepted yet. */
   acceptWaitMs(): number;
@@ -57,8 +61,10 @@
  * moves those on kept connections to another router before this one closes them. Which requests can still end is decided at their sends.
  */
 const LATE_AFTER_MS = 2500;
-/** Maximum time to receive a header and a body, including the idle time before a connection's first byte. */
+/** Maximum time to receive a body. */
 const RECEIVE_TIMEOUT_MS = 30_000;
+/** Time in which the next request arrives on a kept connection whose answer has ended after the router stopped listening. */
+const NEXT_REQUEST_MS = 300;
 
 /**
  * Maximum number of connections waiting to be accepted. The event loop accepts one per iteration, so with a longer queue on a busy
@@ -67,11 +73,10 @@
 const BACKLOG = 50;
 
 const SERVER_OPTIONS = {
-  // Disabled, since the periodic sweep closes idle connections with the configured timeout.
+  // Disabled: Node's timers may act before what has arrived is read. The periodic sweep closes idle and stalled connections.
   keepAliveTimeout: 0,
-  headersTimeout: RECEIVE_TIMEOUT_MS,
-  requestTimeout: RECEIVE_TIMEOUT_MS,
-  connectionsCheckingInterval: 1000,
+  headersTimeout: 0,
+  requestTimeout: 0,
   // Limit of the parser. The configured limit is checked afterwards.
   maxHeaderSize: 64 * 1024,
   noDelay: true,
@@ -80,12 +85,35 @@
 /** Status lines for malformed requests by the parser's error code. */
 const STATUS_LINE_BY_ERROR: Partial<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
-function respondMalformed(socket: Socket, code: string | undefined): void {
+function formatMalformedAnswer(code: string | undefined): string {
   const status = STATUS_LINE_BY_ERROR[code ?? ''] ?? '400 Bad Request';
-  socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+  return `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+}
+
+/** Creates the handler of errors of callers' connections, and of requests that can't be parsed. */
+function createErrorHandler(
+  connections: ConnectionTable,
+  logger: Logger,
+): (err: NodeJS.ErrnoException, socket: Socket) => void {
+  return (err, socket) => {
+    // The rest of what was malformed is read and discarded, since a reset may overtake the answer to it.
+    if (socket.writableEnded && err.code !== 'ECONNRESET') return;
+    if (!socket.writable || !connections.isIdle(socket) || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    logger.warn('request-malformed', { code: err.code });
+    connections.end(socket, formatMalformedAnswer(err.code));
+  };
+}
+
+/** Discards a request that can't be answered, and so must not run. */
+function discard(req: IncomingMessage, logger: Logger): void {
+  const { attemptId } = parseCallerHeaders(req.headers);
+  logger.info('request-crossed-close', { attemptId });
+  req.resume();
 }
 
 /** Starts the server. */
@@ -97,54 +125,54 @@
   const isLate = (): boolean =>
     phase.closing || options.clock() - phase.drainedFromMs >= LATE_AFTER_MS;
 
-  /** Connections that close behind a response that is still open. */
-  const closingSockets = new WeakSet<Socket>();
+  /** Responses behind which their connections close. */
+  const lastResponses = new WeakMap<Socket, ServerResponse>();
+
+  function endWhenUnused(socket: Socket): void {
+    callAfter(NEXT_REQUEST_MS, () => {
+      if (connections.isIdle(socket)) connections.end(socket);
+    });
+  }
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
-    // The request arrived while the router was closing the connection. It must not run, since its response can't be sent.
-    if (socket.writableEnded) {
-      socket.destroy();
+    const earlier = lastResponses.get(socket);
+    // It arrived while the router was closing the connection, or behind a response that has announced its close.
+    if (socket.writableEnded || earlier?.headersSent === true) {
+      discard(req, options.logger);
       return;
     }
     // No response is sent behind the one that closes the connection, so the request must not run either.
-    if (closingSockets.has(socket) || queuedResponses.isClosing(socket)) {
-      req.resume();
+    if (queuedResponses.isClosing(socket)) {
+      discard(req, options.logger);
       return;
     }
+    if (earlier !== undefined) earlier.shouldKeepAlive = true;
     const isServed = connections.isServed(socket);
-    connections.requestStarted(socket);
+    connections.requestStarted(socket, req);
     queuedResponses.add(socket, res);
     res.sendDate = false;
     if (!isServed || options.clock() >= phase.drainedFromMs) {
       res.shouldKeepAlive = false;
-      closingSockets.add(socket);
+      lastResponses.set(socket, res);
     }
     res.on('close', () => {
       connections.requestEnded(socket, res.writableFinished);
-      if (phase.closing && connections.isIdle(socket)) socket.end();
+      if (phase.closing) endWhenUnused(socket);
     });
-    // A request may arrive on a kept connection before the close of the response before it has been handled.
     if (isLate()) options.onLateRequest(req, res);
     else if (!isServed) options.onExcessRequest(req, res);
+    // A request behind an open one is refused, so that the connection closes soon.
+    else if (earlier !== undefined) options.onLateRequest(req, res);
     else options.onRequest(req, res);
   }
 
-  function onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || !connections.isIdle(socket) || err.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    options.logger.warn('request-malformed', { code: err.code });
-    respondMalformed(socket, err.code);
-  }
-
   const server = createServer(SERVER_OPTIONS, onRequest);
   server.on('connection', (socket) => {
     acceptQueue.recordAccepted();
     connections.add(socket);
   });
-  server.on('clientError', onClientError);
+  server.on('clientError', createErrorHandler(connections, options.logger));
   const { host, port, logger, stopping } = options;
   server.maxConnections = options.maxConnections + options.maxRefusedConnections;
   server.on('drop', () => logger.warn('connection-dropped', { limit: server.maxConnections }));
@@ -152,7 +180,8 @@
   await listenWhenFree(server, { host, port, backlog: BACKLOG, ...policy });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
     const idleTimeoutMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
-    connections.closeIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
+    connections.endIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
+    connections.closeStalled(RECEIVE_TIMEOUT_MS);
   });
 
   return {
@@ -161,11 +190,13 @@
     },
     stopListening() {
       phase.closing = true;
-      server.close();
-      connections.closeUsed();
+      // The method of the HTTP server also resets the idle connections, on which requests may have arrived.
+      NetServer.prototype.close.call(server);
+      connections.endUsed();
     },
     openRequestCount: connections.openRequestCount,
     unusedConnectionCount: connections.unusedCount,
+    keptConnectionCount: connections.keptCount,
     connectionTotals: connections.totals,
     acceptWaitMs: acceptQueue.waitMs,
     async close() {
--- a/packages/edge/src/callers/connection-table.ts
+++ b/packages/edge/src/callers/connection-table.ts
@@ -1,4 +1,5 @@
 /** Table of callers' keep-alive connections and their idle times. */
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** Numbers of callers' connections since the start. */
@@ -12,18 +13,27 @@
 
 /** Open connections of callers. */
 export interface ConnectionTable {
-  /** Adds a connection. If there are as many as may be served, the one that has been idle for longest is closed in favour of it. */
+  /** Adds a connection. If there are as many as may be served, the one that has been idle for longest is ended in favour of it. */
   add(socket: Socket): void;
   /** Returns whether requests on a connection are served, which is decided at its first request. */
   isServed(socket: Socket): boolean;
-  requestStarted(socket: Socket): void;
+  requestStarted(socket: Socket, req: IncomingMessage): void;
   /** `isAnswered` states whether the response was written completely. */
   requestEnded(socket: Socket, isAnswered: boolean): void;
   isIdle(socket: Socket): boolean;
-  /** Closes connections that have been idle for longer than `idleMs`, and those beyond the limit after a second. */
-  closeIdle(idleMs: number): void;
-  /** Closes the idle connections that have carried a request. */
-  closeUsed(): void;
+  /**
+   * Ends a connection without a reset, which could overtake an answer: what still arrives on it is read and discarded. Sends `text`
+   * before its end.
+   */
+  end(socket: Socket, text?: string): void;
+  /** Ends connections that have been idle for longer than `idleMs`, and those beyond the limit after a second. */
+  endIdle(idleMs: number): void;
+  /** Ends the idle connections that have carried a request. */
+  endUsed(): void;
+  /** Closes connections on which a request has been arriving for longer than `receiveMs`, and those that were ended long ago. */
+  closeStalled(receiveMs: number): void;
+  /** Number of connections that have carried a request, are idle, and haven't been ended. */
+  keptCount(): number;
   /** Number of connections that haven't carried a request. */
   unusedCount(): number;
   /** Number of requests whose response isn't complete. */
@@ -31,23 +41,26 @@
   totals(): ConnectionTotals;
 }
 
+/** Time after which an ended connection is closed though its caller hasn't closed it. */
+const MAX_ENDED_MS = 2000;
+
 interface Connection {
   idleSinceMs: number;
+  /** Latest request, and the time of its head. */
+  latest: IncomingMessage | undefined;
+  latestAtMs: number;
+  endedAtMs: number | undefined;
   requests: number;
   used: boolean;
   answered: boolean;
   /** Beyond the number that may be served. */
   excess: boolean;
-  /** Time at which this router has closed its side; undefined before. */
-  closedAtMs: number | undefined;
 }
 
 /** Minimum idle time of a connection that is closed in favour of another: its next request is probably not on its way. */
 const MIN_GIVEN_UP_IDLE_MS = 1000;
 /** Time for the first request on a connection beyond the limit. */
 const MAX_EXCESS_IDLE_MS = 1000;
-/** Time for a caller to close its side of a connection, after which the descriptor is freed. */
-const MAX_CLOSING_MS = 2000;
 
 function createConnection(nowMs: number): Connection {
   return {
@@ -56,20 +69,46 @@
     used: false,
     answered: false,
     excess: false,
-    closedAtMs: undefined,
+    latest: undefined,
+    latestAtMs: 0,
+    endedAtMs: undefined,
   };
 }
 
+function isKept({ requests, used, endedAtMs }: Connection): boolean {
+  return used && requests === 0 && endedAtMs === undefined;
+}
+
+function isIdleFor(
+  { requests, idleSinceMs, excess }: Connection,
+  idleMs: number,
+  currentMs: number,
+): boolean {
+  const maxIdleMs = excess ? Math.min(idleMs, MAX_EXCESS_IDLE_MS) : idleMs;
+  return requests === 0 && currentMs - idleSinceMs >= maxIdleMs;
+}
+
+function isStalled(
+  { latest, latestAtMs, endedAtMs = Number.POSITIVE_INFINITY }: Connection,
+  receiveMs: number,
+  currentMs: number,
+): boolean {
+  const isReceiving = latest !== undefined && !latest.complete;
+  return (
+    (isReceiving && currentMs - latestAtMs > receiveMs) || currentMs - endedAtMs > MAX_ENDED_MS
+  );
+}
+
 /** Returns the served connection that has been idle for longest, at least since `maxIdleSinceMs`. */
 function findLongestIdle(
   connections: ReadonlyMap<Socket, Connection>,
   maxIdleSinceMs: number,
-): [Socket, Connection] | undefined {
+): Socket | undefined {
   const idle = [...connections].filter(
     ([, { requests, excess, idleSinceMs }]) =>
       requests === 0 && !excess && idleSinceMs <= maxIdleSinceMs,
   );
-  return idle.sort(([, a], [, b]) => a.idleSinceMs - b.idleSinceMs)[0];
+  return idle.sort(([, a], [, b]) => a.idleSinceMs - b.idleSinceMs)[0]?.[0];
 }
 
 /** Creates an empty table of which `maxServed` connections are served. */
@@ -85,31 +124,23 @@
     connection.excess = excess;
   }
 
-  /** Sends the end of the connection. It counts as beyond the limit until the caller has closed it as well. */
-  function close(socket: Socket, connection: Connection): void {
-    socket.end();
-    connection.closedAtMs ??= nowMs();
-    setExcess(connection, true);
+  /** The connection counts as beyond the limit until its caller has closed it as well. */
+  function end(socket: Socket, text = ''): void {
+    const connection = connections.get(socket);
+    if (connection !== undefined) {
+      connection.endedAtMs ??= nowMs();
+      setExcess(connection, true);
+    }
+    if (!socket.writableEnded) socket.end(text);
   }
 
-  /** Closes the connection that has been idle for longest. Returns whether there was one. */
+  /** Ends the connection that has been idle for longest. Returns whether there was one. */
   function giveUpIdle(): boolean {
     const longestIdle = findLongestIdle(connections, nowMs() - MIN_GIVEN_UP_IDLE_MS);
-    if (longestIdle !== undefined) close(...longestIdle);
+    if (longestIdle !== undefined) end(longestIdle);
     return longestIdle !== undefined;
   }
 
-  function closeIfIdle(socket: Socket, connection: Connection, idleMs: number): void {
-    const { requests, excess, idleSinceMs, closedAtMs } = connection;
-    if (requests > 0) return;
-    if (closedAtMs !== undefined) {
-      if (nowMs() - closedAtMs >= MAX_CLOSING_MS) socket.destroy();
-      return;
-    }
-    const maxIdleMs = excess ? Math.min(idleMs, MAX_EXCESS_IDLE_MS) : idleMs;
-    if (nowMs() - idleSinceMs >= maxIdleMs) close(socket, connection);
-  }
-
   return {
     add(socket) {
       const connection = createConnection(nowMs());
@@ -131,11 +162,13 @@
       if (connection.excess && !connection.used && !isFull()) setExcess(connection, false);
       return !connection.excess;
     },
-    requestStarted(socket) {
+    requestStarted(socket, req) {
       openRequests += 1;
       const connection = connections.get(socket);
       if (connection === undefined) return;
       connection.used = true;
+      connection.latest = req;
+      connection.latestAtMs = nowMs();
       connection.requests += 1;
     },
     requestEnded(socket, isAnswered) {
@@ -147,14 +180,19 @@
       connection.idleSinceMs = nowMs();
     },
     isIdle: (socket) => connections.get(socket)?.requests === 0,
-    closeIdle(idleMs) {
-      connections.forEach((connection, socket) => closeIfIdle(socket, connection, idleMs));
+    end,
+    endIdle(idleMs) {
+      connections.forEach((connection, socket) => {
+        if (isIdleFor(connection, idleMs, nowMs())) end(socket);
+      });
     },
-    closeUsed() {
+    endUsed: () => connections.forEach((connection, socket) => isKept(connection) && end(socket)),
+    closeStalled(receiveMs) {
       connections.forEach((connection, socket) => {
-        if (connection.requests === 0 && connection.used) close(socket, connection);
+        if (isStalled(connection, receiveMs, nowMs())) socket.destroy();
       });
     },
+    keptCount: () => [...connections.values()].filter(isKept).length,
     unusedCount: () => [...connections.values()].filter(({ used }) => !used).length,
     openRequestCount: () => openRequests,
     totals: () => totals,
--- a/packages/edge/src/drain.ts
+++ b/packages/edge/src/drain.ts
@@ -1,5 +1,5 @@
 /** Drain of the router: the end of its work within the grace period. */
-import { setTimeout as delay } from 'node:timers/promises';
+import { polled, wait } from '@kingcupsill/runtime';
 import type { EdgeContext } from './context.js';
 import type { EdgeParts } from './types.js';
 
@@ -31,27 +31,29 @@
   parts.phase.draining = true;
   parts.loop.dispatch({ kind: 'drain-started', endsAtMs, nowMs: clock() });
   const callers = await parts.callers;
-  const { openRequestCount, unusedConnectionCount } = callers;
+  const { openRequestCount, unusedConnectionCount, keptConnectionCount } = callers;
 
-  async function waitForAnswers(untilMs: number): Promise<void> {
-    while (openRequestCount() > 0 && clock() < untilMs) await delay(DRAIN_POLL_MS);
+  async function waitWhile(condition: () => boolean, untilMs: number): Promise<void> {
+    while (condition() && clock() < untilMs) await wait(DRAIN_POLL_MS);
   }
 
   callers.startDrain();
   const deregistered = parts.registration.remove();
-  await delay(Math.min(DRAIN_LISTEN_MS, endsAtMs - clock()));
+  await wait(Math.min(DRAIN_LISTEN_MS, endsAtMs - clock()));
   const acceptedByMs = Math.min(clock() + MAX_ACCEPT_MS, endsAtMs);
   // If the event loop is late, this timer runs before waiting connections are accepted.
-  do await delay(ACCEPT_POLL_MS);
+  do await wait(ACCEPT_POLL_MS);
   while (callers.acceptWaitMs() > 0 && clock() < acceptedByMs);
+  // What has arrived on kept connections is read before these are ended.
+  await polled();
   callers.stopListening();
   const firstRequestsByMs = Math.min(clock() + FIRST_REQUEST_MS, endsAtMs);
-  while (unusedConnectionCount() > 0 && clock() < firstRequestsByMs) await delay(DRAIN_POLL_MS);
-  await waitForAnswers(endsAtMs);
+  await waitWhile(() => unusedConnectionCount() > 0, firstRequestsByMs);
+  await waitWhile(() => openRequestCount() + keptConnectionCount() > 0, endsAtMs);
   const refused = openRequestCount();
   parts.loop.dispatch({ kind: 'drain-ended', nowMs: clock() });
   parts.requestHandlers.refusePending();
-  await waitForAnswers(endsAtMs + FINAL_ANSWERS_MS);
+  await waitWhile(() => openRequestCount() > 0, endsAtMs + FINAL_ANSWERS_MS);
   logger.info('drain-ended', { refused, open: openRequestCount() });
   await deregistered;
 }
--- a/packages/edge/test/callers/connection-table.test.ts
+++ b/packages/edge/test/callers/connection-table.test.ts
@@ -1,6 +1,7 @@
 /** Guards against callers that are refused while others only keep connections, and against descriptors that callers never give back. */
 import assert from 'node:assert/strict';
 import { EventEmitter } from 'node:events';
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { test } from 'node:test';
 import { createConnectionTable } from '../../src/callers/connection-table.js';
@@ -31,7 +32,7 @@
 test('the connection that has been idle for longest makes room, one with a request does not', () => {
   const { table, passTime, connect } = createTable();
   const [busy, idle] = [connect(), connect()];
-  table.requestStarted(busy.socket);
+  table.requestStarted(busy.socket, {} as IncomingMessage);
   const early = connect();
   assert.equal(table.isServed(early.socket), false);
   early.socket.emit('close');
@@ -39,7 +40,7 @@
   const late = connect();
   assert.deepEqual([idle.calls, busy.calls], [['end'], []]);
   assert.ok(table.isServed(late.socket));
-  table.requestStarted(late.socket);
+  table.requestStarted(late.socket, {} as IncomingMessage);
   assert.equal(table.isServed(connect().socket), false);
   assert.equal(table.totals().excess, 2);
 });
@@ -56,11 +57,11 @@
   const { table, passTime, connect } = createTable();
   const { calls } = connect();
   passTime(500);
-  table.closeIdle(500);
-  passTime(1999);
-  table.closeIdle(500);
+  table.endIdle(500);
+  passTime(2000);
+  table.closeStalled(30_000);
   assert.deepEqual(calls, ['end']);
   passTime(1);
-  table.closeIdle(500);
+  table.closeStalled(30_000);
   assert.deepEqual(calls, ['end', 'destroy']);
 });
--- a/packages/edge/test/callers/drain.test.ts
+++ b/packages/edge/test/callers/drain.test.ts
@@ -4,7 +4,16 @@
 import { connect } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { createDeployment, waitUntil } from '../standins/deployment.js';
+import { createCallerServer } from '../../src/callers/caller-server.js';
+import { createQueuedResponses } from '../../src/callers/queued-responses.js';
+import {
+  createDeployment,
+  findFreePort,
+  waitUntil,
+  withDeployment,
+} from '../standins/deployment.js';
+import { createRawCaller, requestHead } from '../standins/raw-caller.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
 import { sendAnswer, signedHeaders } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
@@ -87,3 +96,55 @@
     await deployment.close();
   }
 });
+
+const head = (id: string) => requestHead('/any/1', [`Attempt-Id: ${id}`, 'Content-Length: 0']);
+
+// Guards against connections that are reset with unread requests because the HTTP server closes its idle connections.
+test('a kept connection on which a request has arrived is not reset when the router stops listening', async () => {
+  const port = await findFreePort();
+  const server = await createCallerServer({
+    host: '127.0.0.1',
+    port,
+    limits: () => undefined,
+    onRequest: (_req, res) => res.end('answer'),
+    onLateRequest: (_req, res) => res.end('answer'),
+    onExcessRequest: (_req, res) => res.end('refused'),
+    maxConnections: 10,
+    maxRefusedConnections: 10,
+    queuedResponses: createQueuedResponses(),
+    clock: () => performance.now(),
+    logger: createRecordingLogger(),
+  });
+  const caller = createRawCaller({ settings: { callers: { address: `127.0.0.1:${port}` } } });
+  try {
+    caller.write(head('first'));
+    await waitUntil(() => caller.received().endsWith('answer'));
+    caller.write(head('second'));
+    server.stopListening();
+    await waitUntil(() => caller.isEnded());
+    await delay(100);
+    assert.equal(caller.error(), undefined);
+  } finally {
+    caller.close();
+    await server.close();
+  }
+});
+
+// Guards against requests that get no answer though they haven't run, and of which no log line tells.
+test('a request that crosses the end of its connection is logged and does not run', async () => {
+  await withDeployment([(arrival) => sendAnswer(arrival)], async (deployment) => {
+    const caller = createRawCaller(deployment);
+    caller.write(head('first'));
+    await caller.answer();
+    const drained = deployment.router.drain();
+    await waitUntil(() => caller.isEnded());
+    caller.write(head('crossing'));
+    const isLogged = ({ event, fields }: (typeof deployment.logLines)[number]) =>
+      event === 'request-crossed-close' && fields.attemptId === 'crossing';
+    await waitUntil(() => deployment.logLines.some(isLogged));
+    await drained;
+    assert.equal(caller.error(), undefined);
+    assert.equal(deployment.servers[0]!.arrivals.length, 1);
+    caller.close();
+  });
+});
--- a/packages/edge/test/callers/late-work.test.ts
+++ b/packages/edge/test/callers/late-work.test.ts
@@ -219,8 +219,8 @@
   });
 });
 
-// Guards against requests that run although their connection closes behind the response before theirs.
-test('a request that follows an unanswered one on its connection does not run in the drain', async () => {
+// Guards against requests that run although their connection closes, or that get no answer, because an earlier one is open.
+test('a request that follows an unanswered one on its connection is refused as not run in the drain', async () => {
   await withDeployment([answerAfterWork], async (deployment) => {
     await allowLongRequests(deployment);
     assert.equal((await deployment.call('/once/1', { method: 'POST' })).status, 200);
@@ -233,8 +233,41 @@
     caller.write(heads.join(''));
     assert.equal(await caller.answer(), '200');
     await stopped;
+    assert.match(
+      caller.received(),
+      /\r\n\r\nanswerHTTP\/1\.1 503 [^]*"router_shutting_down","ran":"no"/,
+    );
     const ids = deployment.servers[0]!.arrivals.map(({ header }) => header('attempt-id'));
     assert.deepEqual(ids.slice(1), ['first']);
     caller.close();
   });
 });
+
+// Guards against callers that send the next request as soon as an answer ends, and get none, because the router ends the connection.
+test('a request that follows a stream which ends after the router has stopped listening is refused as not run', async () => {
+  const streams: Arrival[] = [];
+  const beginStream = (arrival: Arrival) => {
+    streams.push(arrival);
+    arrival.res.writeHead(200, signedHeaders(arrival, { 'Content-Type': 'text/event-stream' }));
+    arrival.res.write('id: 1\n\n');
+  };
+  await withDeployment([beginStream], async (deployment) => {
+    const caller = createRawCaller(deployment);
+    caller.write(requestHead('/stream/1', ['Attempt-Id: a', 'Content-Length: 0']));
+    await waitUntil(() => caller.received().includes('id: 1'));
+    const stopped = stop(deployment);
+    await delay(3200);
+    streams[0]!.res.end('id: 2\n\n');
+    await waitUntil(() => caller.received().endsWith('0\r\n\r\n'));
+    await delay(50);
+    caller.write(requestHead('/once/1', ['Attempt-Id: b', 'Content-Length: 0']));
+    await waitUntil(() => caller.isEnded());
+    assert.match(
+      caller.received(),
+      /0\r\n\r\nHTTP\/1\.1 503 [^]*"router_shutting_down","ran":"no"/,
+    );
+    assert.equal(deployment.servers[0]!.arrivals.length, 1);
+    await stopped;
+    caller.close();
+  });
+});
