Sidecar: report a response without a length as broken if its connection is reset

What callers saw: a response without Content-Length and chunks that was cut by a reset right behind its data was passed on as whole.

Cause, two of them: undici takes ECONNRESET for the end of a response whose connection isn't kept (onHttpSocketError and onHttpSocketClose finish the parser), and libuv reports an orderly end without asking the kernel if a reset directly follows data that is read.

Change: the connector of the backend client destroys a connection that was reset with undici's SocketError, and reading is paused after each chunk of a response without a length until the next iteration of the event loop, as the edge does for node:http. The stream may ask for more while reading is paused, also after back-pressure: readStart is deferred, not dropped, so reading goes on. Which response has no length is known from undici's diagnostics channels; other responses are read as before. Resumed parts use the same dispatcher.

The new test also reads 4 MB slowly to an orderly end: nothing stalls.

In vain: pausing after each chunk of every response.

--- a/packages/sidecar/src/backend/backend-client.ts
+++ b/packages/sidecar/src/backend/backend-client.ts
@@ -12,6 +12,7 @@
 import { ResponseEnd } from '../response/types.js';
 import { createEngineClient } from './engine-client.js';
 import { acceptsConnections } from './accepts-connections.js';
+import { createResetDetectingConnector } from './reset-detection.js';
 import { createResponseParts } from './response-parts.js';
 import type { ResponseParts } from './response-parts.js';
 import { BackendKind, RunEnd } from './types.js';
@@ -30,7 +31,11 @@
 /** Creates a client of one backend server. */
 export function createBackendClient(options: BackendClientOptions): BackendClient {
   const { url, kind, maxResumes = 3, resumeDelayMs = 100 } = options;
-  const dispatcher = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  const dispatcher = new Agent({
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: createResetDetectingConnector(),
+  });
   const engine = createEngineClient(url, dispatcher);
   const running = new Map<string, AbortController>();
 
--- a/packages/sidecar/test/backend/reset-responses.test.ts
+++ b/packages/sidecar/test/backend/reset-responses.test.ts
@@ -42,24 +42,50 @@
 
 const allEnds = (end: RunEnd) => Array.from({ length: RUNS }, () => end);
 
-// Fails, see KNOWN-RED.txt.
-const todo = 'issue 45';
-test(
-  'a response without a length whose connection is reset right behind its data is broken',
-  { todo },
-  async () => {
-    const behindBody = await runAll((socket) => {
-      socket.write(`${HEAD}par`);
-      setTimeout(() => socket.write('t', () => socket.resetAndDestroy()), 5);
-    });
-    assert.deepEqual(behindBody, allEnds(RunEnd.Broken));
-    const behindHead = await runAll((socket) => {
-      socket.write(`${HEAD}part`, () => socket.resetAndDestroy());
-    });
-    assert.deepEqual(behindHead, allEnds(RunEnd.Broken));
-  },
-);
+test('a response without a length whose connection is reset right behind its data is broken', async () => {
+  const behindBody = await runAll((socket) => {
+    socket.write(`${HEAD}par`);
+    setTimeout(() => socket.write('t', () => socket.resetAndDestroy()), 5);
+  });
+  assert.deepEqual(behindBody, allEnds(RunEnd.Broken));
+  const behindHead = await runAll((socket) => {
+    socket.write(`${HEAD}part`, () => socket.resetAndDestroy());
+  });
+  assert.deepEqual(behindHead, allEnds(RunEnd.Broken));
+});
 
 test('a response without a length that ends with its connection is whole', async () => {
   assert.deepEqual(await runAll((socket) => socket.end(`${HEAD}part`)), allEnds(RunEnd.Whole));
 });
+
+const BODY_BYTES = 4 * 1024 * 1024;
+
+/** Runs one request at a server that responds with a long body without a length, and reads the body more slowly than it arrives. */
+async function runSlowly(finish: (socket: Socket) => void): Promise<[RunEnd, number]> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.write(HEAD);
+    socket.write(Buffer.alloc(BODY_BYTES, 'x'), () => finish(socket));
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = createBackendClient({ url, kind: BackendKind.Plain });
+  const req = { attempt: 'a', method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0) };
+  const response = createResponseBuffer();
+  const run = client.run(req, response);
+  for await (const chunk of response.read(0)) {
+    assert.ok(chunk.length > 0);
+    await new Promise(setImmediate);
+    await new Promise(setImmediate);
+  }
+  const end = await run;
+  await client.close();
+  server.close();
+  return [end, response.length()];
+}
+
+test('a long response without a length that is read slowly is whole, unless it is reset', async () => {
+  assert.deepEqual(await runSlowly((socket) => socket.end()), [RunEnd.Whole, BODY_BYTES]);
+  const [end] = await runSlowly((socket) => socket.resetAndDestroy());
+  assert.equal(end, RunEnd.Broken);
+});
