--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@kingcupsill/core/direct';
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
-import { afterNextPoll, callAfter, closeServer, repeatEvery } from '@kingcupsill/runtime';
+import { afterNextPoll, callAfter, closeServer, polled, repeatEvery } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { listenWhenFree } from '../listen-when-free.js';
 import { createAcceptQueue } from './accept-queue.js';
@@ -38,8 +38,11 @@
 export interface CallerServer {
   /** Makes each further response close its connection. */
   startDrain(): void;
-  /** Stops accepting connections and ends idle ones, except for those whose first request may be on its way. */
-  stopListening(): void;
+  /**
+   * Stops accepting connections, reads what has arrived and closes idle connections, except for those whose first request may be on its
+   * way.
+   */
+  stopListening(): Promise<void>;
   openRequestCount(): number;
   /** Number of connections on which no request has arrived. */
   unusedConnectionCount(): number;
@@ -112,7 +115,7 @@
 /** Discards a request that can't be answered, and so must not run. */
 function discard(req: IncomingMessage, logger: Logger): void {
   const { attemptId } = parseCallerHeaders(req.headers);
-  logger.info('request-crossed-close', { attemptId });
+  logger.info('request-unanswered', { attemptId });
   req.resume();
 }
 
@@ -128,16 +131,14 @@
   /** Responses behind which their connections close. */
   const lastResponses = new WeakMap<Socket, ServerResponse>();
 
-  function endWhenUnused(socket: Socket): void {
-    callAfter(NEXT_REQUEST_MS, () => {
-      if (connections.isIdle(socket)) connections.end(socket);
-    });
+  function closeWhenUnused(socket: Socket): void {
+    callAfter(NEXT_REQUEST_MS, () => connections.closeIfIdle(socket));
   }
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     const earlier = lastResponses.get(socket);
-    // It arrived while the router was closing the connection, or behind a response that has announced its close.
+    // It arrived behind a response that has announced the close of the connection.
     if (socket.writableEnded || earlier?.headersSent === true) {
       discard(req, options.logger);
       return;
@@ -158,7 +159,7 @@
     }
     res.on('close', () => {
       connections.requestEnded(socket, res.writableFinished);
-      if (phase.closing) endWhenUnused(socket);
+      if (phase.closing) closeWhenUnused(socket);
     });
     if (isLate()) options.onLateRequest(req, res);
     else if (!isServed) options.onExcessRequest(req, res);
@@ -180,7 +181,7 @@
   await listenWhenFree(server, { host, port, backlog: BACKLOG, ...policy });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
     const idleTimeoutMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
-    connections.endIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
+    connections.closeIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
     connections.closeStalled(RECEIVE_TIMEOUT_MS);
   });
 
@@ -188,11 +189,12 @@
     startDrain() {
       phase.drainedFromMs = options.clock();
     },
-    stopListening() {
+    async stopListening() {
       phase.closing = true;
-      // The method of the HTTP server also resets the idle connections, on which requests may have arrived.
+      // The method of the HTTP server also closes the idle connections, on which requests may have arrived.
       NetServer.prototype.close.call(server);
-      connections.endUsed();
+      await polled();
+      connections.closeUsed();
     },
     openRequestCount: connections.openRequestCount,
     unusedConnectionCount: connections.unusedCount,
--- a/packages/edge/src/callers/connection-table.ts
+++ b/packages/edge/src/callers/connection-table.ts
@@ -26,10 +26,15 @@
    * before its end.
    */
   end(socket: Socket, text?: string): void;
-  /** Ends connections that have been idle for longer than `idleMs`, and those beyond the limit after a second. */
-  endIdle(idleMs: number): void;
-  /** Ends the idle connections that have carried a request. */
-  endUsed(): void;
+  /**
+   * Closes a connection if it is idle. A request that is on its way isn't read, so that its caller knows from the reset that it hasn't
+   * run.
+   */
+  closeIfIdle(socket: Socket): void;
+  /** Closes connections that have been idle for longer than `idleMs`, and those beyond the limit after a second. */
+  closeIdle(idleMs: number): void;
+  /** Closes the idle connections that have carried a request. */
+  closeUsed(): void;
   /** Closes connections on which a request has been arriving for longer than `receiveMs`, and those that were ended long ago. */
   closeStalled(receiveMs: number): void;
   /** Number of connections that have carried a request, are idle, and haven't been ended. */
@@ -80,12 +85,12 @@
 }
 
 function isIdleFor(
-  { requests, idleSinceMs, excess }: Connection,
+  { requests, idleSinceMs, endedAtMs, excess }: Connection,
   idleMs: number,
   currentMs: number,
 ): boolean {
   const maxIdleMs = excess ? Math.min(idleMs, MAX_EXCESS_IDLE_MS) : idleMs;
-  return requests === 0 && currentMs - idleSinceMs >= maxIdleMs;
+  return requests === 0 && endedAtMs === undefined && currentMs - idleSinceMs >= maxIdleMs;
 }
 
 function isStalled(
@@ -124,6 +129,10 @@
     connection.excess = excess;
   }
 
+  function closeWhere(isClosed: (connection: Connection) => boolean): void {
+    connections.forEach((connection, socket) => isClosed(connection) && socket.destroy());
+  }
+
   /** The connection counts as beyond the limit until its caller has closed it as well. */
   function end(socket: Socket, text = ''): void {
     const connection = connections.get(socket);
@@ -181,17 +190,13 @@
     },
     isIdle: (socket) => connections.get(socket)?.requests === 0,
     end,
-    endIdle(idleMs) {
-      connections.forEach((connection, socket) => {
-        if (isIdleFor(connection, idleMs, nowMs())) end(socket);
-      });
-    },
-    endUsed: () => connections.forEach((connection, socket) => isKept(connection) && end(socket)),
-    closeStalled(receiveMs) {
-      connections.forEach((connection, socket) => {
-        if (isStalled(connection, receiveMs, nowMs())) socket.destroy();
-      });
+    closeIfIdle(socket) {
+      const connection = connections.get(socket);
+      if (connection !== undefined && isIdleFor(connection, 0, nowMs())) socket.destroy();
     },
+    closeIdle: (idleMs) => closeWhere((connection) => isIdleFor(connection, idleMs, nowMs())),
+    closeUsed: () => closeWhere(isKept),
+    closeStalled: (ms) => closeWhere((connection) => isStalled(connection, ms, nowMs())),
     keptCount: () => [...connections.values()].filter(isKept).length,
     unusedCount: () => [...connections.values()].filter(({ used }) => !used).length,
     openRequestCount: () => openRequests,
--- a/packages/edge/src/drain.ts
+++ b/packages/edge/src/drain.ts
@@ -1,5 +1,5 @@
 /** Drain of the router: the end of its work within the grace period. */
-import { polled, wait } from '@kingcupsill/runtime';
+import { wait } from '@kingcupsill/runtime';
 import type { EdgeContext } from './context.js';
 import type { EdgeParts } from './types.js';
 
@@ -44,9 +44,7 @@
   // If the event loop is late, this timer runs before waiting connections are accepted.
   do await wait(ACCEPT_POLL_MS);
   while (callers.acceptWaitMs() > 0 && clock() < acceptedByMs);
-  // What has arrived on kept connections is read before these are ended.
-  await polled();
-  callers.stopListening();
+  await callers.stopListening();
   const firstRequestsByMs = Math.min(clock() + FIRST_REQUEST_MS, endsAtMs);
   await waitWhile(() => unusedConnectionCount() > 0, firstRequestsByMs);
   await waitWhile(() => openRequestCount() + keptConnectionCount() > 0, endsAtMs);
