--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -11,11 +11,7 @@
 export type SendEffect = Extract<DirectEffect, { kind: 'send' }>;
 
 /** Keeps the memory of a response reserved for as long as its caller may still be reading it. */
-function releaseWithCaller(exchange: Exchange, response: BufferedResponse): void {
-  const { res } = exchange;
-  function release(): void {
-    if (exchange.heldWithConnection !== response) response.release();
-  }
+function releaseWithCaller({ res }: Exchange, { release }: BufferedResponse): void {
   if (res.destroyed) release();
   else res.once('close', release);
 }
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -11,7 +11,7 @@
 import { createAcceptQueue } from './accept-queue.js';
 import { createConnectionTable } from './connection-table.js';
 import type { ConnectionTable, ConnectionTotals } from './connection-table.js';
-import type { QueuedResponses } from './queued-responses.js';
+import { createQueuedResponses } from './queued-responses.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -28,7 +28,6 @@
   maxConnections: number;
   /** Maximum number of further connections, which get a refusal. */
   maxRefusedConnections: number;
-  queuedResponses: QueuedResponses;
   clock: Clock;
   logger: Logger;
   stopping?: AbortSignal;
@@ -122,7 +121,7 @@
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock, options.maxConnections);
-  const { queuedResponses } = options;
+  const queuedResponses = createQueuedResponses();
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
@@ -143,11 +142,6 @@
       discard(req, options.logger);
       return;
     }
-    // No response is sent behind the one that closes the connection, so the request must not run either.
-    if (queuedResponses.isClosing(socket)) {
-      discard(req, options.logger);
-      return;
-    }
     if (earlier !== undefined) earlier.shouldKeepAlive = true;
     const isServed = connections.isServed(socket);
     connections.requestStarted(socket, req);
--- a/packages/edge/src/callers/exchange.ts
+++ b/packages/edge/src/callers/exchange.ts
@@ -26,13 +26,8 @@
   usedSockets: Set<Socket>;
   /** Complete response of the last attempt, until the reducer finishes or retries the request. */
   bufferedResponse: BufferedResponse | undefined;
-  /** Response whose memory remains reserved until the caller's connection closes. */
-  heldWithConnection: BufferedResponse | undefined;
 }
 
-/** Maximum size of a response after which its connection is kept: the kernel may hold it for a caller that doesn't read. */
-export const MAX_KEPT_RESPONSE_BYTES = 64 * 1024;
-
 /** Statuses of responses without a body. */
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
@@ -81,26 +76,19 @@
 }
 
 /**
- * Calls `onUnread` and resets the connection if the caller hasn't read the response in `maxMs`; a mere close would leave in the kernel
- * what it holds of the response. Without `closesBehind`, a response counts as read once the kernel has taken it. Time in which this
- * process couldn't send the rest of it doesn't count.
+ * Calls `onUnread` and closes the connection if the caller hasn't read the response in `maxMs`. Time in which this process couldn't
+ * send the rest of it doesn't count, once.
  */
-export function limitReadTime(
-  res: ServerResponse,
-  maxMs: number,
-  closesBehind: boolean,
-  onUnread: () => void,
-): void {
-  const { socket } = res.req;
-  const timer = callAfter(maxMs, (lateMs) => {
-    if (lateMs > 0) {
-      limitReadTime(res, Math.min(lateMs, maxMs), closesBehind, onUnread);
-      return;
-    }
+export function limitReadTime(res: ServerResponse, maxMs: number, onUnread: () => void): void {
+  function closeUnread(): void {
     onUnread();
-    socket.resetAndDestroy();
+    res.destroy();
+  }
+  let timer = callAfter(maxMs, (lateMs) => {
+    if (lateMs > 0) timer = callAfter(Math.min(lateMs, maxMs), closeUnread);
+    else closeUnread();
   });
-  (closesBehind ? socket : res).once('close', timer.close);
+  res.once('close', () => timer.close());
 }
 
 /** Creates the sink through which a streaming attempt writes to the caller. */
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -107,7 +107,6 @@
     streamJoin: createStreamJoin({ isResumable, resumeAfter }),
     usedSockets: new Set(),
     bufferedResponse: undefined,
-    heldWithConnection: undefined,
   };
 }
 
--- a/packages/edge/src/descriptors.ts
+++ b/packages/edge/src/descriptors.ts
@@ -1,6 +1,7 @@
 /** Division of the process's file descriptors, so that callers and backend servers leave some for the store, peers and readiness. */
 import { readFileSync } from 'node:fs';
 import type { Logger } from '@kingcupsill/runtime';
+import type { EdgeContext } from './context.js';
 
 /** Maximum numbers of connections. */
 export interface ConnectionLimits {
@@ -30,15 +31,30 @@
 
 const PROCESS_LIMITS_FILE = '/proc/self/limits';
 
-/** Returns the process's own limit of descriptors; infinite, with a log line, if it can't be read. */
-export function readDescriptorLimit(logger: Logger, file: string = PROCESS_LIMITS_FILE): number {
+/** Limit that is assumed if there is none, or if it can't be read. */
+const ASSUMED_LIMIT = 1024;
+
+/** Returns the process's own limit of descriptors. */
+function readDescriptorLimit(logger: Logger): number {
   try {
     // eslint-disable-next-line n/no-sync -- read once, at the start
-    const match = /^Max open files\s+(\d+|unlimited)/m.exec(readFileSync(file, 'utf8'));
+    const limits = readFileSync(PROCESS_LIMITS_FILE, 'utf8');
+    const match = /^Max open files\s+(\d+|unlimited)/m.exec(limits);
     if (match !== null && match[1] !== 'unlimited') return Number(match[1]);
     if (match === null) logger.warn('descriptor-limit-unknown', { reason: 'no such line' });
   } catch (err) {
     logger.warn('descriptor-limit-unknown', { reason: (err as Error).message });
   }
-  return Number.POSITIVE_INFINITY;
+  return ASSUMED_LIMIT;
+}
+
+/**
+ * Returns the limits of a process; logs them with what they are derived from. What the platform states takes precedence, since it may
+ * count sockets apart from files, which are what the process's own limit is about then.
+ */
+export function createConnectionLimits({ settings, logger }: EdgeContext): ConnectionLimits {
+  const maxFds = settings().process.maxFds ?? readDescriptorLimit(logger);
+  const limits = divideDescriptors(maxFds);
+  logger.info('connection-limits', { ...limits, maxFds });
+  return limits;
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -19,11 +19,10 @@
 import { createAdminServer } from './admin/admin-server.js';
 import { createBodyBudget } from './callers/body-budget.js';
 import { createCallerServer } from './callers/caller-server.js';
-import { createQueuedResponses } from './callers/queued-responses.js';
 import { createReadinessServer } from './callers/readiness-server.js';
 import { createRequestHandlers } from './callers/request-handler.js';
 import { createRequestValidator } from './callers/request-validator.js';
-import { divideDescriptors, readDescriptorLimit } from './descriptors.js';
+import { createConnectionLimits } from './descriptors.js';
 import { drain } from './drain.js';
 import { createEffectHandlers } from './effect-handlers.js';
 import { createExchanges } from './exchanges.js';
@@ -71,10 +70,7 @@
   return {
     state: { create: () => createState(ctx, hasher) },
     phase: { create: () => ({ accepting: false, draining: false }) },
-    connectionLimits: {
-      create: () =>
-        divideDescriptors(Math.min(ctx.settings().process.maxFds, readDescriptorLimit(ctx.logger))),
-    },
+    connectionLimits: { create: () => createConnectionLimits(ctx) },
     connections: {
       create: ({ connectionLimits }) =>
         createServerConnections({ nowMs: ctx.clock, maxConnections: connectionLimits.servers }),
@@ -82,7 +78,6 @@
     },
     metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
     exchanges: exchangesPart(ctx),
-    queuedResponses: { create: createQueuedResponses },
     requestErrors: { create: (parts) => createRequestErrors(ctx, parts) },
     loop: loopPart(ctx),
     transport: transportPart(ctx),
@@ -273,7 +268,6 @@
         ...parseAddress(ctx.settings().callers.address),
         limits: () => parts.state.routeTable?.config.limits,
         ...parts.requestHandlers,
-        queuedResponses: parts.queuedResponses,
         maxConnections: parts.connectionLimits.callers,
         maxRefusedConnections: parts.connectionLimits.refusedCallers,
         clock: ctx.clock,
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -4,14 +4,8 @@
 import { buildRequestHeaders } from '@kingcupsill/prepared-platform';
 import { createAttemptListener } from './attempt-listener.js';
 import type { SendEffect } from './attempt-listener.js';
-import {
-  limitReadTime,
-  MAX_KEPT_RESPONSE_BYTES,
-  writeRefusal,
-  writeResponse,
-} from './callers/exchange.js';
+import { limitReadTime, writeRefusal, writeResponse } from './callers/exchange.js';
 import type { Exchange } from './callers/exchange.js';
-import type { QueuedResponses } from './callers/queued-responses.js';
 import { startAttempt } from './relay/attempt.js';
 import { listCachedParts } from './relay/list-cached-parts.js';
 import type { AttemptRequest, RunningAttempt } from './relay/types.js';
@@ -20,14 +14,7 @@
 
 type EffectParts = Pick<
   EdgeParts,
-  | 'exchanges'
-  | 'queuedResponses'
-  | 'connections'
-  | 'metrics'
-  | 'loop'
-  | 'reporting'
-  | 'streamStore'
-  | 'requestErrors'
+  'exchanges' | 'connections' | 'metrics' | 'loop' | 'reporting' | 'streamStore' | 'requestErrors'
 >;
 
 /**
@@ -93,17 +80,6 @@
   };
 }
 
-/** Closes the connection behind a large response, whose memory is reserved until then. Returns whether it does. */
-function holdWithConnection(queuedResponses: QueuedResponses, exchange: Exchange): boolean {
-  const { req, res, bufferedResponse } = exchange;
-  if (bufferedResponse === undefined || bufferedResponse.bodyBytes <= MAX_KEPT_RESPONSE_BYTES)
-    return false;
-  if (!queuedResponses.closeBehind(res)) return false;
-  exchange.heldWithConnection = bufferedResponse;
-  req.socket.once('close', bufferedResponse.release);
-  return true;
-}
-
 /** Creates one handler per kind of effect. `parts` is accessed only when effects run. */
 export function createEffectHandlers(ctx: EdgeContext, parts: EffectParts) {
   const { logger, clock } = ctx;
@@ -164,8 +140,7 @@
       if (exchange === undefined) return;
       const { res, attributes } = exchange;
       const remainingMs = Math.max(0, attributes.expiresAtMs - clock());
-      const closesBehind = holdWithConnection(parts.queuedResponses, exchange);
-      limitReadTime(res, remainingMs + MAX_UNREAD_MS, closesBehind, () =>
+      limitReadTime(res, remainingMs + MAX_UNREAD_MS, () =>
         logger.warn('response-unread', { request, unsentBytes: res.writableLength }),
       );
       writeResponse(res, exchange.bufferedResponse);
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -23,7 +23,9 @@
     zone_regions: z.string().default('').describe('comma-separated zone=region pairs'),
     cores: z.number().positive().default(1).describe('share of a processor core for this process'),
     memory_mb: positive.default(256).describe('memory of this process, in megabytes'),
-    max_fds: positive.default(1024).describe('file descriptors of this process'),
+    max_fds: positive
+      .optional()
+      .describe('file descriptors of this process; without it, the limit of the process'),
     log_level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
   }),
   callers: z.strictObject({
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -4,7 +4,6 @@
 import type { Loop } from '@kingcupsill/runtime';
 import type { BodyBudget } from './callers/body-budget.js';
 import type { CallerServer } from './callers/caller-server.js';
-import type { QueuedResponses } from './callers/queued-responses.js';
 import type { RequestHandlers } from './callers/request-handler.js';
 import type { RequestValidator } from './callers/request-validator.js';
 import type { Closable } from './closable.js';
@@ -35,7 +34,6 @@
   phase: Phase;
   loop: Loop<DirectState, DirectEvent>;
   exchanges: Exchanges;
-  queuedResponses: QueuedResponses;
   requestErrors: RequestErrors;
   connectionLimits: ConnectionLimits;
   connections: ServerConnections;
