--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -1,7 +1,7 @@
-import { callAfter } from '@kingcupsill/runtime';
 /** HTTP call with a timeout and a buffered response. */
 import { request } from 'node:http';
 import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
+import { callAfter } from '@kingcupsill/runtime';
 
 /** HTTP call. */
 export interface HttpCall {
--- a/packages/edge/test/standins/deployment.ts
+++ b/packages/edge/test/standins/deployment.ts
@@ -2,7 +2,7 @@
 import { Agent, request } from 'node:http';
 import { createServer } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import type { RunningProcess } from '@kingcupsill/runtime';
+import type { Clock, RunningProcess } from '@kingcupsill/runtime';
 import { Registry } from 'prom-client';
 import { startEdge } from '../../src/index.js';
 import type { EdgeSettings } from '../../src/index.js';
@@ -183,8 +183,9 @@
 export async function withDeployment(
   handlers: ((arrival: Arrival) => void)[],
   run: (deployment: Deployment) => Promise<void>,
+  clock?: Clock,
 ): Promise<void> {
-  const deployment = await createDeployment(handlers);
+  const deployment = await createDeployment(handlers, clock);
   try {
     await run(deployment);
   } finally {
@@ -192,9 +193,13 @@
   }
 }
 
-/** Starts one router and a backend server per handler, and waits until the router is ready. */
+/**
+ * Starts one router and a backend server per handler, and waits until the router is ready.
+ * @param clock the router's clock; by default one for which the test's process is never stalled
+ */
 export async function createDeployment(
   handlers: ((arrival: Arrival) => void)[],
+  clock: Clock = createStallFreeClock(),
 ): Promise<Deployment> {
   const store = await createStoreStandin();
   const servers = await Promise.all(handlers.map((handle) => createServerStandin(handle)));
@@ -212,7 +217,7 @@
       logger: createRecordingLogger(logLines),
       droppedLines: () => 3,
       registry: new Registry(),
-      clock: createStallFreeClock(),
+      clock,
       random: Math.random,
       incarnation,
     });
