--- a/packages/edge/src/callers/read-body.ts
+++ b/packages/edge/src/callers/read-body.ts
@@ -1,6 +1,7 @@
 /** Buffered reading of a request body. */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
+import { createByteCollector } from '../byte-collector.js';
 import type { BodyReservation } from './body-budget.js';
 
 /** Complete body with its SHA-256 digest, or the reason why there is none. */
@@ -32,13 +33,8 @@
 }
 
 function createChunkCollector(): BodyCollector {
-  const chunks: Buffer[] = [];
-  return {
-    add(chunk) {
-      chunks.push(chunk);
-    },
-    collect: () => Buffer.concat(chunks),
-  };
+  const { add, chunks } = createByteCollector();
+  return { add, collect: () => Buffer.concat(chunks()) };
 }
 
 /**
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { callAfter } from '@kingcupsill/runtime';
+import { createByteCollector } from '../byte-collector.js';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
 import type { AttemptListener, BufferedResponse } from './types.js';
@@ -46,7 +47,7 @@
   listener: AttemptListener,
   { protect, onComplete, onFailure, isEnded }: ResponseHandlers,
 ): void {
-  const chunks: Buffer[] = [];
+  const collector = createByteCollector();
   const account = budget.open();
   let receivedBytes = 0;
   let isDelivered = false;
@@ -56,7 +57,7 @@
 
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
-    chunks.push(chunk);
+    collector.add(chunk);
     receivedBytes += chunk.length;
     if (receivedBytes > MAX_BUFFERED_BYTES) onFailure('response too large');
     else if (!account.add(chunk.length)) onFailure('response buffers full');
@@ -76,6 +77,7 @@
     if (isEnded()) return;
     isDelivered = true;
     const status = res.statusCode!;
+    const chunks = collector.chunks();
     onComplete({ status, headers, chunks, bodyBytes: receivedBytes, release: account.close });
   }
 
