--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -45,7 +45,7 @@
   res: IncomingMessage,
   budget: ByteBudget,
   listener: AttemptListener,
-  { protect, onComplete, onFailure, isEnded }: ResponseHandlers,
+  { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
   const collector = createByteCollector();
   const account = budget.open();
@@ -59,8 +59,8 @@
     if (isEnded()) return;
     collector.add(chunk);
     receivedBytes += chunk.length;
-    if (receivedBytes > MAX_BUFFERED_BYTES) onFailure('response too large');
-    else if (!account.add(chunk.length)) onFailure('response buffers full');
+    if (receivedBytes > MAX_BUFFERED_BYTES) onInvalid('response too large');
+    else if (!account.add(chunk.length)) onInvalid('response buffers full');
   }
 
   function onEnd(): void {
