--- a/packages/edge/src/descriptors.ts
+++ b/packages/edge/src/descriptors.ts
@@ -16,7 +16,7 @@
 /** Descriptors for files, listeners, the store, peers, readiness and metrics: a number and a fraction, at most half of all. */
 const OWN_DESCRIPTORS = 48;
 const OWN_FRACTION = 0.1;
-/** Connections of callers that are refused at the same time: a fraction of the rest, and a number as far as that is no quarter. */
+/** Connections of callers that are refused at the same time: a fraction of the rest; at least a number, unless that is over a quarter. */
 const REFUSED_FRACTION = 1 / 8;
 const MIN_REFUSED = 16;
 
