Move what is known of backend servers into a folder of its own

Registry, index, health, load, limits, candidate pool and caches each own one fact about servers; placement and dispatch ask them. No change of behaviour.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -1,6 +1,6 @@
 /** Events and effects of the direct router. Events carry the monotonic time and random draws; effects are plain data. */
 import type { CrashNews } from './crashes/crash-news.js';
-import type { ReportedServerLimit } from './server-limits.js';
+import type { ReportedServerLimit } from './servers/server-limits.js';
 import type { RequestCounts } from './service-demand.js';
 import type { ReportedStoreNews } from './store-news.js';
 import type { VersionEffect, VersionEvent } from './versions/types.js';
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -1,8 +1,8 @@
 /** Selects a backend server for a request. */
-import { createCandidatePool } from './candidate-pool.js';
-import type { CandidatePool } from './candidate-pool.js';
+import { createCandidatePool } from './servers/candidate-pool.js';
+import type { CandidatePool } from './servers/candidate-pool.js';
 import { ownTokens, sharedPartIds } from './prompt-parts.js';
-import type { RegisteredServer } from './server-index.js';
+import type { RegisteredServer } from './servers/server-index.js';
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
 import type { RequestAttributes } from './types.js';
--- a/packages/core/src/direct/candidate-pool.ts
+++ b/packages/core/src/direct/servers/candidate-pool.ts
@@ -2,9 +2,9 @@
  * Selection of the servers that are considered for a request. In a small service these are all; in a large one a bounded number, so
  * that the cost of a request doesn't grow with the service: the home servers of its prompt and a sample, mostly of near servers.
  */
-import { groupBy } from '../collections/index.js';
-import { createHashRing, rendezvousPick } from '../hash/index.js';
-import type { Hasher } from '../hash/index.js';
+import { groupBy } from '../../collections/index.js';
+import { createHashRing, rendezvousPick } from '../../hash/index.js';
+import type { Hasher } from '../../hash/index.js';
 import type { RegisteredServer } from './server-index.js';
 
 /** Servers of one service, arranged for selection. */
--- a/packages/core/src/direct/prefix-cache-estimate.ts
+++ b/packages/core/src/direct/servers/prefix-cache-estimate.ts
@@ -1,5 +1,5 @@
 /** Estimate of an engine's prefix cache, with LRU eviction of prompt parts. */
-import type { PromptPart } from './types.js';
+import type { PromptPart } from '../types.js';
 
 /** Estimated contents of an engine's prefix cache. */
 export interface PrefixCacheEstimate {
--- a/packages/core/src/direct/run-history.ts
+++ b/packages/core/src/direct/servers/run-history.ts
@@ -1,5 +1,5 @@
 /** What is known for good about runs of backend servers, whatever the store lists later. */
-import { createBoundedSet } from './bounded-set.js';
+import { createBoundedSet } from '../bounded-set.js';
 
 /** Final facts about runs, by their keys. */
 export interface RunHistory {
--- a/packages/core/src/direct/server-health.ts
+++ b/packages/core/src/direct/servers/server-health.ts
@@ -1,6 +1,6 @@
 /** Health of a backend server, from the outcomes of this router's own attempts. */
-import { exponentialBackoffMs } from '../backoff/index.js';
-import { AttemptOutcome } from './types.js';
+import { exponentialBackoffMs } from '../../backoff/index.js';
+import { AttemptOutcome } from '../types.js';
 
 /** Health of one backend server. */
 export interface ServerHealth {
--- a/packages/core/src/direct/server-index.ts
+++ b/packages/core/src/direct/servers/server-index.ts
@@ -1,5 +1,5 @@
 /** Index of the registered servers by id, by run and by service. */
-import type { BackendServerEntry } from './types.js';
+import type { BackendServerEntry } from '../types.js';
 
 /** Registered run of a backend server. */
 export interface RegisteredServer {
--- a/packages/core/src/direct/server-load.ts
+++ b/packages/core/src/direct/servers/server-load.ts
@@ -1,5 +1,5 @@
 /** Predicts when an engine will begin to answer a new request, from the requests that this router and its peers have sent to it. */
-import { createLineFit } from './line-fit.js';
+import { createLineFit } from '../line-fit.js';
 import { createPrefixCacheEstimate } from './prefix-cache-estimate.js';
 import type { PrefixCacheEstimate } from './prefix-cache-estimate.js';
 
--- a/packages/core/src/direct/server-registry.ts
+++ b/packages/core/src/direct/servers/server-registry.ts
@@ -9,7 +9,7 @@
 import { createRunHistory } from './run-history.js';
 import { createServerIndex } from './server-index.js';
 import type { RegisteredServer } from './server-index.js';
-import type { BackendServerEntry } from './types.js';
+import type { BackendServerEntry } from '../types.js';
 
 /** Options of the registry. */
 export interface ServerRegistryOptions {
--- a/packages/core/src/direct/versions/version-records.ts
+++ b/packages/core/src/direct/versions/version-records.ts
@@ -1,6 +1,6 @@
 /** Keeps the store's records of versions and streams up to date. */
 import type { DirectEffect } from '../events.js';
-import type { RegisteredServer } from '../server-index.js';
+import type { RegisteredServer } from '../servers/server-index.js';
 import type { DirectState } from '../state.js';
 import { RetryPolicy } from '../types.js';
 import type { FleetConfig } from '../types.js';
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -12,7 +12,7 @@
 } from '../../src/direct/index.js';
 import { createLineFit } from '../../src/direct/line-fit.js';
 import { createPendingReport, MAX_PENDING_PARTS } from '../../src/direct/pending-report.js';
-import { MAX_CACHED_PARTS } from '../../src/direct/prefix-cache-estimate.js';
+import { MAX_CACHED_PARTS } from '../../src/direct/servers/prefix-cache-estimate.js';
 import { createEmptyReport } from '../../src/direct/reports.js';
 import { sampleConfig, sampleRoute } from './sample.js';
 
