Ask one place which servers may get a request; bind it to regions and evacuated zones

Regions bind as they were at arrival and as they are now. Evacuated zones are followed in the store where the settings have a bound for them; no server is used before they are known.

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -1,15 +1,16 @@
 /** Event handlers for arriving requests. */
 import { admit } from './admission.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
-import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
+import { describeCandidate, send } from './dispatch.js';
 import { canEndInDrain, describeDrain } from './drain.js';
 import type { DirectEffect } from './events.js';
+import { chooseServer } from './placement.js';
 import {
   createDrainingRefusal,
-  createNoServerRefusal,
   createNotRunRefusal,
   NO_SERVER_RETRY_MS,
   refuse,
+  refuseWithoutServer,
 } from './request-end.js';
 import { exceedsCapacity, requestTokens } from './request-tokens.js';
 import type { DirectState, OpenRequest } from './state.js';
@@ -62,15 +63,8 @@
     attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
   if (attributes.account !== undefined)
     state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
-  const best = chooseForRequest(state, request, draw, nowMs);
-  if (best === undefined)
-    return refuse(
-      state,
-      request,
-      createNoServerRefusal(state, attributes, draw, nowMs),
-      describeVersion(request),
-      nowMs,
-    );
+  const best = chooseServer(state, request, draw, nowMs);
+  if (best === undefined) return refuseWithoutServer(state, request, draw, nowMs);
   const shortfall = state.accountUsage.shortfall(nowMs);
   const admission = admit(attributes, best, { used: shareUsed, shortfall }, draw);
   const decisionInputs = {
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -30,6 +30,8 @@
   configuration: number | undefined;
   /** True once a full listing of servers has been received. */
   listed: boolean;
+  /** Evacuated availability zones, and the time since this router learnt of each. */
+  evacuations: { zone: string; revision: number; knownForMs: number }[];
   routers: number;
   /** Number of requests in progress. */
   open: number;
@@ -65,6 +67,9 @@
   return {
     configuration: state.routeTable?.config.version,
     listed: state.hasServerList,
+    evacuations: state.evacuations
+      .list()
+      .map(({ zone, revision, sinceMs }) => ({ zone, revision, knownForMs: nowMs - sinceMs })),
     routers: state.routerCount,
     open: state.requests.size,
     totals: { ...state.totals },
--- a/packages/core/src/direct/dispatch.ts
+++ b/packages/core/src/direct/dispatch.ts
@@ -1,7 +1,6 @@
 /** Selection of servers for requests, and attempts at them. */
 import type { DecisionInputs, DirectEffect } from './events.js';
-import { chooseServer } from './placement.js';
-import type { Candidate, ServerFilter } from './placement.js';
+import type { Candidate } from './placement.js';
 import { ownTokens, sharedParts } from './prompt-parts.js';
 import { recordSend } from './state.js';
 import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
@@ -62,17 +61,6 @@
   if (streamId !== undefined) journal.begin(streamId, { service, version });
 }
 
-/** Returns which servers may get a request: streams begin and go on only at versions that are certain for those who resume them. */
-function createServerFilter(
-  { versions: { recorded } }: DirectState,
-  { attributes: { route }, version }: OpenRequest,
-  nowMs: number,
-): ServerFilter {
-  if (route.retryPolicy !== RetryPolicy.Resume) return () => true;
-  if (version !== undefined) return ({ entry }) => entry.softwareVersion === version;
-  return ({ entry }) => recorded.has(entry.service, entry.softwareVersion, nowMs);
-}
-
 /** Sends a request to the chosen server. */
 export function send(
   state: DirectState,
@@ -117,18 +105,6 @@
     running: candidate.serverState.load.running(),
   };
 }
-/** Selects a server among those that may get the request. */
-export function chooseForRequest(
-  state: DirectState,
-  request: OpenRequest,
-  draw: number,
-  nowMs: number,
-): Candidate | undefined {
-  const { attributes, triedServerKeys } = request;
-  const accepts = createServerFilter(state, request, nowMs);
-  return chooseServer(state, attributes, { triedServerKeys, accepts }, draw, nowMs);
-}
-
 /** Version to which a request is bound, for logs. */
 export function describeVersion({ version }: OpenRequest): DecisionInputs {
   return version === undefined ? {} : { version };
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -1,5 +1,7 @@
 /** Events and effects of the direct router. Events carry the monotonic time and random draws; effects are plain data. */
 import type { CrashNews } from './crashes/crash-news.js';
+import type { Ineligibility } from './servers/eligibility.js';
+import type { EvacuationEntry } from './servers/evacuations.js';
 import type { ReportedServerLimit } from './servers/server-limits.js';
 import type { RequestCounts } from './service-demand.js';
 import type { ReportedStoreNews } from './store-news.js';
@@ -66,6 +68,9 @@
       }
     | { kind: 'server-changed'; entry: BackendServerEntry }
     | { kind: 'server-removed'; id: string }
+    | { kind: 'evacuations-listed'; evacuations: EvacuationEntry[] }
+    | { kind: 'zone-evacuated'; evacuation: EvacuationEntry }
+    | { kind: 'evacuation-withdrawn'; zone: string }
     | { kind: 'store-answered' }
     | { kind: 'request'; request: string; attributes: RequestAttributes; draw: number }
     | { kind: 'attempt-begun'; attempt: string }
@@ -133,6 +138,8 @@
   expectedMs?: number;
   /** Time until the drain ends. */
   drainLeftMs?: number;
+  /** Numbers of servers that may not get the request, by reason. */
+  ineligible?: Partial<Record<Ineligibility, number>>;
   /** Number of attempts sent so far. */
   tried?: number;
   /** Observed error or response. */
--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -13,6 +13,8 @@
 export { createDrainingRefusal } from './request-end.js';
 export * from './retry-budget.js';
 export * from './route-table.js';
+export * from './servers/eligibility.js';
+export type * from './servers/evacuations.js';
 export * from './servers/server-health.js';
 export * from './servers/server-limit.js';
 export * from './servers/server-limits.js';
--- a/packages/core/src/direct/placement.ts
+++ b/packages/core/src/direct/placement.ts
@@ -2,9 +2,10 @@
 import { createCandidatePool } from './servers/candidate-pool.js';
 import type { CandidatePool } from './servers/candidate-pool.js';
 import { ownTokens, sharedPartIds } from './prompt-parts.js';
+import { createEligibility } from './servers/eligibility.js';
+import type { EligibleServer } from './servers/eligibility.js';
 import type { RegisteredServer } from './servers/server-index.js';
-import { getServerState } from './state.js';
-import type { DirectState, ServerState } from './state.js';
+import type { DirectState, OpenRequest, ServerState } from './state.js';
 import type { RequestAttributes } from './types.js';
 
 /** Backend server that can take the request, with the predictions for it. */
@@ -51,13 +52,6 @@
   return excess > 0 ? (excess * serverState.load.meanResidenceMs()) / slots : 0;
 }
 
-/** Server that accepts new requests. */
-interface AvailableServer {
-  server: RegisteredServer;
-  serverState: ServerState;
-  failureRate: number;
-}
-
 /** Id of the last part of the prompt that other prompts share; undefined if there is none. */
 function findSharedPartId({ promptParts }: RequestAttributes): string | undefined {
   return sharedPartIds(promptParts).pop();
@@ -80,7 +74,7 @@
 function findHomeServer(
   state: DirectState,
   attributes: RequestAttributes,
-  available: readonly AvailableServer[],
+  available: readonly EligibleServer[],
 ): string | undefined {
   const partId = findSharedPartId(attributes);
   if (partId === undefined) return undefined;
@@ -99,7 +93,7 @@
 
 function evaluate(
   context: PlacementContext,
-  available: AvailableServer,
+  available: EligibleServer,
 ): Omit<Candidate, 'meanWaitMs'> {
   const { state, attributes, nowMs } = context;
   const { server, serverState } = available;
@@ -139,86 +133,35 @@
   };
 }
 
-/** Time until this router may send to a server: it has asked for a pause or stated a limit. */
-export function requestedWaitMs(
-  { servers, serverLimits, serviceDemand, routerCount }: DirectState,
-  { key, entry }: RegisteredServer,
-  nowMs: number,
-): number {
-  const deferralMs = (servers.get(key)?.deferredUntilMs ?? 0) - nowMs;
-  const limit = serverLimits.get(key);
-  if (limit === undefined) return deferralMs;
-  const fraction = serviceDemand.ownFraction(entry.service, routerCount, nowMs);
-  return Math.max(deferralMs, limit.waitMs(fraction, nowMs));
-}
-
-/** After failed connections, a server gets one probe request at a time once its backoff has elapsed. */
-function isHealthy({ health, unansweredAttempts }: ServerState, nowMs: number): boolean {
-  const avoidUntilMs = health.avoidUntilMs();
-  return avoidUntilMs === 0 || (nowMs >= avoidUntilMs && unansweredAttempts === 0);
-}
-
-function filterAvailable(
-  state: DirectState,
-  servers: readonly RegisteredServer[],
-  nowMs: number,
-): AvailableServer[] {
-  return servers
-    .filter((server) => requestedWaitMs(state, server, nowMs) <= 0)
-    .map((server) => ({ server, serverState: getServerState(state, server) }))
-    .filter(({ serverState }) => isHealthy(serverState, nowMs))
-    .map((available) => ({
-      ...available,
-      failureRate: available.serverState.health.failureRate(nowMs),
-    }));
-}
-
-/** Time until the first server takes requests again of those that have asked for a pause or a limit; undefined if none has. */
-export function remainingRequestedWaitMs(
-  state: DirectState,
-  service: string,
-  nowMs: number,
-): number | undefined {
-  const waitsMs = state.registry
-    .listAvailable(service)
-    .map((server) => requestedWaitMs(state, server, nowMs))
-    .filter((waitMs) => waitMs > 0);
-  return waitsMs.length > 0 ? Math.min(...waitsMs) : undefined;
-}
-
-/** Condition on the servers that may get a request. */
-export type ServerFilter = (server: RegisteredServer) => boolean;
-
-/** Returns the available servers to consider: of all servers, if none of the selected ones is available. */
+/** Returns the eligible servers to consider: of all servers, if none of the selected ones is eligible. */
 function listCandidates(
   state: DirectState,
-  attributes: RequestAttributes,
-  accepts: ServerFilter,
+  request: OpenRequest,
   draw: number,
   nowMs: number,
-): AvailableServer[] {
-  const { service } = attributes;
-  const partId = findSharedPartId(attributes);
-  const selected = getPool(state, service).select(partId, draw).filter(accepts);
-  const available = filterAvailable(state, selected, nowMs);
-  if (available.length > 0) return available;
-  return filterAvailable(state, state.registry.listAvailable(service).filter(accepts), nowMs);
+): EligibleServer[] {
+  const { service } = request.attributes;
+  const partId = findSharedPartId(request.attributes);
+  const eligibility = createEligibility(state, request);
+  const eligible = eligibility.filter(getPool(state, service).select(partId, draw), nowMs);
+  if (eligible.length > 0) return eligible;
+  return eligibility.filter(state.registry.listAvailable(service), nowMs);
 }
 
 /**
- * Selects the accepted server with the lowest cost; undefined if none is available. Servers in `triedServerKeys` are the last resort.
+ * Selects the eligible server with the lowest cost; undefined if there is none. Servers that were tried are the last resort.
  * @param draw random number in [0, 1) that varies which servers of a large service are considered
  */
 export function chooseServer(
   state: DirectState,
-  attributes: RequestAttributes,
-  { triedServerKeys, accepts }: { triedServerKeys: readonly string[]; accepts: ServerFilter },
+  request: OpenRequest,
   draw: number,
   nowMs: number,
 ): Candidate | undefined {
-  const available = listCandidates(state, attributes, accepts, draw, nowMs);
-  const untried = available.filter(({ server }) => !triedServerKeys.includes(server.key));
-  const servers = untried.length > 0 ? untried : available;
+  const { attributes, triedServerKeys } = request;
+  const eligible = listCandidates(state, request, draw, nowMs);
+  const untried = eligible.filter(({ server }) => !triedServerKeys.includes(server.key));
+  const servers = untried.length > 0 ? untried : eligible;
   if (servers.length === 0) return undefined;
   const context: PlacementContext = {
     state,
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -3,7 +3,7 @@
 import { onRequest, onStreamsRead } from './arrivals.js';
 import { applyCrashNews, blockCulprits } from './crashes/crash-evidence.js';
 import type { DirectEffect, DirectEvent } from './events.js';
-import { extraRoundTripMs, requestedWaitMs } from './placement.js';
+import { extraRoundTripMs } from './placement.js';
 import { applyPeerReport, removePeer } from './reports.js';
 import {
   endOpenRequests,
@@ -15,7 +15,9 @@
   onRequestFailed,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
-import { getServerState, recordSend } from './state.js';
+import { isZoneOpen, requestedWaitMs } from './servers/eligibility.js';
+import type { Evacuation, EvacuationChanges } from './servers/evacuations.js';
+import { getServerState, isReadyToRoute, recordSend } from './state.js';
 import type { DirectState } from './state.js';
 import { readRecords } from './versions/resumed-streams.js';
 import {
@@ -146,12 +148,12 @@
  */
 function requestCacheContents(state: DirectState, nowMs: number): DirectEffect[] {
   const { routeTable } = state;
-  if (state.cachesRequested || routeTable === undefined || !state.hasServerList) return [];
+  if (state.cachesRequested || routeTable === undefined || !isReadyToRoute(state)) return [];
   state.cachesRequested = true;
   return state.registry
     .all()
     .filter(({ entry }) => routeTable.findService(entry.service)?.engine !== undefined)
-    .filter((server) => requestedWaitMs(state, server, nowMs) <= 0)
+    .filter((server) => isZoneOpen(state, server) && requestedWaitMs(state, server, nowMs) <= 0)
     .sort((a, b) => extraRoundTripMs(state, a.entry.zone) - extraRoundTripMs(state, b.entry.zone))
     .slice(0, MAX_CACHE_QUERIES)
     .map((server) => {
@@ -171,6 +173,20 @@
   return [{ kind: 'note', event: 'kept-listed', fields }];
 }
 
+function applyEvacuations(changes: EvacuationChanges): DirectEffect[] {
+  const note =
+    (event: string) =>
+    ({ zone, revision }: Evacuation): DirectEffect => ({
+      kind: 'note',
+      event,
+      fields: { zone, revision },
+    });
+  return [
+    ...changes.evacuated.map(note('zone-evacuated')),
+    ...changes.withdrawn.map(note('zone-evacuation-withdrawn')),
+  ];
+}
+
 const HANDLERS: Handlers = {
   configured: applyConfiguration,
   'servers-listed': (state, { entries, nowMs }) => {
@@ -179,6 +195,11 @@
     return [...removeServers(state, removedKeys, nowMs), ...recordVersions(state, nowMs)];
   },
   'server-changed': applyServerChange,
+  'evacuations-listed': (state, { evacuations, nowMs }) =>
+    applyEvacuations(state.evacuations.replaceAll(evacuations, nowMs)),
+  'zone-evacuated': (state, { evacuation, nowMs }) =>
+    applyEvacuations(state.evacuations.add(evacuation, nowMs)),
+  'evacuation-withdrawn': (state, { zone }) => applyEvacuations(state.evacuations.remove(zone)),
   'server-announced': applyAnnouncement,
   'store-restored': (state, { nowMs }) => {
     state.registry.recordRestore(nowMs);
--- a/packages/core/src/direct/request-end.ts
+++ b/packages/core/src/direct/request-end.ts
@@ -1,9 +1,10 @@
 /** Ends of requests: complete answers and refusals. */
 import type { DecisionInputs, DirectEffect, Refusal } from './events.js';
-import { remainingRequestedWaitMs } from './placement.js';
+import { describeVersion } from './dispatch.js';
+import { explainNoServer, Ineligibility } from './servers/eligibility.js';
+import type { NoServerReason } from './servers/eligibility.js';
 import type { DirectState, OpenRequest } from './state.js';
 import { RefusalCode } from './types.js';
-import type { RequestAttributes } from './types.js';
 
 /** `Retry-After` if no server is available; about the interval at which unreachable servers are probed. */
 export const NO_SERVER_RETRY_MS = 500;
@@ -57,16 +58,36 @@
 /** Jitter of `Retry-After` for a wait that servers asked for: callers that were refused together come back spread out. */
 const WAIT_JITTER = 0.5;
 
-/** Returns the refusal of a request for which no server is available. */
-export function createNoServerRefusal(
+/** Codes of refusals that tell the caller why no server takes its request. */
+const CODE_BY_REASON: Partial<Record<Ineligibility, RefusalCode>> = {
+  [Ineligibility.Region]: RefusalCode.NoServerInRegions,
+};
+
+/** Returns the refusal of a request that no server may get. */
+function createNoServerRefusal({ reason, waitMs }: NoServerReason, draw: number): Refusal {
+  const knownWaitMs = Number.isFinite(waitMs) ? waitMs : 0;
+  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, knownWaitMs * (1 + WAIT_JITTER * draw));
+  const code = (reason && CODE_BY_REASON[reason]) ?? RefusalCode.NoServer;
+  return createNotRunRefusal(code, retryAfterMs);
+}
+
+/** Refuses a request that no server may get, with the reasons. */
+export function refuseWithoutServer(
   state: DirectState,
-  { service }: RequestAttributes,
+  request: OpenRequest,
   draw: number,
   nowMs: number,
-): Refusal {
-  const waitMs = remainingRequestedWaitMs(state, service, nowMs) ?? 0;
-  const retryAfterMs = Math.max(NO_SERVER_RETRY_MS, waitMs * (1 + WAIT_JITTER * draw));
-  return createNotRunRefusal(RefusalCode.NoServer, retryAfterMs);
+): DirectEffect[] {
+  const reason = explainNoServer(state, request, nowMs);
+  const { account } = request.attributes;
+  const ineligible = reason.serversByReason;
+  return refuse(
+    state,
+    request,
+    createNoServerRefusal(reason, draw),
+    { account, ineligible, ...describeVersion(request) },
+    nowMs,
+  );
 }
 
 /** Completes the answer. */
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -2,9 +2,10 @@
 import { refuseResumption, remainingBlockMs, ResumptionFailure } from './arrivals.js';
 import { recordAttemptEnd } from './crashes/crash-evidence.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
-import { chooseForRequest, describeCandidate, describeVersion, send } from './dispatch.js';
+import { describeCandidate, describeVersion, send } from './dispatch.js';
 import { canEndInDrain, describeDrain } from './drain.js';
 import type { DirectEffect, Refusal } from './events.js';
+import { chooseServer } from './placement.js';
 import {
   closeRequest,
   createDrainingRefusal,
@@ -144,7 +145,7 @@
   if (!canEndInDrain(state, attributes, nowMs)) return undefined;
   if (mayCrashServer(state, attributes, nowMs)) return undefined;
   const draw = (state.attemptCount * RETRY_DRAW_STEP) % 1;
-  const best = chooseForRequest(state, request, draw, nowMs);
+  const best = chooseServer(state, request, draw, nowMs);
   if (best === undefined) return undefined;
   const isWithinBudget =
     outcome === AttemptOutcome.Unsent ||
--- a/packages/core/src/direct/route-table.ts
+++ b/packages/core/src/direct/route-table.ts
@@ -7,6 +7,7 @@
   /** Returns the route of `host` with the longest prefix of `path`. */
   findRoute(host: string, path: string): Route | undefined;
   findAccount(apiKey: string): AccountSpec | undefined;
+  findAccountByName(name: string): AccountSpec | undefined;
   findService(name: string): ServiceSpec | undefined;
 }
 
@@ -35,6 +36,7 @@
 export function createRouteTable(config: FleetConfig): RouteTable {
   const routesByHost = indexRoutes(config.routes);
   const accountByKey = indexAccounts(config.accounts ?? []);
+  const accountByName = new Map(config.accounts?.map((account) => [account.name, account]));
   const serviceByName = new Map(config.services.map((service) => [service.name, service]));
 
   function findRoute(host: string, path: string): Route | undefined {
@@ -54,6 +56,7 @@
     config,
     findRoute,
     findAccount: (apiKey) => accountByKey.get(apiKey),
+    findAccountByName: (name) => accountByName.get(name),
     findService: (name) => serviceByName.get(name),
   };
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -10,6 +10,8 @@
 import type { RouteTable } from './route-table.js';
 import { createRunDurations } from './run-durations.js';
 import type { RunDurations } from './run-durations.js';
+import { createEvacuations } from './servers/evacuations.js';
+import type { Evacuations } from './servers/evacuations.js';
 import { createServerHealth } from './servers/server-health.js';
 import type { ServerHealth } from './servers/server-health.js';
 import { createServerLoad } from './servers/server-load.js';
@@ -78,6 +80,8 @@
   /** Region of each availability zone. */
   regionByZone: ReadonlyMap<string, string>;
   registry: ServerRegistryOptions;
+  /** The platform has evacuations of availability zones. */
+  followsEvacuations: boolean;
   retryBudget: RetryBudgetOptions;
   /** Rates of calls that the store takes from all routers together. */
   store: { writesPerSecond: number; readsPerSecond: number };
@@ -127,6 +131,7 @@
   retryBudget: RetryBudget;
   crashEvidence: CrashEvidence;
   serverLimits: ServerLimits;
+  evacuations: Evacuations;
   serviceDemand: ServiceDemand;
   versions: VersionState;
   runDurations: RunDurations;
@@ -177,6 +182,7 @@
     retryBudget: createRetryBudget(options.retryBudget),
     crashEvidence: createCrashEvidence(),
     serverLimits: createServerLimits(createPhase(options)),
+    evacuations: createEvacuations(options.followsEvacuations),
     serviceDemand: createServiceDemand(),
     versions: createVersionState(),
     runDurations: createRunDurations(),
@@ -229,6 +235,11 @@
   return serverState;
 }
 
+/** Returns whether the router knows enough to send requests: a configuration, the servers and the zones that may be used. */
+export function isReadyToRoute({ routeTable, hasServerList, evacuations }: DirectState): boolean {
+  return routeTable !== undefined && hasServerList && evacuations.isKnown();
+}
+
 /** Counts a request of any kind that this router sends to a server. */
 export function recordSend(state: DirectState, server: RegisteredServer, nowMs: number): void {
   getServerState(state, server).unreportedSends += 1;
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -36,6 +36,8 @@
   priority: number;
   /** True if no API key is required. */
   public: boolean;
+  /** Regions whose servers may get the requests; empty if all may. */
+  allowedRegions: string[];
   services: WeightedService[];
 }
 
@@ -62,6 +64,8 @@
   apiKeys: string[];
   /** Overrides the route's priority. */
   priority: number | undefined;
+  /** Regions whose servers may get the account's requests; empty if all may. */
+  allowedRegions: string[];
 }
 
 /** Limits on callers' connections and requests. */
@@ -125,6 +129,8 @@
   service: string;
   /** Client account; undefined on public routes. */
   account: string | undefined;
+  /** Regions that the client account allowed when the request arrived; empty if it allowed all. */
+  accountRegions: string[];
   /** Deadline set by the caller or by the route's timeout, whichever is earlier. */
   expiresAtMs: number;
   /** Digest of method, target, account and body; requests that repeat each other have the same one. */
@@ -167,6 +173,8 @@
   UnknownRoute: 'unknown_route',
   UnknownKey: 'unknown_key',
   NoServer: 'no_backend_server',
+  /** No server in the regions that the route and the client account allow may get the request. */
+  NoServerInRegions: 'no_backend_server_in_allowed_regions',
   Overloaded: 'overloaded',
   /** The CPU of this router is overloaded; other routers may accept the request. */
   RouterBusy: 'router_busy',
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -36,6 +36,7 @@
     maxAttempts: 2,
     priority: 1,
     public: false,
+    allowedRegions: [],
     services: [{ service: 'engines', weight: 1 }],
     ...overrides,
   };
@@ -49,7 +50,7 @@
       { name: 'engines', maxConnections: 100, engine: { slots: 64, kvCapacityTokens: 500_000 } },
       { name: 'orders', maxConnections: 100, engine: undefined },
     ],
-    accounts: [{ name: 'kingston', apiKeys: ['key-1'], priority: undefined }],
+    accounts: [{ name: 'kingston', apiKeys: ['key-1'], priority: undefined, allowedRegions: [] }],
     limits: {
       maxHeaderBytes: 8192,
       maxBodyBytes: 65_536,
@@ -131,12 +132,16 @@
   }
 }
 
-export function createSampleState(router = 'r1/1'): DirectState {
+export function createSampleState(router = 'r1/1', followsEvacuations = false): DirectState {
   return createDirectState({
     router,
     hasher,
     zone: 'z1',
-    regionByZone: new Map([['z1', 'r1']]),
+    regionByZone: new Map([
+      ['z1', 'r1'],
+      ['z2', 'r2'],
+    ]),
+    followsEvacuations,
     registry: { outageThresholdMs: 3000, renewalGraceMs: 2200 },
     retryBudget: { ratio: 0.2, burst: 50, windowMs: 10_000 },
     store: { writesPerSecond: 400, readsPerSecond: 2000 },
@@ -149,9 +154,9 @@
   config: FleetConfig = sampleConfig(),
   router = 'r1/1',
   store = createSampleStore(),
+  state = createSampleState(router),
 ): SampleRouter {
   let nowMs = 1000;
-  const state = createSampleState(router);
   const dispatch = (event: Untimed<DirectEvent>): DirectEffect[] =>
     directReducer(state, { ...event, nowMs }).effects.flatMap((effect) => {
       const answer = runStoreEffect(store, router, effect);
@@ -174,6 +179,7 @@
         route,
         service: route.services[0]!.service,
         account: 'kingston',
+        accountRegions: [],
         expiresAtMs: nowMs + route.timeoutMs,
         fingerprint: id,
         streamId: id,
--- a/packages/core/test/measure/choose-server.ts
+++ b/packages/core/test/measure/choose-server.ts
@@ -29,6 +29,7 @@
     hasher,
     zone: 'z1',
     regionByZone: new Map(zones.map((zone) => [`z${zone}`, `r${zone % REGIONS}`])),
+    followsEvacuations: false,
     registry: { outageThresholdMs: 3000, renewalGraceMs: 2200 },
     retryBudget: { ratio: 0.2, burst: 50, windowMs: 10_000 },
     store: { writesPerSecond: 400, readsPerSecond: 2000 },
@@ -48,6 +49,7 @@
       route,
       service: 'engines',
       account: `account-${index % ACCOUNTS}`,
+      accountRegions: [],
       expiresAtMs: nowMs + route.timeoutMs,
       promptParts: [
         { id: `shared-${index % PROMPTS}`, tokens: 4000 },
--- a/packages/edge/src/callers/request-validator.ts
+++ b/packages/edge/src/callers/request-validator.ts
@@ -1,6 +1,6 @@
 /** Validation of callers' requests against the configuration in force: route, API key and limits. */
 import type { IncomingMessage } from 'node:http';
-import { pickService, RefusalCode } from '@kingcupsill/core/direct';
+import { isReadyToRoute, pickService, RefusalCode } from '@kingcupsill/core/direct';
 import type {
   AccountSpec,
   DirectState,
@@ -67,6 +67,7 @@
     route,
     service,
     account: account?.name,
+    accountRegions: account?.allowedRegions ?? [],
     expiresAtMs: arrivedMs + remainingMs,
     streamId: resumeAfter === undefined ? headers.attemptId : headers.resumedAttemptId,
     resumeAfter,
@@ -84,7 +85,7 @@
     arrivedMs: number,
   ): ValidationResult {
     const { routeTable } = state;
-    if (routeTable === undefined || !state.hasServerList) {
+    if (routeTable === undefined || !isReadyToRoute(state)) {
       return refuse(503, RefusalCode.NoConfiguration, RETRY_AFTER_MS);
     }
     if (!isWellFormed(req)) return refuse(400, RefusalCode.Malformed);
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -5,6 +5,7 @@
   createStoreNews,
   describeState,
   directReducer,
+  isReadyToRoute,
 } from '@kingcupsill/core/direct';
 import type { DirectEffect, DirectEvent, DirectState } from '@kingcupsill/core/direct';
 import { createHasher } from '@kingcupsill/core/hash';
@@ -167,6 +168,7 @@
       outageThresholdMs: settings.store.heartbeatMs * LAPSE_AFTER_HEARTBEATS,
       renewalGraceMs: ENTRY_RENEWAL_MS,
     },
+    followsEvacuations: settings.store.evacuationMs !== undefined,
     retryBudget: {
       ratio: settings.repeats.ratio,
       burst: settings.repeats.burst,
@@ -300,8 +302,7 @@
         isReady: () =>
           phase.accepting &&
           !phase.draining &&
-          state.routeTable !== undefined &&
-          state.hasServerList &&
+          isReadyToRoute(state) &&
           areVersionsAttempted(state) &&
           !checkOverload(),
       });
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -41,6 +41,11 @@
   store: z.strictObject({
     address: address.describe("address of the platform's store"),
     heartbeat_ms: positive.describe('heartbeat period of the backend servers in the store'),
+    evacuation_ms: positive
+      .optional()
+      .describe(
+        'maximum time until an evacuated zone gets no requests; without it, zones are never evacuated',
+      ),
     notice_ms: positive.default(3000).describe('maximum time to detect a silent connection'),
     writes_per_s: positive.default(400).describe('writes that the store takes from all routers'),
     reads_per_s: positive.default(2000).describe('reads that the store takes from all routers'),
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -20,7 +20,7 @@
 
 type FeedParts = Pick<
   EdgeParts,
-  'loop' | 'store' | 'storeEra' | 'followedNews' | 'metrics' | 'registration'
+  'loop' | 'state' | 'store' | 'storeEra' | 'followedNews' | 'metrics' | 'registration'
 >;
 type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs' | 'allowsStale'>;
 type FeedHandlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & FeedTiming;
@@ -93,6 +93,27 @@
   };
 }
 
+function evacuationHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers {
+  // The entry's name is all that counts, so one with unreadable content holds as well.
+  const toEntry = ({ name, revision }: StoreObject) => ({ zone: name, revision });
+  return {
+    kind: StoreKind.Evacuations,
+    ...urgentTiming(ctx.settings()),
+    onListed: (objects) =>
+      loop.dispatch({
+        kind: 'evacuations-listed',
+        evacuations: objects.map(toEntry),
+        nowMs: ctx.clock(),
+      }),
+    onChanged: ({ object, removed }) =>
+      loop.dispatch(
+        removed
+          ? { kind: 'evacuation-withdrawn', zone: object.name, nowMs: ctx.clock() }
+          : { kind: 'zone-evacuated', evacuation: toEntry(object), nowMs: ctx.clock() },
+      ),
+  };
+}
+
 function routerHandlers(
   ctx: EdgeContext,
   { loop, registration }: FeedParts,
@@ -136,6 +157,7 @@
   const feeds = [
     configurationHandlers(ctx, parts),
     serverHandlers(ctx, parts),
+    ...(parts.state.options.followsEvacuations ? [evacuationHandlers(ctx, parts)] : []),
     routerHandlers(ctx, parts, peers),
   ].map((handlers) =>
     createObjectFeed({
