Bound what all routers send to a server that is warming up

Each router derives its part from the names of all routers alone, so that parts add up to the limit also while routers are out of touch. A server is cold by its entry, by its start, or because the evacuation of its zone has been withdrawn.

--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -20,6 +20,8 @@
   failureShare: number;
   /** Requests per second that the server takes from all routers together; undefined if it has stated no limit. */
   requestsPerSecond: number | undefined;
+  /** Remaining time for which the server is cold. */
+  coldForMs: number;
   /** Remaining backoff during which the server gets no requests. */
   avoidedForMs: number;
 }
@@ -61,6 +63,7 @@
       keptTokens: load.prefixCache.cachedTokens(),
       failureShare: roundToHundredths(health.failureRate(nowMs)),
       requestsPerSecond: state.serverLimits.get(server)?.requestsPerSecond(),
+      coldForMs: Math.round(state.warmUpLimits.coldForMs(server, nowMs)),
       avoidedForMs: Math.max(0, Math.round(health.avoidUntilMs() - nowMs)),
     };
   });
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -2,7 +2,7 @@
 import type { CrashNews } from './crashes/crash-news.js';
 import type { Ineligibility } from './servers/eligibility.js';
 import type { EvacuationEntry } from './servers/evacuations.js';
-import type { ReportedServerLimit } from './servers/server-limits.js';
+import type { ReportedServerLimit } from './servers/limits/stated-limits.js';
 import type { RequestCounts } from './service-demand.js';
 import type { ReportedStoreNews } from './store-news.js';
 import type { VersionEffect, VersionEvent } from './versions/types.js';
@@ -91,7 +91,8 @@
     | { kind: 'peer-report'; report: RouterReport }
     /** The reports of a link no longer hold; `router` is the name under which they were applied. */
     | { kind: 'peer-gone'; router: string }
-    | { kind: 'peers-counted'; routerCount: number }
+    /** Names of all routers, including this one. */
+    | { kind: 'peers-listed'; routers: string[] }
     /** The router has begun to drain; requests that are open at `endsAtMs` get their final answers then. */
     | { kind: 'drain-started'; endsAtMs: number }
     | { kind: 'drain-ended' }
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -15,7 +15,8 @@
   onRequestFailed,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
-import { isZoneOpen, requestedWaitMs } from './servers/eligibility.js';
+import { takesQueries } from './servers/eligibility.js';
+import { recordWarmUp, recordZoneWarmUp } from './servers/warm-up.js';
 import type { Evacuation, EvacuationChanges } from './servers/evacuations.js';
 import { getServerState, isReadyToRoute, recordSend } from './state.js';
 import type { DirectState } from './state.js';
@@ -37,6 +38,7 @@
   state.serverLimits.prune((key) => state.registry.get(key) !== undefined, nowMs);
   return keys.map((key) => {
     state.servers.delete(key);
+    state.warmUpLimits.forget(key);
     state.endedServerKeys.add(key);
     return { kind: 'note', event: 'server-gone', fields: { server: key } };
   });
@@ -63,11 +65,13 @@
 
 function applyServerChange(state: DirectState, event: EventOf<'server-changed'>): DirectEffect[] {
   const { id, draining, service, zone } = event.entry;
+  const warmUpEffects = recordWarmUp(state, event.entry, event.nowMs);
   const removedKeys = state.registry.put(event.entry);
   const fields = { server: id, draining, service, zone };
   return [
     ...removeServers(state, removedKeys, event.nowMs),
     { kind: 'note', event: 'server-changed', fields },
+    ...warmUpEffects,
     ...recordVersions(state, event.nowMs),
   ];
 }
@@ -153,7 +157,7 @@
   return state.registry
     .all()
     .filter(({ entry }) => routeTable.findService(entry.service)?.engine !== undefined)
-    .filter((server) => isZoneOpen(state, server) && requestedWaitMs(state, server, nowMs) <= 0)
+    .filter((server) => takesQueries(state, server, nowMs))
     .sort((a, b) => extraRoundTripMs(state, a.entry.zone) - extraRoundTripMs(state, b.entry.zone))
     .slice(0, MAX_CACHE_QUERIES)
     .map((server) => {
@@ -173,7 +177,11 @@
   return [{ kind: 'note', event: 'kept-listed', fields }];
 }
 
-function applyEvacuations(changes: EvacuationChanges): DirectEffect[] {
+function applyEvacuations(
+  state: DirectState,
+  changes: EvacuationChanges,
+  nowMs: number,
+): DirectEffect[] {
   const note =
     (event: string) =>
     ({ zone, revision }: Evacuation): DirectEffect => ({
@@ -184,22 +192,29 @@
   return [
     ...changes.evacuated.map(note('zone-evacuated')),
     ...changes.withdrawn.map(note('zone-evacuation-withdrawn')),
+    ...changes.withdrawn.flatMap(({ zone }) => recordZoneWarmUp(state, zone, nowMs)),
   ];
 }
 
 const HANDLERS: Handlers = {
   configured: applyConfiguration,
   'servers-listed': (state, { entries, nowMs }) => {
+    const warmUpEffects = entries.flatMap((entry) => recordWarmUp(state, entry, nowMs));
     state.hasServerList = true;
     const removedKeys = state.registry.replaceAll(entries, nowMs);
-    return [...removeServers(state, removedKeys, nowMs), ...recordVersions(state, nowMs)];
+    return [
+      ...removeServers(state, removedKeys, nowMs),
+      ...warmUpEffects,
+      ...recordVersions(state, nowMs),
+    ];
   },
   'server-changed': applyServerChange,
   'evacuations-listed': (state, { evacuations, nowMs }) =>
-    applyEvacuations(state.evacuations.replaceAll(evacuations, nowMs)),
+    applyEvacuations(state, state.evacuations.replaceAll(evacuations, nowMs), nowMs),
   'zone-evacuated': (state, { evacuation, nowMs }) =>
-    applyEvacuations(state.evacuations.add(evacuation, nowMs)),
-  'evacuation-withdrawn': (state, { zone }) => applyEvacuations(state.evacuations.remove(zone)),
+    applyEvacuations(state, state.evacuations.add(evacuation, nowMs), nowMs),
+  'evacuation-withdrawn': (state, { zone, nowMs }) =>
+    applyEvacuations(state, state.evacuations.remove(zone), nowMs),
   'server-announced': applyAnnouncement,
   'store-restored': (state, { nowMs }) => {
     state.registry.recordRestore(nowMs);
@@ -234,8 +249,9 @@
     removePeer(state, router);
     return [];
   },
-  'peers-counted': (state, { routerCount }) => {
-    state.routerCount = routerCount;
+  'peers-listed': (state, { routers }) => {
+    state.routerCount = routers.length;
+    state.warmUpLimits.setRouters(routers);
     return [];
   },
   'drain-started': (state, { endsAtMs, nowMs }) => {
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -9,7 +9,7 @@
 import type { PendingReport } from './pending-report.js';
 import { createRunningSums } from './running-sums.js';
 import type { RunningByServer } from './running-sums.js';
-import type { ServerLimits } from './servers/server-limits.js';
+import type { ServerLimits } from './servers/limits/stated-limits.js';
 import { describeNews, recordReportedNews } from './store-news.js';
 import type { StoreNews } from './store-news.js';
 
--- a/packages/core/src/direct/servers/eligibility.ts
+++ b/packages/core/src/direct/servers/eligibility.ts
@@ -15,6 +15,8 @@
   Version: 'version_not_allowed',
   /** The server has asked for a pause, or its limit of requests per second is used up. */
   Limited: 'limited',
+  /** The server is warming up, and this router's part of what it takes is used up. */
+  WarmingUp: 'warming_up',
   /** Connections to the server have failed. */
   Unreachable: 'unreachable',
 } as const;
@@ -50,8 +52,17 @@
   return Math.max(deferralMs, limit.waitMs(fraction, nowMs));
 }
 
+/** Returns whether a server takes a request now that isn't a caller's, such as a query of its cache. */
+export function takesQueries(state: DirectState, server: RegisteredServer, nowMs: number): boolean {
+  const waitMs = Math.max(
+    requestedWaitMs(state, server, nowMs),
+    state.warmUpLimits.waitMs(server.key, nowMs),
+  );
+  return isZoneOpen(state, server) && waitMs <= 0;
+}
+
 /** Returns whether a server is in a zone that isn't evacuated. */
-export function isZoneOpen({ evacuations }: DirectState, { entry }: RegisteredServer): boolean {
+function isZoneOpen({ evacuations }: DirectState, { entry }: RegisteredServer): boolean {
   return evacuations.isKnown() && !evacuations.isEvacuated(entry.zone);
 }
 
@@ -82,6 +93,7 @@
     [Ineligibility.Evacuated, (server) => waitFor(isZoneOpen(state, server))],
     [Ineligibility.Version, createVersionCheck(state, request)],
     [Ineligibility.Limited, (server, nowMs) => requestedWaitMs(state, server, nowMs)],
+    [Ineligibility.WarmingUp, ({ key }, nowMs) => state.warmUpLimits.waitMs(key, nowMs)],
     [
       Ineligibility.Unreachable,
       (server, nowMs) => unreachableMs(getServerState(state, server), nowMs),
--- a/packages/core/src/direct/servers/server-limit.ts
+++ b/packages/core/src/direct/servers/limits/stated-limit.ts
@@ -1,5 +1,5 @@
 /** Limit of one backend server: how many requests this router may send to it. */
-import { createSlidingSum } from '../sliding-sum.js';
+import { createSlidingSum } from '../../sliding-sum.js';
 
 /** Limit of one run of a backend server, in requests from all routers together. */
 export interface ServerLimit {
--- a/packages/core/src/direct/servers/server-limits.ts
+++ b/packages/core/src/direct/servers/limits/stated-limits.ts
@@ -1,6 +1,6 @@
 /** Limits that backend servers state on the requests per second from all routers together. A limit belongs to one run of a server. */
-import { createServerLimit } from './server-limit.js';
-import type { ServerLimit } from './server-limit.js';
+import { createServerLimit } from './stated-limit.js';
+import type { ServerLimit } from './stated-limit.js';
 
 /** What a server has stated last, as routers tell it to each other. */
 export interface ReportedServerLimit {
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -17,8 +17,10 @@
 import { createServerLoad } from './servers/server-load.js';
 import type { RequestPrediction, ServerLoad } from './servers/server-load.js';
 import type { RegisteredServer } from './servers/server-index.js';
-import { createServerLimits } from './servers/server-limits.js';
-import type { ServerLimits } from './servers/server-limits.js';
+import { createWarmUpLimits } from './servers/limits/warm-up-limits.js';
+import type { WarmUpLimits } from './servers/limits/warm-up-limits.js';
+import { createServerLimits } from './servers/limits/stated-limits.js';
+import type { ServerLimits } from './servers/limits/stated-limits.js';
 import { createServerRegistry } from './servers/server-registry.js';
 import type { ServerRegistry, ServerRegistryOptions } from './servers/server-registry.js';
 import { createServiceDemand } from './service-demand.js';
@@ -72,6 +74,8 @@
 
 /** Options of a direct router. */
 export interface DirectRouterOptions {
+  /** Name of this router. */
+  instance: string;
   /** Name and incarnation of this router. */
   router: string;
   hasher: Hasher;
@@ -131,6 +135,7 @@
   retryBudget: RetryBudget;
   crashEvidence: CrashEvidence;
   serverLimits: ServerLimits;
+  warmUpLimits: WarmUpLimits;
   evacuations: Evacuations;
   serviceDemand: ServiceDemand;
   versions: VersionState;
@@ -182,6 +187,7 @@
     retryBudget: createRetryBudget(options.retryBudget),
     crashEvidence: createCrashEvidence(),
     serverLimits: createServerLimits(createPhase(options)),
+    warmUpLimits: createWarmUpLimits({ hasher: options.hasher, self: options.instance }),
     evacuations: createEvacuations(options.followsEvacuations),
     serviceDemand: createServiceDemand(),
     versions: createVersionState(),
@@ -244,5 +250,6 @@
 export function recordSend(state: DirectState, server: RegisteredServer, nowMs: number): void {
   getServerState(state, server).unreportedSends += 1;
   state.serverLimits.get(server.key)?.recordSend(nowMs);
+  state.warmUpLimits.recordSend(server.key, nowMs);
   state.sentServerKeys.add(server.key);
 }
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -49,6 +49,14 @@
   kvCapacityTokens: number;
 }
 
+/** Limit of a service's servers while they are cold. */
+export interface ColdServerSpec {
+  /** Time for which a server is cold after its start. */
+  coldStartMs: number;
+  /** Requests per second that a cold server takes from all routers together. */
+  requestsPerSecond: number;
+}
+
 /** Service of the configuration. */
 export interface ServiceSpec {
   name: string;
@@ -56,6 +64,8 @@
   maxConnections: number;
   /** Undefined for services without model engines. */
   engine: EngineSpec | undefined;
+  /** Undefined if a server takes all requests from its start on. */
+  cold: ColdServerSpec | undefined;
 }
 
 /** Client account of the configuration. */
@@ -101,6 +111,10 @@
   startedAtMs: number;
   /** Version of the server's software; empty if the entry states none. A stream continues only at the version that began it. */
   softwareVersion: string;
+  /** Time for which the server stays cold, as of the entry; undefined if the entry doesn't state it. */
+  coldForMs: number | undefined;
+  /** Stated time that could not be read, for logs. */
+  invalidColdFor: string | undefined;
 }
 
 /** What a backend server states about itself in a response. */
--- a/packages/core/test/direct/sample.ts
+++ b/packages/core/test/direct/sample.ts
@@ -47,8 +47,13 @@
     version,
     routes,
     services: [
-      { name: 'engines', maxConnections: 100, engine: { slots: 64, kvCapacityTokens: 500_000 } },
-      { name: 'orders', maxConnections: 100, engine: undefined },
+      {
+        name: 'engines',
+        maxConnections: 100,
+        engine: { slots: 64, kvCapacityTokens: 500_000 },
+        cold: undefined,
+      },
+      { name: 'orders', maxConnections: 100, engine: undefined, cold: undefined },
     ],
     accounts: [{ name: 'kingston', apiKeys: ['key-1'], priority: undefined, allowedRegions: [] }],
     limits: {
@@ -75,6 +80,8 @@
     draining: false,
     startedAtMs: 1,
     softwareVersion: 'v1',
+    coldForMs: undefined,
+    invalidColdFor: undefined,
     ...overrides,
   };
 }
@@ -134,6 +141,7 @@
 
 export function createSampleState(router = 'r1/1', followsEvacuations = false): DirectState {
   return createDirectState({
+    instance: router.split('/')[0]!,
     router,
     hasher,
     zone: 'z1',
--- a/packages/core/test/direct/server-limits.test.ts
+++ b/packages/core/test/direct/server-limits.test.ts
@@ -75,7 +75,7 @@
   const route = sampleRoute({ streaming: false });
   const fleet = rates.map((rate, index) => {
     const router = createSampleRouter([sampleEntry('e1')], sampleConfig(), `r${index}/1`);
-    router.dispatch({ kind: 'peers-counted', routerCount: rates.length });
+    router.dispatch({ kind: 'peers-listed', routers: rates.map((_rate, number) => `r${number}`) });
     return { router, rate, reporter: createReporter(`r${index}`), due: index / rates.length };
   });
   const inTransit: { report: RouterReport; from: number; atMs: number }[] = [];
--- a/packages/core/test/measure/choose-server.ts
+++ b/packages/core/test/measure/choose-server.ts
@@ -25,6 +25,7 @@
 function createState(): DirectState {
   const zones = Array.from({ length: ZONES }, (_none, zone) => zone);
   return createDirectState({
+    instance: 'r1',
     router: 'r1/1',
     hasher,
     zone: 'z1',
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -160,6 +160,7 @@
 function createState(ctx: EdgeContext, hasher: Hasher): DirectState {
   const settings = ctx.settings();
   return createDirectState({
+    instance: settings.process.id,
     router: routerName(ctx),
     hasher,
     zone: settings.process.zone,
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -130,7 +130,11 @@
   function updateLinks(): void {
     const known = routers.list();
     peers.setRouters(known);
-    loop.dispatch({ kind: 'peers-counted', routerCount: known.length, nowMs: ctx.clock() });
+    loop.dispatch({
+      kind: 'peers-listed',
+      routers: known.map(({ name }) => name),
+      nowMs: ctx.clock(),
+    });
   }
 
   return {
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -49,6 +49,7 @@
     hasher: { hash32: (text) => text.length },
     zone: 'z1',
     regionByZone: new Map(),
+    instance: 'r1',
     followsEvacuations: false,
     registry: { outageThresholdMs: 1000, renewalGraceMs: 1000 },
     retryBudget: { ratio: 0.2, burst: 5, windowMs: 1000 },
