State the memory by owner, and what an attempt received

A memory line follows each summary, and one gauge states the same at a scrape: resident set, heap and its limit, buffers, bodies of requests, buffered responses, unfinished events, connections. attempt-ended states bytes and pieces of the body and all bytes on the connection.

--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -27,6 +27,8 @@
   const { metrics, loop } = parts;
   const requestSentAtMs = clock();
   let hasBegun = false;
+  let bodyBytes = 0;
+  let pieces = 0;
   return {
     onAnnounced(announcement) {
       const event = { kind: 'server-announced' as const, serverKey, announcement };
@@ -45,14 +47,18 @@
     onDelivered(lastEventId) {
       loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
     },
-    onBodyEnded({ framing, bodyBytes, partialEventBytes }) {
+    onReceived(bytes) {
+      bodyBytes += bytes;
+      pieces += 1;
+    },
+    onBodyEnded({ framing, partialEventBytes, ...end }) {
       metrics.countBodyEnd(framing, partialEventBytes > 0);
-      const fields = { request, attempt, framing, bodyBytes, partialEventBytes };
+      const fields = { request, attempt, framing, bodyBytes: end.bodyBytes, partialEventBytes };
       if (partialEventBytes > 0) logger.warn('body-ended-inside-event', fields);
       else if (framing === BodyFraming.Close) logger.info('body-ended-by-close', fields);
     },
     onError: (err) => parts.requestErrors.record('attempt', request, err),
-    onEnded(outcome, detail, response) {
+    onEnded(outcome, detail, response, wireBytes) {
       onEnded();
       exchange.bufferedResponse = response;
       if (response !== undefined) releaseWithCaller(exchange, response);
@@ -64,6 +70,9 @@
           server: serverKey,
           end: outcome,
           detail,
+          bodyBytes,
+          pieces,
+          wireBytes,
           traits: listCrashTraits(exchange.attributes),
         });
       }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -27,7 +27,8 @@
 import { createEffectHandlers } from './effect-handlers.js';
 import { createExchanges } from './exchanges.js';
 import { createLoopLag } from './loop-lag.js';
-import { createEdgeMetrics } from './metrics.js';
+import { readMemoryUse } from './memory-use.js';
+import { createEdgeMetrics, registerMemoryGauges } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
 import type { PeerLinks } from './peers/peer-links.js';
 import { createReporting } from './peers/reporting.js';
@@ -59,8 +60,9 @@
   const { components: parts, close } = composeProcess<EdgeParts>(
     partTable(ctx, await createHasher()),
   );
-  const { registration, tickTimer, summaryTimer } = parts;
+  const { registration, tickTimer, summaryTimer, bodyBudget, connections } = parts;
   void [registration, tickTimer, summaryTimer];
+  registerMemoryGauges(ctx.registry, () => readMemoryUse(bodyBudget, connections));
   await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.peers, parts.admin]);
   ctx.logger.info('listening', { callers: ctx.settings().callers.address });
   return { drain: () => drain(ctx, parts), close };
@@ -137,7 +139,7 @@
 
 async function logSummary(
   { logger, clock, droppedLines }: EdgeContext,
-  { state, metrics, callers, loopLag, bodyBudget }: EdgeParts,
+  { state, metrics, callers, loopLag, bodyBudget, connections: serverConnections }: EdgeParts,
 ): Promise<void> {
   const { connectionTotals, acceptWaitMs } = await callers;
   const { totals, open, servers } = describeState(state, clock());
@@ -150,6 +152,7 @@
   const bodyBytes = bodyBudget.heldBytes();
   const fields = { ...totals, open, connections, bodyBytes, ...lateness, ...control, servers };
   logger.info('summary', fields);
+  logger.info('memory', { ...readMemoryUse(bodyBudget, serverConnections) });
 }
 
 function routerName(ctx: EdgeContext): string {
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -7,6 +7,7 @@
 } from '@kingcupsill/core/direct';
 import { Counter, Gauge, Histogram } from 'prom-client';
 import type { Registry } from 'prom-client';
+import type { MemoryUse } from './memory-use.js';
 import type { BodyFraming } from './relay/types.js';
 
 /** Cost of control traffic since the start. */
@@ -94,6 +95,23 @@
   );
 }
 
+/** Registers gauges that share one reading per scrape. */
+export function registerMemoryGauges(registry: Registry, read: () => MemoryUse): void {
+  const name = 'kingcupsill_memory';
+  const gauge = new Gauge({
+    name,
+    help: 'Memory in bytes, and connections that hold some, by owner.',
+    labelNames: ['owner'],
+    registers: [registry],
+    collect() {
+      Object.entries(read()).forEach(([owner, value]) =>
+        this.set({ owner: snakeCase(owner) }, value as number),
+      );
+    },
+  });
+  void gauge;
+}
+
 /** Registers the metrics. Gauges read the state on each scrape. */
 export function createEdgeMetrics(
   registry: Registry,
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -47,6 +47,15 @@
   return clientReq;
 }
 
+/** Returns a function that returns the number of bytes received on the connection since the request got it. */
+function countWireBytes(clientReq: ClientRequest): () => number {
+  let earlierBytes = 0;
+  clientReq.once('socket', (socket) => {
+    earlierBytes = socket.bytesRead;
+  });
+  return () => (clientReq.socket?.bytesRead ?? earlierBytes) - earlierBytes;
+}
+
 /** Calls `onTimeout` if the connection isn't established in time. Returns a function that returns whether it is established. */
 function watchConnection(clientReq: ClientRequest, onTimeout: () => void): () => boolean {
   let connected = false;
@@ -63,6 +72,14 @@
   return () => connected;
 }
 
+function limitInterimResponses(clientReq: ClientRequest, onExceeded: () => void): void {
+  let interimResponses = 0;
+  clientReq.on('information', () => {
+    interimResponses += 1;
+    if (interimResponses > MAX_INTERIM_RESPONSES) onExceeded();
+  });
+}
+
 /** Returns whether a successful response is passed on event by event. A whole answer is buffered, unless a stream has begun. */
 function isRelayed(
   { streaming }: AttemptRequest,
@@ -89,13 +106,13 @@
 ): RunningAttempt {
   const clientReq = openRequest(connections, req);
   const isConnected = watchConnection(clientReq, () => fail('connect timeout'));
+  const wireBytes = countWireBytes(clientReq);
   let ended = false;
-  let interimResponses = 0;
 
   function end(outcome: AttemptOutcome, detail: string, response?: BufferedResponse): void {
     if (ended) return;
     ended = true;
-    listener.onEnded(outcome, detail, response);
+    listener.onEnded(outcome, detail, response, wireBytes());
   }
 
   function fail(detail: string): void {
@@ -146,7 +163,8 @@
       isEnded: () => ended,
     };
     if (classification.outcome === AttemptOutcome.Complete && isRelayed(req, res, sink)) {
-      relayEvents(res, { ...req, sink, listener }, handlers);
+      const { eventBudget } = connections;
+      relayEvents(res, { ...req, sink, listener, eventBudget }, handlers);
     } else {
       listener.onBegun();
       bufferResponse(res, connections.responseBudget, listener, handlers);
@@ -154,10 +172,7 @@
   }
 
   clientReq.on('response', protect(onResponse));
-  clientReq.on('information', () => {
-    interimResponses += 1;
-    if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
-  });
+  limitInterimResponses(clientReq, () => fail('too many interim responses'));
   clientReq.on('error', (err) => fail(err.message));
   clientReq.on('close', () => fail('connection closed'));
   clientReq.end(req.body);
--- a/packages/edge/src/relay/byte-budget.ts
+++ b/packages/edge/src/relay/byte-budget.ts
@@ -1,15 +1,19 @@
-/** Memory budget that buffered responses share. */
+/** Memory budget that the responses being read share. */
 
 /** Budget in bytes. */
 export interface ByteBudget {
   /** Returns an account of one buffer with no bytes. */
   open(): BudgetAccount;
+  /** Bytes of all accounts, including those that don't count. */
+  heldBytes(): number;
 }
 
 /** Bytes of one buffer that count towards the budget. */
 export interface BudgetAccount {
   /** Adds bytes; returns false if the budget is exhausted. */
   add(bytes: number): boolean;
+  /** Sets the bytes that the buffer holds now; returns false if the budget is exhausted. */
+  resize(bytes: number): boolean;
   /** Returns all bytes to the budget. */
   close(): void;
 }
@@ -24,22 +28,28 @@
 /** Creates a budget of which nothing is used. */
 export function createByteBudget({ maxBytes, freeBytesPerBuffer }: ByteBudgetOptions): ByteBudget {
   let usedBytes = 0;
+  let heldBytes = 0;
 
   return {
+    heldBytes: () => heldBytes,
     open() {
-      let receivedBytes = 0;
-      const countedBytes = (): number => Math.max(0, receivedBytes - freeBytesPerBuffer);
+      let ownBytes = 0;
+      const countedBytes = (): number => Math.max(0, ownBytes - freeBytesPerBuffer);
+
+      function resize(bytes: number): boolean {
+        const before = countedBytes();
+        heldBytes += bytes - ownBytes;
+        ownBytes = bytes;
+        const increase = countedBytes() - before;
+        usedBytes += increase;
+        return increase <= 0 || usedBytes <= maxBytes;
+      }
+
       return {
-        add(bytes) {
-          const before = countedBytes();
-          receivedBytes += bytes;
-          const increase = countedBytes() - before;
-          usedBytes += increase;
-          return increase === 0 || usedBytes <= maxBytes;
-        },
+        add: (bytes) => resize(ownBytes + bytes),
+        resize,
         close() {
-          usedBytes -= countedBytes();
-          receivedBytes = 0;
+          resize(0);
         },
       };
     },
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -57,6 +57,7 @@
 
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
+    listener.onReceived(chunk.length);
     collector.add(chunk);
     receivedBytes += chunk.length;
     if (receivedBytes > MAX_BUFFERED_BYTES) onInvalid('response too large');
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -8,6 +8,7 @@
   StreamJoin,
 } from '@kingcupsill/core/event-stream';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
+import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
 import type { ResponseHandlers } from './read-response.js';
 import { BodyFraming } from './types.js';
@@ -25,6 +26,8 @@
   streamJoin: StreamJoin;
   /** The stream continues an earlier one, so it may have no more events. */
   isResumed: boolean;
+  /** Memory of the bytes that can't be passed on yet. */
+  eventBudget: ByteBudget;
 }
 
 /** Returns what of a response's head determines whether it is, or continues, a stream. */
@@ -105,14 +108,17 @@
   options: StreamOptions,
   { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
-  const { sink, listener, streamJoin, isResumed } = options;
+  const { sink, listener, streamJoin, isResumed, eventBudget } = options;
   const splitter = createEventSplitter();
   const delivery = createDelivery(res, options);
   const framing = getBodyFraming(res);
+  const account = eventBudget.open();
   let receivedBytes = 0;
+  res.on('close', account.close);
 
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
+    listener.onReceived(chunk.length);
     receivedBytes += chunk.length;
     const events = splitter.push(chunk);
     if (events !== undefined) {
@@ -123,8 +129,9 @@
         return;
       }
     }
-    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES)
-      onFailure('event too large');
+    const heldBytes = splitter.pendingBytes() + delivery.heldBytes();
+    account.resize(heldBytes);
+    if (heldBytes > MAX_EVENT_BYTES) onFailure('event too large');
   }
 
   /** Returns why the end can't be passed on, if the connection may have ended in place of the stream. */
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -11,6 +11,9 @@
   agent: Agent;
   /** Memory of all buffered responses. */
   responseBudget: ByteBudget;
+  /** Memory of the unfinished events of all streams. */
+  eventBudget: ByteBudget;
+  countConnections(): { busy: number; idle: number };
   /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
   prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
   close(): void;
@@ -18,6 +21,7 @@
 
 /** Limits of buffered responses: many servers at once may send bodies without end. */
 export const RESPONSE_BUDGET = { maxBytes: 32 * 1024 * 1024, freeBytesPerBuffer: 64 * 1024 };
+const EVENT_BUDGET = { maxBytes: Number.POSITIVE_INFINITY, freeBytesPerBuffer: 0 };
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -127,6 +131,15 @@
     });
   };
 
-  const responseBudget = createByteBudget(RESPONSE_BUDGET);
-  return { agent, responseBudget, prune, close: () => agent.destroy() };
+  return {
+    agent,
+    responseBudget: createByteBudget(RESPONSE_BUDGET),
+    eventBudget: createByteBudget(EVENT_BUDGET),
+    countConnections: () => ({
+      busy: openCount - idleConnections.size,
+      idle: idleConnections.size,
+    }),
+    prune,
+    close: () => agent.destroy(),
+  };
 }
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -72,10 +72,20 @@
   /** A part of the response has arrived, for a stream an event; the first one begins it. */
   onBegun(): void;
   onDelivered(lastEventId: string | undefined): void;
+  /** A piece of the response's body has arrived. */
+  onReceived(bytes: number): void;
   /** The body has ended as its framing states. */
   onBodyEnded(end: BodyEnd): void;
-  /** `response` is defined if the response was buffered and can still be sent to the caller. */
-  onEnded(outcome: AttemptOutcome, detail: string, response: BufferedResponse | undefined): void;
+  /**
+   * `response` is defined if the response was buffered and can still be sent to the caller. `wireBytes` is the number of bytes received
+   * on the connection, with heads and framing.
+   */
+  onEnded(
+    outcome: AttemptOutcome,
+    detail: string,
+    response: BufferedResponse | undefined,
+    wireBytes: number,
+  ): void;
   /** An error in this router has broken off the attempt; `onEnded` follows. */
   onError(err: unknown): void;
 }
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -82,6 +82,7 @@
       {
         onAnnounced: () => undefined,
         onBegun: () => undefined,
+        onReceived: () => undefined,
         onDelivered: () => undefined,
         onBodyEnded: () => undefined,
         onError: (err) => errors.push(err),
