Hold an unfinished event in small pieces together

It copies pieces below 4 kB in place of 1 kB, so that buffer objects are a small part of what is held; blocks grow from 1 to 16 kB, so that a few bytes don't take 16 kB; and it states the memory that it keeps.

--- a/packages/core/src/event-stream/event-splitter.ts
+++ b/packages/core/src/event-stream/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Splitter of server-sent event streams at event boundaries, so that a caller never receives part of an event. */
+import { createByteCollector } from '../bytes/index.js';
 import { decodeBlocks } from './event-block.js';
 import type { EventBlock } from './event-block.js';
 
@@ -17,6 +18,8 @@
   remainder(): Buffer;
   /** Number of bytes after the last complete event. */
   pendingBytes(): number;
+  /** Memory that these bytes keep. */
+  heldBytes(): number;
   /** Returns whether these bytes belong to an event, rather than to blank lines or comments between events. */
   isInsideEvent(): boolean;
 }
@@ -43,15 +46,15 @@
   return Math.max(0, findLastEnd(boundary) - previous.length);
 }
 
-/** Creates a splitter. Each byte is searched once and copied at most once, however long an event is. */
+/** Creates a splitter. Each byte is searched once and copied at most twice, however long an event is. */
 export function createEventSplitter(): EventSplitter {
-  let pending: Buffer[] = [];
+  const pending = createByteCollector();
   let pendingBytes = 0;
   /** Last pending bytes, which may be the beginning of an event end. */
   let tail = '';
 
   function keep(bytes: Buffer, text: string): void {
-    pending.push(bytes);
+    pending.add(bytes);
     pendingBytes += bytes.length;
     tail = (tail + text.slice(1 - MAX_EVENT_END_LENGTH)).slice(1 - MAX_EVENT_END_LENGTH);
   }
@@ -59,8 +62,8 @@
   /** Returns the pending bytes and those that follow them, and their text; nothing is pending afterwards. */
   function take(bytes: Buffer, text: string): { bytes: Buffer; text: string } {
     if (pendingBytes === 0) return { bytes, text };
-    const taken = Buffer.concat([...pending, bytes]);
-    pending = [];
+    const taken = Buffer.concat([...pending.chunks(), bytes]);
+    pending.clear();
     pendingBytes = 0;
     tail = '';
     return { bytes: taken, text: taken.toString('latin1') };
@@ -80,10 +83,11 @@
       if (!endsWithEvent) keep(chunk.subarray(eventsEnd), chunkText.slice(eventsEnd));
       return { bytes, blocks: decodeBlocks(text) };
     },
-    remainder: () => Buffer.concat(pending),
+    remainder: () => Buffer.concat(pending.chunks()),
     pendingBytes: () => pendingBytes,
+    heldBytes: pending.heldBytes,
     isInsideEvent() {
-      const lines = Buffer.concat(pending).toString('latin1').split(LINE_BREAK);
+      const lines = Buffer.concat(pending.chunks()).toString('latin1').split(LINE_BREAK);
       return lines.some((line) => line !== '' && !line.startsWith(':'));
     },
   };
--- a/packages/core/test/event-stream/event-splitter.test.ts
+++ b/packages/core/test/event-stream/event-splitter.test.ts
@@ -40,3 +40,15 @@
     assert.equal(splitter.isInsideEvent(), isInsideEvent, JSON.stringify(rest));
   });
 });
+
+// Guards against a process that ends by its heap's limit because of unfinished events in pieces of a few bytes (issue 52).
+test('an unfinished event in small pieces is held in little more memory than it has bytes', () => {
+  const eventBytes = 256 * 1024;
+  /** As the parser hands over a body in chunks of one byte: each is part of the 64 kB read at a time. */
+  const read = Buffer.alloc(64 * 1024, 'x');
+  const splitter = createEventSplitter();
+  for (let n = 0; n < eventBytes; n += 1) splitter.push(read.subarray(n % 1000, (n % 1000) + 1));
+  assert.equal(splitter.pendingBytes(), eventBytes);
+  assert.ok(splitter.heldBytes() <= 1.25 * eventBytes, `${splitter.heldBytes()} bytes`);
+  assert.ok(splitter.remainder().equals(Buffer.alloc(eventBytes, 'x')));
+});
--- a/packages/edge/src/callers/read-body.ts
+++ b/packages/edge/src/callers/read-body.ts
@@ -1,7 +1,7 @@
 /** Buffered reading of a request body. */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
-import { createByteCollector } from '../byte-collector.js';
+import { createByteCollector } from '@kingcupsill/core/bytes';
 import type { BodyReservation } from './body-budget.js';
 
 /** Complete body with its SHA-256 digest, or the reason why there is none. */
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { callAfter } from '@kingcupsill/runtime';
-import { createByteCollector } from '../byte-collector.js';
+import { createByteCollector } from '@kingcupsill/core/bytes';
 import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
 import type { AttemptListener, BufferedResponse } from './types.js';
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -129,9 +129,9 @@
         return;
       }
     }
-    const heldBytes = splitter.pendingBytes() + delivery.heldBytes();
-    account.resize(heldBytes);
-    if (heldBytes > MAX_EVENT_BYTES) onFailure('event too large');
+    account.resize(splitter.heldBytes() + delivery.heldBytes());
+    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES)
+      onFailure('event too large');
   }
 
   /** Returns why the end can't be passed on, if the connection may have ended in place of the stream. */
