Bound what all responses hold together by the process's memory

Unfinished events counted in no budget (256 kB each, 1,593 connections), each buffered response had 64 KiB that didn't count, the limit of the rest was 32 MB on machines of any size, and the size of a response's head was a default of Node's. One module divides memory_mb now: the program and its heap, uncollected buffers, heads, request bodies, responses with unfinished events.

What counts is the memory that is kept, rather than the bytes received. The test on bodies and responses reads the limit from the division; its bound is the same.

--- a/packages/edge/src/callers/body-budget.ts
+++ b/packages/edge/src/callers/body-budget.ts
@@ -28,6 +28,7 @@
 /** Fractions of the process's memory. The kernel may hold as much again for servers that read slowly. */
 const SMALL_FRACTION = 0.08;
 const LARGE_FRACTION = 0.1;
+export const BODIES_FRACTION = SMALL_FRACTION + LARGE_FRACTION;
 const BYTES_PER_MB = 1024 * 1024;
 const NO_ACCOUNT = '';
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -27,6 +27,8 @@
 import { createEffectHandlers } from './effect-handlers.js';
 import { createExchanges } from './exchanges.js';
 import { createLoopLag } from './loop-lag.js';
+import { divideMemory } from './memory-division.js';
+import type { MemoryDivision } from './memory-division.js';
 import { readMemoryUse } from './memory-use.js';
 import { createEdgeMetrics, registerMemoryGauges } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
@@ -73,9 +75,15 @@
     state: { create: () => createState(ctx, hasher) },
     phase: { create: () => ({ accepting: false, draining: false }) },
     connectionLimits: { create: () => createConnectionLimits(ctx) },
+    memoryDivision: { create: () => createMemoryDivision(ctx) },
     connections: {
-      create: ({ connectionLimits }) =>
-        createServerConnections({ nowMs: ctx.clock, maxConnections: connectionLimits.servers }),
+      create: ({ connectionLimits, memoryDivision }) =>
+        createServerConnections({
+          nowMs: ctx.clock,
+          maxConnections: connectionLimits.servers,
+          headBytes: memoryDivision.responseHeads,
+          responseBytes: memoryDivision.responses,
+        }),
       close: (connections) => connections.close(),
     },
     metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
@@ -155,6 +163,13 @@
   logger.info('memory', { ...readMemoryUse(bodyBudget, serverConnections) });
 }
 
+function createMemoryDivision({ settings, logger }: EdgeContext): MemoryDivision {
+  const { memoryMb } = settings().process;
+  const division = divideMemory(memoryMb);
+  logger.info('memory-limits', { ...division, memoryMb });
+  return division;
+}
+
 function routerName(ctx: EdgeContext): string {
   return `${ctx.settings().process.id}/${ctx.incarnation}`;
 }
--- a/packages/edge/src/memory-use.ts
+++ b/packages/edge/src/memory-use.ts
@@ -1,6 +1,7 @@
 /** Memory of the process by owner. */
 import { getHeapStatistics } from 'node:v8';
 import type { BodyBudget } from './callers/body-budget.js';
+import { HeldFor } from './relay/response-memory.js';
 import type { ServerConnections } from './relay/server-connections.js';
 
 /** Bytes by owner, and the connections to backend servers, which hold what their parsers and the kernel keep. */
@@ -25,7 +26,7 @@
 /** Reads the memory in use; takes tens of microseconds. */
 export function readMemoryUse(
   bodyBudget: BodyBudget,
-  { responseBudget, eventBudget, countConnections }: ServerConnections,
+  { responseMemory, countConnections }: ServerConnections,
 ): MemoryUse {
   const { rss, heapUsed, heapTotal, external, arrayBuffers } = process.memoryUsage();
   const { busy, idle } = countConnections();
@@ -37,8 +38,8 @@
     externalBytes: external,
     arrayBufferBytes: arrayBuffers,
     requestBodyBytes: bodyBudget.heldBytes(),
-    responseBytes: responseBudget.heldBytes(),
-    unfinishedEventBytes: eventBudget.heldBytes(),
+    responseBytes: responseMemory.heldBytes(HeldFor.Response),
+    unfinishedEventBytes: responseMemory.heldBytes(HeldFor.UnfinishedEvent),
     busyConnections: busy,
     idleConnections: idle,
   };
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -39,6 +39,7 @@
     port: req.port,
     method: req.method,
     path: req.path,
+    maxHeaderSize: connections.maxHeadBytes,
     // Node's types lack the array form, which preserves order, case and repeated headers.
     headers: req.headers as unknown as Record<string, string>,
     setHost: false,
@@ -134,6 +135,7 @@
 
   function onResponse(res: IncomingMessage): void {
     const { attemptId } = req;
+    const { responseMemory: memory } = connections;
     const isReusedConnection = clientReq.reusedSocket;
     const classification = classifyResponseHead(res, { attemptId, isReusedConnection });
     if (classification.announcement !== undefined)
@@ -163,11 +165,10 @@
       isEnded: () => ended,
     };
     if (classification.outcome === AttemptOutcome.Complete && isRelayed(req, res, sink)) {
-      const { eventBudget } = connections;
-      relayEvents(res, { ...req, sink, listener, eventBudget }, handlers);
+      relayEvents(res, { ...req, sink, listener, memory }, handlers);
     } else {
       listener.onBegun();
-      bufferResponse(res, connections.responseBudget, listener, handlers);
+      bufferResponse(res, memory, listener, handlers);
     }
   }
 
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -3,8 +3,9 @@
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { callAfter } from '@kingcupsill/runtime';
 import { createByteCollector } from '@kingcupsill/core/bytes';
-import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
+import { HeldFor } from './response-memory.js';
+import type { ResponseMemory } from './response-memory.js';
 import type { AttemptListener, BufferedResponse } from './types.js';
 
 /** Maximum size of a buffered response. */
@@ -43,12 +44,15 @@
 /** Buffers a response until it is complete. */
 export function bufferResponse(
   res: IncomingMessage,
-  budget: ByteBudget,
+  memory: ResponseMemory,
   listener: AttemptListener,
   { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
   const collector = createByteCollector();
-  const account = budget.open();
+  const account = memory.open(
+    HeldFor.Response,
+    protect(() => onInvalid('response buffers full')),
+  );
   let receivedBytes = 0;
   let isDelivered = false;
   res.on('close', () => {
@@ -61,7 +65,7 @@
     collector.add(chunk);
     receivedBytes += chunk.length;
     if (receivedBytes > MAX_BUFFERED_BYTES) onInvalid('response too large');
-    else if (!account.add(chunk.length)) onInvalid('response buffers full');
+    else account.resize(collector.heldBytes());
   }
 
   function onEnd(): void {
@@ -77,6 +81,7 @@
     const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
     if (isEnded()) return;
     isDelivered = true;
+    account.keep();
     const status = res.statusCode!;
     const chunks = collector.chunks();
     onComplete({ status, headers, chunks, bodyBytes: receivedBytes, release: account.close });
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -8,9 +8,10 @@
   StreamJoin,
 } from '@kingcupsill/core/event-stream';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
-import type { ByteBudget } from './byte-budget.js';
 import { getBodyFraming } from './close-delimited.js';
 import type { ResponseHandlers } from './read-response.js';
+import { HeldFor } from './response-memory.js';
+import type { ResponseMemory } from './response-memory.js';
 import { BodyFraming } from './types.js';
 import type { AttemptListener, ResponseSink } from './types.js';
 
@@ -27,7 +28,7 @@
   /** The stream continues an earlier one, so it may have no more events. */
   isResumed: boolean;
   /** Memory of the bytes that can't be passed on yet. */
-  eventBudget: ByteBudget;
+  memory: ResponseMemory;
 }
 
 /** Returns what of a response's head determines whether it is, or continues, a stream. */
@@ -108,11 +109,14 @@
   options: StreamOptions,
   { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
-  const { sink, listener, streamJoin, isResumed, eventBudget } = options;
+  const { sink, listener, streamJoin, isResumed, memory } = options;
   const splitter = createEventSplitter();
   const delivery = createDelivery(res, options);
   const framing = getBodyFraming(res);
-  const account = eventBudget.open();
+  const account = memory.open(
+    HeldFor.UnfinishedEvent,
+    protect(() => onInvalid('response buffers full')),
+  );
   let receivedBytes = 0;
   res.on('close', account.close);
 
@@ -129,9 +133,9 @@
         return;
       }
     }
-    account.resize(splitter.heldBytes() + delivery.heldBytes());
     if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES)
       onFailure('event too large');
+    else account.resize(splitter.heldBytes() + delivery.heldBytes());
   }
 
   /** Returns why the end can't be passed on, if the connection may have ended in place of the stream. */
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -3,25 +3,25 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { createByteBudget } from './byte-budget.js';
-import type { ByteBudget } from './byte-budget.js';
+import { createResponseMemory } from './response-memory.js';
+import type { ResponseMemory } from './response-memory.js';
 
 /** Connection pool. */
 export interface ServerConnections {
   agent: Agent;
-  /** Memory of all buffered responses. */
-  responseBudget: ByteBudget;
-  /** Memory of the unfinished events of all streams. */
-  eventBudget: ByteBudget;
+  /** Maximum size of the head of a response. */
+  maxHeadBytes: number;
+  /** Memory of all buffered responses and unfinished events. */
+  responseMemory: ResponseMemory;
   countConnections(): { busy: number; idle: number };
   /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
   prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
   close(): void;
 }
 
-/** Limits of buffered responses: many servers at once may send bodies without end. */
-export const RESPONSE_BUDGET = { maxBytes: 32 * 1024 * 1024, freeBytesPerBuffer: 64 * 1024 };
-const EVENT_BUDGET = { maxBytes: Number.POSITIVE_INFINITY, freeBytesPerBuffer: 0 };
+/** Bounds of the maximum size of a response's head. */
+const MAX_HEAD_BYTES = 16 * 1024;
+const MIN_MAX_HEAD_BYTES = 4 * 1024;
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -61,13 +61,23 @@
   nowMs: () => number;
   /** Maximum number of connections. The one that has been idle for longest is closed in favour of a new one. */
   maxConnections: number;
+  /** Memory in bytes for the heads of responses while they arrive on all connections. */
+  headBytes: number;
+  /** Memory in bytes for buffered responses and unfinished events. */
+  responseBytes: number;
 }
 
 /** Creates the pool. A connection that receives bytes while idle is closed, since they belong to no request. */
 export function createServerConnections({
   nowMs,
   maxConnections,
+  headBytes,
+  responseBytes,
 }: ServerConnectionsOptions): ServerConnections {
+  const maxHeadBytes = Math.max(
+    MIN_MAX_HEAD_BYTES,
+    Math.min(MAX_HEAD_BYTES, Math.floor(headBytes / maxConnections)),
+  );
   const agent = new Agent({
     keepAlive: true,
     scheduling: 'lifo',
@@ -133,8 +143,8 @@
 
   return {
     agent,
-    responseBudget: createByteBudget(RESPONSE_BUDGET),
-    eventBudget: createByteBudget(EVENT_BUDGET),
+    maxHeadBytes,
+    responseMemory: createResponseMemory(responseBytes),
     countConnections: () => ({
       busy: openCount - idleConnections.size,
       idle: idleConnections.size,
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -10,6 +10,7 @@
 import type { ConnectionLimits } from './descriptors.js';
 import type { Exchanges } from './exchanges.js';
 import type { LoopLag } from './loop-lag.js';
+import type { MemoryDivision } from './memory-division.js';
 import type { RequestErrors } from './request-errors.js';
 import type { EdgeMetrics } from './metrics.js';
 import type { PeerLinks } from './peers/peer-links.js';
@@ -36,6 +37,7 @@
   exchanges: Exchanges;
   requestErrors: RequestErrors;
   connectionLimits: ConnectionLimits;
+  memoryDivision: MemoryDivision;
   connections: ServerConnections;
   metrics: EdgeMetrics;
   transport: StoreTransport;
--- a/packages/edge/test/callers/body-budget.test.ts
+++ b/packages/edge/test/callers/body-budget.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import { createBodyBudget } from '../../src/callers/body-budget.js';
 import type { BodyBudget } from '../../src/callers/body-budget.js';
-import { RESPONSE_BUDGET } from '../../src/relay/server-connections.js';
+import { divideMemory } from '../../src/memory-division.js';
 
 const MB = 1024 * 1024;
 const MEMORY_MB = 100;
@@ -35,7 +35,7 @@
     fill(budget, `t${account}`, bodyBytes);
     fill(budget, `t${account}`, 60_000);
   }
-  const heldBytes = budget.heldBytes() + RESPONSE_BUDGET.maxBytes;
+  const heldBytes = budget.heldBytes() + divideMemory(memoryMb).responses;
   assert.ok(2 * heldBytes <= (memoryMb - heapMb) * MB, `${heldBytes} bytes`);
 });
 
--- a/packages/edge/test/relay/server-connections.test.ts
+++ b/packages/edge/test/relay/server-connections.test.ts
@@ -18,6 +18,8 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 1,
+    headBytes: 100 * 16 * 1024,
+    responseBytes: 1024 * 1024,
   });
   const send = (index: number) => {
     const { port } = servers[index]!;
--- a/packages/edge/test/relay/unsent.test.ts
+++ b/packages/edge/test/relay/unsent.test.ts
@@ -18,6 +18,8 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 100,
+    headBytes: 100 * 16 * 1024,
+    responseBytes: 1024 * 1024,
   });
   Object.assign(connections.agent, { createConnection: openWithoutDescriptor });
   const req: Partial<AttemptRequest> = {
