Free the bytes of a broken-off answer at once

A response that was too large, or was given up, stayed in memory until its connection had closed, which happens only after the other connections have been read, up to 2 MB each in a turn of the event loop.

--- a/packages/core/src/event-stream/event-splitter.ts
+++ b/packages/core/src/event-stream/event-splitter.ts
@@ -20,6 +20,8 @@
   pendingBytes(): number;
   /** Memory that these bytes keep. */
   heldBytes(): number;
+  /** Drops these bytes. */
+  clear(): void;
   /** Returns whether these bytes belong to an event, rather than to blank lines or comments between events. */
   isInsideEvent(): boolean;
 }
@@ -59,13 +61,17 @@
     tail = (tail + text.slice(1 - MAX_EVENT_END_LENGTH)).slice(1 - MAX_EVENT_END_LENGTH);
   }
 
+  function clear(): void {
+    pending.clear();
+    pendingBytes = 0;
+    tail = '';
+  }
+
   /** Returns the pending bytes and those that follow them, and their text; nothing is pending afterwards. */
   function take(bytes: Buffer, text: string): { bytes: Buffer; text: string } {
     if (pendingBytes === 0) return { bytes, text };
     const taken = Buffer.concat([...pending.chunks(), bytes]);
-    pending.clear();
-    pendingBytes = 0;
-    tail = '';
+    clear();
     return { bytes: taken, text: taken.toString('latin1') };
   }
 
@@ -86,6 +92,7 @@
     remainder: () => Buffer.concat(pending.chunks()),
     pendingBytes: () => pendingBytes,
     heldBytes: pending.heldBytes,
+    clear,
     isInsideEvent() {
       const lines = Buffer.concat(pending.chunks()).toString('latin1').split(LINE_BREAK);
       return lines.some((line) => line !== '' && !line.startsWith(':'));
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -51,7 +51,7 @@
   const collector = createByteCollector();
   const account = memory.open(
     HeldFor.Response,
-    protect(() => onInvalid('response buffers full')),
+    protect(() => breakOff('response buffers full')),
   );
   let receivedBytes = 0;
   let isDelivered = false;
@@ -59,12 +59,19 @@
     if (!isDelivered) account.close();
   });
 
+  function breakOff(detail: string): void {
+    // At once: the connection closes only after others have been read, whose bytes need the memory.
+    collector.clear();
+    account.close();
+    onInvalid(detail);
+  }
+
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
     listener.onReceived(chunk.length);
     collector.add(chunk);
     receivedBytes += chunk.length;
-    if (receivedBytes > MAX_BUFFERED_BYTES) onInvalid('response too large');
+    if (receivedBytes > MAX_BUFFERED_BYTES) breakOff('response too large');
     else account.resize(collector.heldBytes());
   }
 
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -115,11 +115,20 @@
   const framing = getBodyFraming(res);
   const account = memory.open(
     HeldFor.UnfinishedEvent,
-    protect(() => onInvalid('response buffers full')),
+    protect(() => {
+      release();
+      onInvalid('response buffers full');
+    }),
   );
   let receivedBytes = 0;
   res.on('close', account.close);
 
+  /** Gives the memory back at once: the connection closes only after others have been read, whose bytes need it. */
+  function release(): void {
+    splitter.clear();
+    account.close();
+  }
+
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
     listener.onReceived(chunk.length);
@@ -133,9 +142,10 @@
         return;
       }
     }
-    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES)
+    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES) {
+      release();
       onFailure('event too large');
-    else account.resize(splitter.heldBytes() + delivery.heldBytes());
+    } else account.resize(splitter.heldBytes() + delivery.heldBytes());
   }
 
   /** Returns why the end can't be passed on, if the connection may have ended in place of the stream. */
