Leave more of the memory to uncollected buffers

A head may have 8 to 16 kB, by the number of connections, in place of 4 to 16 kB; the sum of the parts is 206 MB of 210, and below the memory from 186 MB on.

--- a/packages/edge/src/memory-division.ts
+++ b/packages/edge/src/memory-division.ts
@@ -18,9 +18,9 @@
 /** Resident set of a busy router that holds nothing for others; half of a smaller memory. */
 const MAX_OWN_BYTES = 112 * BYTES_PER_MB;
 const OWN_FRACTION = 1 / 2;
-const MAX_UNCOLLECTED_BYTES = 16 * BYTES_PER_MB;
-const UNCOLLECTED_FRACTION = 1 / 12;
-const HEADS_FRACTION = 1 / 8;
+const MAX_UNCOLLECTED_BYTES = 32 * BYTES_PER_MB;
+const UNCOLLECTED_FRACTION = 0.15;
+const HEADS_FRACTION = 1 / 16;
 const RESPONSES_FRACTION = 0.09;
 /** Two responses of the maximum size, and ordinary ones besides. */
 const MIN_RESPONSES_BYTES = 18 * BYTES_PER_MB;
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -21,7 +21,7 @@
 
 /** Bounds of the maximum size of a response's head. */
 const MAX_HEAD_BYTES = 16 * 1024;
-const MIN_MAX_HEAD_BYTES = 4 * 1024;
+const MIN_MAX_HEAD_BYTES = 8 * 1024;
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
