--- a/packages/edge/test/start/router-process.ts
+++ b/packages/edge/test/start/router-process.ts
@@ -20,6 +20,7 @@
 }
 
 export interface RouterProcess {
+  pid: number;
   send(signal: NodeJS.Signals): void;
   /** Names of the events in its log, in order. */
   events(): string[];
@@ -134,6 +135,7 @@
   }
 
   const routerProcess: RouterProcess = {
+    pid: child.pid!,
     send: (signal) => child.kill(signal),
     events,
     errorOutput: () => output.errors,
