Hold comments before a resumed stream's first event in one collector

They are freed at once as well when the stream is broken off. No test of its own; a time can't be asserted.

--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -1,5 +1,6 @@
 /** Reading of a backend server's event stream, which is passed on to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
+import { createByteCollector } from '@kingcupsill/core/bytes';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
 import type {
   CompleteEvents,
@@ -17,7 +18,6 @@
 
 /** Maximum size of one event of a stream. A server that exceeds it sends no event stream. */
 const MAX_EVENT_BYTES = 256 * 1024;
-const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /** Settings of a stream. */
 export interface StreamOptions {
@@ -65,8 +65,10 @@
   write(blocks: Omit<AcceptedBlocks, 'fault'>): void;
   /** Writes the bytes behind the last block of a stream that has ended, and its head if that hasn't been sent. */
   finish(rest: Buffer): void;
-  /** Number of bytes that wait for the run's first event. */
+  /** Memory of the bytes that wait for the run's first event. */
   heldBytes(): number;
+  /** Drops these bytes. */
+  clear(): void;
 }
 
 function createDelivery(
@@ -76,7 +78,7 @@
   const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
   /** Only the first event of a resumed run shows that it continues the stream, so the comments before it wait. */
   let isHolding = isResumed;
-  let held = NO_BYTES;
+  const held = createByteCollector();
   const resume = (): void => {
     res.resume();
   };
@@ -88,18 +90,29 @@
     listener.onDelivered(lastEventId);
   }
 
+  /** Returns the bytes that waited, and those that follow them. */
+  function takeWith(bytes: Buffer): Buffer {
+    const chunks = held.chunks();
+    held.clear();
+    return chunks.length === 0 ? bytes : Buffer.concat([...chunks, bytes]);
+  }
+
   return {
     write({ bytes, hasEvent, lastEventId }) {
       isHolding &&= !hasEvent;
-      const unsent = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
-      held = isHolding ? unsent : NO_BYTES;
-      if (!isHolding && unsent.length > 0) deliver(unsent, lastEventId);
+      if (isHolding) {
+        held.add(bytes);
+        return;
+      }
+      const unsent = takeWith(bytes);
+      if (unsent.length > 0) deliver(unsent, lastEventId);
     },
     finish(rest) {
-      const bytes = Buffer.concat([held, rest]);
+      const bytes = takeWith(rest);
       if (bytes.length > 0 || !sink.isHeadSent()) deliver(bytes, undefined);
     },
-    heldBytes: () => held.length,
+    heldBytes: held.heldBytes,
+    clear: held.clear,
   };
 }
 
@@ -126,6 +139,7 @@
   /** Gives the memory back at once: the connection closes only after others have been read, whose bytes need it. */
   function release(): void {
     splitter.clear();
+    delivery.clear();
     account.close();
   }
 
