--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -2,6 +2,8 @@
 import { request } from 'node:http';
 import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
 import { callAfter } from '@kingcupsill/runtime';
+import { createByteCollector } from './byte-collector.js';
+import { hasTooManyPieces } from './piece-limit.js';
 
 /** HTTP call. */
 export interface HttpCall {
@@ -59,18 +61,21 @@
     }
 
     req.on('response', (res) => {
-      const chunks: Buffer[] = [];
+      const collector = createByteCollector();
       let receivedBytes = 0;
+      let pieces = 0;
       res.on('data', (chunk: Buffer) => {
         receivedBytes += chunk.length;
+        pieces += 1;
         if (receivedBytes > call.maxBytes) fail('response too large');
-        else chunks.push(chunk);
+        else if (hasTooManyPieces(pieces, receivedBytes)) fail('response in too many pieces');
+        else collector.add(chunk);
       });
       res.on('error', (err) => fail(err.message));
       res.on('close', () => fail('response ended early'));
       res.on('end', () => {
         if (!res.complete) return;
-        const bodyText = Buffer.concat(chunks).toString('utf8');
+        const bodyText = Buffer.concat(collector.chunks()).toString('utf8');
         settle({ ok: true, status: res.statusCode!, headers: res.headers, body: bodyText });
       });
     });
