--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -23,6 +23,9 @@
   | { ok: true; status: number; headers: IncomingHttpHeaders; body: string }
   | { ok: false; detail: string };
 
+/** No store or engine sends any; each costs processor time, and they come before any limit of the response. */
+const MAX_INTERIM_RESPONSES = 16;
+
 function openRequest(
   { agent, host, port, method, path }: HttpCall,
   body: Buffer | undefined,
@@ -60,6 +63,11 @@
       req.destroy();
     }
 
+    let interimResponses = 0;
+    req.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
+    });
     req.on('response', (res) => {
       const collector = createByteCollector();
       let receivedBytes = 0;
--- a/packages/edge/test/store/http-call.test.ts
+++ b/packages/edge/test/store/http-call.test.ts
@@ -47,3 +47,9 @@
   const result = await callEndless(head, '1\r\nx\r\n');
   assert.deepEqual(result, { ok: false, detail: 'response in too many pieces' });
 });
+
+// Guards against interim responses without end, which take the event loop until the timeout.
+test('a call that gets interim responses without end fails', async () => {
+  const result = await callEndless('', 'HTTP/1.1 103 Early Hints\r\n\r\n');
+  assert.deepEqual(result, { ok: false, detail: 'too many interim responses' });
+});
