--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -21,7 +21,7 @@
 /** Response, or the reason why there is none. */
 export type HttpCallResult =
   | { ok: true; status: number; headers: IncomingHttpHeaders; body: string }
-  | { ok: false; detail: string };
+  | { ok: false; detail: string; isTooLarge?: boolean };
 
 /** No store or engine sends any; each costs processor time, and they come before any limit of the response. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -58,8 +58,8 @@
       timer.close();
       resolve(result);
     }
-    function fail(detail: string): void {
-      settle({ ok: false, detail });
+    function fail(detail: string, isTooLarge = false): void {
+      settle(isTooLarge ? { ok: false, detail, isTooLarge } : { ok: false, detail });
       req.destroy();
     }
 
@@ -75,7 +75,7 @@
       res.on('data', (chunk: Buffer) => {
         receivedBytes += chunk.length;
         pieces += 1;
-        if (receivedBytes > call.maxBytes) fail('response too large');
+        if (receivedBytes > call.maxBytes) fail('response too large', true);
         else if (hasTooManyPieces(pieces, receivedBytes)) fail('response in too many pieces');
         else collector.add(chunk);
       });
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -43,7 +43,10 @@
 /** Shortest period of watches that show no change; a store may answer them before their wait is over. */
 const EMPTY_WATCH_PERIOD_MS = 250;
 
-/** Delays before further listings while the store has no history of the one before. */
+/** Failures of a watch after which the objects are listed again, since the next watch would fail in the same way. */
+const RELIST_FAILURES = new Set<StoreFailure>([StoreFailure.HistoryGone, StoreFailure.TooLarge]);
+
+/** Delays before further listings while no watch from the one before succeeds. */
 const RELIST_DELAYS = { initialMs: 50, maxMs: 400 };
 
 /** Timers may fire early; news that are just within their age would be waited for the whole time again. */
@@ -65,7 +68,7 @@
     /** Records the result of a watch from the position of a listing, or later. */
     recordWatch(result: StoreResult<unknown>): void {
       if (result.ok) outdated = 0;
-      else if (result.failure === StoreFailure.HistoryGone) outdated += 1;
+      else if (RELIST_FAILURES.has(result.failure)) outdated += 1;
     },
   };
 }
@@ -140,11 +143,9 @@
     if (closed || result === undefined || !results.record(result)) return undefined;
     listings.recordWatch(result);
     if (result.ok) return applyChanges(result.value, from, state, periodOver);
-    if (result.failure === StoreFailure.HistoryGone) {
+    if (result.failure === StoreFailure.HistoryGone)
       logger.info('store-history-gone', { kind, revision: from.revision });
-      return undefined;
-    }
-    return from;
+    return RELIST_FAILURES.has(result.failure) ? undefined : from;
   }
 
   /** Follows the changes from a position by the news of other routers, or else by a watch. */
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -13,11 +13,14 @@
   answerTimeoutMs: number;
 }
 
-/** Runs a feed whose store lists once, fails `failures` watches, then reports a lost history; returns the calls up to the second list. */
-async function recordStoreCalls(failures: number): Promise<StoreCall[]> {
+/** Runs a feed whose store lists once, fails `failures` watches, then with `last`; returns the calls up to the second list. */
+async function recordStoreCalls(
+  failures: number,
+  last: StoreFailure = StoreFailure.HistoryGone,
+): Promise<StoreCall[]> {
   const storeCalls: StoreCall[] = [];
   const noAnswer = { ok: false as const, failure: StoreFailure.NoResponse, detail: 'silent' };
-  const historyGone = { ok: false as const, failure: StoreFailure.HistoryGone, detail: 'gone' };
+  const lastAnswer = { ok: false as const, failure: last, detail: 'last' };
   let failuresLeft = failures;
   return new Promise((resolve) => {
     const client: Pick<StoreClient, 'listPage' | 'watch'> = {
@@ -33,7 +36,7 @@
       async watch(_kind, _revision, waitMs, answerTimeoutMs) {
         storeCalls.push({ call: 'watch', waitMs, answerTimeoutMs });
         failuresLeft -= 1;
-        return failuresLeft >= 0 ? noAnswer : historyGone;
+        return failuresLeft >= 0 ? noAnswer : lastAnswer;
       },
     };
     const feed = createObjectFeed(
@@ -64,6 +67,15 @@
   );
 });
 
+// Guards against a feed that asks for the same changes again and again, although they are more than it takes.
+test('lists again when the changes are too large for one answer', async () => {
+  const storeCalls = await recordStoreCalls(0, StoreFailure.TooLarge);
+  assert.deepEqual(
+    storeCalls.map(({ call }) => call),
+    ['list', 'watch', 'list'],
+  );
+});
+
 const GONE = { ok: false as const, failure: StoreFailure.HistoryGone, detail: 'gone' };
 
 /** Runs a feed that may use old data, whose store has no history after any listing; returns the modes of its listings and its pauses. */
