--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -1,4 +1,5 @@
 /** Listing of all objects of one kind. */
+import { StoreFailure } from '@kingcupsill/prepared-platform';
 import type {
   ReadMode,
   StoreClient,
@@ -18,6 +19,9 @@
   position: StorePosition;
 }
 
+/** Several times the text of all objects of a kind in the largest deployments. */
+const MAX_LISTING_SIZE = 8 * 1024 * 1024;
+
 /** Returns the position; an answer that states no era is taken to be of the current one. */
 export function inCurrentEra({ era, revision }: StorePosition, current: StoreEra): StorePosition {
   return { era: era ?? current.current(), revision };
@@ -31,7 +35,10 @@
   messages.forEach((message) => logger.warn('object-unreadable', { kind, message }));
 }
 
-/** Lists all pages. Returns undefined if a call fails, the store is restored meanwhile, or the listing isn't wanted any more. */
+/**
+ * Lists all pages. Returns undefined if a call fails, the pages don't end, the store is restored meanwhile, or the listing isn't wanted
+ * any more.
+ */
 export async function listObjects(
   { client, kind, era }: { client: StoreClient; kind: StoreKind; era: StoreEra },
   results: Pick<CallResults, 'record' | 'responseTimeoutMs'>,
@@ -40,6 +47,7 @@
 ): Promise<Listing | undefined> {
   const objects: StoreObject[] = [];
   const unreadable: string[] = [];
+  let size = 0;
   let cursor: string | undefined;
   let position: StorePosition | undefined;
   do {
@@ -48,6 +56,12 @@
     // The watch starts at the first page's position, so it returns the changes made during the listing.
     position ??= inCurrentEra(page.value.position, era);
     if (position.era !== era.current()) return undefined;
+    size += page.value.size;
+    if (size > MAX_LISTING_SIZE) {
+      const detail = `listing of more than ${MAX_LISTING_SIZE} characters`;
+      results.record({ ok: false, failure: StoreFailure.TooLarge, detail });
+      return undefined;
+    }
     objects.push(...page.value.objects);
     unreadable.push(...page.value.unreadable);
     cursor = page.value.nextCursor;
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -38,7 +38,7 @@
       const position = { era: stored.era, revision: stored.revision };
       return {
         ok: true,
-        value: { objects: [], unreadable: [], nextCursor: undefined, position },
+        value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position },
         era: stored.era,
       };
     },
