--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -11,6 +11,7 @@
 import { createAcceptQueue } from './accept-queue.js';
 import { createConnectionTable } from './connection-table.js';
 import type { ConnectionTable, ConnectionTotals } from './connection-table.js';
+import { createPipelineLimit } from './pipeline-limit.js';
 import { createQueuedResponses } from './queued-responses.js';
 
 /** Options of the server for callers. */
@@ -121,7 +122,7 @@
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock, options.maxConnections);
-  const queuedResponses = createQueuedResponses();
+  const limitPipeline = createPipelineLimit(createQueuedResponses(), options.logger);
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
@@ -136,6 +137,7 @@
 
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
+    if (socket.destroyed) return;
     const earlier = lastResponses.get(socket);
     // It arrived behind a response that has announced the close of the connection.
     if (socket.writableEnded || earlier?.headersSent === true) {
@@ -145,7 +147,6 @@
     if (earlier !== undefined) earlier.shouldKeepAlive = true;
     const isServed = connections.isServed(socket);
     connections.requestStarted(socket, req);
-    queuedResponses.add(socket, res);
     res.sendDate = false;
     if (!isServed || options.clock() >= phase.drainedFromMs) {
       res.shouldKeepAlive = false;
@@ -155,6 +156,7 @@
       connections.requestEnded(socket, res.writableFinished);
       if (phase.closing) closeWhenUnused(socket);
     });
+    if (!limitPipeline(socket, res)) return;
     if (isLate()) options.onLateRequest(req, res);
     else if (!isServed) options.onExcessRequest(req, res);
     // A request behind an open one is refused, so that the connection closes soon.
--- a/packages/edge/src/callers/queued-responses.ts
+++ b/packages/edge/src/callers/queued-responses.ts
@@ -6,6 +6,8 @@
 export interface QueuedResponses {
   /** Adds a response, which emits `close` at the latest when its connection closes. */
   add(socket: Socket, res: ServerResponse): void;
+  /** Number of open responses of a connection. */
+  count(socket: Socket): number;
 }
 
 function closeIfQueued(res: ServerResponse): void {
@@ -31,5 +33,6 @@
       responses.add(res);
       res.once('close', () => responses.delete(res));
     },
+    count: (socket) => responsesBySocket.get(socket)?.size ?? 0,
   };
 }
