--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -9,21 +9,35 @@
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
 
+/** Maximum number of entries of a list; reports of this build have at most 128 servers. */
+const MAX_ENTRIES = 8192;
+/** Maximum number of lists; reports of this build have eight. */
+const MAX_LISTS = 64;
+
+/** List that is read up to its first invalid entry, since a million of them would have a million errors. */
+const listOf = <TSchema extends z.ZodType>(entry: TSchema) =>
+  z.custom<z.infer<TSchema>[]>(
+    (value) =>
+      Array.isArray(value) &&
+      value.length <= MAX_ENTRIES &&
+      value.every((item) => entry.safeParse(item).success),
+  );
+
 const count = z.tuple([z.string(), z.number()]);
 const loadSchema = z.tuple([
   z.string(),
   z.number(),
   z.number(),
-  z.array(count),
+  listOf(count),
   /** Sent requests; missing in reports of earlier builds. */
   z.number().optional(),
 ]);
 /** The rate is null for a server whose limit is lifted. */
 const limitSchema = z.tuple([z.string(), z.number().nullable(), z.number()]);
 const crashNewsSchema = z.tuple([
-  z.array(z.tuple([z.string(), z.array(z.string())])),
-  z.array(z.string()),
-  z.array(z.tuple([z.array(z.string()), z.number()])),
+  listOf(z.tuple([z.string(), listOf(z.string())])),
+  listOf(z.string()),
+  listOf(z.tuple([listOf(z.string()), z.number()])),
 ]);
 /** Kind, era, revision and age in milliseconds. */
 const storeNewsSchema = z.tuple([z.string(), z.number().nullable(), z.number(), z.number()]);
@@ -32,13 +46,13 @@
 const reportSchema = z
   .tuple([
     z.string(),
-    z.array(loadSchema),
-    z.array(z.tuple([z.string(), z.number(), z.number()])),
-    z.array(z.string()).optional(),
-    z.array(storeNewsSchema).optional(),
+    listOf(loadSchema),
+    listOf(z.tuple([z.string(), z.number(), z.number()])),
+    listOf(z.string()).optional(),
+    listOf(storeNewsSchema).optional(),
     crashNewsSchema.nullable().optional(),
-    z.array(limitSchema).optional(),
-    z.array(count).optional(),
+    listOf(limitSchema).optional(),
+    listOf(count).optional(),
   ])
   .rest(z.unknown());
 
@@ -145,7 +159,10 @@
     },
     decode(bytes) {
       try {
-        return { ok: true, value: readReport(reportSchema.parse(packr.unpack(bytes))) };
+        const wire: unknown = packr.unpack(bytes);
+        if (Array.isArray(wire) && wire.length > MAX_LISTS)
+          return { ok: false, message: `${wire.length} lists` };
+        return { ok: true, value: readReport(reportSchema.parse(wire)) };
       } catch (err) {
         return { ok: false, message: (err as Error).message };
       }
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -93,6 +93,18 @@
   assert.equal(longer.ok, true);
 });
 
+// Guards against one report of a megabyte whose entries, or the errors about them, fill the heap.
+test('reads a list up to its first invalid entry, and none that is too long', () => {
+  const codec = createReportCodec();
+  const packr = new Packr({ useRecords: false });
+  const wire = packr.unpack(codec.encode(report)) as unknown[];
+  const invalid = codec.decode(packr.pack(wire.with(1, Array(5000).fill([]))));
+  assert.ok(!invalid.ok && invalid.message.length < 1000);
+  const many = Array.from({ length: 100_000 }, (_none, index) => [`e${index}`, 1, 1, [], 1]);
+  assert.equal(codec.decode(packr.pack(wire.with(1, many))).ok, false);
+  assert.equal(codec.decode(packr.pack(Array(1000).fill('x'))).ok, false);
+});
+
 interface TestRouter {
   info: RouterInfo;
   links: PeerLinks;
