--- a/packages/edge/src/peers/dialed-link.ts
+++ b/packages/edge/src/peers/dialed-link.ts
@@ -1,7 +1,7 @@
 /** One connection that this router opens to another. */
 import { WebSocket } from 'ws';
 import { createOpenLink } from './open-link.js';
-import { LINK_TIMEOUT_MS } from './types.js';
+import { LINK_TIMEOUT_MS, SOCKET_OPTIONS } from './types.js';
 import type { LinkContext, LinkListener, LinkRole, LinkTarget } from './types.js';
 
 /** Connection that is open or being opened. */
@@ -23,7 +23,7 @@
   onEnded: () => void,
 ): DialedLink {
   const socket = new WebSocket(`ws://${target.address}/${role}/${encodeURIComponent(self)}`, {
-    perMessageDeflate: false,
+    ...SOCKET_OPTIONS,
     handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
   });
   let lastTrafficMs = clock();
@@ -55,9 +55,9 @@
 
   return {
     checkLiveness() {
-      if (!isOpen) return;
+      // The timeout of the handshake is one of silence, and a handshake may be sent without end.
       if (clock() - lastTrafficMs > LINK_TIMEOUT_MS) socket.terminate();
-      else socket.ping();
+      else if (isOpen) socket.ping();
     },
     close: () => socket.terminate(),
   };
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -5,7 +5,7 @@
 import type { WebSocket } from 'ws';
 import { listenWhenFree } from '../listen-when-free.js';
 import { createOpenLink } from './open-link.js';
-import { LINK_TIMEOUT_MS, LinkRole } from './types.js';
+import { LINK_TIMEOUT_MS, LinkRole, SOCKET_OPTIONS } from './types.js';
 import type { LinkListener, OpenLink } from './types.js';
 
 /** Options of the incoming links. */
@@ -34,8 +34,6 @@
   lastTrafficMs: number;
 }
 
-/** Maximum size of a report, which has a few dozen bytes per backend server and account. */
-const MAX_REPORT_BYTES = 1024 * 1024;
 const UPGRADE_REQUIRED = 426;
 /** Application-defined close code of WebSocket: this router isn't a hub. */
 const CLOSE_NOT_HUB = 4001;
@@ -52,11 +50,7 @@
 export async function createIncomingLinks(options: IncomingLinksOptions): Promise<IncomingLinks> {
   const { clock, logger, listeners } = options;
   const peers = new Map<WebSocket, Peer>();
-  const server = new WebSocketServer({
-    noServer: true,
-    perMessageDeflate: false,
-    maxPayload: MAX_REPORT_BYTES,
-  });
+  const server = new WebSocketServer({ noServer: true, ...SOCKET_OPTIONS });
 
   function accept(socket: WebSocket, role: LinkRole, router: string): void {
     const link = createOpenLink(socket, `from-${role}:${router}#${options.nextLinkNumber()}`);
--- a/packages/edge/src/peers/types.ts
+++ b/packages/edge/src/peers/types.ts
@@ -45,3 +45,16 @@
 export const LINK_TIMEOUT_MS = 2100;
 /** Send buffer above which a report waits; it then also covers later changes. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
+
+/** Maximum size of a report, which has a few dozen bytes per backend server and account. */
+const MAX_REPORT_BYTES = 1024 * 1024;
+/**
+ * Limits of a connection, whichever side has opened it. A report is one frame; it may arrive in pieces of a quarter of a kilobyte, each
+ * of which takes some hundred bytes of heap until it is complete.
+ */
+export const SOCKET_OPTIONS = {
+  perMessageDeflate: false,
+  maxPayload: MAX_REPORT_BYTES,
+  maxFragments: 16,
+  maxBufferedChunks: MAX_REPORT_BYTES / 256,
+};
