--- a/packages/edge/test/start/settings.test.ts
+++ b/packages/edge/test/start/settings.test.ts
@@ -35,6 +35,20 @@
   return opened.source;
 }
 
+// Guards against a file that takes the process's memory and seconds of its time, and is read again every two seconds.
+test('keeps the settings in force when the file has become too large', async () => {
+  const source = await open(completeText);
+  const { id } = source.current().process;
+  await write(`${completeText}${'; comment\n'.repeat(100_000)}`.replace('id = ', 'id = new-'));
+  const lines: LoggedLine[] = [];
+  source.reload(createRecordingLogger(lines));
+  assert.equal(source.current().process.id, id);
+  assert.deepEqual(
+    lines.map(({ event }) => event),
+    ['settings-unreadable'],
+  );
+});
+
 const toleratedFiles: [string, (text: string) => string, RegExp][] = [
   ['an unknown key', (text) => text.replace('[peers]', '[peers]\nnew = 1'), /\[peers\] new: unk/],
   ['an unknown section', (text) => `${text}[new]\nkey = 1\n`, /\[new\]: unknown section/],
--- a/packages/runtime/src/settings/load-settings.ts
+++ b/packages/runtime/src/settings/load-settings.ts
@@ -1,5 +1,5 @@
 /** Loading of settings from an INI file and environment variables, with validation against a schema. */
-import { readFileSync } from 'node:fs';
+import { readFileSync, statSync } from 'node:fs';
 import { parse } from 'ini';
 import type { z } from 'zod';
 import { listFields, ENVIRONMENT_PREFIX } from './fields.js';
@@ -19,6 +19,9 @@
 type Warn = (message: string) => void;
 type Result<TValue> = { ok: true; value: TValue } | { ok: false; message: string };
 
+/** Hundreds of times the size of a file with all keys. */
+const MAX_FILE_BYTES = 256 * 1024;
+
 const BYTE_ORDER_MARK = /^\uFEFF/;
 
 const BOOLEANS_BY_TEXT: Partial<Record<string, boolean>> = {
@@ -67,7 +70,14 @@
 
 function readSettingsFile(file: string): Result<string> {
   try {
-    // eslint-disable-next-line n/no-sync -- read once, before the process starts
+    // eslint-disable-next-line n/no-sync -- takes microseconds
+    const { size } = statSync(file);
+    if (size > MAX_FILE_BYTES)
+      return {
+        ok: false,
+        message: `${file}: settings file has ${size} bytes, over ${MAX_FILE_BYTES}`,
+      };
+    // eslint-disable-next-line n/no-sync -- a few kilobytes, read at the start and when they have changed
     return { ok: true, value: readFileSync(file, 'utf8').replace(BYTE_ORDER_MARK, '') };
   } catch (err) {
     const code = (err as NodeJS.ErrnoException).code ?? String(err);
