--- a/packages/edge/src/run-edge.ts
+++ b/packages/edge/src/run-edge.ts
@@ -11,6 +11,7 @@
 } from '@kingcupsill/runtime';
 import type { Logger, ReceivedSignals } from '@kingcupsill/runtime';
 import { Registry } from 'prom-client';
+import { coalesce } from './coalesce.js';
 import { startEdge } from './edge.js';
 import { createRateLimitedLogger } from './logs/rate-limited-logger.js';
 import { exitIfStopped, loadFirstSettings } from './first-settings.js';
@@ -20,8 +21,14 @@
 /** Polling period of the settings file: a change without SIGHUP takes effect about as fast as a configuration change. */
 const SETTINGS_CHECK_MS = 2000;
 
+/** Shortest period of readings for signals. */
+const RELOAD_PERIOD_MS = 250;
+
 function followSettings(source: SettingsSource, logger: Logger, signals: ReceivedSignals): void {
-  signals.handle('SIGHUP', () => source.reload(logger));
+  signals.handle(
+    'SIGHUP',
+    coalesce(() => source.reload(logger), RELOAD_PERIOD_MS),
+  );
   setInterval(() => source.reloadIfChanged(logger), SETTINGS_CHECK_MS).unref();
 }
 
