--- a/packages/edge/src/admin/admin-server.ts
+++ b/packages/edge/src/admin/admin-server.ts
@@ -1,11 +1,11 @@
 /** HTTP server for operators: metrics and the state dump. */
-import { createServer } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { describeState } from '@kingcupsill/core/direct';
 import { closeServer } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
 import { listenWhenFree } from '../listen-when-free.js';
 import { parseAddress } from '../settings.js';
+import { createSideServer } from '../side-server.js';
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
 
@@ -24,7 +24,7 @@
 /** Starts the server on the address in the settings. */
 export async function createAdminServer(
   ctx: EdgeContext,
-  { state }: Pick<EdgeParts, 'state'>,
+  { state, connectionLimits }: Pick<EdgeParts, 'state' | 'connectionLimits'>,
 ): Promise<Closable> {
   const pages: Record<string, () => Page | Promise<Page>> = {
     '/metrics': async () => ({
@@ -43,7 +43,12 @@
     else writePage(res, 200, await page());
   }
 
-  const server = createServer((req, res) => {
+  const sideOptions = {
+    listener: 'admin',
+    maxConnections: connectionLimits.side,
+    logger: ctx.logger,
+  };
+  const server = createSideServer(sideOptions, (req, res) => {
     handle(req.url, res).catch((err: unknown) => {
       ctx.logger.error('admin-call-failed', { url: req.url, err });
       res.destroy();
--- a/packages/edge/src/callers/pipeline-limit.ts
+++ b/packages/edge/src/callers/pipeline-limit.ts
@@ -4,10 +4,15 @@
 import type { Logger } from '@kingcupsill/runtime';
 import type { QueuedResponses } from './queued-responses.js';
 
-/** Number from which a connection isn't read until one of them has ended. */
-const PAUSE_REQUESTS = 16;
-/** Number above which a connection is closed. What a single read holds is parsed as a whole, so a pause comes too late for it. */
-const MAX_REQUESTS = 128;
+/** Numbers of open requests on a connection. */
+export interface PipelineLimits {
+  /** From this number on, the connection isn't read until one has ended. */
+  pauseRequests: number;
+  /** Above this number, the connection is closed. What a single read holds is parsed as a whole, so a pause comes too late for it. */
+  maxRequests: number;
+}
+
+const CALLER_LIMITS: PipelineLimits = { pauseRequests: 16, maxRequests: 128 };
 
 /**
  * Adds a request on a connection. Returns false if it mustn't be processed, since the connection is closed for too many of them.
@@ -15,18 +20,22 @@
 export type LimitPipeline = (socket: Socket, res: ServerResponse) => boolean;
 
 /** Creates the limit. */
-export function createPipelineLimit(responses: QueuedResponses, logger: Logger): LimitPipeline {
+export function createPipelineLimit(
+  responses: QueuedResponses,
+  logger: Logger,
+  { pauseRequests, maxRequests }: PipelineLimits = CALLER_LIMITS,
+): LimitPipeline {
   return (socket, res) => {
     responses.add(socket, res);
     const open = responses.count(socket);
-    if (open > MAX_REQUESTS) {
+    if (open > maxRequests) {
       logger.warn('pipeline-too-long', { open });
       socket.destroy();
       return false;
     }
-    if (open >= PAUSE_REQUESTS) socket.pause();
+    if (open >= pauseRequests) socket.pause();
     res.once('close', () => {
-      if (socket.isPaused() && responses.count(socket) < PAUSE_REQUESTS) socket.resume();
+      if (socket.isPaused() && responses.count(socket) < pauseRequests) socket.resume();
     });
     return true;
   };
--- a/packages/edge/src/descriptors.ts
+++ b/packages/edge/src/descriptors.ts
@@ -11,6 +11,10 @@
   refusedCallers: number;
   /** Connections to backend servers. */
   servers: number;
+  /** Links that other routers open. */
+  links: number;
+  /** Connections of readiness checks, of operators, and of routers before their links are open: a number for each. */
+  side: number;
 }
 
 /** Descriptors for files, listeners, the store, peers, readiness and metrics: a number and a fraction, at most half of all. */
@@ -20,13 +24,22 @@
 const REFUSED_FRACTION = 1 / 8;
 const MIN_REFUSED = 16;
 
+/** More connections than this are no use to readiness checks or operators. */
+const MAX_SIDE = 64;
+
 /** Divides `maxFds` descriptors. Each request may need a connection to a server besides its caller's. */
 export function divideDescriptors(maxFds: number): ConnectionLimits {
   const own = Math.min(maxFds / 2, OWN_DESCRIPTORS + maxFds * OWN_FRACTION);
   const rest = maxFds - own;
   const refused = Math.max(rest * REFUSED_FRACTION, Math.min(MIN_REFUSED, rest / 4));
   const served = Math.floor((rest - refused) / 2);
-  return { callers: served, refusedCallers: Math.floor(refused), servers: served };
+  return {
+    callers: served,
+    refusedCallers: Math.floor(refused),
+    servers: served,
+    links: Math.floor(own / 2),
+    side: Math.min(MAX_SIDE, Math.floor(own / 8)),
+  };
 }
 
 const PROCESS_LIMITS_FILE = '/proc/self/limits';
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -221,6 +221,8 @@
         clock,
         logger,
         stopping: ctx.stopping,
+        maxLinks: parts.connectionLimits.links,
+        maxConnections: parts.connectionLimits.side,
         storeNews: parts.storeNews,
         blocks: parts.state.crashEvidence.blocks,
         serverLimits: parts.state.serverLimits,
@@ -283,7 +285,7 @@
 
 function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
   return {
-    create({ state, phase, loopLag }) {
+    create({ state, phase, loopLag, connectionLimits }) {
       let wasOverloaded = false;
       /** An overloaded router leaves new connections to the others of its zone. */
       function checkOverload(): boolean {
@@ -297,6 +299,7 @@
         ...parseAddress(ctx.settings().callers.readinessAddress),
         logger: ctx.logger,
         stopping: ctx.stopping,
+        maxConnections: connectionLimits.side,
         isReady: () =>
           phase.accepting &&
           !phase.draining &&
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -1,9 +1,9 @@
 /** Links that other routers open to this one. */
-import { createServer } from 'node:http';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
 import { listenWhenFree } from '../listen-when-free.js';
+import { createSideServer } from '../side-server.js';
 import { createOpenLink } from './open-link.js';
 import { LINK_TIMEOUT_MS, LinkRole, SOCKET_OPTIONS } from './types.js';
 import type { LinkListener, OpenLink } from './types.js';
@@ -15,6 +15,10 @@
   clock: Clock;
   logger: Logger;
   stopping?: AbortSignal;
+  /** Maximum number of accepted links; further ones are closed. */
+  maxLinks: number;
+  /** Maximum number of connections that aren't links yet. */
+  maxConnections: number;
   /** Returns whether links of this role are accepted now. */
   accepts: (role: LinkRole) => boolean;
   listeners: Record<LinkRole, LinkListener>;
@@ -37,6 +41,8 @@
 const UPGRADE_REQUIRED = 426;
 /** Application-defined close code of WebSocket: this router isn't a hub. */
 const CLOSE_NOT_HUB = 4001;
+/** Close code of WebSocket: the server is overloaded. */
+const CLOSE_TRY_LATER = 1013;
 
 function parsePath(url: string | undefined): { role: LinkRole; router: string } {
   const [, role, router] = (url ?? '').split('/');
@@ -74,10 +80,15 @@
     // Each error is followed by a close event.
     socket.on('error', (err) => logger.debug('peer-link-failed', { reason: err.message }));
     const { role, router } = parsePath(req.url);
-    if (options.accepts(role)) accept(socket, role, router);
+    if (peers.size >= options.maxLinks) {
+      logger.warn('peer-links-full', { limit: options.maxLinks, router });
+      socket.close(CLOSE_TRY_LATER);
+    } else if (options.accepts(role)) accept(socket, role, router);
     else socket.close(CLOSE_NOT_HUB);
   });
-  const httpServer = createServer((_req, res) => res.writeHead(UPGRADE_REQUIRED).end());
+  const httpServer = createSideServer({ ...options, listener: 'peers' }, (_req, res) => {
+    res.writeHead(UPGRADE_REQUIRED).end();
+  });
   httpServer.on('upgrade', (req, socket, head) => {
     server.handleUpgrade(req, socket, head, (link) => server.emit('connection', link, req));
   });
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -22,6 +22,10 @@
   host: string;
   port: number;
   stopping?: AbortSignal;
+  /** Maximum number of accepted links. */
+  maxLinks: number;
+  /** Maximum number of connections that aren't links yet. */
+  maxConnections: number;
   hasher: Hasher;
   /** Name and incarnation of this router, which its reports carry. */
   router: string;
@@ -86,6 +90,8 @@
     host: options.host,
     port: options.port,
     stopping: options.stopping,
+    maxLinks: options.maxLinks,
+    maxConnections: options.maxConnections,
     accepts: (role) => role === LinkRole.Member || groups.isHub(),
     listeners: {
       [LinkRole.Member]: listen(LinkKind.Member, true),
--- /dev/null
+++ b/packages/edge/src/side-server.ts
@@ -0,0 +1,68 @@
+/** HTTP server besides the one for callers: readiness, metrics and links. Its callers send short requests without a body. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Logger } from '@kingcupsill/runtime';
+import { createPipelineLimit } from './callers/pipeline-limit.js';
+import { createQueuedResponses } from './callers/queued-responses.js';
+
+/** Options of a server. */
+export interface SideServerOptions {
+  /** Name of the listener in the log. */
+  listener: string;
+  /** Maximum number of connections, without upgraded ones. */
+  maxConnections: number;
+  logger: Logger;
+}
+
+const SERVER_OPTIONS = {
+  maxHeaderSize: 8 * 1024,
+  headersTimeout: 5000,
+  requestTimeout: 5000,
+  connectionsCheckingInterval: 1000,
+};
+/** Requests that are open on one connection at a time. */
+const PIPELINE_LIMITS = { pauseRequests: 1, maxRequests: 8 };
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+}
+
+/**
+ * Creates a server that doesn't listen yet. Beyond its connections, the oldest one that has sent no request is closed in favour of a
+ * new one, or else the oldest, so that connections without use can't keep others out.
+ */
+export function createSideServer(
+  { listener, maxConnections, logger }: SideServerOptions,
+  onRequest: (req: IncomingMessage, res: ServerResponse) => void,
+): Server {
+  const unused = new Set<Socket>();
+  const used = new Set<Socket>();
+  const limitPipeline = createPipelineLimit(createQueuedResponses(), logger, PIPELINE_LIMITS);
+
+  function remove(socket: Socket): void {
+    unused.delete(socket);
+    used.delete(socket);
+  }
+
+  const server = createServer(SERVER_OPTIONS, (req, res) => {
+    const { socket } = req;
+    if (socket.destroyed) return;
+    if (unused.delete(socket)) used.add(socket);
+    // The body of a request is not read any further.
+    if (hasBody(req)) res.shouldKeepAlive = false;
+    if (limitPipeline(socket, res)) onRequest(req, res);
+  });
+  server.on('connection', (socket: Socket) => {
+    if (unused.size + used.size >= maxConnections) {
+      const [oldest = [...used][0]] = unused;
+      logger.warn('side-connection-closed', { listener, limit: maxConnections });
+      oldest?.destroy();
+      if (oldest !== undefined) remove(oldest);
+    }
+    unused.add(socket);
+    socket.on('close', () => remove(socket));
+  });
+  server.on('upgrade', (_req, socket) => remove(socket as Socket));
+  return server;
+}
--- a/packages/edge/test/callers/pipeline-limit.test.ts
+++ b/packages/edge/test/callers/pipeline-limit.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
+import { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
 import { test } from 'node:test';
+import { createPipelineLimit } from '../../src/callers/pipeline-limit.js';
+import { createQueuedResponses } from '../../src/callers/queued-responses.js';
 import { waitUntil, withDeployment } from '../standins/deployment.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
 import { createRawCaller, requestHead } from '../standins/raw-caller.js';
 import { sendAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
@@ -8,18 +13,24 @@
 const HEAD = requestHead('/any/1', ['Content-Length: 0']);
 
 // Guards against one connection whose requests, sent without reading an answer, fill the heap.
-test('a caller that sends requests without end loses its connection', async () => {
-  await withDeployment([sendAnswer], async (deployment) => {
-    const caller = createRawCaller(deployment);
-    caller.pause();
-    const block = HEAD.repeat(500);
-    const flood = setInterval(() => caller.write(block), 1);
-    await waitUntil(() => deployment.logLines.some(({ event }) => event === 'pipeline-too-long'));
-    clearInterval(flood);
-    caller.resume();
-    await waitUntil(() => caller.isClosed());
-    assert.equal((await deployment.call('/any/1')).status, 200);
+test('a connection is not read while requests are open, and closed for too many', () => {
+  const limit = createPipelineLimit(createQueuedResponses(), createRecordingLogger(), {
+    pauseRequests: 2,
+    maxRequests: 3,
   });
+  const socket = new Socket();
+  const responses = [1, 2, 3, 4].map(() => new ServerResponse(new IncomingMessage(socket)));
+  const [first, second, third, fourth] = responses as [ServerResponse, ...ServerResponse[]];
+  assert.equal(limit(socket, first), true);
+  assert.equal(socket.isPaused(), false);
+  assert.equal(limit(socket, second!), true);
+  assert.equal(socket.isPaused(), true);
+  first.emit('close');
+  assert.equal(socket.isPaused(), false);
+  assert.equal(limit(socket, third!), true);
+  assert.equal(limit(socket, first), true);
+  assert.equal(limit(socket, fourth!), false);
+  assert.equal(socket.destroyed, true);
 });
 
 test('pipelined requests are all answered, also while the connection is not read', async () => {
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -123,6 +123,8 @@
     hasher: await createHasher(),
     clock: () => performance.now(),
     logger: createRecordingLogger(),
+    maxLinks: 100,
+    maxConnections: 10,
     onReport: (receivedReport) => received.push(receivedReport),
     onPeerLost: (link) => lost.push(link),
     onSent: () => undefined,
