--- a/packages/edge/src/callers/read-body.ts
+++ b/packages/edge/src/callers/read-body.ts
@@ -2,12 +2,13 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import { createByteCollector } from '../byte-collector.js';
+import { hasTooManyPieces } from '../piece-limit.js';
 import type { BodyReservation } from './body-budget.js';
 
 /** Complete body with its SHA-256 digest, or the reason why there is none. */
 export type ReadBodyResult =
   | { ok: true; body: Buffer; digest: Buffer }
-  | { ok: false; reason: 'too-large' | 'no-memory' | 'broken' };
+  | { ok: false; reason: 'too-large' | 'no-memory' | 'too-many-pieces' | 'broken' };
 
 /** Limits of a body. */
 export interface BodyLimits {
@@ -32,6 +33,16 @@
   };
 }
 
+/** Returns a function that closes the connection of a request behind what has been written to it. */
+function createCloseOnce({ socket }: IncomingMessage): () => void {
+  let isClosing = false;
+  return () => {
+    if (isClosing) return;
+    isClosing = true;
+    socket.destroySoon();
+  };
+}
+
 function createChunkCollector(): BodyCollector {
   const { add, chunks } = createByteCollector();
   return { add, collect: () => Buffer.concat(chunks()) };
@@ -39,17 +50,19 @@
 
 /**
  * Reads a body into reserved memory and calls back once: at once if its stated length is too large or can't be reserved. The rest of
- * a body that isn't kept is read and discarded.
+ * a body that isn't kept is read and discarded, unless it comes in too many pieces: its connection is closed behind the answer.
  */
 export function readBody(
   req: IncomingMessage,
   { maxBytes, reservation }: BodyLimits,
   done: (result: ReadBodyResult) => void,
 ): void {
+  const closeOnce = createCloseOnce(req);
   const hash = createHash('sha256');
   const lengthHeader = req.headers['content-length'];
   let collector: BodyCollector | undefined;
   let receivedBytes = 0;
+  let pieces = 0;
   let finished = false;
 
   function finish(result: ReadBodyResult): void {
@@ -68,6 +81,11 @@
 
   req.on('data', (chunk: Buffer) => {
     receivedBytes += chunk.length;
+    pieces += 1;
+    if (hasTooManyPieces(pieces, receivedBytes)) {
+      finish({ ok: false, reason: 'too-many-pieces' });
+      closeOnce();
+    }
     if (finished || !reserve(receivedBytes)) return;
     collector?.add(chunk);
     hash.update(chunk);
@@ -82,9 +100,11 @@
   else if (reserve(Number(lengthHeader))) collector = createFixedCollector(Number(lengthHeader));
 }
 
-/** Reads and discards a body. Calls back once, at its end or as soon as it is too large. */
+/** Reads and discards a body. Calls back once, at its end or as soon as it is too large or comes in too many pieces. */
 export function discardBody(req: IncomingMessage, maxBytes: number, done: () => void): void {
+  const closeOnce = createCloseOnce(req);
   let receivedBytes = 0;
+  let pieces = 0;
   let finished = false;
 
   function finish(): void {
@@ -95,7 +115,11 @@
 
   req.on('data', (chunk: Buffer) => {
     receivedBytes += chunk.length;
+    pieces += 1;
     if (receivedBytes > maxBytes) finish();
+    if (!hasTooManyPieces(pieces, receivedBytes)) return;
+    finish();
+    closeOnce();
   });
   req.on('end', finish);
   req.on('error', finish);
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -62,6 +62,7 @@
 const REFUSALS_BY_REASON: Record<string, Refusal | undefined> = {
   'too-large': BODY_TOO_LARGE_REFUSAL,
   'no-memory': MEMORY_FULL_REFUSAL,
+  'too-many-pieces': BODY_TOO_LARGE_REFUSAL,
 };
 /** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_WAIT_FRACTION = 0.25;
--- a/packages/edge/test/callers/odd-requests.test.ts
+++ b/packages/edge/test/callers/odd-requests.test.ts
@@ -4,7 +4,8 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { parseAddress } from '../../src/settings.js';
-import { createDeployment } from '../standins/deployment.js';
+import { createDeployment, waitUntil } from '../standins/deployment.js';
+import { requestHead } from '../standins/raw-caller.js';
 import { sendAnswer } from '../standins/server-standin.js';
 
 const HEAD_LINES = ['Host: a.example', 'Credential: key-1', 'Connection: close'];
@@ -67,3 +68,26 @@
   await deployment.close();
   assert.equal(answer.status, 200);
 });
+
+// Guards against one caller whose pieces of one byte take the event loop from all others.
+test('refuses a body that comes in too many pieces, and reads it no further', async () => {
+  const deployment = await createDeployment([(arrival) => sendAnswer(arrival)]);
+  const address = parseAddress(deployment.settings.callers.address);
+  for (const path of ['/any/1', '/none']) {
+    const socket = connect(address);
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+    });
+    socket.on('error', () => undefined);
+    const head = requestHead(path, ['Transfer-Encoding: chunked']);
+    const block = '1\r\nx\r\n'.repeat(2000);
+    const write = (): void => {
+      if (!socket.destroyed) socket.write(block, () => setImmediate(write));
+    };
+    socket.write(head, write);
+    await waitUntil(() => /^HTTP\/1.1 4\d\d /.test(received));
+    await waitUntil(() => socket.closed);
+  }
+  await deployment.close();
+});
