--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -52,7 +52,7 @@
       else if (framing === BodyFraming.Close) logger.info('body-ended-by-close', fields);
     },
     onError: (err) => parts.requestErrors.record('attempt', request, err),
-    onEnded(outcome, detail, response) {
+    onEnded(outcome, detail, response, received) {
       onEnded();
       exchange.bufferedResponse = response;
       if (response !== undefined) releaseWithCaller(exchange, response);
@@ -64,6 +64,7 @@
           server: serverKey,
           end: outcome,
           detail,
+          ...received,
           traits: listCrashTraits(exchange.attributes),
         });
       }
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -6,15 +6,19 @@
 import { callAfter } from '@kingcupsill/runtime';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
+import { limitPieces } from './piece-limit.js';
+import type { PieceLimit } from './piece-limit.js';
 import { bufferResponse, discardResponse } from './read-response.js';
 import type { Protect, ResponseHandlers } from './read-response.js';
 import { getRunHead, relayEvents } from './relay-events.js';
+import type { StreamOptions } from './relay-events.js';
 import type { ServerConnections } from './server-connections.js';
 import { BodyFraming } from './types.js';
 import type {
   AttemptListener,
   AttemptRequest,
   BufferedResponse,
+  ReceivedAmount,
   ResponseSink,
   RunningAttempt,
 } from './types.js';
@@ -80,6 +84,67 @@
   clientReq.destroy();
 }
 
+/** What an attempt receives. */
+interface Reception {
+  /** Limit on the response; undefined before its head. */
+  limit: PieceLimit | undefined;
+  amount(): ReceivedAmount;
+}
+
+function createReception(clientReq: ClientRequest): Reception {
+  let bytesReadBefore = 0;
+  clientReq.on('socket', (socket) => {
+    bytesReadBefore = socket.bytesRead;
+  });
+  const reception: Reception = {
+    limit: undefined,
+    amount: () => ({
+      receivedBytes: (clientReq.socket?.bytesRead ?? 0) - bytesReadBefore,
+      bodyBytes: 0,
+      pieces: 0,
+      ...reception.limit?.received(),
+    }),
+  };
+  return reception;
+}
+
+function limitInterimResponses(
+  clientReq: ClientRequest,
+  onExceeded: (detail: string) => void,
+): void {
+  let count = 0;
+  clientReq.on('information', () => {
+    count += 1;
+    if (count > MAX_INTERIM_RESPONSES) onExceeded('too many interim responses');
+  });
+}
+
+/** Response whose body matters. */
+interface ResponseToRead {
+  res: IncomingMessage;
+  isStream: boolean;
+  limit: PieceLimit;
+}
+
+function readResponse(
+  { res, isStream, limit }: ResponseToRead,
+  { responseBudget }: ServerConnections,
+  options: StreamOptions,
+  handlers: ResponseHandlers,
+): void {
+  const { listener } = options;
+  if (!isStream) {
+    listener.onBegun();
+    bufferResponse(res, responseBudget, listener, handlers);
+    return;
+  }
+  const onDelivered: AttemptListener['onDelivered'] = (lastEventId) => {
+    limit.startNextEvent();
+    listener.onDelivered(lastEventId);
+  };
+  relayEvents(res, { ...options, listener: { ...listener, onDelivered } }, handlers);
+}
+
 /** Starts an attempt. The listener's `onEnded` is called exactly once, unless the attempt is cancelled. */
 export function startAttempt(
   connections: ServerConnections,
@@ -90,12 +155,12 @@
   const clientReq = openRequest(connections, req);
   const isConnected = watchConnection(clientReq, () => fail('connect timeout'));
   let ended = false;
-  let interimResponses = 0;
+  const reception = createReception(clientReq);
 
   function end(outcome: AttemptOutcome, detail: string, response?: BufferedResponse): void {
     if (ended) return;
     ended = true;
-    listener.onEnded(outcome, detail, response);
+    listener.onEnded(outcome, detail, response, reception.amount());
   }
 
   function fail(detail: string): void {
@@ -103,6 +168,12 @@
     abandon(clientReq, req);
   }
 
+  /** Ends the attempt at a server that answers with a response that can't be passed on. */
+  function invalidate(detail: string): void {
+    end(AttemptOutcome.Invalid, detail);
+    clientReq.destroy();
+  }
+
   /** Runs a callback of the response; an error in it ends this attempt and nothing else. */
   const protect: Protect =
     (callback) =>
@@ -119,15 +190,18 @@
     const { attemptId } = req;
     const isReusedConnection = clientReq.reusedSocket;
     const classification = classifyResponseHead(res, { attemptId, isReusedConnection });
-    if (classification.announcement !== undefined)
-      listener.onAnnounced(classification.announcement);
-    const { detail } = classification;
+    const { announcement, detail, isFinal, outcome } = classification;
+    if (announcement !== undefined) listener.onAnnounced(announcement);
+    const isStream = outcome === AttemptOutcome.Complete && isRelayed(req, res, sink);
+    const { crowdedReads } = connections;
+    const limit = limitPieces(res, { crowdedReads, isStream, onExceeded: protect(invalidate) });
+    reception.limit = limit;
     if (getBodyFraming(res) === BodyFraming.Close) enableResetDetection(res);
     res.on('error', (err) => fail(err.message));
     res.on('close', () => fail('response ended early'));
-    if (classification.isFinal) {
-      end(classification.outcome, detail);
-      if (classification.outcome === AttemptOutcome.Unknown) clientReq.destroy();
+    if (isFinal) {
+      end(outcome, detail);
+      if (outcome === AttemptOutcome.Unknown) clientReq.destroy();
       else discardResponse(res, () => clientReq.destroy());
       return;
     }
@@ -136,29 +210,22 @@
       onComplete(response: BufferedResponse | undefined): void {
         // A connection can't be reused while the request is still being sent.
         if (!clientReq.writableFinished) clientReq.destroy();
-        end(classification.outcome, detail, response);
+        end(outcome, detail, response);
       },
       onFailure: fail,
-      onInvalid(invalidity): void {
-        end(AttemptOutcome.Invalid, invalidity);
-        clientReq.destroy();
-      },
+      onInvalid: invalidate,
       isEnded: () => ended,
     };
-    if (classification.outcome === AttemptOutcome.Complete && isRelayed(req, res, sink)) {
-      relayEvents(res, { ...req, sink, listener }, handlers);
-    } else {
-      listener.onBegun();
-      bufferResponse(res, connections.responseBudget, listener, handlers);
-    }
+    readResponse({ res, isStream, limit }, connections, { ...req, sink, listener }, handlers);
   }
 
   clientReq.on('response', protect(onResponse));
-  clientReq.on('information', () => {
-    interimResponses += 1;
-    if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
+  limitInterimResponses(clientReq, fail);
+  clientReq.on('error', (err) => {
+    // Events that precede malformed bytes are sound.
+    reception.limit?.flush();
+    fail(err.message);
   });
-  clientReq.on('error', (err) => fail(err.message));
   clientReq.on('close', () => fail('connection closed'));
   clientReq.end(req.body);
 
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -5,12 +5,16 @@
 import type { Duplex } from 'node:stream';
 import { createByteBudget } from './byte-budget.js';
 import type { ByteBudget } from './byte-budget.js';
+import { createCrowdedReads } from './pause-reading.js';
+import type { CrowdedReads } from './pause-reading.js';
 
 /** Connection pool. */
 export interface ServerConnections {
   agent: Agent;
   /** Memory of all buffered responses. */
   responseBudget: ByteBudget;
+  /** Connections of responses in many small pieces. */
+  crowdedReads: CrowdedReads;
   /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
   prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
   close(): void;
@@ -128,5 +132,6 @@
   };
 
   const responseBudget = createByteBudget(RESPONSE_BUDGET);
-  return { agent, responseBudget, prune, close: () => agent.destroy() };
+  const crowdedReads = createCrowdedReads();
+  return { agent, responseBudget, crowdedReads, prune, close: () => agent.destroy() };
 }
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -65,6 +65,15 @@
   partialEventBytes: number;
 }
 
+/** What an attempt has received from its server. */
+export interface ReceivedAmount {
+  /** All bytes on the connection. */
+  receivedBytes: number;
+  bodyBytes: number;
+  /** Pieces of the body as the parser found them, for example chunks. */
+  pieces: number;
+}
+
 /** Callbacks of an attempt. */
 export interface AttemptListener {
   /** The head of a response states something about the server itself. */
@@ -75,7 +84,12 @@
   /** The body has ended as its framing states. */
   onBodyEnded(end: BodyEnd): void;
   /** `response` is defined if the response was buffered and can still be sent to the caller. */
-  onEnded(outcome: AttemptOutcome, detail: string, response: BufferedResponse | undefined): void;
+  onEnded(
+    outcome: AttemptOutcome,
+    detail: string,
+    response: BufferedResponse | undefined,
+    received: ReceivedAmount,
+  ): void;
   /** An error in this router has broken off the attempt; `onEnded` follows. */
   onError(err: unknown): void;
 }
