--- a/packages/edge/test/relay/server-connections.test.ts
+++ b/packages/edge/test/relay/server-connections.test.ts
@@ -38,3 +38,23 @@
   connections.close();
   servers.forEach((server) => server.close());
 });
+
+test('the first bytes on an idle connection close it, since they belong to no request', async (t) => {
+  const server = await createServerStandin(({ req, res }) => {
+    res.end('ok');
+    setTimeout(() => req.socket.write('x'), 50);
+  });
+  const connections = createServerConnections({
+    nowMs: () => performance.now(),
+    maxConnections: 1,
+  });
+  t.after(() => {
+    connections.close();
+    server.close();
+  });
+  const req = request({ agent: connections.agent, host: '127.0.0.1', port: server.port }).end();
+  const [res] = (await once(req, 'response')) as [IncomingMessage];
+  await once(res.resume(), 'end');
+  await once(req.socket!, 'close');
+  assert.deepEqual(connections.agent.freeSockets, Object.create(null));
+});
