--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -145,7 +145,6 @@
 
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
-    listener.onReceived(chunk.length);
     receivedBytes += chunk.length;
     const events = splitter.push(chunk);
     if (events !== undefined) {
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -3,6 +3,8 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { createCrowdedReads } from './pause-reading.js';
+import type { CrowdedReads } from './pause-reading.js';
 import { createResponseMemory } from './response-memory.js';
 import type { ResponseMemory } from './response-memory.js';
 
@@ -13,6 +15,8 @@
   maxHeadBytes: number;
   /** Memory of all buffered responses and unfinished events. */
   responseMemory: ResponseMemory;
+  /** Connections of responses in many small pieces. */
+  crowdedReads: CrowdedReads;
   countConnections(): { busy: number; idle: number };
   /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
   prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
@@ -67,6 +71,12 @@
   responseBytes: number;
 }
 
+/** Returns the maximum size of each head, so that all of them together stay within `headBytes` if that leaves enough for one. */
+function divideHeadBytes(headBytes: number, connections: number): number {
+  const equalBytes = Math.floor(headBytes / connections);
+  return Math.max(MIN_MAX_HEAD_BYTES, Math.min(MAX_HEAD_BYTES, equalBytes));
+}
+
 /** Creates the pool. A connection that receives bytes while idle is closed, since they belong to no request. */
 export function createServerConnections({
   nowMs,
@@ -74,10 +84,6 @@
   headBytes,
   responseBytes,
 }: ServerConnectionsOptions): ServerConnections {
-  const maxHeadBytes = Math.max(
-    MIN_MAX_HEAD_BYTES,
-    Math.min(MAX_HEAD_BYTES, Math.floor(headBytes / maxConnections)),
-  );
   const agent = new Agent({
     keepAlive: true,
     scheduling: 'lifo',
@@ -143,8 +149,9 @@
 
   return {
     agent,
-    maxHeadBytes,
+    maxHeadBytes: divideHeadBytes(headBytes, maxConnections),
     responseMemory: createResponseMemory(responseBytes),
+    crowdedReads: createCrowdedReads(),
     countConnections: () => ({
       busy: openCount - idleConnections.size,
       idle: idleConnections.size,
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -65,6 +65,15 @@
   partialEventBytes: number;
 }
 
+/** What an attempt has received from its server. */
+export interface ReceivedAmount {
+  /** All bytes on the connection. */
+  receivedBytes: number;
+  bodyBytes: number;
+  /** Pieces of the body as the parser found them, for example chunks. */
+  pieces: number;
+}
+
 /** Callbacks of an attempt. */
 export interface AttemptListener {
   /** The head of a response states something about the server itself. */
@@ -72,19 +81,14 @@
   /** A part of the response has arrived, for a stream an event; the first one begins it. */
   onBegun(): void;
   onDelivered(lastEventId: string | undefined): void;
-  /** A piece of the response's body has arrived. */
-  onReceived(bytes: number): void;
   /** The body has ended as its framing states. */
   onBodyEnded(end: BodyEnd): void;
-  /**
-   * `response` is defined if the response was buffered and can still be sent to the caller. `wireBytes` is the number of bytes received
-   * on the connection, with heads and framing.
-   */
+  /** `response` is defined if the response was buffered and can still be sent to the caller. */
   onEnded(
     outcome: AttemptOutcome,
     detail: string,
     response: BufferedResponse | undefined,
-    wireBytes: number,
+    received: ReceivedAmount,
   ): void;
   /** An error in this router has broken off the attempt; `onEnded` follows. */
   onError(err: unknown): void;
