--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -7,7 +7,7 @@
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
 import { limitPieces } from './piece-limit.js';
-import type { PieceLimit } from './piece-limit.js';
+import type { PieceLimit, PieceLimitOptions } from './piece-limit.js';
 import { bufferResponse, discardResponse } from './read-response.js';
 import type { Protect, ResponseHandlers } from './read-response.js';
 import { getRunHead, relayEvents } from './relay-events.js';
@@ -100,8 +100,6 @@
     limit: undefined,
     amount: () => ({
       receivedBytes: (clientReq.socket?.bytesRead ?? 0) - bytesReadBefore,
-      bodyBytes: 0,
-      pieces: 0,
       ...reception.limit?.received(),
     }),
   };
@@ -119,11 +117,17 @@
   });
 }
 
+/** Only chunks and streams are more work than their bytes. */
+function limitWork(res: IncomingMessage, options: PieceLimitOptions): PieceLimit | undefined {
+  const isLimited = options.isStream || getBodyFraming(res) === BodyFraming.Chunked;
+  return isLimited ? limitPieces(res, options) : undefined;
+}
+
 /** Response whose body matters. */
 interface ResponseToRead {
   res: IncomingMessage;
   isStream: boolean;
-  limit: PieceLimit;
+  limit: PieceLimit | undefined;
 }
 
 function readResponse(
@@ -139,7 +143,7 @@
     return;
   }
   const onDelivered: AttemptListener['onDelivered'] = (lastEventId) => {
-    limit.startNextEvent();
+    limit?.startNextEvent();
     listener.onDelivered(lastEventId);
   };
   relayEvents(res, { ...options, listener: { ...listener, onDelivered } }, handlers);
@@ -187,14 +191,13 @@
     };
 
   function onResponse(res: IncomingMessage): void {
-    const { attemptId } = req;
-    const isReusedConnection = clientReq.reusedSocket;
-    const classification = classifyResponseHead(res, { attemptId, isReusedConnection });
-    const { announcement, detail, isFinal, outcome } = classification;
+    const expected = { attemptId: req.attemptId, isReusedConnection: clientReq.reusedSocket };
+    const { announcement, detail, isFinal, outcome } = classifyResponseHead(res, expected);
     if (announcement !== undefined) listener.onAnnounced(announcement);
     const isStream = outcome === AttemptOutcome.Complete && isRelayed(req, res, sink);
     const { crowdedReads } = connections;
-    const limit = limitPieces(res, { crowdedReads, isStream, onExceeded: protect(invalidate) });
+    const onExceeded = protect(invalidate);
+    const limit = limitWork(res, { crowdedReads, isStream, onExceeded });
     reception.limit = limit;
     if (getBodyFraming(res) === BodyFraming.Close) enableResetDetection(res);
     res.on('error', (err) => fail(err.message));
--- a/packages/edge/src/relay/piece-limit.ts
+++ b/packages/edge/src/relay/piece-limit.ts
@@ -28,7 +28,7 @@
   flush(): void;
   /** An event has been delivered; the pieces of the next one are counted from here. */
   startNextEvent(): void;
-  received(): Pick<ReceivedAmount, 'bodyBytes' | 'pieces'>;
+  received(): Required<Pick<ReceivedAmount, 'bodyBytes' | 'pieces'>>;
 }
 
 /** Options of a limit. */
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -69,9 +69,10 @@
 export interface ReceivedAmount {
   /** All bytes on the connection. */
   receivedBytes: number;
-  bodyBytes: number;
-  /** Pieces of the body as the parser found them, for example chunks. */
-  pieces: number;
+  /** Undefined for a body that is neither chunked nor a stream. */
+  bodyBytes?: number;
+  /** Pieces of the body as the parser found them, for example chunks; undefined as `bodyBytes`. */
+  pieces?: number;
 }
 
 /** Callbacks of an attempt. */
