--- a/packages/edge/src/callers/pipeline-limit.ts
+++ b/packages/edge/src/callers/pipeline-limit.ts
@@ -25,6 +25,8 @@
   logger: Logger,
   { pauseRequests, maxRequests }: PipelineLimits = CALLER_LIMITS,
 ): LimitPipeline {
+  /** Node pauses connections for reasons of its own as well. */
+  const paused = new WeakSet<Socket>();
   return (socket, res) => {
     responses.add(socket, res);
     const open = responses.count(socket);
@@ -33,9 +35,12 @@
       socket.destroy();
       return false;
     }
-    if (open >= pauseRequests) socket.pause();
+    if (open >= pauseRequests) {
+      paused.add(socket);
+      socket.pause();
+    }
     res.once('close', () => {
-      if (socket.isPaused() && responses.count(socket) < pauseRequests) socket.resume();
+      if (responses.count(socket) < pauseRequests && paused.delete(socket)) socket.resume();
     });
     return true;
   };
