--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -94,7 +94,10 @@
   AttemptOutcome.NotRun,
   AttemptOutcome.WrongServer,
   AttemptOutcome.Unsent,
+  AttemptOutcome.Unopened,
 ]);
+/** Outcomes of attempts that no server has seen. */
+const UNSEEN_OUTCOMES = new Set<AttemptOutcome>([AttemptOutcome.Unsent, AttemptOutcome.Unopened]);
 
 /** Outcomes after which another server may continue a stream or begin it anew. */
 const RESUMABLE_OUTCOMES = new Set<AttemptOutcome>([
@@ -118,10 +121,11 @@
   hasNotRun: boolean,
   isTooLate = false,
 ): Refusal {
-  if (NOT_RUN_OUTCOMES.has(outcome) && hasNotRun)
-    return isTooLate
-      ? createDrainingRefusal()
-      : createNotRunRefusal(RefusalCode.Overloaded, NO_SERVER_RETRY_MS);
+  if (NOT_RUN_OUTCOMES.has(outcome) && hasNotRun) {
+    const isUnopened = outcome === AttemptOutcome.Unopened;
+    const code = isUnopened ? RefusalCode.RouterConnectionsFull : RefusalCode.Overloaded;
+    return isTooLate ? createDrainingRefusal() : createNotRunRefusal(code, NO_SERVER_RETRY_MS);
+  }
   return { status: 502, code: RefusalCode.OutcomeUnknown, ran: 'unknown', retryAfterMs: undefined };
 }
 
@@ -147,7 +151,7 @@
   const best = chooseForRequest(state, request, draw, nowMs);
   if (best === undefined) return undefined;
   const isWithinBudget =
-    outcome === AttemptOutcome.Unsent ||
+    UNSEEN_OUTCOMES.has(outcome) ||
     state.retryBudget.tryAcquire(attributes.service, nowMs, state.routerCount);
   return isWithinBudget ? send(state, request, best, describeCandidate(best), nowMs) : undefined;
 }
--- a/packages/core/src/direct/server-health.ts
+++ b/packages/core/src/direct/server-health.ts
@@ -25,6 +25,8 @@
   AttemptOutcome.Unsent,
   AttemptOutcome.Unknown,
 ]);
+/** Outcomes that the router itself causes. */
+const OWN_OUTCOMES = new Set<AttemptOutcome>([AttemptOutcome.Cancelled, AttemptOutcome.Unopened]);
 const FAILURE_OUTCOMES = new Set<AttemptOutcome>([
   AttemptOutcome.Unsent,
   AttemptOutcome.Unknown,
@@ -55,7 +57,7 @@
 
   return {
     recordOutcome(outcome, nowMs) {
-      if (outcome === AttemptOutcome.Cancelled) return;
+      if (OWN_OUTCOMES.has(outcome)) return;
       decay(nowMs);
       if (FAILURE_OUTCOMES.has(outcome)) failures += 1;
       else successes += 1;
--- a/packages/core/src/direct/types.ts
+++ b/packages/core/src/direct/types.ts
@@ -152,6 +152,8 @@
   WrongServer: 'wrong-server',
   /** The connection failed before the first byte of the request was sent. */
   Unsent: 'unsent',
+  /** The router had no descriptor or memory for a connection, which says nothing about the server. */
+  Unopened: 'unopened',
   /** The request may have run: the connection broke, or the response isn't a valid answer to it. */
   Unknown: 'unknown',
   /** The request may have run: the server answers, but with a response that can't be passed on. */
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -46,6 +46,7 @@
     AttemptOutcome.NotRun,
     AttemptOutcome.WrongServer,
     AttemptOutcome.Unsent,
+    AttemptOutcome.Unopened,
   ]) {
     const router = createSampleRouter();
     const first = expectSend(router.request('1', { route: neverRetried }));
@@ -106,6 +107,17 @@
   expectSend(router.request('4'));
 });
 
+// Guards against a server that is avoided because the router had no descriptors for connections to it.
+test('a server gets requests although the router could not open connections', () => {
+  const router = createSampleRouter([sampleEntry('e1')]);
+  const end = (attempt: string) => router.dispatch(attemptEnded(attempt, AttemptOutcome.Unopened));
+  let sent = expectSend(router.request('1', { route: neverRetried }));
+  for (let repeats = 0; repeats < 2; repeats += 1) sent = expectSend(end(sent.attempt));
+  const { refusal } = expectRefusal(end(sent.attempt));
+  assert.deepEqual([refusal.code, refusal.ran], [RefusalCode.RouterConnectionsFull, 'no']);
+  expectSend(router.request('2'));
+});
+
 test('a stream that must not be retried is aborted instead of continued by a second run', () => {
   const route = sampleRoute({ retryPolicy: RetryPolicy.Never });
   const router = createSampleRouter();
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -31,6 +31,13 @@
 /** Maximum size of a body of which the kernel may still send the rest once its attempt has been abandoned. */
 const MAX_LEFT_BODY_BYTES = 64 * 1024;
 
+/** Errors of a connection for which this router has no descriptor or memory. */
+const OWN_ERRORS = new Set(['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']);
+
+function classifyUnsent(errorCode: string | undefined): AttemptOutcome {
+  return OWN_ERRORS.has(errorCode ?? '') ? AttemptOutcome.Unopened : AttemptOutcome.Unsent;
+}
+
 function openRequest(connections: ServerConnections, req: AttemptRequest): ClientRequest {
   const { maxIdleMs = Number.POSITIVE_INFINITY, usedSockets } = req;
   connections.prune(
@@ -169,8 +176,8 @@
     listener.onEnded(outcome, detail, response, reception.amount());
   }
 
-  function fail(detail: string): void {
-    end(isConnected() ? AttemptOutcome.Unknown : AttemptOutcome.Unsent, detail);
+  function fail(detail: string, code?: string): void {
+    end(isConnected() ? AttemptOutcome.Unknown : classifyUnsent(code), detail);
     abandon(clientReq, req);
   }
 
@@ -227,10 +234,10 @@
 
   clientReq.on('response', protect(onResponse));
   limitInterimResponses(clientReq, fail);
-  clientReq.on('error', (err) => {
+  clientReq.on('error', (err: NodeJS.ErrnoException) => {
     // Events that precede malformed bytes are sound.
     reception.limit?.flush();
-    fail(err.message);
+    fail(err.message, err.code);
   });
   clientReq.on('close', () => fail('connection closed'));
   clientReq.end(req.body);
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -100,7 +100,8 @@
     if (openCount >= maxConnections) {
       const [longestIdle] = idleConnections.keys();
       if (longestIdle === undefined) {
-        onCreated(new Error('connections to servers used up'));
+        const err = new Error('connections to servers used up');
+        onCreated(Object.assign(err, { code: 'EMFILE' }));
         return undefined;
       }
       idleConnections.delete(longestIdle);
--- a/packages/edge/test/relay/unsent.test.ts
+++ b/packages/edge/test/relay/unsent.test.ts
@@ -1,4 +1,7 @@
-/** Guards against requests that count as sent, so that they aren't retried, although their connection couldn't be opened. */
+/**
+ * Guards against requests that count as sent, so that they aren't retried, although their connection couldn't be opened, and against
+ * servers that are avoided because this router has no descriptors.
+ */
 import assert from 'node:assert/strict';
 import { Socket } from 'node:net';
 import { test } from 'node:test';
@@ -10,18 +13,20 @@
 /** Returns a socket that fails as Node's do: at once, before it is handed to its request. */
 function openWithoutDescriptor(): Socket {
   const socket = new Socket();
-  process.nextTick(() => socket.destroy(new Error('connect EMFILE')));
+  const err = Object.assign(new Error('connect EMFILE'), { code: 'EMFILE' });
+  process.nextTick(() => socket.destroy(err));
   return socket;
 }
 
-test('an attempt without a descriptor for its connection is unsent', async () => {
+/** Returns the outcome of an attempt at a port on which nothing listens, on one of at most `maxConnections` connections. */
+async function attempt(maxConnections: number, agent: object = {}): Promise<unknown> {
   const connections = createServerConnections({
     nowMs: () => performance.now(),
-    maxConnections: 100,
+    maxConnections,
     headBytes: 100 * 16 * 1024,
     responseBytes: 1024 * 1024,
   });
-  Object.assign(connections.agent, { createConnection: openWithoutDescriptor });
+  Object.assign(connections.agent, agent);
   const req: Partial<AttemptRequest> = {
     method: 'POST',
     path: '/',
@@ -40,6 +45,16 @@
       listener as AttemptListener,
     );
   });
-  assert.equal(outcome, AttemptOutcome.Unsent);
   connections.close();
+  return outcome;
+}
+
+test('an attempt without a descriptor for its connection says nothing about the server', async () => {
+  const agent = { createConnection: openWithoutDescriptor };
+  assert.equal(await attempt(100, agent), AttemptOutcome.Unopened);
+  assert.equal(await attempt(0), AttemptOutcome.Unopened);
+});
+
+test('an attempt at a server that refuses connections is unsent', async () => {
+  assert.equal(await attempt(100), AttemptOutcome.Unsent);
 });
