--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -28,7 +28,10 @@
 import { createEffectHandlers } from './effect-handlers.js';
 import { createExchanges } from './exchanges.js';
 import { createLoopLag } from './loop-lag.js';
-import { createEdgeMetrics } from './metrics.js';
+import { divideMemory } from './memory-division.js';
+import type { MemoryDivision } from './memory-division.js';
+import { readMemoryUse } from './memory-use.js';
+import { createEdgeMetrics, registerMemoryGauges } from './metrics.js';
 import { createPeerLinks } from './peers/peer-links.js';
 import type { PeerLinks } from './peers/peer-links.js';
 import { createReporting } from './peers/reporting.js';
@@ -60,8 +63,9 @@
   const { components: parts, close } = composeProcess<EdgeParts>(
     partTable(ctx, await createHasher()),
   );
-  const { registration, tickTimer, summaryTimer } = parts;
+  const { registration, tickTimer, summaryTimer, bodyBudget, connections } = parts;
   void [registration, tickTimer, summaryTimer];
+  registerMemoryGauges(ctx.registry, () => readMemoryUse(bodyBudget, connections));
   await Promise.all([parts.feeds, parts.callers, parts.readiness, parts.peers, parts.admin]);
   ctx.logger.info('listening', { callers: ctx.settings().callers.address });
   return { drain: () => drain(ctx, parts), close };
@@ -72,9 +76,15 @@
     state: { create: () => createState(ctx, hasher) },
     phase: { create: () => ({ accepting: false, draining: false }) },
     connectionLimits: { create: () => createConnectionLimits(ctx) },
+    memoryDivision: { create: () => createMemoryDivision(ctx) },
     connections: {
-      create: ({ connectionLimits }) =>
-        createServerConnections({ nowMs: ctx.clock, maxConnections: connectionLimits.servers }),
+      create: ({ connectionLimits, memoryDivision }) =>
+        createServerConnections({
+          nowMs: ctx.clock,
+          maxConnections: connectionLimits.servers,
+          headBytes: memoryDivision.responseHeads,
+          responseBytes: memoryDivision.responses,
+        }),
       close: (connections) => connections.close(),
     },
     metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
@@ -138,7 +148,7 @@
 
 async function logSummary(
   { logger, clock, droppedLines }: EdgeContext,
-  { state, metrics, callers, loopLag, bodyBudget }: EdgeParts,
+  { state, metrics, callers, loopLag, bodyBudget, connections: serverConnections }: EdgeParts,
 ): Promise<void> {
   const { connectionTotals, acceptWaitMs } = await callers;
   const { totals, open, servers } = describeState(state, clock());
@@ -151,6 +161,14 @@
   const bodyBytes = bodyBudget.heldBytes();
   const fields = { ...totals, open, connections, bodyBytes, ...lateness, ...control, servers };
   logger.info('summary', fields);
+  logger.info('memory', { ...readMemoryUse(bodyBudget, serverConnections) });
+}
+
+function createMemoryDivision({ settings, logger }: EdgeContext): MemoryDivision {
+  const { memoryMb } = settings().process;
+  const division = divideMemory(memoryMb);
+  logger.info('memory-limits', { ...division, memoryMb });
+  return division;
 }
 
 function routerName(ctx: EdgeContext): string {
@@ -224,6 +242,8 @@
         clock,
         logger,
         stopping: ctx.stopping,
+        maxLinks: parts.connectionLimits.links,
+        maxConnections: parts.connectionLimits.side,
         storeNews: parts.storeNews,
         blocks: parts.state.crashEvidence.blocks,
         serverLimits: parts.state.serverLimits,
@@ -286,7 +306,7 @@
 
 function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
   return {
-    create({ state, phase, loopLag }) {
+    create({ state, phase, loopLag, connectionLimits }) {
       let wasOverloaded = false;
       /** An overloaded router leaves new connections to the others of its zone. */
       function checkOverload(): boolean {
@@ -300,6 +320,7 @@
         ...parseAddress(ctx.settings().callers.readinessAddress),
         logger: ctx.logger,
         stopping: ctx.stopping,
+        maxConnections: connectionLimits.side,
         isReady: () =>
           phase.accepting &&
           !phase.draining &&
--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -2,6 +2,8 @@
 import { request } from 'node:http';
 import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
 import { callAfter } from '@kingcupsill/runtime';
+import { createByteCollector } from '@kingcupsill/core/bytes';
+import { hasTooManyPieces } from './piece-limit.js';
 
 /** HTTP call. */
 export interface HttpCall {
@@ -19,7 +21,10 @@
 /** Response, or the reason why there is none. */
 export type HttpCallResult =
   | { ok: true; status: number; headers: IncomingHttpHeaders; body: string }
-  | { ok: false; detail: string };
+  | { ok: false; detail: string; isTooLarge?: boolean };
+
+/** No store or engine sends any; each costs processor time, and they come before any limit of the response. */
+const MAX_INTERIM_RESPONSES = 16;
 
 function openRequest(
   { agent, host, port, method, path }: HttpCall,
@@ -53,24 +58,32 @@
       timer.close();
       resolve(result);
     }
-    function fail(detail: string): void {
-      settle({ ok: false, detail });
+    function fail(detail: string, isTooLarge = false): void {
+      settle(isTooLarge ? { ok: false, detail, isTooLarge } : { ok: false, detail });
       req.destroy();
     }
 
+    let interimResponses = 0;
+    req.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
+    });
     req.on('response', (res) => {
-      const chunks: Buffer[] = [];
+      const collector = createByteCollector();
       let receivedBytes = 0;
+      let pieces = 0;
       res.on('data', (chunk: Buffer) => {
         receivedBytes += chunk.length;
-        if (receivedBytes > call.maxBytes) fail('response too large');
-        else chunks.push(chunk);
+        pieces += 1;
+        if (receivedBytes > call.maxBytes) fail('response too large', true);
+        else if (hasTooManyPieces(pieces, receivedBytes)) fail('response in too many pieces');
+        else collector.add(chunk);
       });
       res.on('error', (err) => fail(err.message));
       res.on('close', () => fail('response ended early'));
       res.on('end', () => {
         if (!res.complete) return;
-        const bodyText = Buffer.concat(chunks).toString('utf8');
+        const bodyText = Buffer.concat(collector.chunks()).toString('utf8');
         settle({ ok: true, status: res.statusCode!, headers: res.headers, body: bodyText });
       });
     });
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -6,15 +6,20 @@
 import { callAfter } from '@kingcupsill/runtime';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
+import { limitPieces } from './piece-limit.js';
+import type { PieceLimit, PieceLimitOptions } from './piece-limit.js';
 import { bufferResponse, discardResponse } from './read-response.js';
 import type { Protect, ResponseHandlers } from './read-response.js';
 import { getRunHead, relayEvents } from './relay-events.js';
+import type { StreamOptions } from './relay-events.js';
+import type { ResponseMemory } from './response-memory.js';
 import type { ServerConnections } from './server-connections.js';
 import { BodyFraming } from './types.js';
 import type {
   AttemptListener,
   AttemptRequest,
   BufferedResponse,
+  ReceivedAmount,
   ResponseSink,
   RunningAttempt,
 } from './types.js';
@@ -26,6 +31,13 @@
 /** Maximum size of a body of which the kernel may still send the rest once its attempt has been abandoned. */
 const MAX_LEFT_BODY_BYTES = 64 * 1024;
 
+/** Errors of a connection for which this router has no descriptor or memory. */
+const OWN_ERRORS = new Set(['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']);
+
+function classifyUnsent(errorCode: string | undefined): AttemptOutcome {
+  return OWN_ERRORS.has(errorCode ?? '') ? AttemptOutcome.Unopened : AttemptOutcome.Unsent;
+}
+
 function openRequest(connections: ServerConnections, req: AttemptRequest): ClientRequest {
   const { maxIdleMs = Number.POSITIVE_INFINITY, usedSockets } = req;
   connections.prune(
@@ -39,6 +51,7 @@
     port: req.port,
     method: req.method,
     path: req.path,
+    maxHeaderSize: connections.maxHeadBytes,
     // Node's types lack the array form, which preserves order, case and repeated headers.
     headers: req.headers as unknown as Record<string, string>,
     setHost: false,
@@ -80,6 +93,71 @@
   clientReq.destroy();
 }
 
+/** What an attempt receives. */
+interface Reception {
+  /** Limit on the response; undefined before its head. */
+  limit: PieceLimit | undefined;
+  amount(): ReceivedAmount;
+}
+
+function createReception(clientReq: ClientRequest): Reception {
+  let bytesReadBefore = 0;
+  clientReq.on('socket', (socket) => {
+    bytesReadBefore = socket.bytesRead;
+  });
+  const reception: Reception = {
+    limit: undefined,
+    amount: () => ({
+      receivedBytes: (clientReq.socket?.bytesRead ?? 0) - bytesReadBefore,
+      ...reception.limit?.received(),
+    }),
+  };
+  return reception;
+}
+
+function limitInterimResponses(
+  clientReq: ClientRequest,
+  onExceeded: (detail: string) => void,
+): void {
+  let count = 0;
+  clientReq.on('information', () => {
+    count += 1;
+    if (count > MAX_INTERIM_RESPONSES) onExceeded('too many interim responses');
+  });
+}
+
+/** Only chunks and streams are more work than their bytes. */
+function limitWork(res: IncomingMessage, options: PieceLimitOptions): PieceLimit | undefined {
+  const isLimited = options.isStream || getBodyFraming(res) === BodyFraming.Chunked;
+  return isLimited ? limitPieces(res, options) : undefined;
+}
+
+/** Response whose body matters. */
+interface ResponseToRead {
+  res: IncomingMessage;
+  isStream: boolean;
+  limit: PieceLimit | undefined;
+}
+
+function readResponse(
+  { res, isStream, limit }: ResponseToRead,
+  memory: ResponseMemory,
+  options: StreamOptions,
+  handlers: ResponseHandlers,
+): void {
+  const { listener } = options;
+  if (!isStream) {
+    listener.onBegun();
+    bufferResponse(res, memory, listener, handlers);
+    return;
+  }
+  const onDelivered: AttemptListener['onDelivered'] = (lastEventId) => {
+    limit?.startNextEvent();
+    listener.onDelivered(lastEventId);
+  };
+  relayEvents(res, { ...options, listener: { ...listener, onDelivered } }, handlers);
+}
+
 /** Starts an attempt. The listener's `onEnded` is called exactly once, unless the attempt is cancelled. */
 export function startAttempt(
   connections: ServerConnections,
@@ -90,19 +168,25 @@
   const clientReq = openRequest(connections, req);
   const isConnected = watchConnection(clientReq, () => fail('connect timeout'));
   let ended = false;
-  let interimResponses = 0;
+  const reception = createReception(clientReq);
 
   function end(outcome: AttemptOutcome, detail: string, response?: BufferedResponse): void {
     if (ended) return;
     ended = true;
-    listener.onEnded(outcome, detail, response);
+    listener.onEnded(outcome, detail, response, reception.amount());
   }
 
-  function fail(detail: string): void {
-    end(isConnected() ? AttemptOutcome.Unknown : AttemptOutcome.Unsent, detail);
+  function fail(detail: string, code?: string): void {
+    end(isConnected() ? AttemptOutcome.Unknown : classifyUnsent(code), detail);
     abandon(clientReq, req);
   }
 
+  /** Ends the attempt at a server that answers with a response that can't be passed on. */
+  function invalidate(detail: string): void {
+    end(AttemptOutcome.Invalid, detail);
+    clientReq.destroy();
+  }
+
   /** Runs a callback of the response; an error in it ends this attempt and nothing else. */
   const protect: Protect =
     (callback) =>
@@ -116,18 +200,21 @@
     };
 
   function onResponse(res: IncomingMessage): void {
-    const { attemptId } = req;
-    const isReusedConnection = clientReq.reusedSocket;
-    const classification = classifyResponseHead(res, { attemptId, isReusedConnection });
-    if (classification.announcement !== undefined)
-      listener.onAnnounced(classification.announcement);
-    const { detail } = classification;
+    const { responseMemory: memory } = connections;
+    const expected = { attemptId: req.attemptId, isReusedConnection: clientReq.reusedSocket };
+    const { announcement, detail, isFinal, outcome } = classifyResponseHead(res, expected);
+    if (announcement !== undefined) listener.onAnnounced(announcement);
+    const isStream = outcome === AttemptOutcome.Complete && isRelayed(req, res, sink);
+    const { crowdedReads } = connections;
+    const onExceeded = protect(invalidate);
+    const limit = limitWork(res, { crowdedReads, isStream, onExceeded });
+    reception.limit = limit;
     if (getBodyFraming(res) === BodyFraming.Close) enableResetDetection(res);
     res.on('error', (err) => fail(err.message));
     res.on('close', () => fail('response ended early'));
-    if (classification.isFinal) {
-      end(classification.outcome, detail);
-      if (classification.outcome === AttemptOutcome.Unknown) clientReq.destroy();
+    if (isFinal) {
+      end(outcome, detail);
+      if (outcome === AttemptOutcome.Unknown) clientReq.destroy();
       else discardResponse(res, () => clientReq.destroy());
       return;
     }
@@ -136,29 +223,22 @@
       onComplete(response: BufferedResponse | undefined): void {
         // A connection can't be reused while the request is still being sent.
         if (!clientReq.writableFinished) clientReq.destroy();
-        end(classification.outcome, detail, response);
+        end(outcome, detail, response);
       },
       onFailure: fail,
-      onInvalid(invalidity): void {
-        end(AttemptOutcome.Invalid, invalidity);
-        clientReq.destroy();
-      },
+      onInvalid: invalidate,
       isEnded: () => ended,
     };
-    if (classification.outcome === AttemptOutcome.Complete && isRelayed(req, res, sink)) {
-      relayEvents(res, { ...req, sink, listener }, handlers);
-    } else {
-      listener.onBegun();
-      bufferResponse(res, connections.responseBudget, listener, handlers);
-    }
+    readResponse({ res, isStream, limit }, memory, { ...req, sink, listener, memory }, handlers);
   }
 
   clientReq.on('response', protect(onResponse));
-  clientReq.on('information', () => {
-    interimResponses += 1;
-    if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses');
+  limitInterimResponses(clientReq, fail);
+  clientReq.on('error', (err: NodeJS.ErrnoException) => {
+    // Events that precede malformed bytes are sound.
+    reception.limit?.flush();
+    fail(err.message, err.code);
   });
-  clientReq.on('error', (err) => fail(err.message));
   clientReq.on('close', () => fail('connection closed'));
   clientReq.end(req.body);
 
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -2,9 +2,10 @@
 import type { IncomingMessage } from 'node:http';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { callAfter } from '@kingcupsill/runtime';
-import { createByteCollector } from '../byte-collector.js';
-import type { ByteBudget } from './byte-budget.js';
+import { createByteCollector } from '@kingcupsill/core/bytes';
 import { getBodyFraming } from './close-delimited.js';
+import { HeldFor } from './response-memory.js';
+import type { ResponseMemory } from './response-memory.js';
 import type { AttemptListener, BufferedResponse } from './types.js';
 
 /** Maximum size of a buffered response. */
@@ -43,24 +44,34 @@
 /** Buffers a response until it is complete. */
 export function bufferResponse(
   res: IncomingMessage,
-  budget: ByteBudget,
+  memory: ResponseMemory,
   listener: AttemptListener,
   { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
   const collector = createByteCollector();
-  const account = budget.open();
+  const account = memory.open(
+    HeldFor.Response,
+    protect(() => breakOff('response buffers full')),
+  );
   let receivedBytes = 0;
   let isDelivered = false;
   res.on('close', () => {
     if (!isDelivered) account.close();
   });
 
+  function breakOff(detail: string): void {
+    // At once: the connection closes only after others have been read, whose bytes need the memory.
+    collector.clear();
+    account.close();
+    onInvalid(detail);
+  }
+
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
     collector.add(chunk);
     receivedBytes += chunk.length;
-    if (receivedBytes > MAX_BUFFERED_BYTES) onInvalid('response too large');
-    else if (!account.add(chunk.length)) onInvalid('response buffers full');
+    if (receivedBytes > MAX_BUFFERED_BYTES) breakOff('response too large');
+    else account.resize(collector.heldBytes());
   }
 
   function onEnd(): void {
@@ -76,6 +87,7 @@
     const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
     if (isEnded()) return;
     isDelivered = true;
+    account.keep();
     const status = res.statusCode!;
     const chunks = collector.chunks();
     onComplete({ status, headers, chunks, bodyBytes: receivedBytes, release: account.close });
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -1,5 +1,6 @@
 /** Reading of a backend server's event stream, which is passed on to the caller event by event. */
 import type { IncomingMessage } from 'node:http';
+import { createByteCollector } from '@kingcupsill/core/bytes';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
 import type {
   CompleteEvents,
@@ -10,12 +11,13 @@
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { getBodyFraming } from './close-delimited.js';
 import type { ResponseHandlers } from './read-response.js';
+import { HeldFor } from './response-memory.js';
+import type { ResponseMemory } from './response-memory.js';
 import { BodyFraming } from './types.js';
 import type { AttemptListener, ResponseSink } from './types.js';
 
 /** Maximum size of one event of a stream. A server that exceeds it sends no event stream. */
 const MAX_EVENT_BYTES = 256 * 1024;
-const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /** Settings of a stream. */
 export interface StreamOptions {
@@ -25,6 +27,8 @@
   streamJoin: StreamJoin;
   /** The stream continues an earlier one, so it may have no more events. */
   isResumed: boolean;
+  /** Memory of the bytes that can't be passed on yet. */
+  memory: ResponseMemory;
 }
 
 /** Returns what of a response's head determines whether it is, or continues, a stream. */
@@ -61,8 +65,10 @@
   write(blocks: Omit<AcceptedBlocks, 'fault'>): void;
   /** Writes the bytes behind the last block of a stream that has ended, and its head if that hasn't been sent. */
   finish(rest: Buffer): void;
-  /** Number of bytes that wait for the run's first event. */
+  /** Memory of the bytes that wait for the run's first event. */
   heldBytes(): number;
+  /** Drops these bytes. */
+  clear(): void;
 }
 
 function createDelivery(
@@ -72,7 +78,7 @@
   const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
   /** Only the first event of a resumed run shows that it continues the stream, so the comments before it wait. */
   let isHolding = isResumed;
-  let held = NO_BYTES;
+  const held = createByteCollector();
   const resume = (): void => {
     res.resume();
   };
@@ -84,18 +90,29 @@
     listener.onDelivered(lastEventId);
   }
 
+  /** Returns the bytes that waited, and those that follow them. */
+  function takeWith(bytes: Buffer): Buffer {
+    const chunks = held.chunks();
+    held.clear();
+    return chunks.length === 0 ? bytes : Buffer.concat([...chunks, bytes]);
+  }
+
   return {
     write({ bytes, hasEvent, lastEventId }) {
       isHolding &&= !hasEvent;
-      const unsent = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
-      held = isHolding ? unsent : NO_BYTES;
-      if (!isHolding && unsent.length > 0) deliver(unsent, lastEventId);
+      if (isHolding) {
+        held.add(bytes);
+        return;
+      }
+      const unsent = takeWith(bytes);
+      if (unsent.length > 0) deliver(unsent, lastEventId);
     },
     finish(rest) {
-      const bytes = Buffer.concat([held, rest]);
+      const bytes = takeWith(rest);
       if (bytes.length > 0 || !sink.isHeadSent()) deliver(bytes, undefined);
     },
-    heldBytes: () => held.length,
+    heldBytes: held.heldBytes,
+    clear: held.clear,
   };
 }
 
@@ -105,11 +122,26 @@
   options: StreamOptions,
   { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
-  const { sink, listener, streamJoin, isResumed } = options;
+  const { sink, listener, streamJoin, isResumed, memory } = options;
   const splitter = createEventSplitter();
   const delivery = createDelivery(res, options);
   const framing = getBodyFraming(res);
+  const account = memory.open(
+    HeldFor.UnfinishedEvent,
+    protect(() => {
+      release();
+      onInvalid('response buffers full');
+    }),
+  );
   let receivedBytes = 0;
+  res.on('close', account.close);
+
+  /** Gives the memory back at once: the connection closes only after others have been read, whose bytes need it. */
+  function release(): void {
+    splitter.clear();
+    delivery.clear();
+    account.close();
+  }
 
   function onData(chunk: Buffer): void {
     if (isEnded()) return;
@@ -123,8 +155,10 @@
         return;
       }
     }
-    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES)
+    if (splitter.pendingBytes() + delivery.heldBytes() > MAX_EVENT_BYTES) {
+      release();
       onFailure('event too large');
+    } else account.resize(splitter.heldBytes() + delivery.heldBytes());
   }
 
   /** Returns why the end can't be passed on, if the connection may have ended in place of the stream. */
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -3,21 +3,29 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { createByteBudget } from './byte-budget.js';
-import type { ByteBudget } from './byte-budget.js';
+import { createCrowdedReads } from './pause-reading.js';
+import type { CrowdedReads } from './pause-reading.js';
+import { createResponseMemory } from './response-memory.js';
+import type { ResponseMemory } from './response-memory.js';
 
 /** Connection pool. */
 export interface ServerConnections {
   agent: Agent;
-  /** Memory of all buffered responses. */
-  responseBudget: ByteBudget;
+  /** Maximum size of the head of a response. */
+  maxHeadBytes: number;
+  /** Memory of all buffered responses and unfinished events. */
+  responseMemory: ResponseMemory;
+  /** Connections of responses in many small pieces. */
+  crowdedReads: CrowdedReads;
+  countConnections(): { busy: number; idle: number };
   /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
   prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
   close(): void;
 }
 
-/** Limits of buffered responses: many servers at once may send bodies without end. */
-export const RESPONSE_BUDGET = { maxBytes: 32 * 1024 * 1024, freeBytesPerBuffer: 64 * 1024 };
+/** Bounds of the maximum size of a response's head. */
+const MAX_HEAD_BYTES = 16 * 1024;
+const MIN_MAX_HEAD_BYTES = 8 * 1024;
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -57,12 +65,24 @@
   nowMs: () => number;
   /** Maximum number of connections. The one that has been idle for longest is closed in favour of a new one. */
   maxConnections: number;
+  /** Memory in bytes for the heads of responses while they arrive on all connections. */
+  headBytes: number;
+  /** Memory in bytes for buffered responses and unfinished events. */
+  responseBytes: number;
+}
+
+/** Returns the maximum size of each head, so that all of them together stay within `headBytes` if that leaves enough for one. */
+function divideHeadBytes(headBytes: number, connections: number): number {
+  const equalBytes = Math.floor(headBytes / connections);
+  return Math.max(MIN_MAX_HEAD_BYTES, Math.min(MAX_HEAD_BYTES, equalBytes));
 }
 
 /** Creates the pool. A connection that receives bytes while idle is closed, since they belong to no request. */
 export function createServerConnections({
   nowMs,
   maxConnections,
+  headBytes,
+  responseBytes,
 }: ServerConnectionsOptions): ServerConnections {
   const agent = new Agent({
     keepAlive: true,
@@ -80,7 +100,8 @@
     if (openCount >= maxConnections) {
       const [longestIdle] = idleConnections.keys();
       if (longestIdle === undefined) {
-        onCreated(new Error('connections to servers used up'));
+        const err = new Error('connections to servers used up');
+        onCreated(Object.assign(err, { code: 'EMFILE' }));
         return undefined;
       }
       idleConnections.delete(longestIdle);
@@ -127,6 +148,16 @@
     });
   };
 
-  const responseBudget = createByteBudget(RESPONSE_BUDGET);
-  return { agent, responseBudget, prune, close: () => agent.destroy() };
+  return {
+    agent,
+    maxHeadBytes: divideHeadBytes(headBytes, maxConnections),
+    responseMemory: createResponseMemory(responseBytes),
+    crowdedReads: createCrowdedReads(),
+    countConnections: () => ({
+      busy: openCount - idleConnections.size,
+      idle: idleConnections.size,
+    }),
+    prune,
+    close: () => agent.destroy(),
+  };
 }
