--- a/packages/core/src/bytes/byte-collector.ts
+++ b/packages/core/src/bytes/byte-collector.ts
@@ -10,7 +10,9 @@
   clear(): void;
 }
 
-/** Size below which pieces are copied together: a buffer takes some 200 bytes of heap besides its content, which no budget counts. */
+/** Heap of a buffer besides its content. */
+const BUFFER_OVERHEAD_BYTES = 200;
+/** Size below which pieces are copied together, so that their overhead is small. */
 const MIN_CHUNK_BYTES = 4096;
 /** Blocks grow with what is held, so that a few bytes don't take a large one. */
 const MIN_BLOCK_BYTES = 1024;
@@ -52,6 +54,7 @@
     closeBlock();
     // Pieces of one read follow each other.
     if (chunks.at(-1)?.buffer !== chunk.buffer) heldBytes += chunk.buffer.byteLength;
+    heldBytes += BUFFER_OVERHEAD_BYTES;
     chunks.push(chunk);
   }
 
