--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -49,10 +49,16 @@
   { protect, onComplete, onFailure, onInvalid, isEnded }: ResponseHandlers,
 ): void {
   const collector = createByteCollector();
-  const account = memory.open(
-    HeldFor.Response,
-    protect(() => breakOff('response buffers full')),
-  );
+  const statedBytes = Number(res.headers['content-length'] ?? NaN);
+  if (statedBytes > MAX_BUFFERED_BYTES) {
+    onInvalid('response too large');
+    return;
+  }
+  const account = memory.open({
+    heldFor: HeldFor.Response,
+    hasStatedLength: !Number.isNaN(statedBytes),
+    onGivenUp: protect(() => breakOff('response buffers full')),
+  });
   let receivedBytes = 0;
   let isDelivered = false;
   res.on('close', () => {
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -126,13 +126,14 @@
   const splitter = createEventSplitter();
   const delivery = createDelivery(res, options);
   const framing = getBodyFraming(res);
-  const account = memory.open(
-    HeldFor.UnfinishedEvent,
-    protect(() => {
+  const account = memory.open({
+    heldFor: HeldFor.UnfinishedEvent,
+    hasStatedLength: framing === BodyFraming.Length,
+    onGivenUp: protect(() => {
       release();
       onInvalid('response buffers full');
     }),
-  );
+  });
   let receivedBytes = 0;
   res.on('close', account.close);
 
--- a/packages/edge/src/relay/response-memory.ts
+++ b/packages/edge/src/relay/response-memory.ts
@@ -6,11 +6,20 @@
 
 /** Memory in bytes. */
 export interface ResponseMemory {
-  /** Opens the account of a response. `onGivenUp` is called at most once, if the response must leave its memory to others. */
-  open(heldFor: HeldFor, onGivenUp: () => void): MemoryAccount;
+  /** Opens the account of a response. */
+  open(options: MemoryAccountOptions): MemoryAccount;
   heldBytes(heldFor: HeldFor): number;
 }
 
+/** Options of an account. */
+export interface MemoryAccountOptions {
+  heldFor: HeldFor;
+  /** The response states its length, so it isn't without end. */
+  hasStatedLength: boolean;
+  /** Called at most once, if the response must leave its memory to others. */
+  onGivenUp: () => void;
+}
+
 /** Memory of one response. */
 export interface MemoryAccount {
   /** States what the response holds now. Gives up responses if that is too much, maybe this one. */
@@ -26,13 +35,23 @@
 /** Part of the memory that large responses may use up; the rest is always left to ordinary ones. */
 const LARGE_FRACTION = 0.9;
 
-interface Holder {
-  heldFor: HeldFor;
+interface Holder extends MemoryAccountOptions {
   bytes: number;
-  onGivenUp: () => void;
 }
 
-/** Creates a memory of which nothing is used. The response that holds most is given up first, so that ordinary ones last longest. */
+/** Returns which responses are given up first: large ones that may be without end, then other large ones, and ordinary ones last. */
+function rankOf({ bytes, hasStatedLength }: Holder): number {
+  if (bytes <= MAX_ORDINARY_BYTES) return 0;
+  return hasStatedLength ? 1 : 2;
+}
+
+/** Returns whether a response is given up before another one. */
+function isLessUrgent(holder: Holder, other: Holder): boolean {
+  const [rank, otherRank] = [rankOf(holder), rankOf(other)];
+  return rank === otherRank ? holder.bytes > other.bytes : rank > otherRank;
+}
+
+/** Creates a memory of which nothing is used. */
 export function createResponseMemory(maxBytes: number): ResponseMemory {
   const maxLargeBytes = maxBytes * LARGE_FRACTION;
   /** Responses that can be given up. */
@@ -53,21 +72,21 @@
     Object.assign(holder, { bytes });
   }
 
-  function giveUpLargest(): void {
-    let largest: Holder | undefined;
+  function giveUpLeastUrgent(): void {
+    let first: Holder | undefined;
     unfinished.forEach((holder) => {
-      if (holder.bytes > (largest?.bytes ?? 0)) largest = holder;
+      if (holder.bytes > 0 && (first === undefined || isLessUrgent(holder, first))) first = holder;
     });
-    if (largest === undefined) return;
-    unfinished.delete(largest);
-    setBytes(largest, 0);
-    largest.onGivenUp();
+    if (first === undefined) return;
+    unfinished.delete(first);
+    setBytes(first, 0);
+    first.onGivenUp();
   }
 
   return {
     heldBytes: (heldFor) => heldBytes[heldFor],
-    open(heldFor, onGivenUp) {
-      const holder: Holder = { heldFor, bytes: 0, onGivenUp };
+    open(options) {
+      const holder: Holder = { ...options, bytes: 0 };
       const isOpen = (): boolean => unfinished.has(holder);
       unfinished.add(holder);
       return {
@@ -76,7 +95,7 @@
           const isIncrease = bytes > holder.bytes;
           setBytes(holder, bytes);
           // This response can be given up as well, so the loop ends.
-          while (isIncrease && isOver() && isOpen()) giveUpLargest();
+          while (isIncrease && isOver() && isOpen()) giveUpLeastUrgent();
         },
         keep() {
           unfinished.delete(holder);
--- a/packages/edge/test/relay/response-memory.test.ts
+++ b/packages/edge/test/relay/response-memory.test.ts
@@ -12,8 +12,12 @@
 function createHolders() {
   const memory = createResponseMemory(MAX_BYTES);
   const givenUp: string[] = [];
-  const open = (name: string, heldFor: HeldFor = HeldFor.Response): MemoryAccount =>
-    memory.open(heldFor, () => givenUp.push(name));
+  const open = (
+    name: string,
+    heldFor: HeldFor = HeldFor.Response,
+    hasStatedLength = true,
+  ): MemoryAccount =>
+    memory.open({ heldFor, hasStatedLength, onGivenUp: () => givenUp.push(name) });
   const heldBytes = () => Object.values(HeldFor).reduce((sum, by) => sum + memory.heldBytes(by), 0);
   return { open, givenUp, heldBytes };
 }
@@ -30,6 +34,17 @@
   assert.equal(givenUp[0], 'large');
 });
 
+// Guards against a sound answer that is given up because it has received more than each of many answers without end.
+test('large answers that may be without end are given up before one that states its length', () => {
+  const { open, givenUp } = createHolders();
+  const sound = open('sound');
+  sound.resize(6 * MB);
+  for (let n = 0; n < 200; n += 1) open('flood', HeldFor.Response, false).resize(MB);
+  sound.resize(7 * MB);
+  assert.equal(givenUp.includes('sound'), false);
+  assert.ok(givenUp.length > 0);
+});
+
 test('responses that wait for their callers are never given up, and leave room for ordinary ones', () => {
   const { open, givenUp } = createHolders();
   for (let n = 0; n < 10; n += 1) {
