--- a/packages/edge/src/relay/piece-limit.ts
+++ b/packages/edge/src/relay/piece-limit.ts
@@ -1,16 +1,18 @@
 /** Limits on the number of pieces in which a server sends the body of its response, and on the bytes around them. */
 import type { IncomingMessage } from 'node:http';
 import { coalescePieces } from './coalesce-pieces.js';
-import { pauseReading } from './pause-reading.js';
-import type { CrowdedReads } from './pause-reading.js';
+import { pauseReading } from '../pause-reading.js';
+import type { CrowdedReads } from '../pause-reading.js';
 import type { ReceivedAmount } from './types.js';
 
 /** Size of a read behind which more may be waiting in the kernel. */
 const FULL_READ_BYTES = 64 * 1024;
-/** Bytes outside the body, such as the head, trailers and chunk sizes, that are never too many. */
+/** Bytes outside the body, such as the head, trailers and chunk sizes, that are never too many in a period. */
 const MAX_FREE_FRAMING_BYTES = 24 * 1024;
-/** Bytes of chunk sizes per byte of the body. Chunks of three bytes need fewer. */
-const MAX_FRAMING_RATIO = 2;
+/** A server may send small chunks, such as heartbeats, for as long as its response lasts. */
+const FRAMING_PERIOD_MS = 1000;
+/** Bytes of chunk sizes per byte of the body. Chunks of four bytes whose sizes have eight digits need fewer. */
+const MAX_FRAMING_RATIO = 4;
 /** Minimum size of a chunk's size and of the line breaks behind it and behind the chunk. */
 const MIN_CHUNK_FRAMING_BYTES = 5;
 /** Number of pieces in one read from which its connection shares the turns of the event loop with others of its kind. */
@@ -50,8 +52,8 @@
 ): PieceLimit {
   const { socket } = res;
   const maxPieces = isStream ? MAX_EVENT_PIECES : MAX_BODY_PIECES;
-  /** Behind the read in which the head ended. */
-  let framingStart = { bytesRead: socket.bytesRead, bodyBytes: 0 };
+  /** Where the current period begins; at first behind the read in which the head ended. */
+  let period = { atMs: performance.now(), bytesRead: socket.bytesRead, bodyBytes: 0, chunks: 0 };
   let bodyBytes = 0;
   let pieces = 0;
   /** Pieces that aren't the first of their read, which therefore are chunks. */
@@ -70,10 +72,15 @@
   }
 
   function checkFraming(framingBytes: number): void {
-    if (framingBytes > MAX_FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * bodyBytes)
+    const periodBytes = bodyBytes - period.bodyBytes;
+    if (framingBytes > MAX_FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * periodBytes)
       exceed('framing out of proportion');
   }
 
+  function startFramingPeriod(): void {
+    period = { atMs: performance.now(), bytesRead: socket.bytesRead, bodyBytes, chunks };
+  }
+
   function checkChunks(): void {
     // What waits for a slow caller may contain events.
     if (res.readableLength > 0) return;
@@ -88,8 +95,9 @@
     else if (isStream && read.length >= FULL_READ_BYTES) pauseReading(socket);
     chunksBeforeRead = chunks;
     if (res.complete) return;
-    const receivedBytes = socket.bytesRead - framingStart.bytesRead;
-    checkFraming(receivedBytes - (bodyBytes - framingStart.bodyBytes));
+    const receivedBytes = socket.bytesRead - period.bytesRead;
+    checkFraming(receivedBytes - (bodyBytes - period.bodyBytes));
+    if (performance.now() - period.atMs >= FRAMING_PERIOD_MS) startFramingPeriod();
   }
 
   function onPiece(bytes: number, isFirst: boolean): void {
@@ -98,13 +106,11 @@
     if (isFirst) return;
     chunks += 1;
     // The rest of the read isn't known yet.
-    checkFraming(chunks * MIN_CHUNK_FRAMING_BYTES);
+    checkFraming((chunks - period.chunks) * MIN_CHUNK_FRAMING_BYTES);
   }
 
   coalescing.listen({ onPiece, onFlushed: checkChunks });
-  process.nextTick(() => {
-    framingStart = { bytesRead: socket.bytesRead, bodyBytes };
-  });
+  process.nextTick(startFramingPeriod);
   socket.on('data', onRead);
   res.once('close', () => socket.removeListener('data', onRead));
   return {
