--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -20,7 +20,7 @@
 }
 
 /** Several times the text of all objects of a kind in the largest deployments. */
-const MAX_LISTING_SIZE = 8 * 1024 * 1024;
+const MAX_LISTING_SIZE = 24 * 1024 * 1024;
 
 /** Returns the position; an answer that states no era is taken to be of the current one. */
 export function inCurrentEra({ era, revision }: StorePosition, current: StoreEra): StorePosition {
