--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -122,7 +122,7 @@
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock, options.maxConnections);
-  const limitPipeline = createPipelineLimit(createQueuedResponses(), options.logger);
+  const limitPipeline = createPipelineLimit(createQueuedResponses());
   const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
@@ -156,7 +156,7 @@
       connections.requestEnded(socket, res.writableFinished);
       if (phase.closing) closeWhenUnused(socket);
     });
-    if (!limitPipeline(socket, res)) return;
+    limitPipeline(socket, res);
     if (isLate()) options.onLateRequest(req, res);
     else if (!isServed) options.onExcessRequest(req, res);
     // A request behind an open one is refused, so that the connection closes soon.
--- a/packages/edge/src/pause-reading.ts
+++ b/packages/edge/src/pause-reading.ts
@@ -13,12 +13,12 @@
   return handle?.reading === true && !socket.destroyed ? handle : undefined;
 }
 
-/** Stops reading. `reading` stays true; otherwise the stream would resume reading within the same event loop iteration. */
-function stopReading(socket: Socket): void {
+/** Stops reading until `resumeReading` is called. `reading` stays true; otherwise the stream would resume reading within the same event loop iteration. */
+export function stopReading(socket: Socket): void {
   getReadHandle(socket)?.readStop();
 }
 
-function resumeReading(socket: Socket): void {
+export function resumeReading(socket: Socket): void {
   getReadHandle(socket)?.readStart();
 }
 
--- a/packages/edge/src/relay/close-delimited.ts
+++ b/packages/edge/src/relay/close-delimited.ts
@@ -1,6 +1,6 @@
 /** Detection of close-delimited responses and of connection resets in them. */
 import type { IncomingMessage } from 'node:http';
-import { pauseReading } from './pause-reading.js';
+import { pauseReading } from '../pause-reading.js';
 import { BodyFraming } from './types.js';
 
 /** Returns what determines the end of the body. */
--- a/packages/edge/src/side-server.ts
+++ b/packages/edge/src/side-server.ts
@@ -22,7 +22,7 @@
   connectionsCheckingInterval: 1000,
 };
 /** Requests that are open on one connection at a time. */
-const PIPELINE_LIMITS = { pauseRequests: 1, maxRequests: 8 };
+const MAX_OPEN_REQUESTS = 1;
 
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
@@ -38,7 +38,7 @@
 ): Server {
   const unused = new Set<Socket>();
   const used = new Set<Socket>();
-  const limitPipeline = createPipelineLimit(createQueuedResponses(), logger, PIPELINE_LIMITS);
+  const limitPipeline = createPipelineLimit(createQueuedResponses(), MAX_OPEN_REQUESTS);
 
   function remove(socket: Socket): void {
     unused.delete(socket);
@@ -51,7 +51,8 @@
     if (unused.delete(socket)) used.add(socket);
     // The body of a request is not read any further.
     if (hasBody(req)) res.shouldKeepAlive = false;
-    if (limitPipeline(socket, res)) onRequest(req, res);
+    limitPipeline(socket, res);
+    onRequest(req, res);
   });
   server.on('connection', (socket: Socket) => {
     if (unused.size + used.size >= maxConnections) {
