--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -82,7 +82,6 @@
         createServerConnections({
           nowMs: ctx.clock,
           maxConnections: connectionLimits.servers,
-          headBytes: memoryDivision.responseHeads,
           responseBytes: memoryDivision.responses,
         }),
       close: (connections) => connections.close(),
--- a/packages/edge/src/memory-division.ts
+++ b/packages/edge/src/memory-division.ts
@@ -1,13 +1,13 @@
 /** Division of the process's memory among what it holds for others, so that the sum of all limits stays below it. */
 import { BODIES_FRACTION } from './callers/body-budget.js';
 
-/** Parts of the memory in bytes. What the kernel holds for sockets isn't part of the process's memory. */
+/** Parts of the memory in bytes. What the kernel holds for sockets isn't among them: only its own settings limit that. */
 export interface MemoryDivision {
   /** The program, its state and the heap. */
   own: number;
   /** Buffers that nothing refers to any more, until the garbage collector has freed them. */
   uncollected: number;
-  /** Heads of responses while they arrive. */
+  /** Heads of responses while they arrive, as long as few of them are large. */
   responseHeads: number;
   requestBodies: number;
   /** Buffered responses and unfinished events. */
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -26,6 +26,8 @@
 
 /** Connect timeout: a few times the latency between regions, but below the one second after which TCP retransmits a lost SYN. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Maximum size of the head of a response, and of its trailers. */
+const MAX_HEAD_BYTES = 16 * 1024;
 /** Maximum number of interim responses (status 1xx) before the final one. */
 const MAX_INTERIM_RESPONSES = 8;
 /** Maximum size of a body of which the kernel may still send the rest once its attempt has been abandoned. */
@@ -51,7 +53,7 @@
     port: req.port,
     method: req.method,
     path: req.path,
-    maxHeaderSize: connections.maxHeadBytes,
+    maxHeaderSize: MAX_HEAD_BYTES,
     // Node's types lack the array form, which preserves order, case and repeated headers.
     headers: req.headers as unknown as Record<string, string>,
     setHost: false,
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -3,16 +3,14 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { createCrowdedReads } from './pause-reading.js';
-import type { CrowdedReads } from './pause-reading.js';
+import { createCrowdedReads } from '../pause-reading.js';
+import type { CrowdedReads } from '../pause-reading.js';
 import { createResponseMemory } from './response-memory.js';
 import type { ResponseMemory } from './response-memory.js';
 
 /** Connection pool. */
 export interface ServerConnections {
   agent: Agent;
-  /** Maximum size of the head of a response. */
-  maxHeadBytes: number;
   /** Memory of all buffered responses and unfinished events. */
   responseMemory: ResponseMemory;
   /** Connections of responses in many small pieces. */
@@ -23,9 +21,6 @@
   close(): void;
 }
 
-/** Bounds of the maximum size of a response's head. */
-const MAX_HEAD_BYTES = 16 * 1024;
-const MIN_MAX_HEAD_BYTES = 8 * 1024;
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -65,23 +60,14 @@
   nowMs: () => number;
   /** Maximum number of connections. The one that has been idle for longest is closed in favour of a new one. */
   maxConnections: number;
-  /** Memory in bytes for the heads of responses while they arrive on all connections. */
-  headBytes: number;
   /** Memory in bytes for buffered responses and unfinished events. */
   responseBytes: number;
 }
 
-/** Returns the maximum size of each head, so that all of them together stay within `headBytes` if that leaves enough for one. */
-function divideHeadBytes(headBytes: number, connections: number): number {
-  const equalBytes = Math.floor(headBytes / connections);
-  return Math.max(MIN_MAX_HEAD_BYTES, Math.min(MAX_HEAD_BYTES, equalBytes));
-}
-
 /** Creates the pool. A connection that receives bytes while idle is closed, since they belong to no request. */
 export function createServerConnections({
   nowMs,
   maxConnections,
-  headBytes,
   responseBytes,
 }: ServerConnectionsOptions): ServerConnections {
   const agent = new Agent({
@@ -150,7 +136,6 @@
 
   return {
     agent,
-    maxHeadBytes: divideHeadBytes(headBytes, maxConnections),
     responseMemory: createResponseMemory(responseBytes),
     crowdedReads: createCrowdedReads(),
     countConnections: () => ({
--- a/packages/edge/test/relay/abandoned-bodies.test.ts
+++ b/packages/edge/test/relay/abandoned-bodies.test.ts
@@ -16,7 +16,6 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 100,
-    headBytes: 100 * 16 * 1024,
     responseBytes: 1024 * 1024,
   });
   const req: Partial<AttemptRequest> = {
--- a/packages/edge/test/relay/piece-limit.test.ts
+++ b/packages/edge/test/relay/piece-limit.test.ts
@@ -171,7 +171,6 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 9,
-    headBytes: 100 * 16 * 1024,
     responseBytes: 32 * 1024 * 1024,
   });
   const writes: { turn: number; stream: number }[] = [];
--- a/packages/edge/test/relay/request-errors.test.ts
+++ b/packages/edge/test/relay/request-errors.test.ts
@@ -49,7 +49,6 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 100,
-    headBytes: 100 * 16 * 1024,
     responseBytes: 1024 * 1024,
   });
   t.after(() => {
--- a/packages/edge/test/relay/server-connections.test.ts
+++ b/packages/edge/test/relay/server-connections.test.ts
@@ -18,7 +18,6 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 1,
-    headBytes: 100 * 16 * 1024,
     responseBytes: 1024 * 1024,
   });
   const send = (index: number) => {
@@ -49,7 +48,6 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections: 1,
-    headBytes: 100 * 16 * 1024,
     responseBytes: 32 * 1024 * 1024,
   });
   t.after(() => {
--- a/packages/edge/test/relay/unsent.test.ts
+++ b/packages/edge/test/relay/unsent.test.ts
@@ -23,7 +23,6 @@
   const connections = createServerConnections({
     nowMs: () => performance.now(),
     maxConnections,
-    headBytes: 100 * 16 * 1024,
     responseBytes: 1024 * 1024,
   });
   Object.assign(connections.agent, agent);
