Say not ready while connections wait to be accepted, not only while the loop is late

Cause: the event loop of Node 20 accepts one connection per iteration, so on a quarter of a core the queue of 50 connections is full while the loop is hardly late; readiness looked at the loop alone. Change: the estimated wait of unaccepted connections counts like the lag, with the same bound and hold, and is in the log line of the change.

--- a/packages/edge/src/callers/accept-queue.ts
+++ b/packages/edge/src/callers/accept-queue.ts
@@ -4,6 +4,12 @@
  */
 import type { Clock } from '@kingcupsill/runtime';
 
+/**
+ * Maximum number of connections waiting to be accepted. The event loop accepts one per iteration, so with a longer queue on a busy
+ * processor callers time out before their requests are read. Connections beyond the limit reach another router within a second.
+ */
+export const ACCEPT_QUEUE_CAPACITY = 50;
+
 /** Monitor of one listener's queue. */
 export interface AcceptQueue {
   /** Records an accepted connection. */
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -5,10 +5,11 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@kingcupsill/core/direct';
 import { parseCallerHeaders } from '@kingcupsill/prepared-platform';
-import { afterNextPoll, callAfter, closeServer, polled, repeatEvery } from '@kingcupsill/runtime';
+import { callAfter, closeServer, polled, repeatEvery } from '@kingcupsill/runtime';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { listenWhenFree } from '../listen-when-free.js';
-import { createAcceptQueue } from './accept-queue.js';
+import { ACCEPT_QUEUE_CAPACITY } from './accept-queue.js';
+import type { AcceptQueue } from './accept-queue.js';
 import { createConnectionTable } from './connection-table.js';
 import type { ConnectionTable, ConnectionTotals } from './connection-table.js';
 import { createQueuedResponses } from './queued-responses.js';
@@ -28,6 +29,7 @@
   maxConnections: number;
   /** Maximum number of further connections, which get a refusal. */
   maxRefusedConnections: number;
+  acceptQueue: AcceptQueue;
   clock: Clock;
   logger: Logger;
   stopping?: AbortSignal;
@@ -48,8 +50,6 @@
   /** Number of idle connections on which another request may be on its way. */
   keptConnectionCount(): number;
   connectionTotals(): ConnectionTotals;
-  /** Estimated wait of connections that haven't been accepted yet. */
-  acceptWaitMs(): number;
   close(): Promise<void>;
 }
 
@@ -68,12 +68,6 @@
 /** Time in which the next request arrives on a kept connection whose answer has ended after the router stopped listening. */
 const NEXT_REQUEST_MS = 300;
 
-/**
- * Maximum number of connections waiting to be accepted. The event loop accepts one per iteration, so with a longer queue on a busy
- * processor callers time out before their requests are read. Connections beyond the limit reach another router within a second.
- */
-const BACKLOG = 50;
-
 const SERVER_OPTIONS = {
   // Disabled: Node's timers may act before what has arrived is read. The periodic sweep closes idle and stalled connections.
   keepAliveTimeout: 0,
@@ -122,7 +116,6 @@
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock, options.maxConnections);
   const queuedResponses = createQueuedResponses();
-  const acceptQueue = createAcceptQueue(BACKLOG, options.clock, afterNextPoll);
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
     phase.closing || options.clock() - phase.drainedFromMs >= LATE_AFTER_MS;
@@ -164,7 +157,7 @@
 
   const server = createServer(SERVER_OPTIONS, onRequest);
   server.on('connection', (socket) => {
-    acceptQueue.recordAccepted();
+    options.acceptQueue.recordAccepted();
     connections.add(socket);
   });
   server.on('clientError', createErrorHandler(connections, options.logger));
@@ -172,7 +165,7 @@
   server.maxConnections = options.maxConnections + options.maxRefusedConnections;
   server.on('drop', () => logger.warn('connection-dropped', { limit: server.maxConnections }));
   const policy = { listener: 'callers', isRequired: true, logger, stopping };
-  await listenWhenFree(server, { host, port, backlog: BACKLOG, ...policy });
+  await listenWhenFree(server, { host, port, backlog: ACCEPT_QUEUE_CAPACITY, ...policy });
   const sweepTimer = repeatEvery(SWEEP_PERIOD_MS, () => {
     const idleTimeoutMs = options.limits()?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
     connections.closeIdle(idleTimeoutMs + IDLE_CLOSE_DELAY_MS);
@@ -194,7 +187,6 @@
     unusedConnectionCount: connections.unusedCount,
     keptConnectionCount: connections.keptCount,
     connectionTotals: connections.totals,
-    acceptWaitMs: acceptQueue.waitMs,
     async close() {
       sweepTimer.close();
       await closeServer(server);
--- a/packages/edge/src/drain.ts
+++ b/packages/edge/src/drain.ts
@@ -18,7 +18,7 @@
 
 type DrainParts = Pick<
   EdgeParts,
-  'phase' | 'loop' | 'callers' | 'requestHandlers' | 'registration'
+  'phase' | 'loop' | 'callers' | 'acceptQueue' | 'requestHandlers' | 'registration'
 >;
 
 /**
@@ -43,7 +43,7 @@
   const acceptedByMs = Math.min(clock() + MAX_ACCEPT_MS, endsAtMs);
   // If the event loop is late, this timer runs before waiting connections are accepted.
   do await wait(ACCEPT_POLL_MS);
-  while (callers.acceptWaitMs() > 0 && clock() < acceptedByMs);
+  while (parts.acceptQueue.waitMs() > 0 && clock() < acceptedByMs);
   await callers.stopListening();
   const firstRequestsByMs = Math.min(clock() + FIRST_REQUEST_MS, endsAtMs);
   await waitWhile(() => unusedConnectionCount() > 0, firstRequestsByMs);
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -11,13 +11,14 @@
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { createStoreClient, StoreKind } from '@kingcupsill/prepared-platform';
-import { composeProcess, createLoop, repeatEvery } from '@kingcupsill/runtime';
+import { afterNextPoll, composeProcess, createLoop, repeatEvery } from '@kingcupsill/runtime';
 import type {
   ComponentDefinition,
   ComponentDefinitions,
   RunningProcess,
 } from '@kingcupsill/runtime';
 import { createAdminServer } from './admin/admin-server.js';
+import { ACCEPT_QUEUE_CAPACITY, createAcceptQueue } from './callers/accept-queue.js';
 import { createBodyBudget } from './callers/body-budget.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
@@ -104,7 +105,13 @@
     },
     storeNews: { create: createStoreNews },
     followedNews: followedNewsPart(ctx),
-    loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
+    acceptQueue: {
+      create: () => createAcceptQueue(ACCEPT_QUEUE_CAPACITY, ctx.clock, afterNextPoll),
+    },
+    loopLag: {
+      create: ({ acceptQueue }) => createLoopLag(ctx.clock, acceptQueue.waitMs),
+      close: (lag) => lag.close(),
+    },
     bodyBudget: { create: () => createBodyBudget(ctx.settings().process.memoryMb) },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
     requestHandlers: { create: (parts) => createRequestHandlers(ctx, parts) },
@@ -138,14 +145,14 @@
 
 async function logSummary(
   { logger, clock, droppedLines }: EdgeContext,
-  { state, metrics, callers, loopLag, bodyBudget }: EdgeParts,
+  { state, metrics, callers, acceptQueue, loopLag, bodyBudget }: EdgeParts,
 ): Promise<void> {
-  const { connectionTotals, acceptWaitMs } = await callers;
+  const { connectionTotals } = await callers;
   const { totals, open, servers } = describeState(state, clock());
   const control = { ...metrics.controlTotals(), droppedLines: droppedLines() };
   const lateness = {
     lagMs: Math.round(loopLag.lagMs()),
-    acceptWaitMs: Math.round(acceptWaitMs()),
+    acceptWaitMs: Math.round(acceptQueue.waitMs()),
   };
   const connections = connectionTotals();
   const bodyBytes = bodyBudget.heldBytes();
@@ -272,6 +279,7 @@
         limits: () => parts.state.routeTable?.config.limits,
         ...parts.requestHandlers,
         maxConnections: parts.connectionLimits.callers,
+        acceptQueue: parts.acceptQueue,
         maxRefusedConnections: parts.connectionLimits.refusedCallers,
         clock: ctx.clock,
         logger: ctx.logger,
@@ -286,13 +294,15 @@
 
 function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
   return {
-    create({ state, phase, loopLag }) {
+    create({ state, phase, acceptQueue, loopLag }) {
       let wasOverloaded = false;
       /** An overloaded router leaves new connections to the others of its zone. */
       function checkOverload(): boolean {
         const isOverloaded = loopLag.isOverloaded();
-        if (isOverloaded !== wasOverloaded)
-          ctx.logger.warn('overload-changed', { overloaded: isOverloaded, lagMs: loopLag.lagMs() });
+        if (isOverloaded !== wasOverloaded) {
+          const lateness = { lagMs: loopLag.lagMs(), acceptWaitMs: acceptQueue.waitMs() };
+          ctx.logger.warn('overload-changed', { overloaded: isOverloaded, ...lateness });
+        }
         wasOverloaded = isOverloaded;
         return isOverloaded;
       }
--- a/packages/edge/src/loop-lag.ts
+++ b/packages/edge/src/loop-lag.ts
@@ -8,14 +8,14 @@
 export interface LoopLag extends Closable {
   /** Smoothed lag in milliseconds; near 0 while the processor keeps up. */
   lagMs(): number;
-  /** Returns whether the processor hasn't kept up for some time. */
+  /** Returns whether the processor hasn't kept up for some time: the loop was late, or connections waited to be accepted. */
   isOverloaded(): boolean;
 }
 
 const PROBE_PERIOD_MS = 20;
 
-/** Starts the measurement. */
-export function createLoopLag(clock: Clock): LoopLag {
+/** Starts the measurement. `acceptWaitMs` estimates the wait of connections that haven't been accepted yet. */
+export function createLoopLag(clock: Clock, acceptWaitMs: () => number): LoopLag {
   let dueAtMs = clock() + PROBE_PERIOD_MS;
   const estimate = createLagEstimate();
   const detector = createOverloadDetector();
@@ -23,7 +23,7 @@
   const probeTimer = setInterval(() => {
     const nowMs = clock();
     const observedMs = Math.max(0, nowMs - dueAtMs);
-    detector.observe(observedMs, nowMs);
+    detector.observe(observedMs, nowMs, acceptWaitMs());
     estimate.observe(observedMs);
     dueAtMs = nowMs + PROBE_PERIOD_MS;
   }, PROBE_PERIOD_MS);
--- a/packages/edge/src/overload.ts
+++ b/packages/edge/src/overload.ts
@@ -1,15 +1,15 @@
-/** Detects that the event loop can't keep up, as opposed to a single pause. */
+/** Detects that the event loop can't keep up, as opposed to a single pause: it stays late, or connections aren't accepted in time. */
 
 /** Detector of sustained overload. */
 export interface OverloadDetector {
-  /** Records the lag of the event loop at one probe. */
-  observe(lagMs: number, nowMs: number): void;
+  /** Records at one probe the lag of the event loop and the wait of connections that it hasn't accepted yet. */
+  observe(lagMs: number, nowMs: number, acceptWaitMs?: number): void;
   isOverloaded(nowMs: number): boolean;
 }
 
 /**
- * Lag that counts as late. The event loop accepts one connection per iteration, so at this lag the connections that wait to be
- * accepted are given up by their callers before their turn.
+ * Lag, and wait of connections, that counts as late. The event loop accepts one connection per iteration, so at this lag the connections
+ * that wait to be accepted are given up by their callers before their turn.
  */
 export const LATE_LAG_MS = 250;
 /** Consecutive late probes that count as overload. A process that was paused sees only one. */
@@ -20,11 +20,14 @@
 /** Creates a detector of an event loop that keeps up. */
 export function createOverloadDetector(): OverloadDetector {
   let lateProbes = 0;
+  /** Counted apart: after a pause the loop is late once, and then accepts what has arrived meanwhile. */
+  let lateAccepts = 0;
   let overloadedUntilMs = Number.NEGATIVE_INFINITY;
   return {
-    observe(lagMs, nowMs) {
+    observe(lagMs, nowMs, acceptWaitMs = 0) {
       lateProbes = lagMs >= LATE_LAG_MS ? lateProbes + 1 : 0;
-      if (lateProbes >= LATE_PROBES) overloadedUntilMs = nowMs + HOLD_MS;
+      lateAccepts = acceptWaitMs >= LATE_LAG_MS ? lateAccepts + 1 : 0;
+      if (Math.max(lateProbes, lateAccepts) >= LATE_PROBES) overloadedUntilMs = nowMs + HOLD_MS;
     },
     isOverloaded: (nowMs) => nowMs < overloadedUntilMs,
   };
--- a/packages/edge/src/types.ts
+++ b/packages/edge/src/types.ts
@@ -2,6 +2,7 @@
 import type { DirectEvent, DirectState, StoreNews } from '@kingcupsill/core/direct';
 import type { StoreClient } from '@kingcupsill/prepared-platform';
 import type { Loop } from '@kingcupsill/runtime';
+import type { AcceptQueue } from './callers/accept-queue.js';
 import type { BodyBudget } from './callers/body-budget.js';
 import type { CallerServer } from './callers/caller-server.js';
 import type { RequestHandlers } from './callers/request-handler.js';
@@ -44,6 +45,7 @@
   streamStore: StreamStore;
   storeNews: StoreNews;
   followedNews: FollowedNews;
+  acceptQueue: AcceptQueue;
   loopLag: LoopLag;
   validator: RequestValidator;
   requestHandlers: RequestHandlers;
--- a/packages/edge/test/callers/drain.test.ts
+++ b/packages/edge/test/callers/drain.test.ts
@@ -4,6 +4,7 @@
 import { connect } from 'node:net';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { createAcceptQueue } from '../../src/callers/accept-queue.js';
 import { createCallerServer } from '../../src/callers/caller-server.js';
 import { createDeployment, findFreePort, waitUntil } from '../standins/deployment.js';
 import { createRawCaller, requestHead } from '../standins/raw-caller.js';
@@ -105,6 +106,7 @@
     onExcessRequest: (_req, res) => res.end('refused'),
     maxConnections: 10,
     maxRefusedConnections: 10,
+    acceptQueue: createAcceptQueue(1, () => performance.now(), setImmediate),
     clock: () => performance.now(),
     logger: createRecordingLogger(),
   });
