Refuse a new connection's request that has waited too long before its body is read

Cause: on a quarter of a core each request costs the router as much when it is refused as busy as when it is served, since the refusal comes after the body, the digest and a turn; the queue of unaccepted connections stays full. Change: each accepted connection keeps the most that it can have waited. Its first request is refused at its head, with Connection: close, if that is over half of the latency objective.

--- a/packages/edge/src/callers/accept-queue.ts
+++ b/packages/edge/src/callers/accept-queue.ts
@@ -13,7 +13,9 @@
 /** Monitor of one listener's queue. */
 export interface AcceptQueue {
   /** Records an accepted connection. */
-  recordAccepted(): void;
+  recordAccepted(connection: object): void;
+  /** Estimated time for which an accepted connection had waited, in milliseconds; 0 from the second question on. */
+  takeWaitMs(connection: object): number;
   /** Estimated wait of the connection that is accepted next, in milliseconds; 0 if none waits. */
   waitMs(): number;
 }
@@ -30,9 +32,17 @@
   /** Time at which the queue was last empty, and the connections accepted since; 0 while it is empty. */
   let emptyAtMs = 0;
   let accepted = 0;
+  const waitsMs = new WeakMap<object, number>();
+
+  function waitMs(): number {
+    if (accepted === 0) return 0;
+    const waitingMs = clock() - emptyAtMs;
+    return Math.min(waitingMs, (waitingMs / accepted) * capacity);
+  }
 
   return {
-    recordAccepted() {
+    recordAccepted(connection) {
+      if (accepted > 0) waitsMs.set(connection, waitMs());
       if (accepted === 0) emptyAtMs = clock();
       accepted += 1;
       const acceptedNow = accepted;
@@ -40,10 +50,11 @@
         if (accepted === acceptedNow) accepted = 0;
       });
     },
-    waitMs() {
-      if (accepted === 0) return 0;
-      const waitingMs = clock() - emptyAtMs;
-      return Math.min(waitingMs, (waitingMs / accepted) * capacity);
+    takeWaitMs(connection) {
+      const waitedMs = waitsMs.get(connection) ?? 0;
+      waitsMs.delete(connection);
+      return waitedMs;
     },
+    waitMs,
   };
 }
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -157,7 +157,7 @@
 
   const server = createServer(SERVER_OPTIONS, onRequest);
   server.on('connection', (socket) => {
-    options.acceptQueue.recordAccepted();
+    options.acceptQueue.recordAccepted(socket);
     connections.add(socket);
   });
   server.on('clientError', createErrorHandler(connections, options.logger));
--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -21,6 +21,7 @@
   | 'bodyBudget'
   | 'exchanges'
   | 'loopLag'
+  | 'acceptQueue'
   | 'loop'
   | 'metrics'
   | 'state'
@@ -65,6 +66,8 @@
 };
 /** Wait for the event loop, as a fraction of a request's latency objective, above which another router serves the request better. */
 const MAX_WAIT_FRACTION = 0.25;
+/** The same for the wait of a new connection, of which only the most that it can have been is known. */
+const MAX_ACCEPT_WAIT_FRACTION = 0.5;
 
 /** Handlers of callers' requests. */
 export interface RequestHandlers {
@@ -113,7 +116,7 @@
 /** Creates the handlers of the server for callers. */
 export function createRequestHandlers(ctx: EdgeContext, parts: HandlerParts): RequestHandlers {
   const { clock, random } = ctx;
-  const { validator, bodyBudget, exchanges, loopLag, loop } = parts;
+  const { validator, bodyBudget, exchanges, loopLag, acceptQueue, loop } = parts;
   const { protect } = parts.requestErrors;
   const queue = createRequestQueue(clock, setImmediate);
   const pending = createPendingRequests(ctx, parts);
@@ -163,6 +166,13 @@
       return;
     }
     const { attributes } = validation;
+    const maxAcceptWaitMs = attributes.route.objectiveMs * MAX_ACCEPT_WAIT_FRACTION;
+    // Without reading the body, the refusal costs least, and the connections behind this one are accepted sooner.
+    if (acceptQueue.takeWaitMs(req.socket) > maxAcceptWaitMs) {
+      res.shouldKeepAlive = false;
+      refuse(BUSY_REFUSAL);
+      return;
+    }
     const reservation = bodyBudget.open(attributes.account);
     res.on('close', reservation.release);
     readBody(req, { maxBytes, reservation }, (result) => {
--- a/packages/edge/test/callers/accept-queue.test.ts
+++ b/packages/edge/test/callers/accept-queue.test.ts
@@ -16,11 +16,11 @@
   );
   return {
     queue,
-    iterate(durationMs: number, accepts: boolean): void {
+    iterate(durationMs: number, accepts: boolean, connection: object = {}): void {
       nowMs += durationMs;
       const callbacks = polled;
       polled = [];
-      if (accepts) queue.recordAccepted();
+      if (accepts) queue.recordAccepted(connection);
       callbacks.forEach((callback) => callback());
     },
   };
@@ -44,3 +44,14 @@
   loop.iterate(80, false);
   assert.equal(loop.queue.waitMs(), 0);
 });
+
+test('the wait of an accepted connection counts for its first request only', () => {
+  const loop = createQueueOfLoop();
+  const connection = {};
+  for (let count = 0; count < 5; count += 1) loop.iterate(80, true);
+  loop.iterate(80, true, connection);
+  assert.deepEqual(
+    [1, 2].map(() => loop.queue.takeWaitMs(connection)),
+    [400, 0],
+  );
+});
--- a/packages/edge/test/callers/busy-router.test.ts
+++ b/packages/edge/test/callers/busy-router.test.ts
@@ -25,12 +25,14 @@
   while (performance.now() < endsAtMs);
 }
 
-/** Starts a server whose requests each occupy the processor and are answered by `answer`. */
-async function startBusyServer(): Promise<Server> {
+const OBJECTIVE_MS = 60_000;
+
+/** Starts a server whose requests each occupy the processor and are answered, and whose connections have waited to be accepted. */
+async function startBusyServer(acceptWaitMs = 0): Promise<Server> {
   const exchanges = new Map<string, { res: { end(): void } }>();
   const parts = {
     validator: {
-      validate: () => ({ ok: true, attributes: { route: { objectiveMs: 60_000 } } }),
+      validate: () => ({ ok: true, attributes: { route: { objectiveMs: OBJECTIVE_MS } } }),
       maxBodyBytes: () => 1000,
     },
     bodyBudget: createBodyBudget(MEMORY_MB),
@@ -38,6 +40,9 @@
       add: (exchange: { id: string; res: { end(): void } }) => exchanges.set(exchange.id, exchange),
     },
     loopLag: { lagMs: () => 0 },
+    acceptQueue: { takeWaitMs: () => acceptWaitMs },
+    metrics: { countRefusal() {} },
+    state: {},
     requestErrors: {
       protect: (_res: unknown, _attemptId: unknown, step: () => void) => step(),
     },
@@ -94,3 +99,23 @@
     `the last of ${NEW_CONNECTIONS} was accepted after ${lastMs} ms`,
   );
 });
+
+// Guards against: a router that is behind reads whole bodies and keeps connections open only to refuse their requests.
+test(
+  'a request whose connection has waited too long is refused before its body arrives, and its connection closes',
+  { timeout: 20_000 },
+  async (t) => {
+    const server = await startBusyServer(OBJECTIVE_MS);
+    const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    t.after(() => {
+      caller.destroy();
+      server.close();
+    });
+    caller.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n');
+    const [head] = (await once(caller, 'data')) as [Buffer];
+    assert.match(head.toString(), /^HTTP\/1\.1 503 [^]*\r\nConnection: close\r\n/);
+    caller.write('x'.repeat(100));
+    caller.resume();
+    await once(caller, 'end');
+  },
+);
