Stay in rotation while early refusals keep the queue of new connections short

Cause: with early refusals the queue empties often; three late probes in 60 ms took the router out for seconds, in which its processor had nothing to do. Change: connections must wait too long for a quarter of a second in a row.

--- a/packages/edge/src/overload.ts
+++ b/packages/edge/src/overload.ts
@@ -12,6 +12,11 @@
  * that wait to be accepted are given up by their callers before their turn.
  */
 export const LATE_LAG_MS = 250;
+/**
+ * Time for which connections must wait too long in a row. Early refusals usually empty the queue sooner; a router that leaves the
+ * rotation for each short queue leaves its processor idle, and its callers to its neighbours.
+ */
+const LATE_ACCEPTS_MS = 250;
 /** Consecutive late probes that count as overload. A process that was paused sees only one. */
 const LATE_PROBES = 3;
 /** Time without overload after which the loop counts as keeping up; longer than two readiness checks. */
@@ -20,14 +25,18 @@
 /** Creates a detector of an event loop that keeps up. */
 export function createOverloadDetector(): OverloadDetector {
   let lateProbes = 0;
-  /** Counted apart: after a pause the loop is late once, and then accepts what has arrived meanwhile. */
-  let lateAccepts = 0;
+  /** Time since which connections have waited too long at each probe. */
+  let acceptsLateSinceMs = Number.POSITIVE_INFINITY;
   let overloadedUntilMs = Number.NEGATIVE_INFINITY;
   return {
     observe(lagMs, nowMs, acceptWaitMs = 0) {
       lateProbes = lagMs >= LATE_LAG_MS ? lateProbes + 1 : 0;
-      lateAccepts = acceptWaitMs >= LATE_LAG_MS ? lateAccepts + 1 : 0;
-      if (Math.max(lateProbes, lateAccepts) >= LATE_PROBES) overloadedUntilMs = nowMs + HOLD_MS;
+      acceptsLateSinceMs =
+        acceptWaitMs >= LATE_LAG_MS
+          ? Math.min(acceptsLateSinceMs, nowMs)
+          : Number.POSITIVE_INFINITY;
+      const areAcceptsLate = nowMs - acceptsLateSinceMs >= LATE_ACCEPTS_MS;
+      if (lateProbes >= LATE_PROBES || areAcceptsLate) overloadedUntilMs = nowMs + HOLD_MS;
     },
     isOverloaded: (nowMs) => nowMs < overloadedUntilMs,
   };
