Process one request per turn while connections wait too long to be accepted

Cause: an iteration accepts one connection, and processed 5 ms of the requests of kept connections, so that new connections starved behind kept ones.

--- a/packages/edge/src/callers/request-handler.ts
+++ b/packages/edge/src/callers/request-handler.ts
@@ -7,6 +7,7 @@
 import type { CallerHeaders } from '@kingcupsill/prepared-platform';
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
+import { LATE_LAG_MS } from '../overload.js';
 import { createResponseSink } from './exchange.js';
 import type { Exchange } from './exchange.js';
 import { fingerprintRequest } from './fingerprint.js';
@@ -118,7 +119,7 @@
   const { clock, random } = ctx;
   const { validator, bodyBudget, exchanges, loopLag, acceptQueue, loop } = parts;
   const { protect } = parts.requestErrors;
-  const queue = createRequestQueue(clock, setImmediate);
+  const queue = createRequestQueue(clock, () => acceptQueue.waitMs() >= LATE_LAG_MS, setImmediate);
   const pending = createPendingRequests(ctx, parts);
   let requestCount = 0;
 
--- a/packages/edge/src/callers/request-queue.ts
+++ b/packages/edge/src/callers/request-queue.ts
@@ -20,10 +20,12 @@
 
 /**
  * Creates an empty queue.
+ * @param areConnectionsWaiting returns whether connections wait too long to be accepted; a turn then processes one request only
  * @param afterPoll calls back once the event loop has polled all sockets, in the order of the calls
  */
 export function createRequestQueue(
   clock: Clock,
+  areConnectionsWaiting: () => boolean,
   afterPoll: (callback: () => void) => void,
 ): RequestQueue {
   const waiting: WaitingRequest[] = [];
@@ -40,7 +42,7 @@
     const endsAtMs = clock() + TURN_MS;
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
       next.process(clock() - next.addedAtMs);
-      if (clock() >= endsAtMs) break;
+      if (clock() >= endsAtMs || areConnectionsWaiting()) break;
     }
     scheduleTurn();
   }
--- a/packages/edge/test/callers/busy-router.test.ts
+++ b/packages/edge/test/callers/busy-router.test.ts
@@ -40,7 +40,7 @@
       add: (exchange: { id: string; res: { end(): void } }) => exchanges.set(exchange.id, exchange),
     },
     loopLag: { lagMs: () => 0 },
-    acceptQueue: { takeWaitMs: () => acceptWaitMs },
+    acceptQueue: { takeWaitMs: () => acceptWaitMs, waitMs: () => 0 },
     metrics: { countRefusal() {} },
     state: {},
     requestErrors: {
--- a/packages/edge/test/callers/request-queue.test.ts
+++ b/packages/edge/test/callers/request-queue.test.ts
@@ -4,11 +4,12 @@
 import { createRequestQueue } from '../../src/callers/request-queue.js';
 
 /** Event loop whose iterations are run by the test. */
-function createQueueOfLoop() {
+function createQueueOfLoop(areConnectionsWaiting = () => false) {
   let nowMs = 1000;
   let callbacks: (() => void)[] = [];
   const queue = createRequestQueue(
     () => nowMs,
+    areConnectionsWaiting,
     (callback) => callbacks.push(callback),
   );
   return {
@@ -52,3 +53,21 @@
   loop.iterate();
   assert.deepEqual([...processed], ['first', 'second']);
 });
+
+// Guards against: new connections starve because an iteration that accepts one of them processes several requests of kept connections.
+test('while connections wait too long to be accepted, each turn processes one request', () => {
+  let areWaiting = true;
+  const loop = createQueueOfLoop(() => areWaiting);
+  let processed = 0;
+  const count = () => {
+    processed += 1;
+  };
+  for (let index = 0; index < 10; index += 1) loop.add(1, count);
+  loop.iterate();
+  loop.iterate();
+  loop.iterate();
+  assert.equal(processed, 2);
+  areWaiting = false;
+  loop.iterate();
+  assert.ok(processed > 3, String(processed));
+});
