--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -78,7 +78,10 @@
         createServerConnections({ nowMs: ctx.clock, maxConnections: connectionLimits.servers }),
       close: (connections) => connections.close(),
     },
-    metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
+    metrics: {
+      create: ({ state, acceptQueue }) =>
+        createEdgeMetrics(ctx.registry, state, ctx.droppedLines, acceptQueue.waitMs),
+    },
     exchanges: exchangesPart(ctx),
     requestErrors: { create: (parts) => createRequestErrors(ctx, parts) },
     loop: loopPart(ctx),
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -94,11 +94,12 @@
   );
 }
 
-/** Registers the metrics. Gauges read the state on each scrape. */
+/** Registers the metrics. Gauges read the state on each scrape; `acceptWaitMs` is the wait of connections that aren't accepted yet. */
 export function createEdgeMetrics(
   registry: Registry,
   state: DirectState,
   droppedLines: () => number,
+  acceptWaitMs: () => number,
 ): EdgeMetrics {
   const registers = [registry];
   const counter = (name: string, help: string, ...labelNames: string[]) =>
@@ -150,6 +151,12 @@
     'Log lines dropped because their reader was too slow.',
     droppedLines,
   );
+  registerGauge(
+    registry,
+    'kingcupsill_accept_wait_seconds',
+    'Estimated wait of connections that have not been accepted yet; an upper bound.',
+    () => acceptWaitMs() / 1000,
+  );
   return {
     countAttempt: (isRetry) => attempts.inc({ repeat: String(isRetry) }),
     countAttemptEnd: (outcome) => attemptEnds.inc({ end: outcome }),
--- a/packages/edge/test/admin/admin.test.ts
+++ b/packages/edge/test/admin/admin.test.ts
@@ -14,6 +14,7 @@
   assert.match(metrics, /kingcupsill_refusals_total\{code="unknown_route"\} 1/);
   assert.match(metrics, /kingcupsill_first_event_seconds_count\{service="s1"\} 1/);
   assert.match(metrics, /kingcupsill_log_lines_dropped 3/);
+  assert.match(metrics, /kingcupsill_accept_wait_seconds \d/);
   assert.match(metrics, /kingcupsill_store_calls_total\{kind="servers",outcome="ok"\} \d/);
   const state = JSON.parse(await fetchPage('/debug/state')) as {
     configuration: number;
