--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -94,6 +94,25 @@
   );
 }
 
+function registerProcessGauges(
+  registry: Registry,
+  droppedLines: () => number,
+  acceptWaitMs: () => number,
+): void {
+  registerGauge(
+    registry,
+    'kingcupsill_log_lines_dropped',
+    'Log lines dropped because their reader was too slow.',
+    droppedLines,
+  );
+  registerGauge(
+    registry,
+    'kingcupsill_accept_wait_seconds',
+    'Estimated wait of connections that have not been accepted yet; an upper bound.',
+    () => acceptWaitMs() / 1000,
+  );
+}
+
 /** Registers the metrics. Gauges read the state on each scrape; `acceptWaitMs` is the wait of connections that aren't accepted yet. */
 export function createEdgeMetrics(
   registry: Registry,
@@ -145,18 +164,7 @@
     'Time to the end of the response.',
   );
   registerStateGauges(registry, state);
-  registerGauge(
-    registry,
-    'kingcupsill_log_lines_dropped',
-    'Log lines dropped because their reader was too slow.',
-    droppedLines,
-  );
-  registerGauge(
-    registry,
-    'kingcupsill_accept_wait_seconds',
-    'Estimated wait of connections that have not been accepted yet; an upper bound.',
-    () => acceptWaitMs() / 1000,
-  );
+  registerProcessGauges(registry, droppedLines, acceptWaitMs);
   return {
     countAttempt: (isRetry) => attempts.inc({ repeat: String(isRetry) }),
     countAttemptEnd: (outcome) => attemptEnds.inc({ end: outcome }),
