--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -11,13 +11,14 @@
 import { createHasher } from '@kingcupsill/core/hash';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { createStoreClient, StoreKind } from '@kingcupsill/prepared-platform';
-import { composeProcess, createLoop, repeatEvery } from '@kingcupsill/runtime';
+import { afterNextPoll, composeProcess, createLoop, repeatEvery } from '@kingcupsill/runtime';
 import type {
   ComponentDefinition,
   ComponentDefinitions,
   RunningProcess,
 } from '@kingcupsill/runtime';
 import { createAdminServer } from './admin/admin-server.js';
+import { ACCEPT_QUEUE_CAPACITY, createAcceptQueue } from './callers/accept-queue.js';
 import { createBodyBudget } from './callers/body-budget.js';
 import { createCallerServer } from './callers/caller-server.js';
 import { createReadinessServer } from './callers/readiness-server.js';
@@ -77,16 +78,11 @@
     phase: { create: () => ({ accepting: false, draining: false }) },
     connectionLimits: { create: () => createConnectionLimits(ctx) },
     memoryDivision: { create: () => createMemoryDivision(ctx) },
-    connections: {
-      create: ({ connectionLimits, memoryDivision }) =>
-        createServerConnections({
-          nowMs: ctx.clock,
-          maxConnections: connectionLimits.servers,
-          responseBytes: memoryDivision.responses,
-        }),
-      close: (connections) => connections.close(),
+    connections: connectionsPart(ctx),
+    metrics: {
+      create: ({ state, acceptQueue }) =>
+        createEdgeMetrics(ctx.registry, state, ctx.droppedLines, acceptQueue.waitMs),
     },
-    metrics: { create: ({ state }) => createEdgeMetrics(ctx.registry, state, ctx.droppedLines) },
     exchanges: exchangesPart(ctx),
     requestErrors: { create: (parts) => createRequestErrors(ctx, parts) },
     loop: loopPart(ctx),
@@ -113,7 +109,13 @@
     },
     storeNews: { create: createStoreNews },
     followedNews: followedNewsPart(ctx),
-    loopLag: { create: () => createLoopLag(ctx.clock), close: (lag) => lag.close() },
+    acceptQueue: {
+      create: () => createAcceptQueue(ACCEPT_QUEUE_CAPACITY, ctx.clock, afterNextPoll),
+    },
+    loopLag: {
+      create: ({ acceptQueue }) => createLoopLag(ctx.clock, acceptQueue.waitMs),
+      close: (lag) => lag.close(),
+    },
     bodyBudget: { create: () => createBodyBudget(ctx.settings().process.memoryMb) },
     validator: { create: ({ state }) => createRequestValidator(state, ctx.random) },
     requestHandlers: { create: (parts) => createRequestHandlers(ctx, parts) },
@@ -147,14 +149,22 @@
 
 async function logSummary(
   { logger, clock, droppedLines }: EdgeContext,
-  { state, metrics, callers, loopLag, bodyBudget, connections: serverConnections }: EdgeParts,
+  {
+    state,
+    metrics,
+    callers,
+    acceptQueue,
+    loopLag,
+    bodyBudget,
+    connections: serverConnections,
+  }: EdgeParts,
 ): Promise<void> {
-  const { connectionTotals, acceptWaitMs } = await callers;
+  const { connectionTotals } = await callers;
   const { totals, open, servers } = describeState(state, clock());
   const control = { ...metrics.controlTotals(), droppedLines: droppedLines() };
   const lateness = {
     lagMs: Math.round(loopLag.lagMs()),
-    acceptWaitMs: Math.round(acceptWaitMs()),
+    acceptWaitMs: Math.round(acceptQueue.waitMs()),
   };
   const connections = connectionTotals();
   const bodyBytes = bodyBudget.heldBytes();
@@ -200,6 +210,18 @@
   });
 }
 
+function connectionsPart({ clock }: EdgeContext): EdgePart<'connections'> {
+  return {
+    create: ({ connectionLimits, memoryDivision }) =>
+      createServerConnections({
+        nowMs: clock,
+        maxConnections: connectionLimits.servers,
+        responseBytes: memoryDivision.responses,
+      }),
+    close: (connections) => connections.close(),
+  };
+}
+
 function exchangesPart({ clock }: EdgeContext): EdgePart<'exchanges'> {
   return {
     create: (parts) =>
@@ -291,6 +313,7 @@
         limits: () => parts.state.routeTable?.config.limits,
         ...parts.requestHandlers,
         maxConnections: parts.connectionLimits.callers,
+        acceptQueue: parts.acceptQueue,
         maxRefusedConnections: parts.connectionLimits.refusedCallers,
         clock: ctx.clock,
         logger: ctx.logger,
@@ -305,13 +328,15 @@
 
 function readinessPart(ctx: EdgeContext): EdgePart<'readiness'> {
   return {
-    create({ state, phase, loopLag, connectionLimits }) {
+    create({ state, phase, acceptQueue, loopLag, connectionLimits }) {
       let wasOverloaded = false;
       /** An overloaded router leaves new connections to the others of its zone. */
       function checkOverload(): boolean {
         const isOverloaded = loopLag.isOverloaded();
-        if (isOverloaded !== wasOverloaded)
-          ctx.logger.warn('overload-changed', { overloaded: isOverloaded, lagMs: loopLag.lagMs() });
+        if (isOverloaded !== wasOverloaded) {
+          const lateness = { lagMs: loopLag.lagMs(), acceptWaitMs: acceptQueue.waitMs() };
+          ctx.logger.warn('overload-changed', { overloaded: isOverloaded, ...lateness });
+        }
         wasOverloaded = isOverloaded;
         return isOverloaded;
       }
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -112,11 +112,31 @@
   void gauge;
 }
 
-/** Registers the metrics. Gauges read the state on each scrape. */
+function registerProcessGauges(
+  registry: Registry,
+  droppedLines: () => number,
+  acceptWaitMs: () => number,
+): void {
+  registerGauge(
+    registry,
+    'kingcupsill_log_lines_dropped',
+    'Log lines dropped because their reader was too slow.',
+    droppedLines,
+  );
+  registerGauge(
+    registry,
+    'kingcupsill_accept_wait_seconds',
+    'Estimated wait of connections that have not been accepted yet; an upper bound.',
+    () => acceptWaitMs() / 1000,
+  );
+}
+
+/** Registers the metrics. Gauges read the state on each scrape; `acceptWaitMs` is the wait of connections that aren't accepted yet. */
 export function createEdgeMetrics(
   registry: Registry,
   state: DirectState,
   droppedLines: () => number,
+  acceptWaitMs: () => number,
 ): EdgeMetrics {
   const registers = [registry];
   const counter = (name: string, help: string, ...labelNames: string[]) =>
@@ -162,12 +182,7 @@
     'Time to the end of the response.',
   );
   registerStateGauges(registry, state);
-  registerGauge(
-    registry,
-    'kingcupsill_log_lines_dropped',
-    'Log lines dropped because their reader was too slow.',
-    droppedLines,
-  );
+  registerProcessGauges(registry, droppedLines, acceptWaitMs);
   return {
     countAttempt: (isRetry) => attempts.inc({ repeat: String(isRetry) }),
     countAttemptEnd: (outcome) => attemptEnds.inc({ end: outcome }),
