--- a/packages/edge/test/start/settings.test.ts
+++ b/packages/edge/test/start/settings.test.ts
@@ -88,6 +88,14 @@
   });
 });
 
+// Guards against a start that waits a second for a value that the platform doesn't have, and that the template renders as nothing.
+test('an optional value that is empty is not stated, and the file is complete', async () => {
+  const source = await open(completeText.replace('[store]\n', '[store]\nevacuation_ms =\n'));
+  assert.equal(source.current().store.evacuationMs, undefined);
+  assert.deepEqual(source.warnings, []);
+  assert.equal(source.isComplete, true);
+});
+
 test('a fallback replaces a missing section of a listener that callers do not need', async () => {
   const source = await open(completeText.replace(/\[admin\]\naddress = .*\n/, ''));
   assert.match(source.warnings.join('\n'), /\[admin\] address: missing key/);
--- a/packages/runtime/src/settings/load-settings.ts
+++ b/packages/runtime/src/settings/load-settings.ts
@@ -140,12 +140,20 @@
 }
 
 function coerceSection(fields: FieldDescription[], section: RawSection): RawSection {
-  const kinds = new Map(fields.map((field) => [field.key, field.kind]));
+  const fieldByKey = new Map(fields.map((field) => [field.key, field]));
   return Object.fromEntries(
-    Object.entries(section).map(([key, value]) => [key, coerceValue(kinds.get(key), value)]),
+    Object.entries(section)
+      .filter(([key, value]) => !isUnset(fieldByKey.get(key), value))
+      .map(([key, value]) => [key, coerceValue(fieldByKey.get(key)?.kind, value)]),
   );
 }
 
+/** A key without a value states nothing if the key may be missing, as templates render values that don't exist. */
+function isUnset(field: FieldDescription | undefined, value: unknown): boolean {
+  const mayBeMissing = field !== undefined && !field.required && field.defaultValue === undefined;
+  return mayBeMissing && String(value).trim() === '';
+}
+
 /** Converts a value by type. The INI parser converts `true`, `false` and `null`, so values are turned back into text first. */
 function coerceValue(kind: FieldKind | undefined, value: unknown): unknown {
   if (kind === undefined || (typeof value === 'object' && value !== null)) return value;
