review: a planned stop cuts streams whose requests ended late (case 8)

Shows that a draining router passes on requests whose last byte arrives later than 3 s after the SIGTERM if earlier streams of the route were short, and cuts the long ones at the end of its drain, 7.6 s after the SIGTERM.

Ruled out: the deadline and the route's timeout (12 s, the cuts come 5.4 s after the first byte), an end of the engine (it was still sending), and other disruptions (none).

--- a/review/lib-2/router.mjs
+++ b/review/lib-2/router.mjs
@@ -112,6 +112,7 @@
     start,
     signal: (signal) => child.kill(signal),
     exited: () => exited,
+    pid: () => child.pid,
     async waitUntilReady(timeoutMs = 15_000) {
       const endMs = performance.now() + timeoutMs;
       while (performance.now() < endMs) {
