--- a/review/lib-2/router.mjs
+++ b/review/lib-2/router.mjs
@@ -1,4 +1,4 @@
-/* eslint-disable no-promise-executor-return, no-await-in-loop -- a plain script that runs without a build */
+/* eslint-disable no-promise-executor-return, no-await-in-loop, n/no-process-exit -- a plain script that runs without a build */
 /** Router as a process of its own, with the command and the template of the deploy file. */
 import { spawn } from 'node:child_process';
 import { open, readFile, writeFile } from 'node:fs/promises';
@@ -7,6 +7,11 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
+/** Processes that run; none outlives the script, however it ends. */
+const running = new Set();
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.once(signal, () => process.exit(2)));
+
 const REPOSITORY = fileURLToPath(new URL('../../', import.meta.url));
 
 /** Returns ports that are free at present, all different. */
@@ -81,8 +86,11 @@
       env: { PATH, HOME, LANG, KINGCUPSILL_NODE_FILE: settingsFile },
       stdio: ['ignore', log.fd, log.fd],
     });
+    const started = child;
+    running.add(started);
     exited = new Promise((resolve) => {
-      child.once('exit', (code, signal) => {
+      started.once('exit', (code, signal) => {
+        running.delete(started);
         Object.assign(ended, { code, signal, done: true });
         resolve();
       });
