--- a/packages/edge/src/attempt-listener.ts
+++ b/packages/edge/src/attempt-listener.ts
@@ -45,9 +45,10 @@
     onDelivered(lastEventId) {
       loop.dispatch({ kind: 'events-delivered', request, lastEventId, nowMs: clock() });
     },
-    onBodyEnded({ framing, bodyBytes, partialEventBytes }) {
+    onBodyEnded({ framing, bodyBytes, partialEventBytes, hasFramingTrailer }) {
       metrics.countBodyEnd(framing, partialEventBytes > 0);
       const fields = { request, attempt, framing, bodyBytes, partialEventBytes };
+      if (hasFramingTrailer) logger.warn('framing-trailer-ignored', fields);
       if (partialEventBytes > 0) logger.warn('body-ended-inside-event', fields);
       else if (framing === BodyFraming.Close) logger.info('body-ended-by-close', fields);
     },
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -6,6 +6,7 @@
 import { callAfter } from '@kingcupsill/runtime';
 import { classifyResponseHead } from './classify-response-head.js';
 import { enableResetDetection, getBodyFraming } from './close-delimited.js';
+import { endAtFramingTrailer } from './framing-trailers.js';
 import { limitPieces } from './piece-limit.js';
 import type { PieceLimit, PieceLimitOptions } from './piece-limit.js';
 import { bufferResponse, discardResponse } from './read-response.js';
@@ -97,9 +98,13 @@
 
 /** What an attempt receives. */
 interface Reception {
+  /** Undefined before its head. */
+  res: IncomingMessage | undefined;
   /** Limit on the response; undefined before its head. */
   limit: PieceLimit | undefined;
   amount(): ReceivedAmount;
+  /** Passes on what precedes malformed bytes, which is sound. Returns whether it is the whole response. */
+  endBefore(errorCode: string | undefined): boolean;
 }
 
 function createReception(clientReq: ClientRequest): Reception {
@@ -108,11 +113,16 @@
     bytesReadBefore = socket.bytesRead;
   });
   const reception: Reception = {
+    res: undefined,
     limit: undefined,
     amount: () => ({
       receivedBytes: (clientReq.socket?.bytesRead ?? 0) - bytesReadBefore,
       ...reception.limit?.received(),
     }),
+    endBefore(errorCode) {
+      reception.limit?.flush();
+      return reception.res !== undefined && endAtFramingTrailer(reception.res, errorCode);
+    },
   };
   return reception;
 }
@@ -203,6 +213,7 @@
 
   function onResponse(res: IncomingMessage): void {
     const { responseMemory: memory } = connections;
+    reception.res = res;
     const expected = { attemptId: req.attemptId, isReusedConnection: clientReq.reusedSocket };
     const { announcement, detail, isFinal, outcome } = classifyResponseHead(res, expected);
     if (announcement !== undefined) listener.onAnnounced(announcement);
@@ -237,9 +248,7 @@
   clientReq.on('response', protect(onResponse));
   limitInterimResponses(clientReq, fail);
   clientReq.on('error', (err: NodeJS.ErrnoException) => {
-    // Events that precede malformed bytes are sound.
-    reception.limit?.flush();
-    fail(err.message, err.code);
+    if (!reception.endBefore(err.code)) fail(err.message, err.code);
   });
   clientReq.on('close', () => fail('connection closed'));
   clientReq.end(req.body);
--- a/packages/edge/src/relay/read-response.ts
+++ b/packages/edge/src/relay/read-response.ts
@@ -4,6 +4,7 @@
 import { callAfter } from '@kingcupsill/runtime';
 import { createByteCollector } from '@kingcupsill/core/bytes';
 import { getBodyFraming } from './close-delimited.js';
+import { hasFramingTrailer } from './framing-trailers.js';
 import { HeldFor } from './response-memory.js';
 import type { ResponseMemory } from './response-memory.js';
 import type { AttemptListener, BufferedResponse } from './types.js';
@@ -89,6 +90,7 @@
       framing: getBodyFraming(res),
       bodyBytes: receivedBytes,
       partialEventBytes: 0,
+      hasFramingTrailer: hasFramingTrailer(res),
     });
     const headers = buildResponseHeaders(res.rawHeaders, res.headers.connection);
     if (isEnded()) return;
--- a/packages/edge/src/relay/relay-events.ts
+++ b/packages/edge/src/relay/relay-events.ts
@@ -10,6 +10,7 @@
 } from '@kingcupsill/core/event-stream';
 import { buildResponseHeaders } from '@kingcupsill/prepared-platform';
 import { getBodyFraming } from './close-delimited.js';
+import { hasFramingTrailer } from './framing-trailers.js';
 import type { ResponseHandlers } from './read-response.js';
 import { HeldFor } from './response-memory.js';
 import type { ResponseMemory } from './response-memory.js';
@@ -177,7 +178,12 @@
       return;
     }
     const partialEventBytes = splitter.isInsideEvent() ? splitter.pendingBytes() : 0;
-    listener.onBodyEnded({ framing, bodyBytes: receivedBytes, partialEventBytes });
+    listener.onBodyEnded({
+      framing,
+      bodyBytes: receivedBytes,
+      partialEventBytes,
+      hasFramingTrailer: hasFramingTrailer(res),
+    });
     const failure = findBreak(partialEventBytes);
     const fault = streamJoin.endRun();
     if (failure !== undefined) onFailure(failure);
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -63,6 +63,8 @@
   bodyBytes: number;
   /** Bytes of a stream after its last complete event; 0 for other bodies. */
   partialEventBytes: number;
+  /** The trailers have contained fields that frame a body, which were ignored. */
+  hasFramingTrailer: boolean;
 }
 
 /** What an attempt has received from its server. */
--- a/packages/edge/test/relay/cut-heads.test.ts
+++ b/packages/edge/test/relay/cut-heads.test.ts
@@ -123,21 +123,48 @@
   });
 }
 
-test('passes on a chunked answer with extensions and trailers', async () => {
-  const handle = ({ req, header }: Arrival) => {
-    const head = toHead([
-      ...signedLines(header('attempt-id')!).slice(0, 3),
-      'Transfer-Encoding: chunked',
-    ]);
-    req.socket.write(
-      `${head}5;a=b\r\nwhole\r\n0\r\nContent-Length: 3\r\nResponse-Signature: x\r\n\r\n`,
-    );
-  };
-  await withDeployment([handle], async ({ call }) => {
-    const answer = await call('/once/1', { method: 'POST' });
-    assert.deepEqual(
-      [answer.status, answer.body, answer.headers['response-signature']],
-      [200, 'whole', 'sig'],
-    );
+/** Trailer sections behind a whole chunked body. Versions of the parser differ in which of them they refuse. */
+const TRAILERS: Record<string, string[]> = {
+  'other fields': ['X-Trailer: a', 'Response-Signature: x'],
+  'a length': ['Content-Length: 3', 'Response-Signature: x'],
+  'two lengths': ['Content-Length: 3', 'Content-Length: 4'],
+  'a length that is no number': ['Content-Length: 0x'],
+  'a transfer coding': ['Transfer-Encoding: chunked'],
+  'an unknown transfer coding twice': ['Transfer-Encoding: odd', 'Transfer-Encoding: odd'],
+  'a length and a transfer coding': ['Transfer-Encoding: chunked', 'Content-Length: 3'],
+};
+const ROUND_COUNT = 3;
+
+for (const [name, trailers] of Object.entries(TRAILERS)) {
+  // Guards against a whole answer that is reported as unknown, or framed anew, because of a field in its trailers.
+  test(`passes on a chunked answer with extensions and ${name} in its trailers`, async () => {
+    const handle = ({ req, header }: Arrival) => {
+      const isStream = /^\/(stream|talk)\//.test(req.url!);
+      const body = isStream ? formatEvent(1) : req.url!;
+      const head = toHead([
+        ...signedLines(header('attempt-id')!).slice(0, isStream ? 4 : 3),
+        'Transfer-Encoding: chunked',
+      ]);
+      const size = body.length.toString(16);
+      req.socket.write(`${head}${size};a=b\r\n${body}\r\n0\r\n${trailers.join('\r\n')}\r\n\r\n`);
+    };
+    await withDeployment([handle], async ({ call, servers, logLines }) => {
+      // Several, so that requests follow on the connection of such an answer.
+      for (let round = 0; round < ROUND_COUNT; round += 1)
+        for (const route of Object.keys(MAX_RUNS)) {
+          const path = `/${route}/${round}`;
+          const answer = await call(path, { method: 'POST' });
+          const isStream = route === 'stream' || route === 'talk';
+          assert.deepEqual(
+            [answer.status, answer.complete, answer.body, answer.headers['response-signature']],
+            [200, true, isStream ? formatEvent(1) : path, 'sig'],
+            path,
+          );
+        }
+      const requestCount = ROUND_COUNT * Object.keys(MAX_RUNS).length;
+      assert.equal(servers[0]!.arrivals.length, requestCount);
+      const ignored = logLines.filter(({ event }) => event === 'framing-trailer-ignored');
+      assert.equal(ignored.length, name === 'other fields' ? 0 : requestCount);
+    });
   });
-});
+}
