--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -126,7 +126,7 @@
     const link = links.get(key);
     if (link === undefined) return;
     report.loads.forEach(({ serverKey, running }) => setRunning(link, serverKey, running));
-    const laterKinds = recordReportedNews(storeNews, report.storeNews, nowMs);
+    const laterKinds = recordReportedNews(storeNews, report.storeNews, key, nowMs);
     recipientsOf(key, link.kind).forEach(({ pending }) => {
       pending.add(report);
       laterKinds.forEach(pending.addStoreKind);
--- a/packages/core/src/direct/store-news.ts
+++ b/packages/core/src/direct/store-news.ts
@@ -21,6 +21,8 @@
 export interface StoreNewsEntry extends ChangePosition {
   /** Monotonic time at which the store answered that there is no later change. */
   confirmedAtMs: number;
+  /** Link by which the news came; undefined for those from this router's own calls. */
+  source?: string | undefined;
 }
 
 /** Latest news of all kinds. */
@@ -94,9 +96,10 @@
 export function recordReportedNews(
   news: StoreNews,
   reported: readonly ReportedStoreNews[],
+  source: string,
   nowMs: number,
 ): string[] {
   return reported.flatMap(({ kind, era, revision, ageMs }) =>
-    news.record(kind, { era, revision, confirmedAtMs: nowMs - ageMs }) ? [kind] : [],
+    news.record(kind, { era, revision, confirmedAtMs: nowMs - ageMs, source }) ? [kind] : [],
   );
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -156,6 +156,7 @@
     acceptQueue,
     loopLag,
     bodyBudget,
+    followedNews,
     connections: serverConnections,
   }: EdgeParts,
 ): Promise<void> {
@@ -170,6 +171,10 @@
   const bodyBytes = bodyBudget.heldBytes();
   const fields = { ...totals, open, connections, bodyBytes, ...lateness, ...control, servers };
   logger.info('summary', fields);
+  logger.info('configuration', {
+    version: state.routeTable?.config.version,
+    ...followedNews.describe(StoreKind.Configuration),
+  });
   logger.info('memory', { ...readMemoryUse(bodyBudget, serverConnections) });
 }
 
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -35,6 +35,8 @@
   observeCompletion(service: string, durationMs: number): void;
   /** Counts a call to the store by kind of object and outcome. */
   countStoreCall(kind: string, outcome: string): void;
+  /** Counts a version of the configuration that couldn't be read, so that an earlier one stays in force. */
+  countUnreadableConfiguration(): void;
   /** Counts a report to all peers; `bytes` is the total over all links. */
   countReport(bytes: number): void;
   /** Returns the cost of control traffic since the start. */
@@ -172,6 +174,7 @@
     'kingcupsill_report_bytes_total',
     'Bytes of reports to peers, without WebSocket framing.',
   );
+  const unreadable = counter('kingcupsill_configurations_unreadable_total', 'Unreadable versions.');
   const control: ControlTotals = { storeCalls: {}, reports: 0, reportBytes: 0 };
   const firstEventSeconds = histogram(
     'kingcupsill_first_event_seconds',
@@ -200,6 +203,7 @@
       const name = `${kind} ${outcome}`;
       control.storeCalls[name] = (control.storeCalls[name] ?? 0) + 1;
     },
+    countUnreadableConfiguration: () => unreadable.inc(),
     countReport(bytes) {
       reportBytesCounter.inc(bytes);
       control.reports += 1;
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -46,15 +46,22 @@
   };
 }
 
-function configurationHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers {
-  function applyConfiguration(object: StoreObject): void {
-    if (object.name !== CONFIGURATION_NAME) return;
-    const decoded = decodeConfiguration(object.spec);
+function configurationHandlers(
+  ctx: EdgeContext,
+  { loop, followedNews, metrics }: FeedParts,
+): FeedHandlers {
+  function applyConfiguration({ name, revision, spec }: StoreObject): void {
+    if (name !== CONFIGURATION_NAME) return;
+    const decoded = decodeConfiguration(spec);
+    const basis = followedNews.describe(StoreKind.Configuration);
     if (decoded.ok) {
+      const { version } = decoded.value;
+      ctx.logger.info('configuration-received', { version, revision, ...basis });
       loop.dispatch({ kind: 'configured', config: decoded.value, nowMs: ctx.clock() });
     } else {
-      const { revision } = object;
-      ctx.logger.warn('configuration-unreadable', { revision, message: decoded.message });
+      metrics.countUnreadableConfiguration();
+      const { message } = decoded;
+      ctx.logger.warn('configuration-unreadable', { revision, message, ...basis });
     }
   }
 
--- a/packages/edge/src/store/followed-news.ts
+++ b/packages/edge/src/store/followed-news.ts
@@ -14,6 +14,18 @@
 } as const;
 export type NewsState = (typeof NewsState)[keyof typeof NewsState];
 
+/** What a router knows of the store, and from whom, for logs. */
+export interface NewsBasis {
+  watchesForOthers: boolean;
+  /** Time since the store last answered a call of this router's own about the kind; undefined before that. */
+  sinceOwnAnswerMs: number | undefined;
+  /** Link by which the latest news came; undefined for the router's own or none. */
+  newsFrom: string | undefined;
+  newsRevision: number | undefined;
+  /** Time since the store confirmed them. */
+  newsAgeMs: number | undefined;
+}
+
 /** News of all kinds for the feeds of one process. */
 export interface FollowedNews {
   /** Compares the news with the position of a feed. */
@@ -25,6 +37,7 @@
   recordAnswer(kind: StoreKind, position: StorePosition, mayHaveChanged: boolean): void;
   /** Returns whether this router watches the store for others, with short waits so that its news stay recent. */
   isWatching(): boolean;
+  describe(kind: StoreKind): NewsBasis;
   /** Resolves when the news of a kind have been recorded or `ms` have passed. */
   wait(kind: StoreKind, ms: number): Promise<void>;
   /** Wakes the feeds that wait for news of these kinds. */
@@ -49,6 +62,7 @@
 export function createFollowedNews(options: FollowedNewsOptions): FollowedNews {
   const { news, clock } = options;
   const waiters = new Map<string, Set<() => void>>();
+  const ownAnswersAtMs = new Map<StoreKind, number>();
 
   return {
     compare(kind, position) {
@@ -63,11 +77,25 @@
         : NewsState.Changed;
     },
     recordAnswer(kind, position, mayHaveChanged) {
+      ownAnswersAtMs.set(kind, clock());
       // The store's revision also rises with changes of other kinds, which are no news for this one.
       if (mayHaveChanged) news.recordOwnChange(kind, position);
       if (options.isWatching() && news.confirm(kind, position, clock())) options.announce(kind);
     },
     isWatching: options.isWatching,
+    describe(kind) {
+      const latest = news.get(kind);
+      const answeredAtMs = ownAnswersAtMs.get(kind);
+      const since = (atMs: number | undefined) =>
+        atMs === undefined ? undefined : Math.round(clock() - atMs);
+      return {
+        watchesForOthers: options.isWatching(),
+        sinceOwnAnswerMs: since(answeredAtMs),
+        newsFrom: latest?.source,
+        newsRevision: latest?.revision,
+        newsAgeMs: since(latest?.confirmedAtMs),
+      };
+    },
     wait(kind, ms) {
       return new Promise((resolve) => {
         const waiting = waiters.get(kind) ?? new Set();
