--- a/packages/edge/src/store/followed-news.ts
+++ b/packages/edge/src/store/followed-news.ts
@@ -38,8 +38,8 @@
   /** Returns whether this router watches the store for others, with short waits so that its news stay recent. */
   isWatching(): boolean;
   describe(kind: StoreKind): NewsBasis;
-  /** Resolves when the news of a kind have been recorded or `ms` have passed. */
-  wait(kind: StoreKind, ms: number): Promise<void>;
+  /** Resolves when further news of a kind have been recorded, or those that there are have become too old. */
+  wait(kind: StoreKind): Promise<void>;
   /** Wakes the feeds that wait for news of these kinds. */
   wake(kinds: readonly string[]): void;
 }
@@ -57,6 +57,8 @@
 export const WATCHING_WAIT_MS = 800;
 /** Age above which news isn't relied on; it leaves time for a call of the own within the shortest limits of changes. */
 export const MAX_NEWS_AGE_MS = 1600;
+/** Timers may fire early; news that are just within their age would be waited for again and again. */
+const TIMER_MARGIN_MS = 5;
 
 /** Creates news to which no feed listens yet. */
 export function createFollowedNews(options: FollowedNewsOptions): FollowedNews {
@@ -96,11 +98,12 @@
         newsAgeMs: since(latest?.confirmedAtMs),
       };
     },
-    wait(kind, ms) {
+    wait(kind) {
+      const leftMs = (news.get(kind)?.confirmedAtMs ?? 0) + MAX_NEWS_AGE_MS - clock();
       return new Promise((resolve) => {
         const waiting = waiters.get(kind) ?? new Set();
         waiters.set(kind, waiting);
-        const timer = setTimeout(finish, ms);
+        const timer = setTimeout(finish, Math.max(0, leftMs) + TIMER_MARGIN_MS);
         function finish(): void {
           clearTimeout(timer);
           waiting.delete(finish);
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -12,7 +12,7 @@
 import { createCallResults } from './call-results.js';
 import type { CallResultsOptions } from './call-results.js';
 import { inCurrentEra, listObjects, logUnreadable } from './list-objects.js';
-import { MAX_NEWS_AGE_MS, NewsState, WATCHING_WAIT_MS } from './followed-news.js';
+import { NewsState, WATCHING_WAIT_MS } from './followed-news.js';
 import type { FollowedNews } from './followed-news.js';
 
 /** Options of a feed. */
@@ -49,9 +49,6 @@
 /** Delays before further listings while no watch from the one before succeeds. */
 const RELIST_DELAYS = { initialMs: 50, maxMs: 400 };
 
-/** Timers may fire early; news that are just within their age would be waited for the whole time again. */
-const TIMER_MARGIN_MS = 5;
-
 /** Mode and pace of the listings; they are delayed while the store has no history of their positions. */
 function createListingPace({ availability, allowsStale }: ObjectFeedOptions) {
   const readMode = allowsStale ? ReadMode.Stale : ReadMode.Current;
@@ -154,7 +151,7 @@
     if (state !== NewsState.Unchanged) return watch(from, state);
     // Another router has just had an answer of the store.
     options.onResponse();
-    await options.news?.wait(kind, MAX_NEWS_AGE_MS + TIMER_MARGIN_MS);
+    await options.news?.wait(kind);
     return from;
   }
 
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -6,7 +6,7 @@
 import { createStoreNews } from '@kingcupsill/core/direct';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
-import { createFollowedNews, NewsState } from '../../src/store/followed-news.js';
+import { createFollowedNews, MAX_NEWS_AGE_MS, NewsState } from '../../src/store/followed-news.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
 import { createFeedOptions } from '../standins/feed-options.js';
 import { waitUntil } from '../standins/deployment.js';
@@ -77,8 +77,8 @@
   });
 
   /** Delivers news as a report of a peer would. */
-  function hear(revision: number, era = 1): void {
-    news.record(kind, { era, revision, confirmedAtMs: clock() });
+  function hear(revision: number, era = 1, ageMs = 0): void {
+    news.record(kind, { era, revision, confirmedAtMs: clock() - ageMs });
     followed.wake([kind]);
   }
   return {
@@ -140,6 +140,18 @@
   assert.ok(performance.now() - silentSinceMs < 2000);
 });
 
+// Guards against a router that rests on news for their whole lifetime from the time at which it compares them, however old they are by then.
+test('a router whose peers fall silent rests no longer than their last news are valid', async (t) => {
+  const follower = createFollower(t);
+  follower.hear(5, 1, MAX_NEWS_AGE_MS - 200);
+  await delay(50);
+  assert.deepEqual(follower.calls, ['list']);
+  follower.stored.revision = 6;
+  const silentSinceMs = performance.now();
+  await waitUntil(() => follower.changed.length > 0);
+  assert.ok(performance.now() - silentSinceMs < MAX_NEWS_AGE_MS / 2);
+});
+
 test('news of a later era make the router ask the store', async (t) => {
   const follower = createFollower(t);
   follower.hear(5);
