--- a/packages/edge/src/store/followed-news.ts
+++ b/packages/edge/src/store/followed-news.ts
@@ -26,15 +26,21 @@
   newsAgeMs: number | undefined;
 }
 
+/** Answer of the store to a call of this router's own. */
+export interface OwnAnswer {
+  position: StorePosition;
+  /** Whether the objects may differ from those before the call; a listing doesn't show what has changed. */
+  mayHaveChanged: boolean;
+  /** Time for which the store was to hold the call as long as nothing changes, in milliseconds. */
+  heldMs: number;
+}
+
 /** News of all kinds for the feeds of one process. */
 export interface FollowedNews {
   /** Compares the news with the position of a feed. */
   compare(kind: StoreKind, position: StorePosition): NewsState;
-  /**
-   * Records an answer of the store to this router's own call, and passes it on if it watches for others.
-   * @param mayHaveChanged whether the objects may differ from those before the call; a listing doesn't show what has changed
-   */
-  recordAnswer(kind: StoreKind, position: StorePosition, mayHaveChanged: boolean): void;
+  /** Begins a call of this router's own. Returns a function that records its answer, and passes it on if the router watches for others. */
+  startCall(kind: StoreKind): (answer: OwnAnswer) => void;
   /** Returns whether this router watches the store for others, with short waits so that its news stay recent. */
   isWatching(): boolean;
   describe(kind: StoreKind): NewsBasis;
@@ -78,11 +84,19 @@
         ? NewsState.Unchanged
         : NewsState.Changed;
     },
-    recordAnswer(kind, position, mayHaveChanged) {
-      ownAnswersAtMs.set(kind, clock());
-      // The store's revision also rises with changes of other kinds, which are no news for this one.
-      if (mayHaveChanged) news.recordOwnChange(kind, position);
-      if (options.isWatching() && news.confirm(kind, position, clock())) options.announce(kind);
+    startCall(kind) {
+      const startedAtMs = clock();
+      return ({ position, mayHaveChanged, heldMs }) => {
+        const answeredAtMs = clock();
+        ownAnswersAtMs.set(kind, answeredAtMs);
+        // The store's revision also rises with changes of other kinds, which are no news for this one.
+        if (mayHaveChanged) news.recordOwnChange(kind, position);
+        if (!options.isWatching()) return;
+        // The answer may have waited on its way or in the socket, so it shows the state of the earliest time at which it was possible.
+        const wasHeld = !mayHaveChanged && answeredAtMs - startedAtMs >= heldMs;
+        const confirmedAtMs = startedAtMs + (wasHeld ? heldMs : 0);
+        if (news.confirm(kind, position, confirmedAtMs)) options.announce(kind);
+      };
     },
     isWatching: options.isWatching,
     describe(kind) {
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -85,43 +85,56 @@
   return result;
 }
 
+/** Watch that waits for its answer. */
+interface PendingWatch {
+  state: NewsState | undefined;
+  /** Wait that it requests from the store. */
+  waitMs: number;
+  recordAnswer: ReturnType<FollowedNews['startCall']> | undefined;
+  /** Resolves when the next watch may be made. */
+  periodOver: Promise<void>;
+}
+
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
   const { availability, kind, logger } = options;
   const results = createCallResults(options);
   const listings = createListingPace(options);
   let closed = false;
+  /** The last watch has shown a change, so its confirmation may be as old as the watch. */
+  let isConfirmationDue = false;
 
   async function list(): Promise<StorePosition | undefined> {
     const listMode = await listings.waitForTurn();
+    const recordAnswer = options.news?.startCall(kind);
     const listed = await listObjects(options, results, listMode, () => closed);
     if (listed === undefined) return undefined;
     logger.info('store-listed', { kind, objects: listed.objects.length, ...listed.position });
     logUnreadable(options, listed.unreadable);
     options.onListed(listed.objects);
-    options.news?.recordAnswer(kind, listed.position, true);
+    recordAnswer?.({ position: listed.position, mayHaveChanged: true, heldMs: 0 });
     return listed.position;
   }
 
   function watchWaitMs(state: NewsState | undefined): number {
     if (results.isFailing()) return FAILING_WATCH_WAIT_MS;
     // The store answers at once, since there are changes.
-    if (state === NewsState.Changed) return 0;
+    if (state === NewsState.Changed || isConfirmationDue) return 0;
     return options.news?.isWatching() === true ? WATCHING_WAIT_MS : options.watchWaitMs;
   }
 
   async function applyChanges(
     { changes, unreadable, position }: StoreChangeBatch,
     from: StorePosition,
-    state: NewsState | undefined,
-    periodOver: Promise<void>,
+    { state, waitMs, recordAnswer, periodOver }: PendingWatch,
   ): Promise<StorePosition | undefined> {
     const reached = inCurrentEra(position, options.era);
     // The changes follow a revision of an era that has ended; they must not be applied to what was listed in it.
     if (reached.era !== from.era) return undefined;
     logUnreadable(options, unreadable);
     changes.forEach(options.onChanged);
-    options.news?.recordAnswer(kind, reached, changes.length > 0);
+    recordAnswer?.({ position: reached, mayHaveChanged: changes.length > 0, heldMs: waitMs });
+    isConfirmationDue = changes.length > 0 && options.news?.isWatching() === true;
     const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
     if (changes.length > 0) await availability.pause(Math.max(options.batchDelayMs, followDelayMs));
     else await periodOver;
@@ -132,14 +145,17 @@
     from: StorePosition,
     state: NewsState | undefined,
   ): Promise<StorePosition | undefined> {
-    const periodOver = availability.pause(EMPTY_WATCH_PERIOD_MS);
+    const periodMs = isConfirmationDue ? 0 : EMPTY_WATCH_PERIOD_MS;
+    const periodOver = availability.pause(periodMs);
     const waitMs = watchWaitMs(state);
+    const recordAnswer = options.news?.startCall(kind);
     const { readMode } = listings;
     const timeoutMs = results.responseTimeoutMs();
     const result = await requestChanges(options, from, waitMs, timeoutMs, readMode);
     if (closed || result === undefined || !results.record(result)) return undefined;
     listings.recordWatch(result);
-    if (result.ok) return applyChanges(result.value, from, state, periodOver);
+    const pending = { state, waitMs, recordAnswer, periodOver };
+    if (result.ok) return applyChanges(result.value, from, pending);
     if (result.failure === StoreFailure.HistoryGone)
       logger.info('store-history-gone', { kind, revision: from.revision });
     return RELIST_FAILURES.has(result.failure) ? undefined : from;
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -6,7 +6,12 @@
 import { createStoreNews } from '@kingcupsill/core/direct';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
-import { createFollowedNews, MAX_NEWS_AGE_MS, NewsState } from '../../src/store/followed-news.js';
+import {
+  createFollowedNews,
+  MAX_NEWS_AGE_MS,
+  NewsState,
+  WATCHING_WAIT_MS,
+} from '../../src/store/followed-news.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
 import { createFeedOptions } from '../standins/feed-options.js';
 import { waitUntil } from '../standins/deployment.js';
@@ -19,7 +24,7 @@
   { isWatching = false, clock = () => performance.now() } = {},
 ) {
   /** Watches from a revision below `historyFrom` fail. */
-  const stored = { revision: 5, era: 1, historyFrom: 0 };
+  const stored = { revision: 5, era: 1, historyFrom: 0, answeredAtMs: 0, lateMs: 0 };
   const role = { isWatching };
   const calls: string[] = [];
   const changed: number[] = [];
@@ -35,6 +40,7 @@
   const client: Pick<StoreClient, 'listPage' | 'watch'> = {
     async listPage() {
       calls.push('list');
+      stored.answeredAtMs = clock();
       const position = { era: stored.era, revision: stored.revision };
       return {
         ok: true,
@@ -57,6 +63,9 @@
         removed: false,
       };
       const changes = stored.revision > revision ? [change] : [];
+      stored.answeredAtMs = clock();
+      // As if the answer waited unread in the router's socket.
+      if (stored.lateMs > 0) await delay(stored.lateMs);
       return { ok: true, value: { changes, unreadable: [], position }, era: stored.era };
     },
   };
@@ -220,6 +229,30 @@
   assert.equal(follower.news.get(kind)?.confirmedAtMs, heardAtMs);
 });
 
+// Guards against routers that rest on a state from before a change, because the one that confirms it has read the store's answer late.
+test('a watching router confirms nothing for a time after the store has answered', async (t) => {
+  const follower = createFollower(t, { isWatching: true });
+  follower.stored.lateMs = 500;
+  for (const revision of [5, 6, 6]) {
+    follower.stored.revision = revision;
+    const before = follower.announced.length;
+    await waitUntil(() => follower.announced.length > before);
+    const { confirmedAtMs } = follower.news.get(kind)!;
+    assert.ok(confirmedAtMs <= follower.stored.answeredAtMs, `revision ${revision}`);
+  }
+});
+
+// Guards against followers that ask the store themselves after each change, because its confirmation is as old as the watch that showed it.
+test('a watching router confirms a change anew at once', async (t) => {
+  const follower = createFollower(t, { isWatching: true });
+  await waitUntil(() => follower.announced.length >= 2);
+  const changedAtMs = performance.now();
+  follower.stored.revision = 6;
+  await waitUntil(() => follower.news.get(kind)!.confirmedAtMs >= changedAtMs);
+  assert.ok(performance.now() - changedAtMs < WATCHING_WAIT_MS / 2);
+  assert.equal(follower.news.get(kind)!.revision, 6);
+});
+
 // Guards against: after a restore a router asks the store without a pause until its peers have noticed the new era as well.
 test('news of an earlier era show no change', () => {
   const news = createStoreNews();
