--- a/packages/core/src/direct/index.ts
+++ b/packages/core/src/direct/index.ts
@@ -25,5 +25,6 @@
 export * from './sliding-sum.js';
 export * from './state.js';
 export * from './store-news.js';
+export * from './transit-delay.js';
 export * from './types.js';
 export * from './versions/index.js';
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -11,7 +11,7 @@
 
 /** Maximum number of entries of a list; reports of this build have at most 128 servers. */
 const MAX_ENTRIES = 8192;
-/** Maximum number of lists; reports of this build have eight. */
+/** Maximum number of elements; reports of this build have nine. */
 const MAX_LISTS = 64;
 
 /** List that is read up to its first invalid entry, since a million of them would have a million errors. */
@@ -53,21 +53,25 @@
     crashNewsSchema.nullable().optional(),
     listOf(limitSchema).optional(),
     listOf(count).optional(),
+    z.number().optional(),
   ])
   .rest(z.unknown());
 
+const SENT_AT_INDEX = 8;
+
 type WireReport = z.infer<typeof reportSchema>;
 type WireLoad = z.infer<typeof loadSchema>;
 type WireLimit = z.infer<typeof limitSchema>;
 type WireCrashNews = z.infer<typeof crashNewsSchema>;
 type WireStoreNews = z.infer<typeof storeNewsSchema>;
 
-/** Decoded report, or the reason why the bytes aren't one. */
-export type DecodedReport = { ok: true; value: RouterReport } | { ok: false; message: string };
+/** Decoded report, or the reason why the bytes aren't one. `sentAtMs` is by the sender's clock; reports of earlier builds lack it. */
+export type DecodedReport =
+  { ok: true; value: RouterReport; sentAtMs?: number } | { ok: false; message: string };
 
 /** Encoder and decoder of reports. */
 export interface ReportCodec {
-  encode(report: RouterReport): Buffer;
+  encode(report: RouterReport, sentAtMs?: number): Buffer;
   decode(bytes: Buffer): DecodedReport;
 }
 
@@ -138,7 +142,8 @@
 export function createReportCodec(): ReportCodec {
   const packr = new Packr({ useRecords: false });
   return {
-    encode({ router, loads, accounts, leaving, storeNews, crashNews, limits, demand }) {
+    encode(report, sentAtMs) {
+      const { router, loads, accounts, leaving, storeNews, crashNews, limits, demand } = report;
       const news = storeNews.map(({ kind, era, revision, ageMs }): WireStoreNews => [
         kind,
         era ?? null,
@@ -155,6 +160,7 @@
         limits.map(limitToWire),
         demand,
       ];
+      if (sentAtMs !== undefined) wire.push(sentAtMs);
       return packr.pack(wire);
     },
     decode(bytes) {
@@ -162,7 +168,10 @@
         const wire: unknown = packr.unpack(bytes);
         if (Array.isArray(wire) && wire.length > MAX_LISTS)
           return { ok: false, message: `${wire.length} lists` };
-        return { ok: true, value: readReport(reportSchema.parse(wire)) };
+        const parsed = reportSchema.parse(wire);
+        const value = readReport(parsed);
+        const sentAtMs = parsed[SENT_AT_INDEX];
+        return sentAtMs === undefined ? { ok: true, value } : { ok: true, value, sentAtMs };
       } catch (err) {
         return { ok: false, message: (err as Error).message };
       }
--- a/packages/edge/src/peers/report-sender.ts
+++ b/packages/edge/src/peers/report-sender.ts
@@ -16,7 +16,7 @@
 export interface ReportSenderOptions {
   exchange: ReportExchange;
   clock: Clock;
-  encode: (report: RouterReport) => Buffer;
+  encode: (report: RouterReport, sentAtMs: number) => Buffer;
   /** Called after each sent report with its size. */
   onSent: (bytes: number) => void;
 }
@@ -40,7 +40,7 @@
   function send(recipient: Recipient, nowMs: number): void {
     const report = exchange.compose(recipient.link.key, nowMs);
     if (report === undefined) return;
-    const bytes = options.encode(report);
+    const bytes = options.encode(report, Math.round(nowMs));
     const periodMs = Math.max(MIN_PERIOD_MS, (recipients.size * 1000) / REPORTS_PER_SECOND);
     recipient.nextAtMs = nowMs + periodMs;
     recipient.link.send(bytes);
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -73,7 +73,7 @@
 test('applies only reports of the expected shape', () => {
   const codec = createReportCodec();
   const packr = new Packr({ useRecords: false });
-  const wire = packr.unpack(codec.encode(report)) as unknown[];
+  const wire = packr.unpack(codec.encode(report, 1)) as unknown[];
   const spoilt = fc
     .tuple(fc.nat(wire.length), fc.anything())
     .map(([index, value]) => wire.with(index % wire.length, value));
