--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -12,8 +12,7 @@
 import type { AcceptQueue } from './accept-queue.js';
 import { createConnectionTable } from './connection-table.js';
 import type { ConnectionTable, ConnectionTotals } from './connection-table.js';
-import { createPipelineLimit } from './pipeline-limit.js';
-import { createQueuedResponses } from './queued-responses.js';
+import { createPacedInput } from './paced-input.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -30,6 +29,8 @@
   maxConnections: number;
   /** Maximum number of further connections, which get a refusal. */
   maxRefusedConnections: number;
+  /** Memory in bytes for what callers have sent ahead of the answers to earlier requests. */
+  maxWaitingBytes: number;
   acceptQueue: AcceptQueue;
   clock: Clock;
   logger: Logger;
@@ -69,7 +70,12 @@
 /** Time in which the next request arrives on a kept connection whose answer has ended after the router stopped listening. */
 const NEXT_REQUEST_MS = 300;
 
+/** Number of open requests from which a connection's further requests wait. */
+const MAX_OPEN_REQUESTS = 16;
+
 const SERVER_OPTIONS = {
+  // A request without a host is refused as others are, so that it counts towards the limits of open requests.
+  requireHostHeader: false,
   // Disabled: Node's timers may act before what has arrived is read. The periodic sweep closes idle and stalled connections.
   keepAliveTimeout: 0,
   headersTimeout: 0,
@@ -113,10 +119,16 @@
   req.resume();
 }
 
+/** Answers as Node does by itself, without a trace for the limits of open requests. */
+export function refuseExpectation(res: ServerResponse): void {
+  res.writeHead(417);
+  res.end();
+}
+
 /** Starts the server. */
 export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
   const connections = createConnectionTable(options.clock, options.maxConnections);
-  const limitPipeline = createPipelineLimit(createQueuedResponses());
+  const input = createPacedInput({ ...options, maxOpenRequests: MAX_OPEN_REQUESTS });
   const phase = { closing: false, drainedFromMs: Number.POSITIVE_INFINITY };
   const isLate = (): boolean =>
     phase.closing || options.clock() - phase.drainedFromMs >= LATE_AFTER_MS;
@@ -131,6 +143,7 @@
   function onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     if (socket.destroyed) return;
+    input.startRequest(req, res);
     const earlier = lastResponses.get(socket);
     // It arrived behind a response that has announced the close of the connection.
     if (socket.writableEnded || earlier?.headersSent === true) {
@@ -149,7 +162,6 @@
       connections.requestEnded(socket, res.writableFinished);
       if (phase.closing) closeWhenUnused(socket);
     });
-    limitPipeline(socket, res);
     if (isLate()) options.onLateRequest(req, res);
     else if (!isServed) options.onExcessRequest(req, res);
     // A request behind an open one is refused, so that the connection closes soon.
@@ -158,9 +170,14 @@
   }
 
   const server = createServer(SERVER_OPTIONS, onRequest);
+  server.on('checkExpectation', (req, res) => {
+    input.startRequest(req, res);
+    refuseExpectation(res);
+  });
   server.on('connection', (socket) => {
     options.acceptQueue.recordAccepted(socket);
     connections.add(socket);
+    input.add(socket);
   });
   server.on('clientError', createErrorHandler(connections, options.logger));
   const { host, port, logger, stopping } = options;
--- a/packages/edge/src/callers/request-validator.ts
+++ b/packages/edge/src/callers/request-validator.ts
@@ -42,7 +42,8 @@
 }
 
 /** Returns whether the request can be passed on. Node's parser accepts targets and names that can't be sent. */
-function isWellFormed({ url, rawHeaders }: IncomingMessage): boolean {
+function isWellFormed({ url, rawHeaders, headers, httpVersion }: IncomingMessage): boolean {
+  if (headers.host === undefined && httpVersion !== '1.0') return false;
   return url!.startsWith('/') && isRequestTarget(url!) && areHeadersValid(rawHeaders);
 }
 
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -320,6 +320,7 @@
         maxConnections: parts.connectionLimits.callers,
         acceptQueue: parts.acceptQueue,
         maxRefusedConnections: parts.connectionLimits.refusedCallers,
+        maxWaitingBytes: parts.memoryDivision.waitingInput,
         clock: ctx.clock,
         logger: ctx.logger,
         stopping: ctx.stopping,
--- a/packages/edge/src/memory-division.ts
+++ b/packages/edge/src/memory-division.ts
@@ -10,6 +10,8 @@
   /** Heads of responses while they arrive, as long as few of them are large. */
   responseHeads: number;
   requestBodies: number;
+  /** What callers have sent ahead of the answers to earlier requests, and bodies that are much work to read. */
+  waitingInput: number;
   /** Buffered responses and unfinished events. */
   responses: number;
 }
@@ -21,6 +23,7 @@
 const MAX_UNCOLLECTED_BYTES = 32 * BYTES_PER_MB;
 const UNCOLLECTED_FRACTION = 0.15;
 const HEADS_FRACTION = 1 / 16;
+const WAITING_INPUT_FRACTION = 1 / 64;
 const RESPONSES_FRACTION = 0.09;
 /** Two responses of the maximum size, and ordinary ones besides. */
 const MIN_RESPONSES_BYTES = 18 * BYTES_PER_MB;
@@ -33,6 +36,7 @@
     uncollected: Math.min(MAX_UNCOLLECTED_BYTES, memory * UNCOLLECTED_FRACTION),
     responseHeads: memory * HEADS_FRACTION,
     requestBodies: memory * BODIES_FRACTION,
+    waitingInput: memory * WAITING_INPUT_FRACTION,
     responses: Math.max(MIN_RESPONSES_BYTES, memory * RESPONSES_FRACTION),
   };
 }
--- a/packages/edge/src/side-server.ts
+++ b/packages/edge/src/side-server.ts
@@ -3,8 +3,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Logger } from '@kingcupsill/runtime';
-import { createPipelineLimit } from './callers/pipeline-limit.js';
-import { createQueuedResponses } from './callers/queued-responses.js';
+import { refuseExpectation } from './callers/caller-server.js';
+import { createPacedInput } from './callers/paced-input.js';
 
 /** Options of a server. */
 export interface SideServerOptions {
@@ -20,9 +20,12 @@
   headersTimeout: 5000,
   requestTimeout: 5000,
   connectionsCheckingInterval: 1000,
+  requireHostHeader: false,
 };
 /** Requests that are open on one connection at a time. */
 const MAX_OPEN_REQUESTS = 1;
+/** Memory for what all connections have sent ahead. */
+const MAX_WAITING_BYTES = 1024 * 1024;
 
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
@@ -38,7 +41,12 @@
 ): Server {
   const unused = new Set<Socket>();
   const used = new Set<Socket>();
-  const limitPipeline = createPipelineLimit(createQueuedResponses(), MAX_OPEN_REQUESTS);
+  const input = createPacedInput({
+    clock: () => performance.now(),
+    logger,
+    maxOpenRequests: MAX_OPEN_REQUESTS,
+    maxWaitingBytes: MAX_WAITING_BYTES,
+  });
 
   function remove(socket: Socket): void {
     unused.delete(socket);
@@ -51,8 +59,13 @@
     if (unused.delete(socket)) used.add(socket);
     // The body of a request is not read any further.
     if (hasBody(req)) res.shouldKeepAlive = false;
-    limitPipeline(socket, res);
-    onRequest(req, res);
+    input.startRequest(req, res);
+    if (req.headers.host === undefined) res.writeHead(400).end();
+    else onRequest(req, res);
+  });
+  server.on('checkExpectation', (req, res) => {
+    input.startRequest(req, res);
+    refuseExpectation(res);
   });
   server.on('connection', (socket: Socket) => {
     if (unused.size + used.size >= maxConnections) {
@@ -62,8 +75,12 @@
       if (oldest !== undefined) remove(oldest);
     }
     unused.add(socket);
+    input.add(socket);
     socket.on('close', () => remove(socket));
   });
-  server.on('upgrade', (_req, socket) => remove(socket as Socket));
+  server.on('upgrade', (_req, socket) => {
+    remove(socket as Socket);
+    input.release(socket as Socket);
+  });
   return server;
 }
--- a/packages/edge/test/callers/drain.test.ts
+++ b/packages/edge/test/callers/drain.test.ts
@@ -106,6 +106,7 @@
     onExcessRequest: (_req, res) => res.end('refused'),
     maxConnections: 10,
     maxRefusedConnections: 10,
+    maxWaitingBytes: 100_000,
     acceptQueue: createAcceptQueue(1, () => performance.now(), setImmediate),
     clock: () => performance.now(),
     logger: createRecordingLogger(),
