--- a/packages/edge/test/relay/answers.test.ts
+++ b/packages/edge/test/relay/answers.test.ts
@@ -306,11 +306,18 @@
 
 // Guards against the same end of a router by a status that can't be written.
 test('does not pass on an answer whose status is none', async () => {
-  const sendStatus = (arrival: Arrival) => {
-    arrival.req.socket.write('HTTP/1.1 099 Odd\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
-  };
-  await withDeployment([sendStatus], async ({ call }) => {
-    const answer = await call('/once/1', { method: 'POST' });
-    assert.deepEqual([answer.status, JSON.parse(answer.body).ran], [502, 'unknown']);
-  });
+  for (const status of ['000', '099', '600', '999'])
+    for (const field of ['Not-Executed: 1', 'Response-Signature: sig']) {
+      const sendStatus = ({ req, header }: Arrival) => {
+        const lines = [`HTTP/1.1 ${status} Odd`, `Attempt-Id: ${header('attempt-id')}`, field];
+        req.socket.write(`${lines.join('\r\n')}\r\nContent-Length: 4\r\n\r\npart`);
+      };
+      await withDeployment([sendStatus], async ({ call }) => {
+        for (const route of ['once', 'talk']) {
+          const answer = await call(`/${route}/1`, { method: 'POST' });
+          const outcome = [answer.status, JSON.parse(answer.body).ran];
+          assert.deepEqual(outcome, [502, 'unknown'], `${status} ${field} ${route}`);
+        }
+      });
+    }
 });
--- a/packages/sidecar/src/backend/backend-client.ts
+++ b/packages/sidecar/src/backend/backend-client.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { REQUEST_ID_HEADER, filterForwardedHeaders } from '@kingcupsill/core';
+import { isStatus } from '@kingcupsill/core/http-syntax';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
 import type { EventSplitter } from '@kingcupsill/core/event-stream';
 import { isConnectError } from '@kingcupsill/fleet';
@@ -105,10 +106,11 @@
   };
 }
 
-/** Writes the response to the buffer. Resolves with false if it belongs to another request, isn't the missing part or is truncated. */
+/** Writes the response to the buffer. Resolves with false if its status is none, it belongs to another request, isn't the missing part or is truncated. */
 async function receiveResponse(reception: Reception, res: BackendResponse): Promise<boolean> {
   const { attempt, response, parts } = reception;
-  if (!isResponseTo(res, attempt) || !parts.begin(res.headers, response.length())) {
+  const isResponse = isStatus(res.statusCode) && isResponseTo(res, attempt);
+  if (!isResponse || !parts.begin(res.headers, response.length())) {
     discard(res);
     return false;
   }
--- a/packages/sidecar/test/backend/reset-responses.test.ts
+++ b/packages/sidecar/test/backend/reset-responses.test.ts
@@ -13,7 +13,10 @@
 const RUNS = 20;
 
 /** Runs requests at a plain server and returns the ends of their responses. */
-async function runAll(respond: (socket: Socket) => void): Promise<RunEnd[]> {
+async function runAll(
+  respond: (socket: Socket) => void,
+  body: Buffer = Buffer.alloc(0),
+): Promise<RunEnd[]> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => respond(socket));
@@ -25,10 +28,10 @@
   for (let index = 0; index < RUNS; index += 1) {
     const req = {
       attempt: `a${index}`,
-      method: 'GET',
+      method: body.length > 0 ? 'POST' : 'GET',
       path: '/',
       headers: {},
-      body: Buffer.alloc(0),
+      body,
     };
     const response = createResponseBuffer();
     const run = client.run(req, response);
@@ -89,3 +92,31 @@
   const [end] = await runSlowly((socket) => socket.resetAndDestroy());
   assert.equal(end, RunEnd.Broken);
 });
+
+// Guards against part of a response that is reported as whole, since its server has responded and left during a long upload (issue 60).
+test('a response without a length whose connection is reset during the upload is broken', async () => {
+  const upload = Buffer.alloc(8 * 1024 * 1024, 'x');
+  const ways: ((socket: Socket) => void)[] = [
+    (socket) => socket.write(`${HEAD}part`, () => socket.resetAndDestroy()),
+    (socket) => {
+      socket.pause();
+      socket.write(`${HEAD}part`);
+      setTimeout(() => socket.resetAndDestroy(), 5);
+    },
+    (socket) => {
+      socket.pause();
+      socket.write(`${HEAD}part`, () => socket.destroy());
+    },
+  ];
+  for (const respond of ways)
+    assert.deepEqual(await runAll(respond, upload), allEnds(RunEnd.Broken));
+});
+
+// Guards against a status that is none and reaches callers as a response (issue 60).
+test('a response whose status is none is broken', async () => {
+  for (const status of ['000', '099', '600', '999']) {
+    const head = HEAD.replace('200', status).replace('Connection: close', 'Content-Length: 4');
+    const ends = await runAll((socket) => socket.end(`${head}part`));
+    assert.deepEqual(ends, allEnds(RunEnd.Broken), status);
+  }
+});
