--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -103,7 +103,12 @@
   /** Limit on the response; undefined before its head. */
   limit: PieceLimit | undefined;
   amount(): ReceivedAmount;
-  /** Passes on what precedes malformed bytes, which is sound. Returns whether it is the whole response. */
+  /**
+   * Returns whether the whole response has arrived, so that the end of its connection says nothing about it; the rest may still wait
+   * for a slow caller.
+   */
+  isComplete(): boolean;
+  /** Passes on what precedes an error, which is sound. Returns whether it is the whole response. */
   endBefore(errorCode: string | undefined): boolean;
 }
 
@@ -119,9 +124,11 @@
       receivedBytes: (clientReq.socket?.bytesRead ?? 0) - bytesReadBefore,
       ...reception.limit?.received(),
     }),
+    isComplete: () => reception.res?.complete === true,
     endBefore(errorCode) {
       reception.limit?.flush();
-      return reception.res !== undefined && endAtFramingTrailer(reception.res, errorCode);
+      const { res } = reception;
+      return reception.isComplete() || (res !== undefined && endAtFramingTrailer(res, errorCode));
     },
   };
   return reception;
@@ -250,7 +257,7 @@
   clientReq.on('error', (err: NodeJS.ErrnoException) => {
     if (!reception.endBefore(err.code)) fail(err.message, err.code);
   });
-  clientReq.on('close', () => fail('connection closed'));
+  clientReq.on('close', () => reception.isComplete() || fail('connection closed'));
   clientReq.end(req.body);
 
   return {
