--- a/packages/core/src/direct/versions/stream-journal.ts
+++ b/packages/core/src/direct/versions/stream-journal.ts
@@ -1,5 +1,5 @@
 /** Streams that callers may resume, with the version of the servers' software that began them, as far as this router has sent them. */
-import { evictLeastRecentlyUsed, markRecentlyUsed } from '../../collections/index.js';
+import { evictLeastRecentlyUsed, groupBy, markRecentlyUsed } from '../../collections/index.js';
 
 /** Ids of streams by the service and the version that began them. */
 export type StreamsByVersion = Record<string, Record<string, string[]>>;
@@ -53,6 +53,13 @@
   return Math.max(MIN_RESUMABLE_MS, timeoutMs * MAX_TIMEOUTS);
 }
 
+function toRecord<TValue, TResult>(
+  map: ReadonlyMap<string, TValue>,
+  convert: (value: TValue) => TResult,
+): Record<string, TResult> {
+  return Object.fromEntries([...map].map(([name, value]) => [name, convert(value)]));
+}
+
 /** Creates an empty journal. */
 export function createStreamJournal(): StreamJournal {
   const entries = new Map<string, JournalEntry>();
@@ -85,11 +92,15 @@
     find: (streamId) => entries.get(streamId),
     prune,
     list(isIncluded) {
-      const streams: StreamsByVersion = {};
-      entries.forEach(({ service, version }, streamId) => {
-        if (isIncluded(service)) ((streams[service] ??= {})[version] ??= []).push(streamId);
-      });
-      return streams;
+      // Names from outside may be those of properties that every object has.
+      const included = [...entries].filter(([, { service }]) => isIncluded(service));
+      const byService = groupBy(included, ([, { service }]) => service);
+      return toRecord(byService, (ofService) =>
+        toRecord(
+          groupBy(ofService, ([, { version }]) => version),
+          (ofVersion) => ofVersion.map(([streamId]) => streamId),
+        ),
+      );
     },
     changeCount: () => changes,
     size: () => entries.size,
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -52,9 +52,14 @@
   versions: z.array(z.string()),
   unused: z.array(z.string()).default([]),
 });
-const streamsSchema = z.object({
-  streams: z.record(z.string(), z.record(z.string(), z.array(z.string()))),
-});
+/** Record with any names; zod's leaves out those of prototypes. */
+const recordOf = <TSchema extends z.ZodType>(entry: TSchema) =>
+  z.custom<Record<string, z.infer<TSchema>>>(
+    (value) =>
+      z.looseObject({}).safeParse(value).success &&
+      Object.values(value as object).every((item) => entry.safeParse(item).success),
+  );
+const streamsSchema = z.object({ streams: recordOf(recordOf(z.array(z.string()))) });
 
 function readRecord(object: StoreObject): VersionRecord {
   const parsed = versionsSchema.safeParse(object.spec);
--- a/packages/edge/test/store/stream-store.test.ts
+++ b/packages/edge/test/store/stream-store.test.ts
@@ -1,8 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { VersionChangeKind } from '@kingcupsill/core/direct';
+import {
+  createStreamJournal,
+  findRecordedOrigins,
+  VersionChangeKind,
+} from '@kingcupsill/core/direct';
 import { createStoreClient, StoreKind } from '@kingcupsill/prepared-platform';
 import type { SendStoreCall } from '@kingcupsill/prepared-platform';
+import fc from 'fast-check';
 import { createStoreEra } from '../../src/store/store-era.js';
 import { createStoreTransport } from '../../src/store/store-transport.js';
 import { createStreamStore } from '../../src/store/stream-store.js';
@@ -122,3 +127,29 @@
   await sweep.close();
   assert.deepEqual(removed, ['streams.r1.old', 'streams.gone.i1']);
 });
+
+// Guards against a router that ends, or streams that are forgotten, because a service or version is named as a property of all objects.
+test('streams of services and versions with any names are recorded and found', async () => {
+  const name = fc.oneof(
+    fc.constantFrom('constructor', '__proto__', 'toString', 'hasOwnProperty', '', 'x'.repeat(4096)),
+    fc.string({ unit: 'binary' }),
+  );
+  const origins = fc.array(fc.record({ service: name, version: name }, { noNullPrototype: true }), {
+    minLength: 1,
+  });
+  await withStore(async ({ open }) => {
+    const streamStore = open('r1');
+    await fc.assert(
+      fc.asyncProperty(origins, async (begun) => {
+        const journal = createStreamJournal();
+        begun.forEach((origin, index) => journal.begin(`s${index}`, origin));
+        assert.ok(await streamStore.storeStreams(journal.list(() => true)));
+        const read = await streamStore.readStreams();
+        const ids = new Set(begun.map((_origin, index) => `s${index}`));
+        const found = findRecordedOrigins(read!, ids);
+        begun.forEach((origin, index) => assert.deepEqual(found.get(`s${index}`), [origin]));
+      }),
+      { seed: 61, numRuns: 40, examples: [[[{ service: 'constructor', version: '__proto__' }]]] },
+    );
+  });
+});
