--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -2,7 +2,7 @@
 import { admit } from './admission.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
 import { describeCandidate, send } from './dispatch.js';
-import { canEndInDrain, describeDrain } from './drain.js';
+import { mayArriveInDrain, describeDrain } from './drain.js';
 import type { DirectEffect } from './events.js';
 import { chooseServer } from './placement.js';
 import {
@@ -54,7 +54,7 @@
     return refuse(state, request, refusal, { account, promptTokens, kvCapacityTokens }, nowMs);
   }
   // Not counted as demand, since another router gets the request.
-  if (!canEndInDrain(state, attributes, nowMs)) return refuseInDrain(state, request, nowMs);
+  if (!mayArriveInDrain(state, attributes, nowMs)) return refuseInDrain(state, request, nowMs);
   const tokens = requestTokens(attributes);
   state.retryBudget.recordRequest(attributes.service, nowMs);
   state.serviceDemand.recordOwn(attributes.service, nowMs);
@@ -169,7 +169,7 @@
     return admitRequest(state, request, draw, nowMs);
   const origin = streamId === undefined ? undefined : state.versions.journal.find(streamId);
   if (origin !== undefined) return resumeStream(state, request, origin, draw, nowMs);
-  if (!canEndInDrain(state, attributes, nowMs)) return refuseInDrain(state, request, nowMs);
+  if (!mayArriveInDrain(state, attributes, nowMs)) return refuseInDrain(state, request, nowMs);
   state.requests.set(requestId, request);
   state.versions.waiting.set(requestId, draw);
   return readRecords(state, nowMs);
--- a/packages/core/src/direct/drain.ts
+++ b/packages/core/src/direct/drain.ts
@@ -7,6 +7,8 @@
 const UNKNOWN_DRAIN_FRACTION = 0.5;
 /** Weight of the time that an open attempt has taken: how much longer it takes is unknown. */
 const OPEN_ATTEMPT_WEIGHT = 4;
+/** Time after the start of the drain until which new connections arrive; requests that are complete later come on older ones. */
+const LATE_AFTER_MS = 2900;
 
 /** Longest expectation for the routes whose attempts are of the same kind, at the same servers; undefined without observations. */
 function expectedOfRelatedMs(
@@ -67,6 +69,21 @@
   return leftMs > 0 && expectedRunMs(state, attributes, nowMs) <= leftMs;
 }
 
+/**
+ * Returns whether a request that has arrived now may be sent. Late in the drain an estimate isn't enough: its caller could have asked
+ * another router, so the request must be certain to end, at its deadline at the latest.
+ */
+export function mayArriveInDrain(
+  state: DirectState,
+  attributes: RequestAttributes,
+  nowMs: number,
+): boolean {
+  const { drainEndsAtMs, drainMs } = state;
+  const isLate = nowMs - (drainEndsAtMs - drainMs) > LATE_AFTER_MS;
+  if (isLate && attributes.expiresAtMs > drainEndsAtMs) return false;
+  return canEndInDrain(state, attributes, nowMs);
+}
+
 /** Inputs of the decision, for logs. */
 export function describeDrain(
   state: DirectState,
@@ -77,5 +94,6 @@
     account: attributes.account,
     expectedMs: Math.round(expectedRunMs(state, attributes, nowMs)),
     drainLeftMs: Math.round(state.drainEndsAtMs - nowMs),
+    remainingMs: Math.round(attributes.expiresAtMs - nowMs),
   };
 }
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -139,6 +139,8 @@
   expectedMs?: number;
   /** Time until the drain ends. */
   drainLeftMs?: number;
+  /** Time until the request's deadline. */
+  remainingMs?: number;
   /** Numbers of servers that may not get the request, by reason. */
   ineligible?: Partial<Record<Ineligibility, number>>;
   /** Number of attempts sent so far. */
