--- a/packages/edge/test/soak/operator.ts
+++ b/packages/edge/test/soak/operator.ts
@@ -1,4 +1,5 @@
 /** Operator of the soak test: writes configurations and verifies through requests that they take effect and are never reverted. */
+import { RefusalCode } from '@kingcupsill/core/direct';
 import { sampleDocument } from '../standins/deployment.js';
 import type { StoreStandin } from '../standins/store-standin.js';
 import { formatApiKey } from './callers.js';
@@ -25,6 +26,13 @@
   pathPrefix: `/unused-${index}/`,
 }));
 
+/** Refusals before the route is looked up. */
+const UNJUDGED_CODES = [
+  RefusalCode.NoConfiguration,
+  RefusalCode.ShuttingDown,
+  RefusalCode.RouterConnectionsFull,
+];
+
 /** Creates the operator and writes the first configuration. */
 export function createOperator(
   store: StoreStandin,
@@ -65,8 +73,9 @@
     router: Router,
     expectedVersion: number,
   ): Promise<boolean | undefined> {
-    const { status } = await callers().send(router, `/added-${expectedVersion}/x`);
-    return status === undefined ? undefined : status !== 404;
+    const { status, body } = await callers().send(router, `/added-${expectedVersion}/x`);
+    const isUnjudged = status === 503 && UNJUDGED_CODES.some((code) => body.includes(`"${code}"`));
+    return status === undefined || isUnjudged ? undefined : status !== 404;
   }
 
   async function checkRouter(router: Router): Promise<void> {
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -10,8 +10,12 @@
 import { findBreaches, findWorkAfterDeparture } from './find-breaches.js';
 import type { Observations } from './find-breaches.js';
 import { findCutAnswers, findCutsInStops, findProcessBreaches } from './find-process-breaches.js';
+import type { StoreStandin } from '../standins/store-standin.js';
+import type { Callers } from './callers.js';
+import { createOperator } from './operator.js';
 import { createProxy, ProxyMode } from './proxy.js';
 import { ExitCode, formatReport, judge } from './report.js';
+import type { Router } from './routers.js';
 import { runSoak } from './run-soak.js';
 import type { SoakResult } from './run-soak.js';
 import { DisruptionCause, EndRequest, RouteKind } from './types.js';
@@ -272,3 +276,24 @@
   server.close();
   assert.equal(received, 'firstsecond');
 });
+
+// Guards against a check that takes the refusal of a router without servers for a version in force, and then its true version for a reversal.
+test('reports a reverted configuration, but not after a refusal that tells nothing about the version', async () => {
+  const answers: Record<string, Partial<Call>> = {};
+  const callers = { send: async (_router: Router, path: string) => createCall(answers[path]) };
+  const routers = [{ processName: () => 'router-0#1' }] as Router[];
+  const store = { put: () => undefined } as unknown as StoreStandin;
+  const operator = createOperator(store, routers, () => callers as unknown as Callers, 1);
+  operator.changeConfiguration();
+  await operator.checkConfigurations();
+  operator.changeConfiguration();
+  answers['/added-3/x'] = { status: 503, body: '{"code":"no_configuration","ran":"no"}' };
+  await operator.checkConfigurations();
+  answers['/added-3/x'] = { status: 404 };
+  await operator.checkConfigurations();
+  assert.deepEqual(operator.breaches, []);
+  answers['/added-2/x'] = { status: 404 };
+  await operator.checkConfigurations();
+  const detail = 'router-0#1, version 2';
+  assert.deepEqual(operator.breaches, [{ promise: 'configurations never revert', detail }]);
+});
