--- a/packages/edge/src/callers/connection-input.ts
+++ b/packages/edge/src/callers/connection-input.ts
@@ -28,7 +28,7 @@
   parse: (this: Socket, bytes: Buffer) => void,
 ): ConnectionInput {
   let waiting: Buffer = NO_BYTES;
-  let overlap: Buffer = NO_BYTES;
+  let overlap = '';
   let latest: IncomingMessage | undefined;
   /** Rest of the body of the latest request, if its length is stated. */
   let bodyLeftBytes = 0;
--- a/packages/edge/src/callers/input-parts.ts
+++ b/packages/edge/src/callers/input-parts.ts
@@ -8,19 +8,19 @@
 const MIN_PART_BYTES = 64;
 const MAX_PART_BYTES = 4096;
 
-/** Returns the last bytes of a part, which `findHeadEnd` needs for the next one. */
-export function takeOverlap(part: Buffer): Buffer {
-  return part.subarray(-OVERLAP_BYTES);
+/** Returns the last bytes of a part as text, which `findHeadEnd` needs for the next one; a buffer would keep all that was read with it. */
+export function takeOverlap(part: Buffer): string {
+  return part.toString('latin1', Math.max(0, part.length - OVERLAP_BYTES));
 }
 
 /**
  * Returns the offset behind the end of the first head in `bytes`; undefined if there is none.
  * @param overlap last bytes of the part before
  */
-export function findHeadEnd(overlap: Buffer, bytes: Buffer): number | undefined {
-  const edge = Buffer.concat([overlap, bytes.subarray(0, OVERLAP_BYTES)]);
-  const edgeOffset = edge.indexOf(HEAD_END) + HEAD_END.length - overlap.length;
-  if (edge.includes(HEAD_END) && edgeOffset > 0) return edgeOffset;
+export function findHeadEnd(overlap: string, bytes: Buffer): number | undefined {
+  const edge = overlap + bytes.toString('latin1', 0, OVERLAP_BYTES);
+  const edgeOffset = edge.indexOf(HEAD_END);
+  if (edgeOffset >= 0) return edgeOffset + HEAD_END.length - overlap.length;
   const offset = bytes.indexOf(HEAD_END);
   return offset < 0 ? undefined : offset + HEAD_END.length;
 }
