--- a/packages/edge/test/start/descriptors.test.ts
+++ b/packages/edge/test/start/descriptors.test.ts
@@ -1,16 +1,13 @@
 /** Guards against callers whose connections are closed unread, because callers and backend servers take all file descriptors. */
 import assert from 'node:assert/strict';
-import { writeFile } from 'node:fs/promises';
 import { request } from 'node:http';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { READINESS_PATH } from '@kingcupsill/prepared-platform';
-import { sampleDocument, sampleEntry, waitUntil } from '../standins/deployment.js';
-import { createServerStandin, sendAnswer } from '../standins/server-standin.js';
+import { sampleDocument, waitUntil } from '../standins/deployment.js';
+import { sendAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
-import { createStoreStandin } from '../standins/store-standin.js';
-import { createSettingsText, withProcesses } from './router-process.js';
+import { withRouterProcess } from './process-deployment.js';
 
 const MAX_FDS = 120;
 const CALLERS = 300;
@@ -56,35 +53,16 @@
     configure: () => Promise<void>,
   ) => Promise<void>,
 ): Promise<void> {
-  const store = await createStoreStandin();
-  const server = await createServerStandin(handle);
-  store.put('config', 'main', sampleDocument());
-  store.put('servers', 'i-0', sampleEntry(server.port));
-  const text = (await createSettingsText()).replace(
-    /\[store\]\naddress = .*/,
-    `[store]\naddress = 127.0.0.1:${store.port}`,
-  );
-  const callers = /\naddress = (.*)/.exec(text)![1]!;
-  const readiness = /readiness_address = (.*)/.exec(text)![1]!;
-  try {
-    await withProcesses(async (dir, start) => {
-      const settingsFile = join(dir, 'settings.ini');
-      await writeFile(settingsFile, text);
-      const router = start({ settingsFile, maxFds: MAX_FDS });
-      const isReady = async () => (await call(readiness, READINESS_PATH)).status === 200;
-      await waitUntil(isReady);
-      await run({ callers, readiness }, async () => {
-        const countChanges = () =>
-          router.events().filter((event) => event === 'configuration-in-force').length;
-        const before = countChanges();
-        store.put('config', 'main', sampleDocument(before + 1));
-        await waitUntil(() => countChanges() > before);
-      });
+  const options = { handlers: [handle], maxFds: MAX_FDS };
+  await withRouterProcess(options, async ({ router, store, callers, readiness }) => {
+    await run({ callers, readiness }, async () => {
+      const countChanges = () =>
+        router.events().filter((event) => event === 'configuration-in-force').length;
+      const before = countChanges();
+      store.put('config', 'main', sampleDocument(before + 1));
+      await waitUntil(() => countChanges() > before);
     });
-  } finally {
-    server.close();
-    store.close();
-  }
+  });
 }
 
 test('callers beyond the descriptors are told so, while the store and readiness are served', async () => {
--- a/packages/edge/test/start/flooded-router.test.ts
+++ b/packages/edge/test/start/flooded-router.test.ts
@@ -1,15 +1,10 @@
 /** Guards against a router that ends by its heap or its machine's memory because servers send without end (issue 52). */
 import assert from 'node:assert/strict';
-import { readFile, writeFile } from 'node:fs/promises';
-import { request } from 'node:http';
-import { join } from 'node:path';
+import { readFile } from 'node:fs/promises';
 import { test } from 'node:test';
-import { READINESS_PATH } from '@kingcupsill/prepared-platform';
-import { sampleDocument, sampleEntry, waitUntil } from '../standins/deployment.js';
-import { createServerStandin, writeRawAnswer } from '../standins/server-standin.js';
+import { writeRawAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
-import { createStoreStandin } from '../standins/store-standin.js';
-import { createSettingsText, withProcesses } from './router-process.js';
+import { callForStatus, withRouterProcess } from './process-deployment.js';
 
 /** Memory of the smallest machine, and the heap of all. */
 const MEMORY_MB = 210;
@@ -32,50 +27,18 @@
   write();
 }
 
-/** Returns the status of the answer; undefined without one. */
-function call(address: string, path: string): Promise<number | undefined> {
-  const [host, port] = address.split(':');
-  const headers = { Host: 'a.example', Credential: 'key-1', 'Attempt-Id': path };
-  return new Promise((resolve) => {
-    const req = request({ host, port, path, headers, agent: false }, (res) => {
-      res.on('error', () => undefined);
-      res.on('close', () => resolve(res.statusCode));
-      res.resume();
-    });
-    req.on('error', () => resolve(undefined));
-    req.end();
-  });
-}
-
 test('a router whose servers all send without end stays within its memory, and answers', async () => {
-  const store = await createStoreStandin();
-  const servers = await Promise.all(
-    Array.from({ length: SERVERS }, () => createServerStandin(sendWithoutEnd)),
-  );
-  store.put('config', 'main', sampleDocument());
-  servers.forEach(({ port }, index) => store.put('servers', `i-${index}`, sampleEntry(port)));
-  const text = (await createSettingsText())
-    .replace(/\[store\]\naddress = .*/, `[store]\naddress = 127.0.0.1:${store.port}`)
-    .replace('[process]', `[process]\nmemory_mb = ${MEMORY_MB}`);
-  const callers = /\naddress = (.*)/.exec(text)![1]!;
-  const readiness = /readiness_address = (.*)/.exec(text)![1]!;
-  try {
-    await withProcesses(async (dir, start) => {
-      const settingsFile = join(dir, 'settings.ini');
-      await writeFile(settingsFile, text);
-      const router = start({ settingsFile, nodeArguments: NODE_ARGUMENTS });
-      const isReady = async () => (await call(readiness, READINESS_PATH)) === 200;
-      await waitUntil(isReady);
-      const callAll = (route: string) =>
-        Promise.all(Array.from({ length: CALLERS }, (_item, n) => call(callers, `/${route}/${n}`)));
-      const statuses = [...(await callAll('stream')), ...(await callAll('any'))];
-      assert.equal(statuses.includes(undefined), false, statuses.join(' '));
-      const status = await readFile(`/proc/${router.pid}/status`, 'utf8');
-      const peakMb = Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / 1024;
-      assert.ok(peakMb < MEMORY_MB, `${peakMb} MB`);
-    });
-  } finally {
-    servers.forEach((server) => server.close());
-    store.close();
-  }
+  const handlers = Array.from({ length: SERVERS }, () => sendWithoutEnd);
+  const options = { handlers, memoryMb: MEMORY_MB, nodeArguments: NODE_ARGUMENTS };
+  await withRouterProcess(options, async ({ router, callers }) => {
+    const callAll = (route: string) =>
+      Promise.all(
+        Array.from({ length: CALLERS }, (_item, n) => callForStatus(callers, `/${route}/${n}`)),
+      );
+    const statuses = [...(await callAll('stream')), ...(await callAll('any'))];
+    assert.equal(statuses.includes(undefined), false, statuses.join(' '));
+    const status = await readFile(`/proc/${router.pid}/status`, 'utf8');
+    const peakMb = Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / 1024;
+    assert.ok(peakMb < MEMORY_MB, `${peakMb} MB`);
+  });
 });
