--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,6 +2,7 @@
 import { fileURLToPath } from 'node:url';
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
+import { noInheritedProperties } from './tools/eslint/no-inherited-properties.js';
 
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'coverage/**', 'target/**'] },
@@ -57,6 +58,18 @@
       'max-lines-per-function': ['error', { max: 80, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    // Node resolves the linter's own files as they are; named exports are the house style.
+    files: ['eslint.config.js', 'tools/**/*.js'],
+    rules: { 'import-x/extensions': 'off', 'import-x/prefer-default-export': 'off' },
+  },
+  {
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    plugins: {
+      kingcupsill: { rules: { 'no-inherited-properties': noInheritedProperties } },
+    },
+    rules: { 'kingcupsill/no-inherited-properties': 'error' },
+  },
   {
     files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: {
--- a/packages/bench/src/cli/main.ts
+++ b/packages/bench/src/cli/main.ts
@@ -1,4 +1,5 @@
 /** Dispatches the commands of the bench tool. */
+import { getOwn } from '@kingcupsill/core/collections';
 import { SCENARIOS } from '../scenarios/index.js';
 import { compareCommand } from './compare-command.js';
 import { reportCommand } from './report-command.js';
@@ -37,7 +38,7 @@
     process.stdout.write(formatHelp());
     return 0;
   }
-  const command = COMMANDS[commandName];
+  const command = getOwn(COMMANDS, commandName);
   if (command === undefined) {
     process.stderr.write(`unknown command ${commandName}\n${formatHelp()}`);
     return EXIT_USAGE;
--- a/packages/bench/src/fleet/process.ts
+++ b/packages/bench/src/fleet/process.ts
@@ -1,4 +1,5 @@
 /** Starts a process, waits until it listens and controls it by signals. */
+import { getOwn } from '@kingcupsill/core/collections';
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
@@ -125,7 +126,7 @@
   let child = await spawnChild(spec, {});
   let ports = await waitUntilListening(child, spec);
   const isRunning = () => child.exitCode === null && child.signalCode === null;
-  const urlOf = (field: string) => `http://127.0.0.1:${ports[field]}`;
+  const urlOf = (field: string) => `http://127.0.0.1:${getOwn(ports, field)}`;
   const kill = () => {
     child.kill('SIGKILL');
     return waitForExit(child);
--- a/packages/bench/src/fleet/settings.ts
+++ b/packages/bench/src/fleet/settings.ts
@@ -1,4 +1,5 @@
 /** Merges process settings and formats them as INI text. */
+import { getOwn } from '@kingcupsill/core/collections';
 import type { Settings } from './types.js';
 
 /** Formats settings as INI text. */
@@ -14,7 +15,10 @@
 export function mergeSettings(base: Settings, overrides: Settings = {}): Settings {
   const sections = new Set([...Object.keys(base), ...Object.keys(overrides)]);
   return Object.fromEntries(
-    [...sections].map((section) => [section, { ...base[section], ...overrides[section] }]),
+    [...sections].map((section) => [
+      section,
+      { ...getOwn(base, section), ...getOwn(overrides, section) },
+    ]),
   );
 }
 
@@ -26,7 +30,7 @@
 ): Settings {
   return Object.entries(portSettings).reduce((merged, [field, path]) => {
     const [section, key] = path.split('.') as [string, string];
-    const port = ports[field];
+    const port = getOwn(ports, field);
     return port === undefined ? merged : mergeSettings(merged, { [section]: { [key]: port } });
   }, settings);
 }
--- a/packages/bench/src/load/balancer.ts
+++ b/packages/bench/src/load/balancer.ts
@@ -1,4 +1,5 @@
 /** Simulates the platform's load balancer: uneven traffic per account, none to routers out of rotation. */
+import { getOwn } from '@kingcupsill/core/collections';
 import type { RequestRecord } from '../measure/types.js';
 import type { Destination, LoadClient } from './client.js';
 import { chooseRouter } from './routing.js';
@@ -55,7 +56,7 @@
       router: name,
       url,
       apiKey: accounts[index]?.apiKey ?? '',
-      pool: pools[req.call.service] ?? '',
+      pool: getOwn(pools, req.call.service) ?? '',
     };
   };
 
--- a/packages/bench/src/load/client.ts
+++ b/packages/bench/src/load/client.ts
@@ -1,4 +1,5 @@
 /** Sends scheduled requests to routers and records the results observed by the caller. */
+import { getOwn } from '@kingcupsill/core/collections';
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { AnswerCheck, Outcome } from '../measure/types.js';
@@ -96,7 +97,7 @@
 }
 
 function getHeader(res: Dispatcher.ResponseData, name: string): string | undefined {
-  const value = res.headers[name];
+  const value = getOwn(res.headers, name);
   return Array.isArray(value) ? value[0] : value;
 }
 
--- a/packages/bench/src/measure/fairness.ts
+++ b/packages/bench/src/measure/fairness.ts
@@ -2,6 +2,7 @@
  * Fairness gap: maximum of |S_i/share_i - S_j/share_j| over all intervals in which accounts i and j are both
  * continuously backlogged, where S is the slot time that an account received in the interval.
  */
+import { getOwn } from '@kingcupsill/core/collections';
 import { intersectIntervals, uniteIntervals } from './intervals.js';
 import { breakpointsInside, createServiceCurve, totalAt } from './service-curve.js';
 import type { ServiceCurve } from './service-curve.js';
@@ -86,7 +87,7 @@
   const runsByAccount = groupByAccount(runs);
   const services = [...groupByAccount(waits)].map(([account, accountWaits]): AccountService => ({
     account,
-    share: shares[account] ?? 1,
+    share: getOwn(shares, account) ?? 1,
     curve: createServiceCurve(runsByAccount.get(account) ?? []),
     backlogged: uniteIntervals(accountWaits),
   }));
--- a/packages/bench/src/measure/prometheus.ts
+++ b/packages/bench/src/measure/prometheus.ts
@@ -1,4 +1,5 @@
 /** Parser for the Prometheus text exposition format. */
+import { getOwn } from '@kingcupsill/core/collections';
 
 /** One sample: metric name, labels and value. */
 export interface MetricSample {
@@ -35,7 +36,7 @@
     .filter(
       (sample) =>
         sample.name === name &&
-        Object.entries(labels).every(([key, value]) => sample.labels[key] === value),
+        Object.entries(labels).every(([key, value]) => getOwn(sample.labels, key) === value),
     )
     .reduce((sum, sample) => sum + sample.value, 0);
 }
--- a/packages/cli/src/operations/accounts.ts
+++ b/packages/cli/src/operations/accounts.ts
@@ -1,4 +1,5 @@
 /** Operations on client accounts. */
+import { getOwn } from '@kingcupsill/core/collections';
 import type { ClientAccount, FleetConfig } from '@kingcupsill/core';
 import { digestKey } from '@kingcupsill/platform';
 
@@ -27,7 +28,7 @@
   id: string,
   plan: (account: ClientAccount) => PlannedChange,
 ): PlannedChange => {
-  const account = Object.hasOwn(config.accounts, id) ? config.accounts[id] : undefined;
+  const account = getOwn(config.accounts, id);
   return account === undefined
     ? planFailure('not_found', `account "${id}" does not exist`)
     : plan(account);
--- a/packages/core/src/config/diff.ts
+++ b/packages/core/src/config/diff.ts
@@ -1,4 +1,5 @@
 /** Comparison of two configurations. */
+import { getOwn } from '../collections/index.js';
 import { formatPath } from './path.js';
 import type { ConfigDifference, FleetConfig } from './types.js';
 
@@ -16,7 +17,7 @@
   if (isObject(before) && isObject(after)) {
     const names = new Set([...Object.keys(before), ...Object.keys(after)]);
     names.forEach((name) =>
-      collectDifferences([...path, name], before[name], after[name], differences),
+      collectDifferences([...path, name], getOwn(before, name), getOwn(after, name), differences),
     );
     return;
   }
--- a/packages/core/src/config/merge-patch.ts
+++ b/packages/core/src/config/merge-patch.ts
@@ -1,5 +1,6 @@
 /** Generation of the JSON merge patch between two configurations. */
 import jsonMergePatch from 'json-merge-patch';
+import { getOwn, setOwn } from '../collections/index.js';
 
 import { configEntrySchemas } from './schema.js';
 import type { FleetConfig } from './types.js';
@@ -13,15 +14,16 @@
   const patch: Entries = {};
   const ids = new Set([...Object.keys(before), ...Object.keys(after)]);
   ids.forEach((id) => {
+    const [previous, next] = [getOwn(before, id), getOwn(after, id)];
     if (!Object.hasOwn(after, id)) {
-      patch[id] = null;
+      setOwn(patch, id, null);
       return;
     }
-    if (before[id] === after[id]) return;
+    if (previous === next) return;
     const change: unknown = Object.hasOwn(before, id)
-      ? jsonMergePatch.generate<unknown>(before[id], after[id])
-      : after[id];
-    if (change !== undefined) patch[id] = change;
+      ? jsonMergePatch.generate<unknown>(previous, next)
+      : next;
+    if (change !== undefined) setOwn(patch, id, change);
   });
   return patch;
 };
--- a/packages/core/src/config/patch.ts
+++ b/packages/core/src/config/patch.ts
@@ -1,5 +1,6 @@
 /** Application of JSON merge patches to the configuration. */
 import jsonMergePatch from 'json-merge-patch';
+import { getOwn, setOwn } from '../collections/index.js';
 
 import { isPatchAllowed, getPatchedParts } from './permissions.js';
 import { MAX_APPLIED_PATCHES, RESERVED_NAMES, configEntrySchemas, isConfigPart } from './schema.js';
@@ -43,11 +44,11 @@
 const copyPatchedEntries = (config: FleetConfig, patch: JsonObject): JsonObject => {
   const copy: JsonObject = { ...config };
   Object.entries(patch).forEach(([part, change]) => {
-    const entries: JsonObject = { ...(copy[part] as JsonObject) };
+    const entries: JsonObject = { ...(getOwn(copy, part) as JsonObject) };
     Object.keys(change as JsonObject).forEach((id) => {
-      if (Object.hasOwn(entries, id)) entries[id] = structuredClone(entries[id]);
+      if (Object.hasOwn(entries, id)) setOwn(entries, id, structuredClone(getOwn(entries, id)));
     });
-    copy[part] = entries;
+    setOwn(copy, part, entries);
   });
   return copy;
 };
@@ -62,9 +63,7 @@
 /** Returns the reason why the author must not apply the patch, or undefined. Without defined operators every author is allowed. */
 const findPermissionError = (config: FleetConfig, request: PatchRequest): string | undefined => {
   if (Object.keys(config.operators).length === 0) return undefined;
-  const operator = Object.hasOwn(config.operators, request.author)
-    ? config.operators[request.author]
-    : undefined;
+  const operator = getOwn(config.operators, request.author);
   if (operator === undefined) return `operator "${request.author}" does not exist`;
   if (isPatchAllowed(operator, request.patch)) return undefined;
   const parts = getPatchedParts(request.patch).join(', ');
@@ -103,7 +102,7 @@
     const entries = merged[part] as JsonObject;
     return Object.keys(change as JsonObject).flatMap((id) => {
       if (!Object.hasOwn(entries, id)) return [];
-      const parsed = configEntrySchemas[part].safeParse(entries[id]);
+      const parsed = configEntrySchemas[part].safeParse(getOwn(entries, id));
       return parsed.success ? [] : toConfigProblems(parsed.error, [part, id]);
     });
   });
--- a/packages/core/src/process/sidecar-process.ts
+++ b/packages/core/src/process/sidecar-process.ts
@@ -1,4 +1,5 @@
 /** Reducer of a sidecar process, composed of the reducers for slots and attempts and for the configuration. */
+import { getOwn } from '../collections/index.js';
 import { createConfigReducer, createConfigState } from '../config/index.js';
 import type { ConfigEvent, FleetConfig } from '../config/index.js';
 import type { Hasher } from '../hash/index.js';
@@ -83,7 +84,7 @@
   reducers: SidecarReducers,
 ): SidecarProcessEffect[] {
   const { options } = state.sidecar;
-  const ownEntry = config.backends[options.backend];
+  const ownEntry = getOwn(config.backends, options.backend);
   const pool = ownEntry?.pool ?? options.pool;
   const slots = ownEntry?.slots ?? options.slots;
   const draining = ownEntry ? (ownEntry.draining ?? false) : true;
--- a/packages/core/src/protocol/forwarded-headers.ts
+++ b/packages/core/src/protocol/forwarded-headers.ts
@@ -1,4 +1,5 @@
 /** Selection of the headers that are forwarded between callers and backend servers. */
+import { setOwn } from '../collections/index.js';
 import { FLEET_HEADER_PREFIX, REQUEST_ID_HEADER } from './attempt-headers.js';
 
 const HOP_BY_HOP_HEADERS = new Set([
@@ -25,7 +26,7 @@
   Object.entries(fields).forEach(([name, value]) => {
     if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) return;
     if (name.startsWith(FLEET_HEADER_PREFIX) || name === REQUEST_ID_HEADER) return;
-    forwarded[name] = value;
+    setOwn(forwarded, name, value);
   });
   return forwarded;
 }
--- a/packages/edge/src/admin/admin-server.ts
+++ b/packages/edge/src/admin/admin-server.ts
@@ -1,4 +1,5 @@
 /** HTTP server for operators: metrics and the state dump. */
+import { getOwn } from '@kingcupsill/core/collections';
 import type { ServerResponse } from 'node:http';
 import { describeState } from '@kingcupsill/core/direct';
 import { closeServer } from '@kingcupsill/runtime';
@@ -38,7 +39,7 @@
   };
 
   async function handle(url: string | undefined, res: ServerResponse): Promise<void> {
-    const page = pages[url ?? ''];
+    const page = getOwn(pages, url ?? '');
     if (page === undefined) writePage(res, 404, NOT_FOUND);
     else writePage(res, 200, await page());
   }
--- a/packages/edge/src/callers/caller-server.ts
+++ b/packages/edge/src/callers/caller-server.ts
@@ -1,4 +1,5 @@
 /** HTTP server for callers: keep-alive connections, their limits, and graceful shutdown. */
+import { getOwn } from '@kingcupsill/core/collections';
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
@@ -86,12 +87,12 @@
 };
 
 /** Status lines for malformed requests by the parser's error code. */
-const STATUS_LINE_BY_ERROR: Partial<Record<string, string>> = {
+const STATUS_LINE_BY_ERROR: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 };
 
 function formatMalformedAnswer(code: string | undefined): string {
-  const status = STATUS_LINE_BY_ERROR[code ?? ''] ?? '400 Bad Request';
+  const status = getOwn(STATUS_LINE_BY_ERROR, code ?? '') ?? '400 Bad Request';
   return `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
 }
 
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of the direct router. Label values are bounded: codes, outcomes, and services of the configuration. */
+import { getOwn, setOwn } from '@kingcupsill/core/collections';
 import type {
   AttemptOutcome,
   DirectState,
@@ -201,7 +202,7 @@
     countStoreCall(kind, outcome) {
       storeCallCounter.inc({ kind, outcome });
       const name = `${kind} ${outcome}`;
-      control.storeCalls[name] = (control.storeCalls[name] ?? 0) + 1;
+      setOwn(control.storeCalls, name, (getOwn(control.storeCalls, name) ?? 0) + 1);
     },
     countUnreadableConfiguration: () => unreadable.inc(),
     countReport(bytes) {
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -1,4 +1,5 @@
 /** Pool of keep-alive connections to backend servers. */
+import { getOwn } from '@kingcupsill/core/collections';
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
@@ -126,7 +127,7 @@
   };
 
   const prune: ServerConnections['prune'] = (host, port, isUnusable) => {
-    const free = agent.freeSockets[agent.getName({ host, port })] ?? [];
+    const free = getOwn(agent.freeSockets, agent.getName({ host, port })) ?? [];
     const currentMs = nowMs();
     [...free].forEach((socket) => {
       const idle = idleConnections.get(socket);
--- a/packages/link/src/codec/message-shapes.ts
+++ b/packages/link/src/codec/message-shapes.ts
@@ -2,6 +2,7 @@
  * Wire shapes of messages, derived from the message schemas: the key list of each object type, and conversions between messages
  * and their packed form.
  */
+import { getOwn } from '@kingcupsill/core/collections';
 import { linkMessageSchema } from '@kingcupsill/core';
 import type { z } from 'zod';
 
@@ -57,6 +58,7 @@
   return (value) => {
     if (!isPlainObject(value)) return value;
     const converted: PlainObject = {};
+    // eslint-disable-next-line kingcupsill/no-inherited-properties -- keys of the message schemas
     for (const [key, convert] of converters) converted[key] = convert(value[key]);
     return converted;
   };
@@ -90,7 +92,7 @@
   function createObjectShape(properties: Record<string, z.core.$ZodType>): Shape {
     const keys = Object.keys(properties);
     structures.set(keys.join(), keys);
-    const shapes = keys.map((key): [string, Shape] => [key, createShape(properties[key]!)]);
+    const shapes = keys.map((key): [string, Shape] => [key, createShape(getOwn(properties, key)!)]);
     return {
       toWire: convertObject(shapes.map(([key, shape]) => [key, shape.toWire])),
       fromWire: createObjectDecoder(shapes, Object.values(properties).some(isOptional)),
--- a/packages/router/src/config-index/config-index.ts
+++ b/packages/router/src/config-index/config-index.ts
@@ -1,4 +1,5 @@
 /** Index of a configuration by API key digest and service id. */
+import { getOwn } from '@kingcupsill/core/collections';
 import { createHash } from 'node:crypto';
 
 import type { FleetConfig } from '@kingcupsill/core';
@@ -13,7 +14,7 @@
   });
 
   function findService(id: string) {
-    const service = Object.hasOwn(config.services, id) ? config.services[id] : undefined;
+    const service = getOwn(config.services, id);
     return service ? { id, service } : null;
   }
 
--- a/packages/runtime/src/loop/create-loop.ts
+++ b/packages/runtime/src/loop/create-loop.ts
@@ -1,4 +1,5 @@
 /** Event loop of a process: an event queue, one reducer, and handlers for its effects. */
+import { getOwn } from '@kingcupsill/core/collections';
 import VError from 'verror';
 import type { Loop, LoopOptions } from './types.js';
 
@@ -38,7 +39,7 @@
 
   function runEffect(effect: TEffect): void {
     try {
-      const pending = handlers[effect.kind]!(effect, dispatch);
+      const pending = getOwn(handlers, effect.kind)!(effect, dispatch);
       if (pending !== undefined) pending.catch((err: unknown) => handleError(effect, err));
     } catch (err) {
       handleError(effect, err);
--- a/packages/runtime/src/settings/load-lenient-settings.ts
+++ b/packages/runtime/src/settings/load-lenient-settings.ts
@@ -1,4 +1,5 @@
 /** Loading of settings that another program renders: what isn't needed is passed over, and missing values get fallbacks. */
+import { getOwn, setOwn } from '@kingcupsill/core/collections';
 import type { z } from 'zod';
 import { listFields } from './fields.js';
 import {
@@ -35,9 +36,9 @@
 function removeUnknown(sections: RawSettings, issue: z.core.$ZodIssueUnrecognizedKeys): void {
   const [section] = issue.path.map(String);
   const target: Record<string, unknown> =
-    section === undefined ? sections : (sections[section] ?? {});
+    section === undefined ? sections : (getOwn(sections, section) ?? {});
   issue.keys.forEach((key) => {
-    delete target[key];
+    Reflect.deleteProperty(target, key);
   });
 }
 
@@ -50,11 +51,11 @@
 ): boolean {
   const [section = '', key = ''] = issue.path.map(String);
   const field = listFields(schema).find((entry) => entry.section === section && entry.key === key);
-  const fallback = fallbacks[section]?.[key];
+  const fallback = getOwn(getOwn(fallbacks, section) ?? {}, key);
   const name = `${section}.${key}`;
   if (field === undefined || repair.replaced.includes(name)) return false;
   if (field.required && fallback === undefined) return false;
-  sections[section] = { ...sections[section], [key]: fallback };
+  setOwn(sections, section, { ...getOwn(sections, section), [key]: fallback });
   repair.replaced.push(name);
   return true;
 }
--- a/packages/runtime/src/settings/load-settings.ts
+++ b/packages/runtime/src/settings/load-settings.ts
@@ -1,4 +1,5 @@
 /** Loading of settings from an INI file and environment variables, with validation against a schema. */
+import { getOwn, setOwn } from '@kingcupsill/core/collections';
 import { readFileSync, statSync } from 'node:fs';
 import { parse } from 'ini';
 import type { z } from 'zod';
@@ -24,7 +25,7 @@
 
 const BYTE_ORDER_MARK = /^\uFEFF/;
 
-const BOOLEANS_BY_TEXT: Partial<Record<string, boolean>> = {
+const BOOLEANS_BY_TEXT: Record<string, boolean> = {
   true: true,
   yes: true,
   1: true,
@@ -36,7 +37,7 @@
 const PARSERS: Record<FieldKind, (text: string) => unknown> = {
   string: (text) => text,
   number: (text) => (/^-?\d+(\.\d+)?$/.test(text) ? Number(text) : text),
-  boolean: (text) => BOOLEANS_BY_TEXT[text.toLowerCase()] ?? text,
+  boolean: (text) => getOwn(BOOLEANS_BY_TEXT, text.toLowerCase()) ?? text,
 };
 
 /** Loads and validates settings. Text values are converted to numbers and booleans according to the schema. */
@@ -61,7 +62,7 @@
   const sections: RawSettings = {};
   for (const [name, value] of Object.entries(parse(text.value))) {
     const message = `${file}: key ${name} is not in a section`;
-    if (isSection(value)) sections[name] = { ...value };
+    if (isSection(value)) setOwn(sections, name, { ...value });
     else if (warn === undefined) return { ok: false, message };
     else warn(message);
   }
@@ -104,7 +105,10 @@
   for (const [name, value] of Object.entries(env)) {
     const field = fields.get(name);
     if (field !== undefined && value !== undefined) {
-      merged[field.section] = { ...merged[field.section], [field.key]: value };
+      setOwn(merged, field.section, {
+        ...getOwn(merged, field.section),
+        [field.key]: value,
+      });
     } else if (field === undefined) {
       const section = findSectionOfVariable(schema, name);
       const message = section && unknownKeyMessage(name, section);
@@ -131,9 +135,10 @@
   const coerced: RawSettings = { ...sections };
   const fields = listFields(schema);
   for (const [name, section] of Object.entries(schema.shape)) {
-    if (sections[name] !== undefined || !section.safeParse(undefined).success) {
+    const given = getOwn(sections, name);
+    if (given !== undefined || !section.safeParse(undefined).success) {
       const sectionFields = fields.filter((field) => field.section === name);
-      coerced[name] = coerceSection(sectionFields, sections[name] ?? {});
+      setOwn(coerced, name, coerceSection(sectionFields, given ?? {}));
     }
   }
   return coerced;
--- a/packages/standins/src/app/work.ts
+++ b/packages/standins/src/app/work.ts
@@ -1,4 +1,5 @@
 /** Work times, journal entries and answers of application requests. */
+import { getOwn } from '@kingcupsill/core/collections';
 import type { IncomingMessage } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import { sha256 } from '../common/digest.js';
@@ -9,7 +10,7 @@
 const MAX_MEAN_MULTIPLE = 10;
 
 const getHeader = (req: IncomingMessage, name: string): string | undefined => {
-  const value = req.headers[name];
+  const value = getOwn(req.headers, name);
   return typeof value === 'string' && value !== '' ? value : undefined;
 };
 
--- a/packages/standins/src/common/admin-routes.ts
+++ b/packages/standins/src/common/admin-routes.ts
@@ -1,4 +1,5 @@
 /** Admin routes common to all stand-ins. */
+import { getOwn } from '@kingcupsill/core/collections';
 import type Router from '@koa/router';
 import type { Context } from 'koa';
 import type { z } from 'zod';
@@ -37,7 +38,7 @@
 
 /** Returns a nonnegative integer query parameter, or `fallback` if it is absent or invalid. */
 export const parseQueryInteger = (ctx: Context, name: string, fallback: number): number => {
-  const text = ctx.query[name];
+  const text = getOwn(ctx.query, name);
   const value = typeof text === 'string' && text !== '' ? Number(text) : fallback;
   return Number.isSafeInteger(value) && value >= 0 ? value : fallback;
 };
--- a/packages/standins/src/platform/platform-standin.ts
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -1,4 +1,5 @@
 /** Emulated platform service as an HTTP server. */
+import { getOwn, setOwn } from '@kingcupsill/core/collections';
 import { Readable } from 'node:stream';
 import Router from '@koa/router';
 import { addAdminRoutes } from '../common/admin-routes.js';
@@ -52,7 +53,7 @@
   const instances = createInstanceList(config.instanceLagMs, options.instances ?? []);
   const calls: Record<string, number> = {};
   const countCall = (kind: string) => {
-    calls[kind] = (calls[kind] ?? 0) + 1;
+    setOwn(calls, kind, (getOwn(calls, kind) ?? 0) + 1);
   };
 
   const adminRouter = new Router();
