--- a/packages/core/src/direct/crashes/blocked-traits.ts
+++ b/packages/core/src/direct/crashes/blocked-traits.ts
@@ -57,6 +57,8 @@
       return durationMs;
     },
     applyPeerBlock({ traits, remainingMs }, nowMs) {
+      // Every request has all of no traits.
+      if (traits.length === 0) return false;
       const known = blocks.get(keyOf(traits));
       if (known !== undefined && known.untilMs >= nowMs) return false;
       const blockMs = Math.min(remainingMs, MAX_BLOCK_MS);
