--- a/packages/core/src/direct/store-news.ts
+++ b/packages/core/src/direct/store-news.ts
@@ -30,6 +30,15 @@
   get(kind: string): StoreNewsEntry | undefined;
   /** Records news of another router. Returns whether it is later than what was known. */
   record(kind: string, entry: StoreNewsEntry): boolean;
+  /**
+   * Removes what other routers have told of a kind up to now if the store itself, asked later, answered at an earlier position. Returns
+   * the removed entry.
+   */
+  refute(
+    kind: string,
+    told: StoreNewsEntry | undefined,
+    position: ChangePosition,
+  ): StoreNewsEntry | undefined;
   /** Records that the objects of a kind may have changed up to a position, which this router's own call has reached. */
   recordOwnChange(kind: string, position: ChangePosition): void;
   /**
@@ -40,7 +49,8 @@
   all(): ReadonlyMap<string, StoreNewsEntry>;
 }
 
-function isLaterChange(a: ChangePosition, b: ChangePosition): boolean {
+/** Returns whether the change at `a` came after the one at `b`. */
+export function isLaterChange(a: ChangePosition, b: ChangePosition): boolean {
   const [eraA, eraB] = [a.era ?? 0, b.era ?? 0];
   return eraA > eraB || (eraA === eraB && a.revision > b.revision);
 }
@@ -72,6 +82,12 @@
   return {
     get: (kind) => entries.get(kind),
     record,
+    refute(kind, told, position) {
+      if (told === undefined || entries.get(kind) !== told || !isLaterChange(told, position))
+        return undefined;
+      entries.delete(kind);
+      return told;
+    },
     recordOwnChange(kind, { era, revision }) {
       ownChanges.set(kind, { era, revision });
     },
@@ -100,6 +116,9 @@
   nowMs: number,
 ): string[] {
   return reported.flatMap(({ kind, era, revision, ageMs }) =>
-    news.record(kind, { era, revision, confirmedAtMs: nowMs - ageMs, source }) ? [kind] : [],
+    // A confirmation from the future would be relied on for too long.
+    news.record(kind, { era, revision, confirmedAtMs: nowMs - Math.max(0, ageMs), source })
+      ? [kind]
+      : [],
   );
 }
--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -38,7 +38,8 @@
 import { createReporting } from './peers/reporting.js';
 import { createRequestErrors } from './request-errors.js';
 import { createServerConnections } from './relay/server-connections.js';
-import { parseAddress, parseZoneRegions } from './settings.js';
+import { changeBoundMs, parseAddress, parseZoneRegions } from './settings.js';
+import { planChangeTiming } from './store/change-timing.js';
 import { createFeeds } from './store/feeds.js';
 import { createFollowedNews } from './store/followed-news.js';
 import { ownRouterEntry, registerRouter } from './store/router-registration.js';
@@ -284,7 +285,7 @@
   };
 }
 
-function followedNewsPart({ clock }: EdgeContext): EdgePart<'followedNews'> {
+function followedNewsPart({ clock, logger, settings }: EdgeContext): EdgePart<'followedNews'> {
   return {
     create({ storeNews, peers }) {
       let links: PeerLinks | undefined;
@@ -294,6 +295,8 @@
       return createFollowedNews({
         news: storeNews,
         clock,
+        logger,
+        maxNewsAgeMs: planChangeTiming(changeBoundMs(settings())).maxNewsAgeMs,
         isWatching: () => links?.watchesStore() ?? false,
         announce: (kind) => links?.announceStoreNews(kind),
       });
--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -14,6 +14,8 @@
   path: string;
   body?: string | undefined;
   timeoutMs: number;
+  /** Aborts the call, which then fails, and closes its connection. */
+  signal?: AbortSignal | undefined;
   /** Maximum size of the response's body. */
   maxBytes: number;
 }
@@ -27,7 +29,7 @@
 const MAX_INTERIM_RESPONSES = 16;
 
 function openRequest(
-  { agent, host, port, method, path }: HttpCall,
+  { agent, host, port, method, path, signal }: HttpCall,
   body: Buffer | undefined,
 ): ClientRequest {
   const headers: Record<string, string | number> = { Host: `${host}:${port}` };
@@ -35,7 +37,7 @@
     headers['Content-Type'] = 'application/json';
     headers['Content-Length'] = body.length;
   }
-  return request({ agent, host, port, method, path, headers });
+  return request({ agent, host, port, method, path, headers, signal });
 }
 
 /**
--- a/packages/edge/src/settings.ts
+++ b/packages/edge/src/settings.ts
@@ -46,6 +46,12 @@
       .describe(
         'maximum time until an evacuated zone gets no requests; without it, zones are never evacuated',
       ),
+    change_ms: positive
+      .optional()
+      .describe('maximum time until a change of the configuration is in force'),
+    drain_ms: positive
+      .optional()
+      .describe('maximum time until a draining server gets no new requests'),
     notice_ms: positive.default(3000).describe('maximum time to detect a silent connection'),
     writes_per_s: positive.default(400).describe('writes that the store takes from all routers'),
     reads_per_s: positive.default(2000).describe('reads that the store takes from all routers'),
@@ -76,6 +82,12 @@
 /** Parsed settings of `kingcupsill-edge`. */
 export type EdgeSettings = Settings<typeof edgeSchema>;
 
+/** Returns the shortest time within which a change in the store must be in force. */
+export function changeBoundMs({ store }: EdgeSettings): number {
+  const { changeMs, drainMs, evacuationMs, noticeMs } = store;
+  return Math.min(noticeMs, ...[changeMs, drainMs, evacuationMs].filter((ms) => ms !== undefined));
+}
+
 /** Splits an address of the form `host:port`. */
 export function parseAddress(text: string): { host: string; port: number } {
   const colon = text.lastIndexOf(':');
--- a/packages/edge/src/store/call-results.ts
+++ b/packages/edge/src/store/call-results.ts
@@ -14,6 +14,10 @@
   logger: Logger;
   /** Returns a random number in [0, 1) for jitter. */
   random: () => number;
+  /** Response timeout while the store answers promptly. */
+  responseTimeoutMs: number;
+  /** Delay after the first failure. */
+  retryDelayMs: number;
   /** Called after each call with `ok` or the failure. */
   onCallEnded: (kind: StoreKind, outcome: string) => void;
   /** Called after each response of the store. */
@@ -27,28 +31,36 @@
    * of an era that has ended may not.
    */
   record(result: StoreResult<unknown>): boolean;
+  /** Records how long the store has taken for a call that it didn't hold. */
+  recordLatency(latencyMs: number): void;
   isFailing(): boolean;
   responseTimeoutMs(): number;
   /** Delay before the next call while calls fail. */
   retryDelayMs(): number;
 }
 
-/** Response timeout while calls succeed. */
-export const DEFAULT_RESPONSE_TIMEOUT_MS = 1000;
+/** Longest response timeout while calls succeed. */
+export const MAX_RESPONSE_TIMEOUT_MS = 1000;
+/** The store counts as silent when it takes longer than this multiple of what it took before. */
+const LATENCY_MULTIPLE = 3;
+/** Fraction of an earlier, higher latency that still counts after a call. */
+const LATENCY_DECAY = 0.8;
 /**
- * Response timeouts, used in rotation while calls fail: short ones detect the recovery of the store within half a second, and the
- * long one covers a store that is only slow.
+ * Response timeouts, used in rotation after the first failure: short ones detect the recovery of the store within half a second, and
+ * the long one covers a store that is only slow.
  */
-const RESPONSE_TIMEOUTS_MS = [DEFAULT_RESPONSE_TIMEOUT_MS, 300, 300, 1500];
-/** Delays after failures, doubling up to a maximum that detects the recovery of the store within half a second. */
-const RETRY_DELAYS = { initialMs: 50, maxMs: 400 };
+const FAILING_TIMEOUTS_MS = [300, 300, 1500, MAX_RESPONSE_TIMEOUT_MS];
+/** Maximum delay after failures; it detects the recovery of the store within half a second. */
+const MAX_RETRY_DELAY_MS = 400;
 /** Delay of a feed while another one probes the store. It still makes calls, in case only the other feed's calls fail. */
 const NON_PROBING_DELAY_MS = 1500;
 
 /** Creates a record without failures. */
 export function createCallResults(options: CallResultsOptions): CallResults {
   const { availability, era, kind, logger } = options;
+  const retryDelays = { initialMs: options.retryDelayMs, maxMs: MAX_RETRY_DELAY_MS };
   let failures = 0;
+  let latencyMs = 0;
 
   function recordResponse(): void {
     if (failures > 0) logger.info('store-regained', { kind, failures });
@@ -78,10 +90,17 @@
   return {
     record,
     isFailing: () => failures > 0,
-    responseTimeoutMs: () => RESPONSE_TIMEOUTS_MS[failures % RESPONSE_TIMEOUTS_MS.length]!,
+    recordLatency(observedMs) {
+      latencyMs = Math.max(observedMs, latencyMs * LATENCY_DECAY);
+    },
+    responseTimeoutMs() {
+      if (failures > 0) return FAILING_TIMEOUTS_MS[(failures - 1) % FAILING_TIMEOUTS_MS.length]!;
+      const usualMs = Math.max(options.responseTimeoutMs, latencyMs * LATENCY_MULTIPLE);
+      return Math.min(MAX_RESPONSE_TIMEOUT_MS, usualMs);
+    },
     retryDelayMs() {
       const delayMs = availability.reportFailure(kind)
-        ? exponentialBackoffMs(failures, RETRY_DELAYS)
+        ? exponentialBackoffMs(failures - 1, retryDelays)
         : NON_PROBING_DELAY_MS;
       return delayMs * (0.5 + options.random() / 2);
     },
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -8,13 +8,14 @@
 import type { StoreObject } from '@kingcupsill/prepared-platform';
 import type { Closable } from '../closable.js';
 import type { PeerLinks } from '../peers/peer-links.js';
-import type { EdgeSettings } from '../settings.js';
+import { changeBoundMs } from '../settings.js';
 import type { EdgeContext } from '../context.js';
 import type { EdgeParts } from '../types.js';
-import { DEFAULT_RESPONSE_TIMEOUT_MS } from './call-results.js';
+import { MAX_RESPONSE_TIMEOUT_MS } from './call-results.js';
+import { planChangeTiming } from './change-timing.js';
 import { createKnownRouters } from './known-routers.js';
 import { createObjectFeed } from './object-feed.js';
-import type { ObjectFeedOptions } from './object-feed.js';
+import type { FeedTiming, ObjectFeedOptions } from './object-feed.js';
 import { ownRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
@@ -22,28 +23,24 @@
   EdgeParts,
   'loop' | 'state' | 'store' | 'storeEra' | 'followedNews' | 'metrics' | 'registration'
 >;
-type FeedTiming = Pick<ObjectFeedOptions, 'watchWaitMs' | 'batchDelayMs' | 'allowsStale'>;
-type FeedHandlers = Pick<ObjectFeedOptions, 'kind' | 'onListed' | 'onChanged'> & FeedTiming;
+type FeedHandlers = Pick<
+  ObjectFeedOptions,
+  'kind' | 'timing' | 'allowsStale' | 'onListed' | 'onChanged'
+>;
 
-/** A tenth of the maximum time until a change is in force, and until a draining server gets no more new requests. */
-const URGENT_BATCH_DELAY_MS = 250;
 /** No time limit applies to changes of the set of routers, and links detect lost routers on their own. */
 const ROUTERS_TIMING: FeedTiming = {
   watchWaitMs: 15_000,
+  confirmWaitMs: 15_000,
+  responseTimeoutMs: MAX_RESPONSE_TIMEOUT_MS,
+  retryDelayMs: 50,
   batchDelayMs: 1000,
-  allowsStale: true,
+  followingBatchDelayMs: 1000,
 };
 
-/** Returns a timing that detects a silent connection within the deployment's limit. */
-function urgentTiming({ store }: EdgeSettings): FeedTiming {
-  return {
-    watchWaitMs: Math.max(
-      DEFAULT_RESPONSE_TIMEOUT_MS,
-      store.noticeMs - DEFAULT_RESPONSE_TIMEOUT_MS,
-    ),
-    batchDelayMs: URGENT_BATCH_DELAY_MS,
-    allowsStale: false,
-  };
+/** Timing of what must be in force in time, and be current. */
+function urgent(ctx: EdgeContext): Pick<ObjectFeedOptions, 'timing' | 'allowsStale'> {
+  return { timing: planChangeTiming(changeBoundMs(ctx.settings())), allowsStale: false };
 }
 
 function configurationHandlers(
@@ -67,7 +64,7 @@
 
   return {
     kind: StoreKind.Configuration,
-    ...urgentTiming(ctx.settings()),
+    ...urgent(ctx),
     onListed: (objects) => objects.forEach(applyConfiguration),
     onChanged({ object, removed }) {
       if (!removed) applyConfiguration(object);
@@ -86,7 +83,7 @@
 
   return {
     kind: StoreKind.Servers,
-    ...urgentTiming(ctx.settings()),
+    ...urgent(ctx),
     onListed(objects) {
       const entries = objects.flatMap((object) => decodeEntry(object) ?? []);
       loop.dispatch({ kind: 'servers-listed', entries, nowMs: ctx.clock() });
@@ -105,7 +102,7 @@
   const toEntry = ({ name, revision }: StoreObject) => ({ zone: name, revision });
   return {
     kind: StoreKind.Evacuations,
-    ...urgentTiming(ctx.settings()),
+    ...urgent(ctx),
     onListed: (objects) =>
       loop.dispatch({
         kind: 'evacuations-listed',
@@ -146,7 +143,8 @@
 
   return {
     kind: StoreKind.Routers,
-    ...ROUTERS_TIMING,
+    timing: ROUTERS_TIMING,
+    allowsStale: true,
     onListed(objects) {
       routers.clear();
       objects.forEach(add);
@@ -174,6 +172,7 @@
     createObjectFeed({
       ...handlers,
       client: parts.store,
+      clock: ctx.clock,
       availability,
       era: parts.storeEra,
       news: handlers.allowsStale ? undefined : parts.followedNews,
--- a/packages/edge/src/store/followed-news.ts
+++ b/packages/edge/src/store/followed-news.ts
@@ -1,7 +1,9 @@
 /** News of the store from other routers, which a feed follows in place of a watch of its own. */
-import type { StoreNews } from '@kingcupsill/core/direct';
+import { isLaterChange } from '@kingcupsill/core/direct';
+import type { StoreNews, StoreNewsEntry } from '@kingcupsill/core/direct';
 import type { StoreKind, StorePosition } from '@kingcupsill/prepared-platform';
-import type { Clock } from '@kingcupsill/runtime';
+import type { Clock, Logger } from '@kingcupsill/runtime';
+import { CONTRADICTED_CALL_MS } from './change-timing.js';
 
 /** Whether a feed may rely on the news, and what they say about its position. */
 export const NewsState = {
@@ -35,6 +37,12 @@
   heldMs: number;
 }
 
+/** News that show a change to which the store hasn't answered. */
+export interface Contradiction {
+  found: Promise<void>;
+  stop(): void;
+}
+
 /** News of all kinds for the feeds of one process. */
 export interface FollowedNews {
   /** Compares the news with the position of a feed. */
@@ -46,6 +54,11 @@
   describe(kind: StoreKind): NewsBasis;
   /** Resolves when further news of a kind have been recorded, or those that there are have become too old. */
   wait(kind: StoreKind): Promise<void>;
+  /**
+   * Waits for news of a change after a position, and then for a short time in which the store may still answer a call that it holds.
+   * Such an answer is lost if it doesn't come by then.
+   */
+  waitForContradiction(kind: StoreKind, position: StorePosition): Contradiction;
   /** Wakes the feeds that wait for news of these kinds. */
   wake(kinds: readonly string[]): void;
 }
@@ -55,28 +68,78 @@
   news: StoreNews;
   clock: Clock;
   isWatching: () => boolean;
+  /** Age above which news isn't relied on, in milliseconds. */
+  maxNewsAgeMs: number;
+  logger: Logger;
   /** Passes on the latest news of a kind. */
   announce: (kind: StoreKind) => void;
 }
 
-/** Wait that a watching router requests from the store, so that it confirms its news about every second. */
-export const WATCHING_WAIT_MS = 800;
-/** Age above which news isn't relied on; it leaves time for a call of the own within the shortest limits of changes. */
-export const MAX_NEWS_AGE_MS = 1600;
 /** Timers may fire early; news that are just within their age would be waited for again and again. */
 const TIMER_MARGIN_MS = 5;
 
+/** Callbacks that wait for news, by kind. */
+function createWaiters() {
+  const waiters = new Map<string, Set<() => void>>();
+  return {
+    /** Returns a function that removes the callback. */
+    add(kind: StoreKind, onNews: () => void): () => void {
+      const waiting = waiters.get(kind) ?? new Set();
+      waiters.set(kind, waiting);
+      waiting.add(onNews);
+      return () => waiting.delete(onNews);
+    },
+    wake: (kind: string) => waiters.get(kind)?.forEach((onNews) => onNews()),
+  };
+}
+
+/** Waits for a condition on the news, then for `delayMs`. */
+function waitForNews(
+  waiters: ReturnType<typeof createWaiters>,
+  kind: StoreKind,
+  isMet: () => boolean,
+  delayMs: number,
+): Contradiction {
+  let stop = (): void => undefined;
+  const found = new Promise<void>((resolve) => {
+    let timer: NodeJS.Timeout | undefined;
+    function check(): void {
+      if (isMet()) timer ??= setTimeout(resolve, delayMs);
+    }
+    const remove = waiters.add(kind, check);
+    stop = () => {
+      clearTimeout(timer);
+      remove();
+    };
+    check();
+  });
+  return { found, stop: () => stop() };
+}
+
 /** Creates news to which no feed listens yet. */
 export function createFollowedNews(options: FollowedNewsOptions): FollowedNews {
-  const { news, clock } = options;
-  const waiters = new Map<string, Set<() => void>>();
+  const { news, clock, maxNewsAgeMs } = options;
+  const waiters = createWaiters();
   const ownAnswersAtMs = new Map<StoreKind, number>();
 
+  /** A peer may state any position. */
+  function refute(
+    kind: StoreKind,
+    told: StoreNewsEntry | undefined,
+    position: StorePosition,
+  ): void {
+    const refuted = news.refute(kind, told, position);
+    if (refuted === undefined) return;
+    const { era, revision, source } = refuted;
+    const ownRevision = position.revision;
+    options.logger.warn('store-news-refuted', { kind, era, revision, ownRevision, source });
+  }
+
   return {
     compare(kind, position) {
       const latest = news.get(kind);
       if (options.isWatching() || latest === undefined) return NewsState.Absent;
-      if (clock() - latest.confirmedAtMs > MAX_NEWS_AGE_MS) return NewsState.Absent;
+      if (clock() - latest.confirmedAtMs > maxNewsAgeMs) return NewsState.Absent;
       const [newsEra, ownEra] = [latest.era ?? 0, position.era ?? 0];
       // The other routers haven't noticed yet that the store was restored; nothing shows that there are changes.
       if (newsEra < ownEra) return NewsState.Absent;
@@ -86,9 +149,11 @@
     },
     startCall(kind) {
       const startedAtMs = clock();
+      const told = news.get(kind);
       return ({ position, mayHaveChanged, heldMs }) => {
         const answeredAtMs = clock();
         ownAnswersAtMs.set(kind, answeredAtMs);
+        refute(kind, told, position);
         // The store's revision also rises with changes of other kinds, which are no news for this one.
         if (mayHaveChanged) news.recordOwnChange(kind, position);
         if (!options.isWatching()) return;
@@ -101,33 +166,40 @@
     isWatching: options.isWatching,
     describe(kind) {
       const latest = news.get(kind);
-      const answeredAtMs = ownAnswersAtMs.get(kind);
       const since = (atMs: number | undefined) =>
         atMs === undefined ? undefined : Math.round(clock() - atMs);
       return {
         watchesForOthers: options.isWatching(),
-        sinceOwnAnswerMs: since(answeredAtMs),
+        sinceOwnAnswerMs: since(ownAnswersAtMs.get(kind)),
         newsFrom: latest?.source,
         newsRevision: latest?.revision,
         newsAgeMs: since(latest?.confirmedAtMs),
       };
     },
     wait(kind) {
-      const leftMs = (news.get(kind)?.confirmedAtMs ?? 0) + MAX_NEWS_AGE_MS - clock();
+      const leftMs = (news.get(kind)?.confirmedAtMs ?? 0) + maxNewsAgeMs - clock();
       return new Promise((resolve) => {
-        const waiting = waiters.get(kind) ?? new Set();
-        waiters.set(kind, waiting);
         const timer = setTimeout(finish, Math.max(0, leftMs) + TIMER_MARGIN_MS);
+        const removeWaiter = waiters.add(kind, finish);
         function finish(): void {
           clearTimeout(timer);
-          waiting.delete(finish);
+          removeWaiter();
           resolve();
         }
-        waiting.add(finish);
       });
     },
+    waitForContradiction: (kind, position) =>
+      waitForNews(
+        waiters,
+        kind,
+        () => {
+          const latest = news.get(kind);
+          return latest !== undefined && isLaterChange(latest, position);
+        },
+        CONTRADICTED_CALL_MS,
+      ),
     wake(kinds) {
-      kinds.forEach((kind) => waiters.get(kind)?.forEach((finish) => finish()));
+      kinds.forEach(waiters.wake);
     },
   };
 }
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -9,19 +9,23 @@
   StorePosition,
   StoreResult,
 } from '@kingcupsill/prepared-platform';
+import type { Clock } from '@kingcupsill/runtime';
 import { createCallResults } from './call-results.js';
+import { createChangeRequests } from './change-requests.js';
 import type { CallResultsOptions } from './call-results.js';
 import { inCurrentEra, listObjects, logUnreadable } from './list-objects.js';
-import { NewsState, WATCHING_WAIT_MS } from './followed-news.js';
+import { NewsState } from './followed-news.js';
 import type { FollowedNews } from './followed-news.js';
+import type { ChangeTiming } from './change-timing.js';
+
+/** Times of a feed. A silent connection is detected when the wait of a watch and the response timeout have passed. */
+export type FeedTiming = Omit<ChangeTiming, 'targetMs' | 'maxNewsAgeMs'>;
 
 /** Options of a feed. */
-export interface ObjectFeedOptions extends CallResultsOptions {
+export interface ObjectFeedOptions extends Omit<CallResultsOptions, keyof FeedTiming> {
   client: StoreClient;
-  /** Wait that a watch requests from the store; a silent connection is detected when it has passed. */
-  watchWaitMs: number;
-  /** Delay after changes, so that one call returns several: a watch returns at the first change, and each call has a cost. */
-  batchDelayMs: number;
+  clock: Clock;
+  timing: FeedTiming;
   /** Whether data may be seconds old, for which a call costs less. */
   allowsStale: boolean;
   /** News of other routers to follow; undefined for kinds that each router watches itself. */
@@ -37,9 +41,6 @@
 
 /** Wait that a watch requests while calls fail: any response shows that the store has recovered. */
 const FAILING_WATCH_WAIT_MS = 0;
-/** Delay after changes that other routers have announced: the first change is fetched at once, and those that follow together. */
-const FOLLOWING_BATCH_DELAY_MS = 700;
-
 /** Shortest period of watches that show no change; a store may answer them before their wait is over. */
 const EMPTY_WATCH_PERIOD_MS = 250;
 
@@ -70,21 +71,6 @@
   };
 }
 
-/** Returns the result of a watch, or undefined if a new era of the store has begun meanwhile. */
-async function requestChanges(
-  { client, era, kind }: ObjectFeedOptions,
-  from: StorePosition,
-  waitMs: number,
-  responseTimeoutMs: number,
-  mode: ReadMode,
-): Promise<StoreResult<StoreChangeBatch> | undefined> {
-  const nextEra = era.waitForNext();
-  const call = client.watch(kind, from, waitMs, responseTimeoutMs, mode);
-  const result = await Promise.race([call, nextEra.begun.then(() => undefined)]);
-  nextEra.stop();
-  return result;
-}
-
 /** Watch that waits for its answer. */
 interface PendingWatch {
   state: NewsState | undefined;
@@ -97,9 +83,10 @@
 
 /** Starts a feed. */
 export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
-  const { availability, kind, logger } = options;
-  const results = createCallResults(options);
+  const { availability, kind, logger, timing } = options;
+  const results = createCallResults({ ...options, ...timing });
   const listings = createListingPace(options);
+  const requests = createChangeRequests(options, results);
   let closed = false;
   /** The last watch has shown a change, so its confirmation may be as old as the watch. */
   let isConfirmationDue = false;
@@ -119,8 +106,8 @@
   function watchWaitMs(state: NewsState | undefined): number {
     if (results.isFailing()) return FAILING_WATCH_WAIT_MS;
     // The store answers at once, since there are changes.
-    if (state === NewsState.Changed || isConfirmationDue) return 0;
-    return options.news?.isWatching() === true ? WATCHING_WAIT_MS : options.watchWaitMs;
+    if (state === NewsState.Changed || isConfirmationDue || requests.wasContradicted()) return 0;
+    return options.news?.isWatching() === true ? timing.confirmWaitMs : timing.watchWaitMs;
   }
 
   async function applyChanges(
@@ -135,8 +122,8 @@
     changes.forEach(options.onChanged);
     recordAnswer?.({ position: reached, mayHaveChanged: changes.length > 0, heldMs: waitMs });
     isConfirmationDue = changes.length > 0 && options.news?.isWatching() === true;
-    const followDelayMs = state === NewsState.Changed ? FOLLOWING_BATCH_DELAY_MS : 0;
-    if (changes.length > 0) await availability.pause(Math.max(options.batchDelayMs, followDelayMs));
+    const followDelayMs = state === NewsState.Changed ? timing.followingBatchDelayMs : 0;
+    if (changes.length > 0) await availability.pause(Math.max(timing.batchDelayMs, followDelayMs));
     else await periodOver;
     return reached;
   }
@@ -150,8 +137,8 @@
     const waitMs = watchWaitMs(state);
     const recordAnswer = options.news?.startCall(kind);
     const { readMode } = listings;
-    const timeoutMs = results.responseTimeoutMs();
-    const result = await requestChanges(options, from, waitMs, timeoutMs, readMode);
+    const result = await requests.send(from, waitMs, readMode);
+    if (requests.wasContradicted()) return from;
     if (closed || result === undefined || !results.record(result)) return undefined;
     listings.recordWatch(result);
     const pending = { state, waitMs, recordAnswer, periodOver };
--- a/packages/edge/src/store/store-transport.ts
+++ b/packages/edge/src/store/store-transport.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'node:http';
 import type { SendStoreCall } from '@kingcupsill/prepared-platform';
 import { sendHttpCall } from '../http-call.js';
+import { MAX_IDLE_MS } from './change-timing.js';
 
 /** Transport over keep-alive connections. */
 export interface StoreTransport {
@@ -22,6 +23,8 @@
     keepAlive: true,
     maxFreeSockets: MAX_IDLE_CONNECTIONS,
     noDelay: true,
+    // Closes connections that have been idle for this time.
+    timeout: MAX_IDLE_MS,
   });
   return {
     async send(call) {
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -6,27 +6,34 @@
 import { createStoreNews } from '@kingcupsill/core/direct';
 import { StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreChange, StoreClient } from '@kingcupsill/prepared-platform';
-import {
-  createFollowedNews,
-  MAX_NEWS_AGE_MS,
-  NewsState,
-  WATCHING_WAIT_MS,
-} from '../../src/store/followed-news.js';
+import { createFollowedNews, NewsState } from '../../src/store/followed-news.js';
+import { planChangeTiming } from '../../src/store/change-timing.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
+import { createRecordingLogger } from '../standins/recording-logger.js';
+import type { LoggedLine } from '../standins/recording-logger.js';
 import { createFeedOptions } from '../standins/feed-options.js';
 import { waitUntil } from '../standins/deployment.js';
 
 const kind = StoreKind.Servers;
+const { maxNewsAgeMs, confirmWaitMs } = planChangeTiming(4000);
 
 /** A feed whose store holds `revision` and answers watches as soon as it is later than the watched one; closed after the test. */
 function createFollower(
   t: TestContext,
   { isWatching = false, clock = () => performance.now() } = {},
 ) {
-  /** Watches from a revision below `historyFrom` fail. */
-  const stored = { revision: 5, era: 1, historyFrom: 0, answeredAtMs: 0, lateMs: 0 };
+  /** Watches from a revision below `historyFrom` fail; the first `silentCalls` calls get no answer any more. */
+  const stored = {
+    revision: 5,
+    era: 1,
+    historyFrom: 0,
+    answeredAtMs: 0,
+    lateMs: 0,
+    silentCalls: 0,
+  };
   const role = { isWatching };
   const calls: string[] = [];
+  const logged: LoggedLine[] = [];
   const changed: number[] = [];
   const announced: string[] = [];
   let responses = 0;
@@ -34,6 +41,8 @@
   const followed = createFollowedNews({
     news,
     clock,
+    logger: createRecordingLogger(logged),
+    maxNewsAgeMs,
     isWatching: () => role.isWatching,
     announce: (announcedKind) => announced.push(announcedKind),
   });
@@ -48,13 +57,16 @@
         era: stored.era,
       };
     },
-    async watch(_kind, { revision }, waitMs) {
+    async watch(_kind, { revision }, waitMs, _timeoutMs, _mode, signal) {
       calls.push(`watch ${revision}`);
+      const number = calls.length;
       const deadlineMs = clock() + waitMs;
       const { era } = stored;
       const isDue = (): boolean =>
         stored.revision > revision || stored.historyFrom > revision || stored.era !== era;
-      while (!isDue() && clock() < deadlineMs) await delay(5);
+      const isHeld = (): boolean =>
+        number <= stored.silentCalls || (!isDue() && clock() < deadlineMs);
+      while (isHeld() && signal?.aborted !== true) await delay(5);
       if (revision < stored.historyFrom)
         return { ok: false, failure: StoreFailure.HistoryGone, detail: 'gone', era: stored.era };
       const position = { era: stored.era, revision: stored.revision };
@@ -72,7 +84,7 @@
   const feed = createObjectFeed(
     createFeedOptions(client, {
       kind,
-      watchWaitMs: 300,
+      timing: { watchWaitMs: 300 },
       news: followed,
       onResponse() {
         responses += 1;
@@ -93,6 +105,7 @@
   return {
     stored,
     calls,
+    logged,
     changed,
     announced,
     news,
@@ -152,13 +165,13 @@
 // Guards against a router that rests on news for their whole lifetime from the time at which it compares them, however old they are by then.
 test('a router whose peers fall silent rests no longer than their last news are valid', async (t) => {
   const follower = createFollower(t);
-  follower.hear(5, 1, MAX_NEWS_AGE_MS - 200);
+  follower.hear(5, 1, maxNewsAgeMs - 200);
   await delay(50);
   assert.deepEqual(follower.calls, ['list']);
   follower.stored.revision = 6;
   const silentSinceMs = performance.now();
   await waitUntil(() => follower.changed.length > 0);
-  assert.ok(performance.now() - silentSinceMs < MAX_NEWS_AGE_MS / 2);
+  assert.ok(performance.now() - silentSinceMs < maxNewsAgeMs / 2);
 });
 
 test('news of a later era make the router ask the store', async (t) => {
@@ -224,9 +237,14 @@
   const follower = createFollower(t, { isWatching: true });
   await waitUntil(() => follower.calls.length >= 2);
   follower.hear(8);
-  const heardAtMs = follower.news.get(kind)?.confirmedAtMs;
-  await waitUntil(() => follower.calls.length >= 4);
-  assert.equal(follower.news.get(kind)?.confirmedAtMs, heardAtMs);
+  const heardAtMs = follower.news.get(kind)!.confirmedAtMs;
+  let confirmed = false;
+  await waitUntil(() => {
+    const latest = follower.news.get(kind);
+    confirmed ||= latest !== undefined && latest.revision >= 8 && latest.confirmedAtMs > heardAtMs;
+    return follower.calls.length >= 5;
+  });
+  assert.equal(confirmed, false);
 });
 
 // Guards against routers that rest on a state from before a change, because the one that confirms it has read the store's answer late.
@@ -249,7 +267,7 @@
   const changedAtMs = performance.now();
   follower.stored.revision = 6;
   await waitUntil(() => follower.news.get(kind)!.confirmedAtMs >= changedAtMs);
-  assert.ok(performance.now() - changedAtMs < WATCHING_WAIT_MS / 2);
+  assert.ok(performance.now() - changedAtMs < confirmWaitMs / 2);
   assert.equal(follower.news.get(kind)!.revision, 6);
 });
 
@@ -259,9 +277,36 @@
   const followed = createFollowedNews({
     news,
     clock: () => 100,
+    logger: createRecordingLogger(),
+    maxNewsAgeMs,
     isWatching: () => false,
     announce: () => undefined,
   });
   news.record(kind, { era: 1, revision: 90, confirmedAtMs: 100 });
   assert.equal(followed.compare(kind, { era: 2, revision: 5 }), NewsState.Absent);
 });
+
+// Guards against a router that learns of a change from others, and still waits for a connection that has gone silent (issue 65).
+test('news of a change end a call that the store holds, and the change is fetched by another call', async (t) => {
+  const follower = createFollower(t);
+  await waitUntil(() => follower.calls.length >= 2);
+  follower.stored.silentCalls = follower.calls.length;
+  follower.stored.revision = 9;
+  follower.hear(9);
+  await waitUntil(() => follower.changed.length > 0);
+  assert.deepEqual(follower.changed, [9]);
+});
+
+// Guards against a peer whose wrong news make a router ask the store again and again, or confirm what the store never had.
+test('news of a position that the store has not reached are dropped as soon as it has answered', async (t) => {
+  for (const isWatching of [false, true]) {
+    const follower = createFollower(t, { isWatching });
+    await waitUntil(() => follower.calls.length >= 2);
+    follower.hear(1e15);
+    await waitUntil(() => follower.logged.some(({ event }) => event === 'store-news-refuted'));
+    const callCount = follower.calls.length;
+    await delay(250);
+    assert.ok(follower.calls.length <= callCount + 2, `${follower.calls.length - callCount} calls`);
+    assert.deepEqual(follower.changed, []);
+  }
+});
--- a/packages/edge/test/store/store-calls.test.ts
+++ b/packages/edge/test/store/store-calls.test.ts
@@ -24,7 +24,7 @@
   return client as StoreClient;
 }
 
-const TIMING = { batchDelayMs: 250, random: () => 0.5 };
+const TIMING = { timing: { batchDelayMs: 250 }, random: () => 0.5 };
 
 test('batches frequent changes into few calls and delivers the first change without delay', async () => {
   const startedAtMs = performance.now();
