--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -132,8 +132,11 @@
     },
     ...createStreamStoreHandlers(ctx, parts),
     cancel({ attempt }: Extract<DirectEffect, { kind: 'cancel' }>) {
-      attempts.get(attempt)?.cancel();
+      const closed = attempts.get(attempt)?.cancel() ?? 0;
       attempts.delete(attempt);
+      if (closed === 0) return;
+      parts.metrics.countDoubtfulConnections(closed);
+      logger.info('server-connections-doubtful', { attempt, closed });
     },
     finish({ request }: Extract<DirectEffect, { kind: 'finish' }>) {
       const exchange = parts.exchanges.get(request);
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -37,6 +37,8 @@
   /** Counts a call to the store by kind of object and outcome. */
   countStoreCall(kind: string, outcome: string): void;
   /** Counts a version of the configuration that couldn't be read, so that an earlier one stays in force. */
+  /** Counts idle connections that were closed because another one to their server may have gone silent. */
+  countDoubtfulConnections(closed: number): void;
   countUnreadableConfiguration(): void;
   /** Counts a report to all peers; `bytes` is the total over all links. */
   countReport(bytes: number): void;
@@ -134,6 +136,33 @@
   );
 }
 
+type CreateCounter = (name: string, help: string, ...labelNames: string[]) => Counter;
+
+/** Metrics of control traffic. */
+function createControlMetrics(
+  counter: CreateCounter,
+): Pick<EdgeMetrics, 'countStoreCall' | 'countReport' | 'controlTotals'> {
+  const calls = counter('kingcupsill_store_calls_total', 'Calls to the store.', 'kind', 'outcome');
+  const reportBytes = counter(
+    'kingcupsill_report_bytes_total',
+    'Bytes of reports to peers, without WebSocket framing.',
+  );
+  const totals: ControlTotals = { storeCalls: {}, reports: 0, reportBytes: 0 };
+  return {
+    countStoreCall(kind, outcome) {
+      calls.inc({ kind, outcome });
+      const name = `${kind} ${outcome}`;
+      setOwn(totals.storeCalls, name, (getOwn(totals.storeCalls, name) ?? 0) + 1);
+    },
+    countReport(bytes) {
+      reportBytes.inc(bytes);
+      totals.reports += 1;
+      totals.reportBytes += bytes;
+    },
+    controlTotals: () => totals,
+  };
+}
+
 /** Registers the metrics. Gauges read the state on each scrape; `acceptWaitMs` is the wait of connections that aren't accepted yet. */
 export function createEdgeMetrics(
   registry: Registry,
@@ -142,7 +171,7 @@
   acceptWaitMs: () => number,
 ): EdgeMetrics {
   const registers = [registry];
-  const counter = (name: string, help: string, ...labelNames: string[]) =>
+  const counter: CreateCounter = (name, help, ...labelNames) =>
     new Counter({ name, help, labelNames, registers });
   const histogram = (name: string, help: string) =>
     new Histogram({ name, help, labelNames: ['service'], buckets: BUCKET_BOUNDS_S, registers });
@@ -165,18 +194,11 @@
     'Requests ended by an error in the router.',
     'place',
   );
-  const storeCallCounter = counter(
-    'kingcupsill_store_calls_total',
-    'Calls to the store.',
-    'kind',
-    'outcome',
-  );
-  const reportBytesCounter = counter(
-    'kingcupsill_report_bytes_total',
-    'Bytes of reports to peers, without WebSocket framing.',
+  const doubtfulConnections = counter(
+    'kingcupsill_doubtful_connections_total',
+    'Idle connections to servers closed because another one may have gone silent.',
   );
   const unreadable = counter('kingcupsill_configurations_unreadable_total', 'Unreadable versions.');
-  const control: ControlTotals = { storeCalls: {}, reports: 0, reportBytes: 0 };
   const firstEventSeconds = histogram(
     'kingcupsill_first_event_seconds',
     'Time to the first event.',
@@ -199,17 +221,8 @@
       firstEventSeconds.observe({ service }, durationMs / 1000),
     observeCompletion: (service, durationMs) =>
       responseSeconds.observe({ service }, durationMs / 1000),
-    countStoreCall(kind, outcome) {
-      storeCallCounter.inc({ kind, outcome });
-      const name = `${kind} ${outcome}`;
-      setOwn(control.storeCalls, name, (getOwn(control.storeCalls, name) ?? 0) + 1);
-    },
+    countDoubtfulConnections: (closed) => doubtfulConnections.inc(closed),
     countUnreadableConfiguration: () => unreadable.inc(),
-    countReport(bytes) {
-      reportBytesCounter.inc(bytes);
-      control.reports += 1;
-      control.reportBytes += bytes;
-    },
-    controlTotals: () => control,
+    ...createControlMetrics(counter),
   };
 }
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -134,6 +134,20 @@
   return reception;
 }
 
+/** Abandons the request, and the idle connections that may have gone silent with its own. Returns the number of those. */
+function cancelRequest(
+  connections: ServerConnections,
+  req: AttemptRequest,
+  clientReq: ClientRequest,
+  reception: Reception,
+): number {
+  const { receivedBytes } = reception.amount();
+  const { socket } = clientReq;
+  abandon(clientReq, req);
+  if (socket === null || receivedBytes > 0) return 0;
+  return connections.closeDoubtful(req.host, req.port, socket);
+}
+
 function limitInterimResponses(
   clientReq: ClientRequest,
   onExceeded: (detail: string) => void,
@@ -263,7 +277,7 @@
   return {
     cancel() {
       ended = true;
-      abandon(clientReq, req);
+      return cancelRequest(connections, req, clientReq, reception);
     },
   };
 }
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -19,9 +19,16 @@
   countConnections(): { busy: number; idle: number };
   /** Closes the idle connections to a server that must not be used again. `idleMs` is the time since the last use. */
   prune(host: string, port: number, isUnusable: (socket: Socket, idleMs: number) => boolean): void;
+  /**
+   * Closes the idle connections to a server that haven't been used since a request began which got no byte on a kept connection: they
+   * may have gone silent with it. Returns their number; 0 if the request was short or has had a new connection.
+   */
+  closeDoubtful(host: string, port: number, unanswered: Socket): number;
   close(): void;
 }
 
+/** Time without a byte after which a kept connection may have gone silent; several times what a server takes for its first one. */
+const DOUBTFUL_AFTER_MS = 500;
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -65,6 +72,40 @@
   responseBytes: number;
 }
 
+/** Ways to close idle connections to one server. */
+function createClosers(
+  agent: Agent,
+  idleConnections: ReadonlyMap<Socket, IdleConnection>,
+  reusedAtMs: WeakMap<Socket, number>,
+  nowMs: () => number,
+): Pick<ServerConnections, 'prune' | 'closeDoubtful'> {
+  function closeIdle(
+    host: string,
+    port: number,
+    isUnusable: (socket: Socket, idle: IdleConnection) => boolean,
+  ): number {
+    const free = getOwn(agent.freeSockets, agent.getName({ host, port })) ?? [];
+    const unusable = free.filter((socket) => {
+      const idle = idleConnections.get(socket);
+      return idle !== undefined && isUnusable(socket, idle);
+    });
+    unusable.forEach((socket) => socket.destroy());
+    return unusable.length;
+  }
+
+  return {
+    prune(host, port, isUnusable) {
+      const currentMs = nowMs();
+      closeIdle(host, port, (socket, idle) => isUnusable(socket, currentMs - idle.idleSinceMs));
+    },
+    closeDoubtful(host, port, unanswered) {
+      const startedAtMs = reusedAtMs.get(unanswered);
+      if (startedAtMs === undefined || nowMs() - startedAtMs < DOUBTFUL_AFTER_MS) return 0;
+      return closeIdle(host, port, (_socket, { idleSinceMs }) => idleSinceMs < startedAtMs);
+    },
+  };
+}
+
 /** Creates the pool. A connection that receives bytes while idle is closed, since they belong to no request. */
 export function createServerConnections({
   nowMs,
@@ -79,6 +120,8 @@
   }) as KeepAliveAgent;
   /** By time of their last use. */
   const idleConnections = new Map<Socket, IdleConnection>();
+  /** Time of the last use of each connection that isn't a new one. */
+  const reusedAtMs = new WeakMap<Socket, number>();
   let openCount = 0;
   const reuse = agent.reuseSocket.bind(agent);
   const connect = agent.createConnection.bind(agent);
@@ -118,6 +161,7 @@
   };
   agent.reuseSocket = (socket, req) => {
     reuse(socket, req);
+    reusedAtMs.set(socket, nowMs());
     const idle = idleConnections.get(socket);
     if (idle !== undefined) {
       socket.removeListener('data', idle.destroySocket);
@@ -126,15 +170,6 @@
     idleConnections.delete(socket);
   };
 
-  const prune: ServerConnections['prune'] = (host, port, isUnusable) => {
-    const free = getOwn(agent.freeSockets, agent.getName({ host, port })) ?? [];
-    const currentMs = nowMs();
-    [...free].forEach((socket) => {
-      const idle = idleConnections.get(socket);
-      if (idle !== undefined && isUnusable(socket, currentMs - idle.idleSinceMs)) socket.destroy();
-    });
-  };
-
   return {
     agent,
     responseMemory: createResponseMemory(responseBytes),
@@ -143,7 +178,7 @@
       busy: openCount - idleConnections.size,
       idle: idleConnections.size,
     }),
-    prune,
+    ...createClosers(agent, idleConnections, reusedAtMs, nowMs),
     close: () => agent.destroy(),
   };
 }
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -99,6 +99,9 @@
 
 /** Attempt in progress. */
 export interface RunningAttempt {
-  /** Aborts the attempt without calling its listener. */
-  cancel(): void;
+  /**
+   * Aborts the attempt without calling its listener. Returns how many idle connections to the server were closed with it, since they may
+   * have gone silent like its own.
+   */
+  cancel(): number;
 }
--- a/packages/edge/test/relay/server-connections.test.ts
+++ b/packages/edge/test/relay/server-connections.test.ts
@@ -60,3 +60,45 @@
   await once(req.socket!, 'close');
   assert.deepEqual(connections.agent.freeSockets, Object.create(null));
 });
+
+// Guards against one request after the other that waits on kept connections which have all gone silent (issue 65).
+test('a request without an answer on a kept connection closes those that have rested since before it', async (t) => {
+  const arrivals: Arrival[] = [];
+  const server = await createServerStandin((arrival) => arrivals.push(arrival));
+  let nowMs = 0;
+  const connections = createServerConnections({
+    nowMs: () => nowMs,
+    maxConnections: 9,
+    responseBytes: 1024 * 1024,
+  });
+  t.after(() => {
+    connections.close();
+    server.close();
+  });
+  const send = (path: string) =>
+    request({ agent: connections.agent, host: '127.0.0.1', port: server.port, path }).end();
+  async function answer(req: ReturnType<typeof send>): Promise<void> {
+    const find = () => arrivals.find(({ req: { url } }) => url === req.path);
+    while (find() === undefined) await nextIteration();
+    find()!.res.end();
+    const [res] = (await once(req, 'response')) as [IncomingMessage];
+    await once(res.resume(), 'close');
+    await nextIteration();
+  }
+  const close = (unanswered: ReturnType<typeof send>) =>
+    connections.closeDoubtful('127.0.0.1', server.port, unanswered.socket!);
+
+  const first = ['/a', '/b', '/c'].map(send);
+  for (const req of first) await answer(req);
+  nowMs = 100;
+  const [unanswered, sound] = [send('/d'), send('/e')];
+  // Closing the pool resets its connection.
+  unanswered.on('error', () => undefined);
+  await Promise.all([once(unanswered, 'socket'), once(sound, 'socket')]);
+  nowMs = 200;
+  await answer(sound);
+  assert.equal(close(unanswered), 0);
+  nowMs = 1000;
+  assert.equal(close(unanswered), 1);
+  assert.equal(sound.socket!.destroyed, false);
+});
--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -210,9 +210,19 @@
   'store-silent': withStoreProxy(ProxyMode.Silent),
   'store-one-way': withStoreProxy(ProxyMode.OneWay),
   'store-refused': withStoreProxy(ProxyMode.Refuse),
+  // The router has to notice by itself, so the disruption is over at once.
+  'store-connections-silent': async ({ routers, storeDisruptions }, fault) => {
+    const endDisruption = openSpan(storeDisruptions, {});
+    selectTarget(routers, fault).storeProxy.silenceAll();
+    endDisruption();
+  },
   'server-delayed': withServerProxy(ProxyMode.Delay),
   'server-silent': withServerProxy(ProxyMode.Silent),
   'server-refused': withServerProxy(ProxyMode.Refuse),
+  'server-connections-silent': withConnections(async ({ proxy }, { durationMs }) => {
+    proxy.silenceAll();
+    await delay(durationMs);
+  }),
   'server-connections-reset': withConnections(async ({ proxy }) => proxy.resetAll()),
   'server-fails': withBehaviour(Behaviour.Fail),
   'server-sheds': withBehaviour(Behaviour.Shed),
--- a/packages/edge/test/soak/proxy.ts
+++ b/packages/edge/test/soak/proxy.ts
@@ -21,6 +21,8 @@
   port: number;
   setMode(mode: ProxyMode): void;
   resetAll(): void;
+  /** Drops all further bytes of the connections that are open now, without an end or a reset; new ones work. */
+  silenceAll(): void;
   close(): void;
 }
 
@@ -36,6 +38,7 @@
 export async function createProxy(targetPort: number): Promise<Proxy> {
   let mode: ProxyMode = ProxyMode.Pass;
   const pairs = new Set<Socket[]>();
+  const silent = new WeakSet<Socket>();
 
   function isBlocked(direction: 'request' | 'answer'): boolean {
     return mode === ProxyMode.Silent || (mode === ProxyMode.OneWay && direction === 'answer');
@@ -62,10 +65,11 @@
     }
 
     from.on('data', (chunk) => {
-      if (!isBlocked(direction)) schedule(() => to.writable && to.write(chunk));
+      if (!isBlocked(direction))
+        schedule(() => !silent.has(from) && to.writable && to.write(chunk));
     });
     from.on('end', () => {
-      if (!isBlocked(direction)) schedule(() => to.end());
+      if (!isBlocked(direction)) schedule(() => !silent.has(from) && to.end());
     });
   }
 
@@ -85,9 +89,9 @@
     forward(client, upstream, 'request');
     forward(upstream, client, 'answer');
     pair.forEach((socket) => {
-      socket.on('error', () => destroyPair(pair));
+      socket.on('error', () => !silent.has(socket) && destroyPair(pair));
       socket.on('close', (failed) => {
-        if (failed) destroyPair(pair);
+        if (failed && !silent.has(socket)) destroyPair(pair);
         else if (pair.every(({ destroyed }) => destroyed)) pairs.delete(pair);
       });
     });
@@ -102,6 +106,7 @@
       if (hasDroppedBytes && next === ProxyMode.Pass) [...pairs].forEach(destroyPair);
     },
     resetAll: () => [...pairs].forEach(destroyPair),
+    silenceAll: () => [...pairs].flat().forEach((socket) => silent.add(socket)),
     close() {
       server.close();
       [...pairs].forEach(destroyPair);
