Tests of routers: ports of their own, one clock for a drain, no refusals because the processor is shared

Causes, by the failures' messages and a stall put into the test: - the time for which a draining router listens was counted by a timer, all else by the router's clock, which in tests doesn't count stalls: after a stall of 600 ms a request 2,650 ms into the drain was early (200 in place of 503). The drain and the tests follow the router's clock. - new connections that wait because the processor is shared are refused as router_busy by the latency objective; tests about memory and drains give their routes a longer one. - a port counted as free while nothing listened on it, by a formula of the process id in which ids 206 apart share ports; each process now holds a block of ports until it ends.

--- a/packages/edge/src/drain.ts
+++ b/packages/edge/src/drain.ts
@@ -34,12 +34,12 @@
   const { openRequestCount, unusedConnectionCount, keptConnectionCount } = callers;
 
   async function waitWhile(condition: () => boolean, untilMs: number): Promise<void> {
-    while (condition() && clock() < untilMs) await wait(DRAIN_POLL_MS);
+    while (condition() && clock() < untilMs) await wait(Math.min(DRAIN_POLL_MS, untilMs - clock()));
   }
 
   callers.startDrain();
   const deregistered = parts.registration.remove();
-  await wait(Math.min(DRAIN_LISTEN_MS, endsAtMs - clock()));
+  await waitWhile(() => true, Math.min(clock() + DRAIN_LISTEN_MS, endsAtMs));
   const acceptedByMs = Math.min(clock() + MAX_ACCEPT_MS, endsAtMs);
   // If the event loop is late, this timer runs before waiting connections are accepted.
   do await wait(ACCEPT_POLL_MS);
--- a/packages/edge/test/callers/held-bodies.test.ts
+++ b/packages/edge/test/callers/held-bodies.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { sendAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
-import { waitUntil, withDeployment } from '../standins/deployment.js';
+import { PATIENT, waitUntil, withDeployment } from '../standins/deployment.js';
 import type { CallerAnswer, Deployment } from '../standins/deployment.js';
 
 /** Within the limit of a body. */
@@ -61,6 +61,7 @@
   };
   await withDeployment([handle], async (deployment) => {
     const { call, settings } = deployment;
+    await deployment.changeRoutes(PATIENT);
     const agent = new Agent({ keepAlive: true });
     const { refused, ended } = await fillMemory(deployment, agent);
     assert.ok(refused.length > 0);
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -17,7 +17,8 @@
 import { createPeerLinks } from '../../src/peers/peer-links.js';
 import type { PeerLinks } from '../../src/peers/peer-links.js';
 import { createReportCodec } from '../../src/peers/report-codec.js';
-import { findFreePort, waitUntil } from '../standins/deployment.js';
+import { waitUntil } from '../standins/deployment.js';
+import { findFreePort } from '../standins/free-port.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
 
 const report: RouterReport = {
--- a/packages/edge/test/relay/endless.test.ts
+++ b/packages/edge/test/relay/endless.test.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import { test } from 'node:test';
 import { createEventSplitter } from '@kingcupsill/core/event-stream';
-import { createDeployment, waitUntil } from '../standins/deployment.js';
+import { createDeployment, PATIENT, waitUntil } from '../standins/deployment.js';
 import { sendAnswer, signedHeaders, writeRawAnswer } from '../standins/server-standin.js';
 import type { Arrival } from '../standins/server-standin.js';
 
@@ -88,6 +88,7 @@
   const handlers = endless.flatMap((sendEndless) => [sendEndless, sendAnswer]);
   const deployment = await createDeployment(handlers.map((handle) => (arrival) => handle(arrival)));
   try {
+    await deployment.changeRoutes(PATIENT);
     const rssBefore = process.memoryUsage().rss;
     const answers = await Promise.all(
       Array.from({ length: 60 }, () => deployment.call('/any/1').then(({ status }) => status)),
--- a/packages/edge/test/soak/routers.ts
+++ b/packages/edge/test/soak/routers.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { stringify } from 'ini';
-import { findFreePort } from '../standins/deployment.js';
+import { findFreePort } from '../standins/free-port.js';
 import { createProxy } from './proxy.js';
 import type { Proxy } from './proxy.js';
 import { createRouterProcess } from './router-process.js';
--- a/packages/edge/test/start/router-process.ts
+++ b/packages/edge/test/start/router-process.ts
@@ -8,7 +8,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { SETTINGS_VARIABLE } from '@kingcupsill/prepared-platform';
-import { findFreePort } from '../standins/deployment.js';
+import { findFreePort } from '../standins/free-port.js';
 
 const ENTRY_POINT = fileURLToPath(new URL('../../dist/bin/edge.js', import.meta.url));
 const WAIT_TIMEOUT_MS = 20_000;
--- a/packages/edge/test/store/known-routers.test.ts
+++ b/packages/edge/test/store/known-routers.test.ts
@@ -5,7 +5,8 @@
 import type { StoreObject } from '@kingcupsill/prepared-platform';
 import { WebSocketServer } from 'ws';
 import { createKnownRouters } from '../../src/store/known-routers.js';
-import { findFreePort, withDeployment } from '../standins/deployment.js';
+import { withDeployment } from '../standins/deployment.js';
+import { findFreePort } from '../standins/free-port.js';
 
 const own = { name: 'router-own', address: '10.0.0.9:8785', zone: 'z1', cores: 1 };
 
