--- a/packages/core/src/direct/dispatch.ts
+++ b/packages/core/src/direct/dispatch.ts
@@ -43,6 +43,9 @@
     prediction: serverState.load.recordSend(nowMs, prefillTokens),
     predictedMs,
     begunAtMs: undefined,
+    heardAtMs: undefined,
+    examinedAtMs: nowMs,
+    isSilent: false,
   };
   state.attempts.set(attempt.id, attempt);
   countTokens(state, attributes, candidate);
--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -83,6 +83,8 @@
         /** Observed error or response, for logs. */
         detail: string;
       }
+    /** The attempt's connection delivers nothing though it is being read from. */
+    | { kind: 'connection-silent'; attempt: string }
     | { kind: 'caller-left'; request: string }
     /** An effect for the request could not be carried out; the last attempt, if any, was not sent. */
     | { kind: 'request-failed'; request: string; detail: string }
@@ -169,6 +171,8 @@
     }
   /** Requests the list of prompt parts in an engine's cache. */
   | { kind: 'list-kept'; serverKey: string; host: string; port: number }
+  /** Finds out whether the attempt's connection has delivered anything since it was last examined; if not, `connection-silent` follows. */
+  | { kind: 'examine-connection'; attempt: string }
   /** Aborts the attempt and discards its answer. */
   | { kind: 'cancel'; attempt: string }
   /** Sends the attempt's buffered answer to the caller, or ends the caller's stream. */
--- a/packages/core/src/direct/reducer.ts
+++ b/packages/core/src/direct/reducer.ts
@@ -11,10 +11,12 @@
   onAttemptBegun,
   onAttemptEnded,
   onCallerLeft,
+  onConnectionSilent,
   onEventsDelivered,
   onRequestFailed,
 } from './requests.js';
 import { createRouteTable } from './route-table.js';
+import { examineQuiet } from './silent-attempts.js';
 import { takesQueries } from './servers/eligibility.js';
 import { recordWarmUp, recordZoneWarmUp } from './servers/warm-up.js';
 import type { Evacuation, EvacuationChanges } from './servers/evacuations.js';
@@ -50,7 +52,10 @@
   if (currentVersion !== undefined && config.version <= currentVersion) return [];
   state.routeTable = createRouteTable(config);
   const routeNames = new Set(config.routes.map(({ name }) => name));
-  state.runDurations.prune((name) => routeNames.has(name));
+  const isConfigured = (name: string): boolean => routeNames.has(name);
+  state.runDurations.prune(isConfigured);
+  state.answerDelays.prune(isConfigured);
+  state.eventGaps.prune(isConfigured);
   const fields = { version: config.version, routes: config.routes.length };
   return [
     { kind: 'note', event: 'configuration-in-force', fields },
@@ -232,10 +237,11 @@
   request: (state, { request, attributes, draw, nowMs }) =>
     onRequest(state, request, attributes, draw, nowMs),
   'attempt-begun': (state, { attempt, nowMs }) => onAttemptBegun(state, attempt, nowMs),
-  'events-delivered': (state, { request, lastEventId }) =>
-    onEventsDelivered(state, request, lastEventId),
+  'events-delivered': (state, { request, lastEventId, nowMs }) =>
+    onEventsDelivered(state, request, lastEventId, nowMs),
   'attempt-ended': (state, { attempt, outcome, detail, nowMs }) =>
     onAttemptEnded(state, attempt, outcome, detail, nowMs),
+  'connection-silent': (state, { attempt, nowMs }) => onConnectionSilent(state, attempt, nowMs),
   'caller-left': (state, { request, nowMs }) => onCallerLeft(state, request, nowMs),
   'request-failed': (state, { request, detail, nowMs }) =>
     onRequestFailed(state, request, detail, nowMs),
@@ -264,6 +270,7 @@
     ...requestCacheContents(state, nowMs),
     ...removeServers(state, state.registry.expire(nowMs), nowMs),
     ...expireRequests(state, nowMs),
+    ...examineQuiet(state, nowMs),
     ...blockCulprits(state.crashEvidence, nowMs),
     ...recordVersions(state, nowMs),
     ...storeJournal(state, nowMs),
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,4 +1,5 @@
 /** Event handlers for the attempts of requests, and for requests that end. */
+import { admit } from './admission.js';
 import { refuseResumption, remainingBlockMs, ResumptionFailure } from './arrivals.js';
 import { recordAttemptEnd } from './crashes/crash-evidence.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
@@ -6,6 +7,7 @@
 import { canEndInDrain, describeDrain } from './drain.js';
 import type { DirectEffect, Refusal } from './events.js';
 import { chooseServer } from './placement.js';
+import type { Candidate } from './placement.js';
 import {
   closeRequest,
   createDrainingRefusal,
@@ -14,7 +16,7 @@
   NO_SERVER_RETRY_MS,
   refuse,
 } from './request-end.js';
-import type { DirectState, OpenAttempt, OpenRequest } from './state.js';
+import type { DirectState, OpenAttempt, OpenRequest, ServerState } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
 
@@ -31,6 +33,23 @@
   totals.errorMs += Math.abs(observedMs - attempt.predictedMs);
 }
 
+function isAdmitted(
+  { accountUsage }: DirectState,
+  attributes: RequestAttributes,
+  best: Candidate,
+  nowMs: number,
+): boolean {
+  const { account } = attributes;
+  const used = account === undefined ? 0 : accountUsage.shareUsed(account, nowMs);
+  const share = { used, shortfall: accountUsage.shortfall(nowMs) };
+  return admit(attributes, best, share, 0).admitted;
+}
+
+function recordHeard(attempt: OpenAttempt, serverState: ServerState, nowMs: number): void {
+  attempt.heardAtMs = nowMs;
+  serverState.heardAtMs = nowMs;
+}
+
 /** Handles the first event or the response head of an attempt. */
 export function onAttemptBegun(
   state: DirectState,
@@ -44,8 +63,13 @@
     attempt.begunAtMs = nowMs;
     state.crashEvidence.suspects.recordServerAlive(attempt.serverKey, attempt.prediction.sentAtMs);
     serverState.unansweredAttempts -= 1;
-    countPrediction(state, attempt, nowMs - attempt.prediction.sentAtMs);
+    const { sentAtMs } = attempt.prediction;
+    countPrediction(state, attempt, nowMs - sentAtMs);
+    serverState.answeredSentAtMs = Math.max(serverState.answeredSentAtMs, sentAtMs);
+    const route = state.requests.get(attempt.requestId)?.attributes.route;
+    if (route !== undefined) state.answerDelays.record(route.name, nowMs - sentAtMs);
   }
+  recordHeard(attempt, serverState, nowMs);
   serverState.load.recordFirstEvent(attempt.prediction, nowMs);
   serverState.health.recordResponse();
   return [];
@@ -56,13 +80,20 @@
   state: DirectState,
   requestId: string,
   lastEventId: string | undefined,
+  nowMs: number,
 ): DirectEffect[] {
   const request = state.requests.get(requestId);
   if (request === undefined) return [];
   request.answerStarted = true;
   request.lastEventId = lastEventId ?? request.lastEventId;
-  const serverKey = request.currentAttempt?.serverKey;
-  if (serverKey !== undefined) state.servers.get(serverKey)?.health.recordResponse();
+  const { currentAttempt } = request;
+  const serverState = currentAttempt && state.servers.get(currentAttempt.serverKey);
+  if (currentAttempt === undefined || serverState === undefined) return [];
+  const { heardAtMs } = currentAttempt;
+  if (heardAtMs !== undefined)
+    state.eventGaps.record(request.attributes.route.name, nowMs - heardAtMs);
+  recordHeard(currentAttempt, serverState, nowMs);
+  serverState.health.recordResponse();
   return [];
 }
 
@@ -136,12 +167,13 @@
   return isSuspected || remainingBlockMs(state, attributes, nowMs) > 0;
 }
 
-/** Sends the request to another server; undefined if no retry is possible or the retry budget is exhausted. */
+/** Sends the request to another server; undefined if no retry is possible, `isWorth` denies it or the retry budget is exhausted. */
 function retry(
   state: DirectState,
   request: OpenRequest,
   outcome: AttemptOutcome,
   nowMs: number,
+  isWorth: (best: Candidate) => boolean = () => true,
 ): DirectEffect[] | undefined {
   const { attributes } = request;
   if (!canRetry(request, outcome) || request.sentAttempts >= MAX_SENT_ATTEMPTS) return undefined;
@@ -150,7 +182,7 @@
   if (mayCrashServer(state, attributes, nowMs)) return undefined;
   const draw = (state.attemptCount * RETRY_DRAW_STEP) % 1;
   const best = chooseServer(state, request, draw, nowMs);
-  if (best === undefined) return undefined;
+  if (best === undefined || !isWorth(best)) return undefined;
   const isWithinBudget =
     UNSEEN_OUTCOMES.has(outcome) ||
     state.retryBudget.tryAcquire(attributes.service, nowMs, state.routerCount);
@@ -205,6 +237,38 @@
   return [...effects, ...settle(state, request, { outcome, detail }, nowMs)];
 }
 
+/**
+ * Handles an attempt whose connection has gone silent: a request that may be repeated is sent again, a stream goes on behind its last
+ * event. Any other one is left to wait, since the server may be running it. The server isn't at fault.
+ */
+export function onConnectionSilent(
+  state: DirectState,
+  attemptId: string,
+  nowMs: number,
+): DirectEffect[] {
+  const attempt = state.attempts.get(attemptId);
+  const request = attempt && state.requests.get(attempt.requestId);
+  if (attempt === undefined || request?.currentAttempt !== attempt) return [];
+  attempt.isSilent = true;
+  request.possibleRuns += 1;
+  // The server may still run the first attempt, so a repeat takes capacity like a new request.
+  const isWorth = (best: Candidate): boolean => isAdmitted(state, request.attributes, best, nowMs);
+  const { triedServerKeys } = request;
+  // The server isn't at fault, and it has the prompt in its cache.
+  request.triedServerKeys = triedServerKeys.filter((key) => key !== attempt.serverKey);
+  const retryEffects = retry(state, request, AttemptOutcome.Unknown, nowMs, isWorth);
+  if (retryEffects === undefined) {
+    request.triedServerKeys = triedServerKeys;
+    request.possibleRuns -= 1;
+    return [];
+  }
+  return [
+    ...closeAttempt(state, attempt, AttemptOutcome.Cancelled, nowMs),
+    { kind: 'cancel', attempt: attemptId },
+    ...retryEffects,
+  ];
+}
+
 function cancelCurrentAttempt(
   state: DirectState,
   request: OpenRequest,
--- a/packages/core/src/direct/run-durations.ts
+++ b/packages/core/src/direct/run-durations.ts
@@ -1,4 +1,4 @@
-/** Durations of complete attempts by route, estimated like the retransmission timeout of TCP (RFC 6298). */
+/** Durations of attempts, or of parts of them, by route, estimated like the retransmission timeout of TCP (RFC 6298). */
 
 /** Estimates by route name. */
 export interface RunDurations {
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -35,6 +35,10 @@
   load: ServerLoad;
   /** Number of this router's attempts whose answer hasn't begun. */
   unansweredAttempts: number;
+  /** Time at which the latest attempt whose answer has begun was sent; 0 without one. */
+  answeredSentAtMs: number;
+  /** Time of the latest event or head of an answer; 0 without one. */
+  heardAtMs: number;
   /** Time until which the server has asked this router to send nothing; 0 if it hasn't. */
   deferredUntilMs: number;
   /** Prompt parts sent to the server since the last report to peers. */
@@ -53,6 +57,11 @@
   predictedMs: number;
   /** Time of the first event or of the head of an answer; undefined before it. */
   begunAtMs: number | undefined;
+  /** Time of the latest event, or of the head of an answer; undefined before it. */
+  heardAtMs: number | undefined;
+  /** Time at which the attempt's connection was last examined for silence. */
+  examinedAtMs: number;
+  isSilent: boolean;
 }
 
 /** Request between its arrival and the end of its answer. */
@@ -139,7 +148,12 @@
   evacuations: Evacuations;
   serviceDemand: ServiceDemand;
   versions: VersionState;
+  /** Durations of complete attempts by route. */
   runDurations: RunDurations;
+  /** Times from sending an attempt to the first event or the head of its answer, by route. */
+  answerDelays: RunDurations;
+  /** Times between events, or behind the head of an answer, by route. */
+  eventGaps: RunDurations;
   /** Time by which requests must have ended; infinite until the router drains. */
   drainEndsAtMs: number;
   /** Length of the drain; 0 until the router drains. */
@@ -192,6 +206,8 @@
     serviceDemand: createServiceDemand(),
     versions: createVersionState(),
     runDurations: createRunDurations(),
+    answerDelays: createRunDurations(),
+    eventGaps: createRunDurations(),
     drainEndsAtMs: Number.POSITIVE_INFINITY,
     drainMs: 0,
     routerCount: 1,
@@ -232,6 +248,8 @@
       health: createServerHealth(),
       load,
       unansweredAttempts: 0,
+      answeredSentAtMs: 0,
+      heardAtMs: 0,
       deferredUntilMs: 0,
       unreportedParts: [],
       unreportedSends: 0,
--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -80,6 +80,33 @@
   };
 }
 
+/** Creates the handlers of the effects on the connections of attempts. */
+function createConnectionHandlers(
+  { logger, clock }: EdgeContext,
+  parts: Pick<EffectParts, 'connections' | 'loop' | 'metrics'>,
+  attempts: Map<string, RunningAttempt>,
+) {
+  function recordDoubtful(attempt: string, closed: number): void {
+    if (closed === 0) return;
+    parts.metrics.countDoubtfulConnections(closed);
+    logger.info('server-connections-doubtful', { attempt, closed });
+  }
+
+  return {
+    cancel({ attempt }: Extract<DirectEffect, { kind: 'cancel' }>) {
+      recordDoubtful(attempt, attempts.get(attempt)?.cancel() ?? 0);
+      attempts.delete(attempt);
+    },
+    'examine-connection': ({ attempt }: Extract<DirectEffect, { kind: 'examine-connection' }>) => {
+      if (attempts.get(attempt)?.isSilent() !== true) return;
+      parts.metrics.countSilentConnection();
+      logger.info('server-connection-silent', { attempt });
+      recordDoubtful(attempt, parts.connections.closeRested());
+      parts.loop.dispatch({ kind: 'connection-silent', attempt, nowMs: clock() });
+    },
+  };
+}
+
 /** Creates one handler per kind of effect. `parts` is accessed only when effects run. */
 export function createEffectHandlers(ctx: EdgeContext, parts: EffectParts) {
   const { logger, clock } = ctx;
@@ -131,13 +158,7 @@
       }
     },
     ...createStreamStoreHandlers(ctx, parts),
-    cancel({ attempt }: Extract<DirectEffect, { kind: 'cancel' }>) {
-      const closed = attempts.get(attempt)?.cancel() ?? 0;
-      attempts.delete(attempt);
-      if (closed === 0) return;
-      parts.metrics.countDoubtfulConnections(closed);
-      logger.info('server-connections-doubtful', { attempt, closed });
-    },
+    ...createConnectionHandlers(ctx, parts, attempts),
     finish({ request }: Extract<DirectEffect, { kind: 'finish' }>) {
       const exchange = parts.exchanges.get(request);
       if (exchange === undefined) return;
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -37,9 +37,11 @@
   /** Counts a call to the store by kind of object and outcome. */
   countStoreCall(kind: string, outcome: string): void;
   /** Counts a version of the configuration that couldn't be read, so that an earlier one stays in force. */
+  countUnreadableConfiguration(): void;
+  /** Counts a connection to a server that had gone silent under a request. */
+  countSilentConnection(): void;
   /** Counts idle connections that were closed because another one to their server may have gone silent. */
   countDoubtfulConnections(closed: number): void;
-  countUnreadableConfiguration(): void;
   /** Counts a report to all peers; `bytes` is the total over all links. */
   countReport(bytes: number): void;
   /** Returns the cost of control traffic since the start. */
@@ -138,6 +140,24 @@
 
 type CreateCounter = (name: string, help: string, ...labelNames: string[]) => Counter;
 
+/** Metrics of connections to servers that go silent. */
+function createConnectionMetrics(
+  counter: CreateCounter,
+): Pick<EdgeMetrics, 'countSilentConnection' | 'countDoubtfulConnections'> {
+  const silent = counter(
+    'kingcupsill_silent_connections_total',
+    'Kept connections to servers that delivered nothing while their servers answered others.',
+  );
+  const doubtful = counter(
+    'kingcupsill_doubtful_connections_total',
+    'Idle connections to servers closed because another one may have gone silent.',
+  );
+  return {
+    countSilentConnection: () => silent.inc(),
+    countDoubtfulConnections: (closed) => doubtful.inc(closed),
+  };
+}
+
 /** Metrics of control traffic. */
 function createControlMetrics(
   counter: CreateCounter,
@@ -194,10 +214,6 @@
     'Requests ended by an error in the router.',
     'place',
   );
-  const doubtfulConnections = counter(
-    'kingcupsill_doubtful_connections_total',
-    'Idle connections to servers closed because another one may have gone silent.',
-  );
   const unreadable = counter('kingcupsill_configurations_unreadable_total', 'Unreadable versions.');
   const firstEventSeconds = histogram(
     'kingcupsill_first_event_seconds',
@@ -221,8 +237,8 @@
       firstEventSeconds.observe({ service }, durationMs / 1000),
     observeCompletion: (service, durationMs) =>
       responseSeconds.observe({ service }, durationMs / 1000),
-    countDoubtfulConnections: (closed) => doubtfulConnections.inc(closed),
     countUnreadableConfiguration: () => unreadable.inc(),
+    ...createConnectionMetrics(counter),
     ...createControlMetrics(counter),
   };
 }
--- a/packages/edge/src/relay/attempt.ts
+++ b/packages/edge/src/relay/attempt.ts
@@ -108,14 +108,18 @@
    * for a slow caller.
    */
   isComplete(): boolean;
+  /** See `RunningAttempt`. */
+  isSilent(): boolean;
   /** Passes on what precedes an error, which is sound. Returns whether it is the whole response. */
   endBefore(errorCode: string | undefined): boolean;
 }
 
 function createReception(clientReq: ClientRequest): Reception {
   let bytesReadBefore = 0;
+  let bytesExamined = 0;
   clientReq.on('socket', (socket) => {
     bytesReadBefore = socket.bytesRead;
+    bytesExamined = bytesReadBefore;
   });
   const reception: Reception = {
     res: undefined,
@@ -125,6 +129,14 @@
       ...reception.limit?.received(),
     }),
     isComplete: () => reception.res?.complete === true,
+    isSilent() {
+      const { socket } = clientReq;
+      if (socket === null) return false;
+      const hasDelivered = socket.bytesRead > bytesExamined;
+      bytesExamined = socket.bytesRead;
+      // What is paused waits for its caller.
+      return !hasDelivered && reception.res?.isPaused() !== true;
+    },
     endBefore(errorCode) {
       reception.limit?.flush();
       const { res } = reception;
@@ -279,5 +291,6 @@
       ended = true;
       return cancelRequest(connections, req, clientReq, reception);
     },
+    isSilent: reception.isSilent,
   };
 }
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -24,11 +24,18 @@
    * may have gone silent with it. Returns their number; 0 if the request was short or has had a new connection.
    */
   closeDoubtful(host: string, port: number, unanswered: Socket): number;
+  /**
+   * Closes the idle connections to all servers that haven't been used just now, after one has gone silent: what silenced it may have
+   * silenced them. Returns their number.
+   */
+  closeRested(): number;
   close(): void;
 }
 
 /** Time without a byte after which a kept connection may have gone silent; several times what a server takes for its first one. */
 const DOUBTFUL_AFTER_MS = 500;
+/** Time since its last use after which a connection may have gone silent with another one, which has been quiet for longer. */
+const RESTED_AFTER_MS = 250;
 /** Maximum number of idle connections per server; the excess after a burst is closed. */
 const MAX_IDLE_PER_SERVER = 24;
 /** Idle timeout of connections to servers that state none. */
@@ -78,7 +85,7 @@
   idleConnections: ReadonlyMap<Socket, IdleConnection>,
   reusedAtMs: WeakMap<Socket, number>,
   nowMs: () => number,
-): Pick<ServerConnections, 'prune' | 'closeDoubtful'> {
+): Pick<ServerConnections, 'prune' | 'closeDoubtful' | 'closeRested'> {
   function closeIdle(
     host: string,
     port: number,
@@ -103,6 +110,14 @@
       if (startedAtMs === undefined || nowMs() - startedAtMs < DOUBTFUL_AFTER_MS) return 0;
       return closeIdle(host, port, (_socket, { idleSinceMs }) => idleSinceMs < startedAtMs);
     },
+    closeRested() {
+      const restedSinceMs = nowMs() - RESTED_AFTER_MS;
+      const rested = [...idleConnections.values()].filter(
+        ({ idleSinceMs }) => idleSinceMs <= restedSinceMs,
+      );
+      rested.forEach(({ destroySocket }) => destroySocket());
+      return rested.length;
+    },
   };
 }
 
--- a/packages/edge/src/relay/types.ts
+++ b/packages/edge/src/relay/types.ts
@@ -104,4 +104,8 @@
    * have gone silent like its own.
    */
   cancel(): number;
+  /**
+   * Returns whether the connection has delivered nothing since the last call, or since the attempt began, though it is being read from.
+   */
+  isSilent(): boolean;
 }
