--- a/packages/edge/src/peers/dialed-link.ts
+++ b/packages/edge/src/peers/dialed-link.ts
@@ -1,47 +1,37 @@
 /** One connection that this router opens to another. */
 import { WebSocket } from 'ws';
+import { createLiveness } from './liveness.js';
 import { createOpenLink } from './open-link.js';
-import { LINK_TIMEOUT_MS, SOCKET_OPTIONS } from './types.js';
-import type { LinkContext, LinkListener, LinkRole, LinkTarget } from './types.js';
-
-/** Connection that is open or being opened. */
-export interface DialedLink {
-  /** Terminates the connection if it has timed out and pings it otherwise. */
-  checkLiveness(): void;
-  close(): void;
-}
+import { SOCKET_OPTIONS } from './types.js';
+import type { DialLink } from './types.js';
 
 /** Several times the longest latency between regions. */
 const HANDSHAKE_TIMEOUT_MS = 1000;
 
-/** Opens a connection. `onEnded` is called exactly once, also if the connection was never open. */
-export function dialLink(
-  { clock, logger, self, nextLinkNumber }: LinkContext,
-  target: LinkTarget,
-  role: LinkRole,
-  listener: LinkListener,
-  onEnded: () => void,
-): DialedLink {
+/** Opens a WebSocket connection. */
+export const dialLink: DialLink = (
+  { clock, logger, self, nextLinkNumber },
+  target,
+  role,
+  listener,
+  onEnded,
+) => {
   const socket = new WebSocket(`ws://${target.address}/${role}/${encodeURIComponent(self)}`, {
     ...SOCKET_OPTIONS,
     handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
   });
-  let lastTrafficMs = clock();
+  const liveness = createLiveness(clock);
   let isOpen = false;
   const link = createOpenLink(socket, `to-${role}:${target.name}#${nextLinkNumber()}`);
 
-  function recordTraffic(): void {
-    lastTrafficMs = clock();
-  }
-
   socket.on('open', () => {
     isOpen = true;
-    recordTraffic();
+    liveness.recordTraffic();
     listener.onOpen(link);
   });
-  socket.on('pong', recordTraffic);
+  socket.on('pong', liveness.recordTraffic);
   socket.on('message', (bytes: Buffer) => {
-    recordTraffic();
+    liveness.recordTraffic();
     listener.onMessage(link, bytes);
   });
   // Each error is followed by a close event.
@@ -56,9 +46,13 @@
   return {
     checkLiveness() {
       // The timeout of the handshake is one of silence, and a handshake may be sent without end.
-      if (clock() - lastTrafficMs > LINK_TIMEOUT_MS) socket.terminate();
-      else if (isOpen) socket.ping();
+      if (liveness.isTimedOut()) socket.terminate();
+      else if (isOpen) {
+        socket.ping();
+        liveness.recordPing();
+      }
     },
+    isQuiet: () => isOpen && liveness.isQuiet(),
     close: () => socket.terminate(),
   };
-}
+};
--- a/packages/edge/src/peers/incoming.ts
+++ b/packages/edge/src/peers/incoming.ts
@@ -34,6 +34,8 @@
 
 interface Peer {
   role: LinkRole;
+  /** Name of the router that has opened the link. */
+  router: string;
   link: OpenLink;
   lastTrafficMs: number;
 }
@@ -58,9 +60,17 @@
   const peers = new Map<WebSocket, Peer>();
   const server = new WebSocketServer({ noServer: true, ...SOCKET_OPTIONS });
 
+  /** A router opens its link again when the earlier one has gone silent, which would count its reports twice. */
+  function dropEarlier(role: LinkRole, router: string): void {
+    peers.forEach((peer, socket) => {
+      if (router !== '' && peer.role === role && peer.router === router) socket.terminate();
+    });
+  }
+
   function accept(socket: WebSocket, role: LinkRole, router: string): void {
     const link = createOpenLink(socket, `from-${role}:${router}#${options.nextLinkNumber()}`);
-    const peer: Peer = { role, link, lastTrafficMs: clock() };
+    dropEarlier(role, router);
+    const peer: Peer = { role, router, link, lastTrafficMs: clock() };
     peers.set(socket, peer);
     socket.on('ping', () => {
       peer.lastTrafficMs = clock();
--- a/packages/edge/src/peers/peer-links.ts
+++ b/packages/edge/src/peers/peer-links.ts
@@ -9,6 +9,7 @@
 } from '@kingcupsill/core/direct';
 import type { Hasher } from '@kingcupsill/core/hash';
 import { repeatEvery } from '@kingcupsill/runtime';
+import { dialLink } from './dialed-link.js';
 import { createExchangeListener } from './exchange-listener.js';
 import { createGroupLinks } from './group-links.js';
 import { createIncomingLinks } from './incoming.js';
@@ -18,7 +19,7 @@
 import type { LinkContext, LinkListener } from './types.js';
 
 /** Options of the links. */
-export interface PeerLinksOptions extends Omit<LinkContext, 'nextLinkNumber'> {
+export interface PeerLinksOptions extends Omit<LinkContext, 'dial' | 'nextLinkNumber'> {
   host: string;
   port: number;
   stopping?: AbortSignal;
@@ -60,6 +61,7 @@
   const { clock, logger, self, hasher } = options;
   let linkCount = 0;
   const ctx: LinkContext = {
+    dial: dialLink,
     clock,
     logger,
     self,
--- a/packages/edge/src/peers/preferred-link.ts
+++ b/packages/edge/src/peers/preferred-link.ts
@@ -1,8 +1,7 @@
 /** Link to the first reachable one of several routers; returns to a preferred one when it is reachable again. */
 import { createDialFailures } from './dial-failures.js';
-import { dialLink } from './dialed-link.js';
-import type { DialedLink } from './dialed-link.js';
-import type { LinkContext, LinkListener, LinkRole, LinkTarget } from './types.js';
+import { dialReplaceableLink } from './replaceable-link.js';
+import type { DialedLink, LinkContext, LinkListener, LinkRole, LinkTarget } from './types.js';
 
 /** Link that follows a list of candidates. */
 export interface PreferredLink {
@@ -65,7 +64,9 @@
       },
     };
     connections.set(target.address, connection);
-    connection.dialed = dialLink(ctx, target, role, openListener, () => onEnded(connection));
+    connection.dialed = dialReplaceableLink(ctx, target, role, openListener, () =>
+      onEnded(connection),
+    );
   }
 
   function drop(address: string): void {
--- a/packages/edge/src/peers/types.ts
+++ b/packages/edge/src/peers/types.ts
@@ -27,8 +27,27 @@
   onClosed(link: OpenLink): void;
 }
 
+/** Connection that is open or being opened. */
+export interface DialedLink {
+  /** Terminates the connection if it has timed out and pings it otherwise. */
+  checkLiveness(): void;
+  /** Returns whether the connection is open and may have gone silent. */
+  isQuiet(): boolean;
+  close(): void;
+}
+
+/** Opens a connection. `onEnded` is called exactly once, also if the connection was never open. */
+export type DialLink = (
+  ctx: LinkContext,
+  target: LinkTarget,
+  role: LinkRole,
+  listener: LinkListener,
+  onEnded: () => void,
+) => DialedLink;
+
 /** Dependencies of links. */
 export interface LinkContext {
+  dial: DialLink;
   clock: Clock;
   logger: Logger;
   /** Name of this router. */
@@ -41,7 +60,7 @@
 export type LinkTarget = Pick<RouterInfo, 'name' | 'address'>;
 
 /** Period of pings, and time without traffic after which a link counts as broken. */
-export const LIVENESS_CHECK_PERIOD_MS = 700;
+export const LIVENESS_CHECK_PERIOD_MS = 350;
 export const LINK_TIMEOUT_MS = 2100;
 /** Send buffer above which a report waits; it then also covers later changes. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -233,3 +233,27 @@
     router.links.close();
   }
 });
+
+// Guards against reports of a router that count twice while its earlier link, which has gone silent, is still open.
+test('a second link of a router replaces its first one', async () => {
+  const [info] = await createInfos(1, 1);
+  const router = await startRouter(info!);
+  const sockets: WebSocket[] = [];
+  const open = async (name: string): Promise<void> => {
+    const socket = new WebSocket(`ws://${info!.address}/member/${name}`);
+    sockets.push(socket);
+    await once(socket, 'open');
+  };
+  try {
+    await open('r7');
+    await open('r8');
+    const closed = once(sockets[0]!, 'close');
+    await open('r7');
+    await closed;
+    assert.equal(router.lost.length, 1);
+    assert.equal(sockets[1]!.readyState, WebSocket.OPEN);
+  } finally {
+    sockets.forEach((socket) => socket.terminate());
+    router.links.close();
+  }
+});
--- a/packages/edge/test/store/silent-fleet.test.ts
+++ b/packages/edge/test/store/silent-fleet.test.ts
@@ -15,7 +15,7 @@
 
 const atMs = fc.integer({ min: 0, max: 6000 });
 const silence = fc.record({
-  kind: fc.constantFrom('silent-store' as const, 'silent-links' as const),
+  kind: fc.constantFrom('silent-store' as const, 'silent-links' as const, 'power-lost' as const),
   atMs,
   share: fc.constantFrom(0.3, 0.7, 1),
   salt: fc.nat(1000),
--- a/packages/edge/test/store/silent-fleet.ts
+++ b/packages/edge/test/store/silent-fleet.ts
@@ -1,6 +1,6 @@
 /**
- * Fleet of routers under virtual time: the real feeds, news, topology, and exchange and pacing of reports, over a store and links whose
- * open connections go silent for good while new ones work. Links are dialled again to the same hub; another hub isn't tried.
+ * Fleet of routers under virtual time: the real feeds, news, topology, links and exchange and pacing of reports, over a store and links
+ * whose open connections go silent for good while new ones work, beside routers that lose power.
  */
 import type { MockTimers } from 'node:test';
 import { setImmediate as nextIteration } from 'node:timers/promises';
@@ -18,13 +18,15 @@
 import { createExchangeListener } from '../../src/peers/exchange-listener.js';
 import { createReportCodec } from '../../src/peers/report-codec.js';
 import { createReportSender } from '../../src/peers/report-sender.js';
-import { LINK_TIMEOUT_MS, LIVENESS_CHECK_PERIOD_MS } from '../../src/peers/types.js';
-import type { OpenLink } from '../../src/peers/types.js';
+import { createGroupLinks } from '../../src/peers/group-links.js';
+import type { GroupLinks } from '../../src/peers/group-links.js';
+import { LinkRole, LIVENESS_CHECK_PERIOD_MS } from '../../src/peers/types.js';
 import { MAX_IDLE_MS, planChangeTiming } from '../../src/store/change-timing.js';
 import { createFollowedNews } from '../../src/store/followed-news.js';
 import { createObjectFeed } from '../../src/store/object-feed.js';
 import { createFeedOptions } from '../standins/feed-options.js';
 import { createRecordingLogger } from '../standins/recording-logger.js';
+import { createVirtualNetwork } from './virtual-links.js';
 
 export const KINDS = [StoreKind.Configuration, StoreKind.Servers];
 /** One-way delays in the own zone, to the other zones and to other regions. */
@@ -35,7 +37,7 @@
 /** What happens to a share of the routers, at a time in milliseconds. */
 export type Incident = { atMs: number } & (
   | { kind: 'change'; of: StoreKind }
-  | { kind: 'silent-store' | 'silent-links'; share: number; salt: number }
+  | { kind: 'silent-store' | 'silent-links' | 'power-lost'; share: number; salt: number }
   | { kind: 'history-gone' }
 );
 
@@ -51,16 +53,9 @@
   idleSinceMs: number | undefined;
 }
 
-interface Link {
-  ends: [Router, Router];
-  kinds: [LinkKind, LinkKind];
-  isSilent: boolean;
-  lastTrafficMs: number;
-  open: OpenLink[];
-}
-
 type Router = ReturnType<typeof createRouter>;
 type Fleet = ReturnType<typeof createStore>;
+type Network = ReturnType<typeof createVirtualNetwork>;
 
 const sleep = (ms: number): Promise<void> =>
   new Promise((resolve) => {
@@ -159,7 +154,7 @@
   return { client, connections };
 }
 
-function createRouter(fleet: Fleet, index: number, boundMs: number) {
+function createRouter(fleet: Fleet, network: Network, index: number, boundMs: number) {
   const { clock } = fleet;
   const name = `r${index}`;
   const info = { name, address: `${name}:1`, zone: `z${index % 6}`, cores: 1 };
@@ -179,7 +174,7 @@
     encode: codec.encode,
     onSent: () => undefined,
   });
-  const role = { isWatching: false };
+  const links: { groups: GroupLinks | undefined } = { groups: undefined };
   const timing = planChangeTiming(boundMs);
   const logger = createRecordingLogger();
   const followed = createFollowedNews({
@@ -187,7 +182,7 @@
     clock,
     logger,
     maxNewsAgeMs: timing.maxNewsAgeMs,
-    isWatching: () => role.isWatching,
+    isWatching: () => links.groups?.watchesStore() === true,
     announce(kind) {
       exchange.announceStoreNews(kind);
       sender.flush();
@@ -210,7 +205,25 @@
       kind,
       kind !== LinkKind.OtherHubIn,
     );
-  const listeners = new Map(Object.values(LinkKind).map((kind) => [kind, listen(kind)]));
+  let linkCount = 0;
+  const nextLinkNumber = (): number => {
+    linkCount += 1;
+    return linkCount;
+  };
+  const groups = createGroupLinks(
+    { dial: network.dial, clock, logger, self: name, nextLinkNumber },
+    listen(LinkKind.Hub),
+    listen(LinkKind.OtherHubOut),
+  );
+  links.groups = groups;
+  const acceptor = network.listen(
+    info.address,
+    (role) => role === LinkRole.Member || groups.isHub(),
+    {
+      [LinkRole.Member]: listen(LinkKind.Member),
+      [LinkRole.Hub]: listen(LinkKind.OtherHubIn),
+    },
+  );
   const feeds = KINDS.map((kind) => {
     const apply = (revision: number) => applied.get(kind)!.push([revision, clock()]);
     return createObjectFeed(
@@ -225,13 +238,27 @@
       }),
     );
   });
+  const state = { isOff: false };
   return {
     info,
     connections,
-    role,
-    listeners,
+    groups,
     applied,
+    isOff: () => state.isOff,
+    checkLinks() {
+      if (state.isOff) return;
+      acceptor.check();
+      groups.check();
+    },
+    losePower() {
+      state.isOff = true;
+      network.losePower(name, info.address);
+      connections.forEach((connection) => {
+        connection.isSilent = true;
+      });
+    },
     close() {
+      groups.close();
       feeds.forEach((feed) => feed.close());
       sender.close();
       followed.wake(KINDS);
@@ -239,77 +266,6 @@
   };
 }
 
-function createLinks(clock: () => number) {
-  const links: Link[] = [];
-  let count = 0;
-
-  function open(link: Link): void {
-    link.isSilent = false;
-    link.lastTrafficMs = clock();
-    const latencyMs = Math.max(
-      ...link.ends.map(({ info }) => LATENCIES_MS[Number(info.name.slice(1)) % 3]!),
-    );
-    count += 1;
-    link.open = link.ends.map((_end, side) => ({
-      key: `${side}#${count}`,
-      send(bytes) {
-        const target = link.open[1 - side]!;
-        setTimeout(() => {
-          if (link.isSilent || link.open[1 - side] !== target) return;
-          link.lastTrafficMs = clock();
-          link.ends[1 - side]!.listeners.get(link.kinds[1 - side]!)!.onMessage(target, bytes);
-        }, latencyMs);
-        return true;
-      },
-      close: () => undefined,
-    }));
-    link.ends.forEach((end, side) =>
-      end.listeners.get(link.kinds[side]!)!.onOpen(link.open[side]!),
-    );
-  }
-
-  function check(link: Link): void {
-    if (!link.isSilent) link.lastTrafficMs = clock();
-    else if (clock() - link.lastTrafficMs > LINK_TIMEOUT_MS) {
-      link.ends.forEach((end, side) =>
-        end.listeners.get(link.kinds[side]!)!.onClosed(link.open[side]!),
-      );
-      open(link);
-    }
-  }
-
-  return {
-    all: links,
-    connect(from: Router, to: Router, kinds: [LinkKind, LinkKind]): void {
-      const link: Link = { ends: [from, to], kinds, isSilent: false, lastTrafficMs: 0, open: [] };
-      links.push(link);
-      open(link);
-    },
-    check: () => links.forEach(check),
-  };
-}
-
-async function connectFleet(
-  routers: readonly Router[],
-  links: ReturnType<typeof createLinks>,
-): Promise<void> {
-  const hasher = await createHasher();
-  const infos = routers.map(({ info }) => info);
-  const byName = new Map(routers.map((router) => [router.info.name, router]));
-  routers.forEach((router) => {
-    const plan = planExchange(hasher, router.info.name, infos);
-    const [hub] = plan.hubCandidates;
-    router.role.isWatching = plan.watchesStore && hub === undefined;
-    if (hub !== undefined) {
-      links.connect(router, byName.get(hub.name)!, [LinkKind.Hub, LinkKind.Member]);
-      return;
-    }
-    plan.otherGroups.forEach(([other]) => {
-      links.connect(router, byName.get(other!.name)!, [LinkKind.OtherHubOut, LinkKind.OtherHubIn]);
-    });
-  });
-}
-
 /** Whether an incident hits the thing of this number. */
 const isHit = (number: number, share: number, salt: number): boolean =>
   ((number + 1) * 7919 + salt * 104_729) % 1000 < share * 1000;
@@ -343,12 +299,14 @@
     }
   }
   const fleet = createStore(clock);
+  const latencyOf = (name: string): number => LATENCIES_MS[Number(name.slice(1)) % 3]!;
+  const network = createVirtualNetwork(clock, (a, b) => Math.max(latencyOf(a), latencyOf(b)));
   const routers = Array.from({ length: count }, (_item, index) =>
-    createRouter(fleet, index, boundMs),
+    createRouter(fleet, network, index, boundMs),
   );
-  const links = createLinks(clock);
-  await advance(100);
-  await connectFleet(routers, links);
+  const hasher = await createHasher();
+  const infos = routers.map(({ info }) => info);
+  routers.forEach(({ info, groups }) => groups.setPlan(planExchange(hasher, info.name, infos)));
   const silences: number[] = [];
   const run: { [K in Incident['kind']]: (incident: Extract<Incident, { kind: K }>) => void } = {
     change: ({ of }) => fleet.change(of),
@@ -365,8 +323,15 @@
     },
     'silent-links': ({ share, salt }) => {
       silences.push(clock());
-      links.all.forEach((link, number) => {
-        if (isHit(number, share, salt)) link.isSilent = true;
+      network.connections().forEach((connection, number) => {
+        if (isHit(number, share, salt)) connection.isSilent = true;
+      });
+    },
+    'power-lost': ({ share, salt }) => {
+      silences.push(clock());
+      routers.forEach((router, index) => {
+        // At least half of the fleet stays.
+        if (isHit(index, share / 2, salt)) router.losePower();
       });
     },
   };
@@ -378,7 +343,7 @@
       await advance(Math.min(LIVENESS_CHECK_PERIOD_MS - (nowMs - checkedAtMs), atMs - nowMs));
       if (nowMs - checkedAtMs >= LIVENESS_CHECK_PERIOD_MS) {
         checkedAtMs = nowMs;
-        links.check();
+        routers.forEach((router) => router.checkLinks());
       }
     }
   }
@@ -399,7 +364,8 @@
 function judge(routers: readonly Router[], fleet: Fleet, silences: readonly number[]) {
   const delays: Delay[] = [];
   const failures: string[] = [];
-  routers.forEach(({ info: { name }, applied }) => {
+  routers.forEach(({ info: { name }, applied, isOff }) => {
+    if (isOff()) return;
     fleet.changes.forEach(({ of, revision, atMs }) => {
       const inForce = applied.get(of)!.find(([reached]) => reached >= revision);
       if (inForce === undefined) {
