Soak: a server that has drained comes back as a new run

Cause, by the run's logs: all 272 refusals as overloaded name the one plain server that had not drained, after the others were back. The soak listed them as ready again with the start time of before. The stand-in starts anew now, which counts as a disruption of its connections. The check and its bound are as before.

--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -142,14 +142,25 @@
 /** Minimum time of a departure, longer than the grace time so that later work is detectable. */
 const MIN_DEPARTURE_MS = 3500;
 
-function withDeparture(depart: (backend: Backend) => void): Handler {
-  return async ({ backends, departures }, fault) => {
+/** Starts a server anew, which resets its connections. */
+function restart({ serverDisruptions }: FaultTargets, backend: Backend): void {
+  const endDisruption = openSpan(serverDisruptions, { server: backend.id });
+  backend.restart();
+  endDisruption();
+}
+
+function withDeparture(
+  depart: (backend: Backend) => void,
+  comeBack: (targets: FaultTargets, backend: Backend) => void,
+): Handler {
+  return async (targets, fault) => {
+    const { backends, departures } = targets;
     const backend = selectTarget(backends, fault);
     const endDeparture = openSpan(departures, { server: backend.id });
     depart(backend);
     await delay(MIN_DEPARTURE_MS + fault.durationMs);
     endDeparture();
-    backend.register();
+    comeBack(targets, backend);
   };
 }
 
@@ -239,14 +250,18 @@
   'resumption-from-start': withResumption(Resumption.FromStart),
   'resumption-gap': withResumption(Resumption.Gap),
   'server-restarted': async (targets, fault) => {
-    const { id } = selectTarget(targets.backends, fault);
+    const backend = selectTarget(targets.backends, fault);
     const hasDeparted = targets.departures.some(
-      ({ server, untilMs }) => server === id && untilMs > performance.now(),
+      ({ server, untilMs }) => server === backend.id && untilMs > performance.now(),
     );
-    if (!hasDeparted) await withConnections(async (backend) => backend.restart())(targets, fault);
+    if (!hasDeparted) restart(targets, backend);
   },
-  'server-drains': withDeparture((backend) => backend.register('draining')),
-  'server-leaves': withDeparture((backend) => backend.deregister()),
+  // A server that has announced its end exits; one that comes back has started anew.
+  'server-drains': withDeparture((backend) => backend.register('draining'), restart),
+  'server-leaves': withDeparture(
+    (backend) => backend.deregister(),
+    (_targets, backend) => backend.register(),
+  ),
   'configuration-changed': async ({ operator }) => operator.changeConfiguration(),
   'configuration-storm': async ({ operator }, { durationMs }) => {
     if (hasStorm) return;
