Read what has arrived during a pause of the router before a connection is taken for silent

Cause: its timers run before it reads what has arrived meanwhile. The connection is looked at after the next poll of all sockets.

--- a/packages/edge/src/effect-handlers.ts
+++ b/packages/edge/src/effect-handlers.ts
@@ -98,11 +98,14 @@
       attempts.delete(attempt);
     },
     'examine-connection': ({ attempt }: Extract<DirectEffect, { kind: 'examine-connection' }>) => {
-      if (attempts.get(attempt)?.isSilent() !== true) return;
-      parts.metrics.countSilentConnection();
-      logger.info('server-connection-silent', { attempt });
-      recordDoubtful(attempt, parts.connections.closeRested());
-      parts.loop.dispatch({ kind: 'connection-silent', attempt, nowMs: clock() });
+      // What has arrived while this process was paused is read first.
+      setImmediate(() => {
+        if (attempts.get(attempt)?.isSilent() !== true) return;
+        parts.metrics.countSilentConnection();
+        logger.info('server-connection-silent', { attempt });
+        recordDoubtful(attempt, parts.connections.closeRested());
+        parts.loop.dispatch({ kind: 'connection-silent', attempt, nowMs: clock() });
+      });
     },
   };
 }
--- a/packages/edge/src/peers/replaceable-link.ts
+++ b/packages/edge/src/peers/replaceable-link.ts
@@ -9,6 +9,7 @@
 export const dialReplaceableLink: DialLink = (ctx, target, role, listener, onEnded) => {
   let current: Connection = { dialed: undefined };
   let replacement: Connection | undefined;
+  let isEnded = false;
 
   function dial(connection: Connection): void {
     connection.dialed = ctx.dial(
@@ -27,7 +28,7 @@
   }
 
   function dialReplacement(): void {
-    if (replacement !== undefined) return;
+    if (isEnded || replacement !== undefined || current.dialed?.isQuiet() !== true) return;
     replacement = { dialed: undefined };
     dial(replacement);
   }
@@ -49,6 +50,7 @@
   function end(connection: Connection): void {
     if (connection === replacement) replacement = undefined;
     if (connection !== current) return;
+    isEnded = true;
     dropReplacement();
     onEnded();
   }
@@ -58,12 +60,14 @@
   return {
     checkLiveness() {
       current.dialed?.checkLiveness();
-      if (current.dialed?.isQuiet() === true) dialReplacement();
+      // What has arrived while this process was paused is read first.
+      if (current.dialed?.isQuiet() === true) setImmediate(dialReplacement);
       else dropReplacement();
       replacement?.dialed?.checkLiveness();
     },
     isQuiet: () => current.dialed?.isQuiet() === true,
     close() {
+      isEnded = true;
       dropReplacement();
       current.dialed?.close();
     },
--- a/packages/edge/test/peers/quiet-links.test.ts
+++ b/packages/edge/test/peers/quiet-links.test.ts
@@ -1,6 +1,7 @@
 /** Guards against routers that have no news of others until a link that has gone silent times out. */
 import assert from 'node:assert/strict';
 import { mock, test } from 'node:test';
+import { setImmediate as nextIteration } from 'node:timers/promises';
 import { createPreferredLink } from '../../src/peers/preferred-link.js';
 import { LinkRole, LIVENESS_CHECK_PERIOD_MS } from '../../src/peers/types.js';
 import type { LinkListener, OpenLink } from '../../src/peers/types.js';
@@ -45,7 +46,7 @@
   );
   link.setCandidates([{ name: 'hub', address: 'hub:1' }]);
 
-  function advance(ms: number): void {
+  async function advance(ms: number): Promise<void> {
     for (const endMs = nowMs + ms; nowMs < endMs;) {
       nowMs += LATENCY_MS;
       mock.timers.tick(LATENCY_MS);
@@ -54,6 +55,7 @@
       if (nowMs % LIVENESS_CHECK_PERIOD_MS === 0) {
         acceptor.check();
         link.check();
+        await nextIteration();
       }
     }
   }
@@ -61,28 +63,28 @@
   return { network, advance, opened, closed, received, accepted, now: clock };
 }
 
-test('a link that goes silent is replaced by another one to the same router within a second, and counts once', (t) => {
+test('a link that goes silent is replaced by another one to the same router within a second, and counts once', async (t) => {
   mock.timers.enable({ apis: ['setTimeout'] });
   t.after(() => mock.timers.reset());
   const { network, advance, opened, closed, received, accepted, now } = createLinkedRouters();
-  advance(1000);
+  await advance(1000);
   network.connections().forEach((connection) => {
     connection.isSilent = true;
   });
   const silentAtMs = now();
-  advance(1000);
+  await advance(1000);
   assert.deepEqual([opened.length, closed.length, accepted.size], [2, 1, 1]);
   const first = received.map(Number).find((ms) => ms > silentAtMs + LATENCY_MS);
   assert.ok(first !== undefined, 'nothing received');
   // It stays, and the hub doesn't take the silent one for a second link of the router.
-  advance(5000);
+  await advance(5000);
   assert.deepEqual([opened.length, closed.length, accepted.size], [2, 1, 1]);
 });
 
-test('a link with traffic is not replaced', (t) => {
+test('a link with traffic is not replaced', async (t) => {
   mock.timers.enable({ apis: ['setTimeout'] });
   t.after(() => mock.timers.reset());
   const { advance, opened, closed } = createLinkedRouters();
-  advance(10_000);
+  await advance(10_000);
   assert.deepEqual([opened.length, closed.length], [1, 0]);
 });
