--- a/packages/core/test/direct/odd-inputs.test.ts
+++ b/packages/core/test/direct/odd-inputs.test.ts
@@ -139,6 +139,7 @@
       assert.equal(router.state.registry.get(serverKey)?.entry.service, arrival.service);
       router.dispatch({ kind: 'attempt-begun', attempt });
       router.dispatch({ kind: 'events-delivered', request: id, lastEventId: arrival.id });
+      effects.push(...router.dispatch({ kind: 'connection-silent', attempt }));
       effects.push(...router.dispatch({ kind: 'attempt-ended', attempt, outcome, detail: part }));
     }
   }
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -270,6 +270,10 @@
     }),
   },
   { weight: 1, arbitrary: fc.record({ action: fc.constant('drain' as const), index: fc.nat(2) }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ action: fc.constant('silence' as const), index: fc.nat(9) }),
+  },
 );
 
 test('in any order of events, each request ends exactly once, and one that must not be retried runs at most once', () => {
@@ -295,6 +299,14 @@
           if (possibleRunOutcomes.has(next.outcome))
             observed.runs.set(request, (observed.runs.get(request) ?? 0) + 1);
           recordEffects(router.dispatch(attemptEnded(attempt, next.outcome)), observed);
+        } else if (next.action === 'silence') {
+          const openAttempt = [...observed.openAttempts.entries()][next.index];
+          if (openAttempt === undefined) return;
+          const [attempt, request] = openAttempt;
+          const effects = router.dispatch({ kind: 'connection-silent', attempt });
+          // The server may have run what got no answer.
+          if (effects.length > 0) observed.runs.set(request, (observed.runs.get(request) ?? 0) + 1);
+          recordEffects(effects, observed);
         } else if (next.action === 'leave') {
           const id = [...router.state.requests.keys()][next.index];
           if (id === undefined) return;
