--- a/packages/edge/test/soak/router-process.ts
+++ b/packages/edge/test/soak/router-process.ts
@@ -27,8 +27,10 @@
   settingsFile: string;
   logFile: string;
   graceMs: number;
-  /** Time from the start of a process to its first SIGHUP; undefined for none. */
+  /** Time to the first SIGHUP of a process; undefined for none. */
   firstReloadDelayMs: () => number | undefined;
+  /** Whether that time counts from when the process has a handler of SIGHUP, rather than from its start. */
+  reloadsFromHandler: boolean;
   records: ProcessRecord[];
 }
 
@@ -38,6 +40,7 @@
 /** Allowance beyond the grace period for a loaded machine. */
 const KILL_MARGIN_MS = 1000;
 const MEMORY_CHECK_MS = 200;
+const HANDLER_CHECK_MS = 5;
 const KB_PER_MB = 1024;
 
 const running = new Set<ChildProcess>();
@@ -68,6 +71,16 @@
   }
 }
 
+/** Waits until the kernel shows a handler of SIGHUP, the first signal, or the process has ended. */
+async function waitUntilHandling(child: ChildProcess): Promise<void> {
+  while (child.exitCode === null && child.signalCode === null) {
+    const status = await readFile(`/proc/${child.pid}/status`, 'utf8').catch(() => '');
+    const lowestDigit = /^SigCgt:\s+\w*(\w)$/m.exec(status)?.[1] ?? '0';
+    if (Number.parseInt(lowestDigit, 16) % 2 === 1) return;
+    await delay(HANDLER_CHECK_MS);
+  }
+}
+
 export async function createRouterProcess(options: RouterProcessOptions): Promise<RouterProcess> {
   const { name, settingsFile, logFile, graceMs, records } = options;
   const log = await open(logFile, 'a');
@@ -79,6 +92,14 @@
   let restartTimer: NodeJS.Timeout | undefined;
   let exited = Promise.resolve();
 
+  async function sendFirstReload(started: ChildProcess): Promise<void> {
+    const reloadDelayMs = options.firstReloadDelayMs();
+    if (reloadDelayMs === undefined) return;
+    if (options.reloadsFromHandler) await waitUntilHandling(started);
+    await delay(reloadDelayMs);
+    started.kill('SIGHUP');
+  }
+
   function start(): void {
     if (child !== undefined) return;
     clearTimeout(restartTimer);
@@ -98,8 +119,7 @@
     child = started;
     record = startedRecord;
     void watchMemory(started, startedRecord);
-    const reloadDelayMs = options.firstReloadDelayMs();
-    if (reloadDelayMs !== undefined) setTimeout(() => started.kill('SIGHUP'), reloadDelayMs);
+    void sendFirstReload(started);
     exited = new Promise((resolve) => {
       started.once('exit', (code, signal) => {
         startedRecord.end = { atMs: performance.now(), code, signal };
--- a/packages/edge/test/soak/routers.ts
+++ b/packages/edge/test/soak/routers.ts
@@ -37,8 +37,9 @@
   /** Directory of the settings and logs. */
   dir: string;
   graceS: number;
-  /** Time from the start of a process to its first SIGHUP; undefined for none. */
+  /** See `RouterProcessOptions`. */
   firstReloadDelayMs: () => number | undefined;
+  reloadsFromHandler: boolean;
 }
 
 /** Maximum wait for a started process to become ready. */
--- a/packages/edge/test/soak/run-soak.ts
+++ b/packages/edge/test/soak/run-soak.ts
@@ -39,6 +39,8 @@
   /** Range of the time from each start of a process to a SIGHUP. */
   minReloadDelayMs: 0,
   maxReloadDelayMs: 300,
+  /** 1 if that time counts from when the process has a handler of SIGHUP. */
+  reloadsFromHandler: 0,
   meanFaultIntervalMs: 700,
 };
 
@@ -84,7 +86,7 @@
 
 async function createTargets(options: CompleteOptions, callers: () => Callers, runs: Run[]) {
   const { seed, streamServers, plainServers, accounts, graceS } = options;
-  const { minReloadDelayMs, maxReloadDelayMs } = options;
+  const { minReloadDelayMs, maxReloadDelayMs, reloadsFromHandler } = options;
   const dir = await mkdtemp(join(tmpdir(), 'kingcupsill-soak-'));
   const store = await createStoreStandin();
   const services = [
@@ -107,6 +109,7 @@
     dir,
     graceS,
     firstReloadDelayMs: () => minReloadDelayMs + random() * (maxReloadDelayMs - minReloadDelayMs),
+    reloadsFromHandler: reloadsFromHandler > 0,
   };
   for (let index = 0; index < options.routers; index += 1) {
     routers.push(await createRouter(`router-${index}`, routerOptions));
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -236,8 +236,7 @@
     ratePerS: 40,
     graceS: 4,
     // No process can handle signals before its runtime has started.
-    minReloadDelayMs: 500,
-    maxReloadDelayMs: 800,
+    reloadsFromHandler: 1,
   });
   const isJudged = judge(result).exitCode !== ExitCode.NotJudged;
   return isJudged || triesLeft === 1 ? result : runJudgedSoak(triesLeft - 1);
