--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -38,6 +38,15 @@
   return refuse(state, request, createDrainingRefusal(), decisionInputs, nowMs);
 }
 
+/** Returns the share that the request's account has used; 0 on public routes. */
+export function getShareUsed(
+  { accountUsage }: DirectState,
+  { account }: RequestAttributes,
+  nowMs: number,
+): number {
+  return account === undefined ? 0 : accountUsage.shareUsed(account, nowMs);
+}
+
 /** Selects a server for a request and sends it, or refuses it. */
 function admitRequest(
   state: DirectState,
@@ -59,8 +68,7 @@
   state.retryBudget.recordRequest(attributes.service, nowMs);
   state.serviceDemand.recordOwn(attributes.service, nowMs);
   // Computed before this request is recorded: it counts as unserved demand only once it has been refused.
-  const shareUsed =
-    attributes.account === undefined ? 0 : state.accountUsage.shareUsed(attributes.account, nowMs);
+  const shareUsed = getShareUsed(state, attributes, nowMs);
   if (attributes.account !== undefined)
     state.accountUsage.recordRequested(attributes.account, tokens, nowMs);
   const best = chooseServer(state, request, draw, nowMs);
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -1,6 +1,6 @@
 /** Event handlers for the attempts of requests, and for requests that end. */
 import { admit } from './admission.js';
-import { refuseResumption, remainingBlockMs, ResumptionFailure } from './arrivals.js';
+import { getShareUsed, refuseResumption, remainingBlockMs, ResumptionFailure } from './arrivals.js';
 import { recordAttemptEnd } from './crashes/crash-evidence.js';
 import { listCrashTraits } from './crashes/crash-traits.js';
 import { describeCandidate, describeVersion, send } from './dispatch.js';
@@ -33,15 +33,15 @@
   totals.errorMs += Math.abs(observedMs - attempt.predictedMs);
 }
 
+/** Returns whether a new request with these attributes would be sent to the server. */
 function isAdmitted(
-  { accountUsage }: DirectState,
+  state: DirectState,
   attributes: RequestAttributes,
   best: Candidate,
   nowMs: number,
 ): boolean {
-  const { account } = attributes;
-  const used = account === undefined ? 0 : accountUsage.shareUsed(account, nowMs);
-  const share = { used, shortfall: accountUsage.shortfall(nowMs) };
+  const used = getShareUsed(state, attributes, nowMs);
+  const share = { used, shortfall: state.accountUsage.shortfall(nowMs) };
   return admit(attributes, best, share, 0).admitted;
 }
 
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -146,7 +146,7 @@
 ): Pick<EdgeMetrics, 'countSilentConnection' | 'countDoubtfulConnections'> {
   const silent = counter(
     'kingcupsill_silent_connections_total',
-    'Kept connections to servers that delivered nothing while their servers answered others.',
+    'Connections to servers that delivered nothing while their servers answered others.',
   );
   const doubtful = counter(
     'kingcupsill_doubtful_connections_total',
--- a/packages/edge/src/relay/server-connections.ts
+++ b/packages/edge/src/relay/server-connections.ts
@@ -79,7 +79,7 @@
   responseBytes: number;
 }
 
-/** Ways to close idle connections to one server. */
+/** Ways to close idle connections. */
 function createClosers(
   agent: Agent,
   idleConnections: ReadonlyMap<Socket, IdleConnection>,
