Routers share when answers begin, and learn an engine's throughput from busy spans

An engine that a router believes busy gets nothing from it, so nothing corrects the belief. Besides, the regression of latency over its own estimate of the queue fed back on itself: what it couldn't explain became "fixed latency" (over 1 s in a test), which hid the queue.

Now reports state the start of the latest answer of each server (ages of the request and of its first event), and each router corrects its backlog by what has been sent since, as for its own. The throughput comes from spans between two starts in which the engine can't have been idle (own and peers' apart, since these are known later); the fixed latency follows what is left, at most 200 ms. Earlier builds ignore the new element of reports.

--- a/packages/core/src/direct/events.ts
+++ b/packages/core/src/direct/events.ts
@@ -29,6 +29,15 @@
   promptParts: [id: string, tokens: number][];
 }
 
+/** Start of an answer at a server, as of the time of the report. */
+export interface ReportedStart {
+  serverKey: string;
+  /** Time since the request was sent. */
+  sentAgeMs: number;
+  /** Time since the first event of the answer. */
+  begunAgeMs: number;
+}
+
 /** Load report that a router sends to its peers. */
 export interface RouterReport {
   /** Name and incarnation of the router. */
@@ -45,6 +54,8 @@
   limits: ReportedServerLimit[];
   /** Requests that have arrived since the last report. */
   demand: RequestCounts;
+  /** Latest starts of answers since the last report, at most one of each server. */
+  starts: ReportedStart[];
 }
 
 interface Timed {
--- a/packages/core/src/direct/pending-report.ts
+++ b/packages/core/src/direct/pending-report.ts
@@ -1,7 +1,9 @@
 /** Changes that wait for the next report on one link; several changes of one server or account cost one entry. */
+import { keepLatestStart } from './answer-starts.js';
 import { createCrashNews, hasCrashNews, mergeCrashNews } from './crashes/crash-news.js';
 import type { CrashNews } from './crashes/crash-news.js';
 import type { ReportedServerLoad, RouterReport } from './events.js';
+import type { ObservedStart } from './servers/backlog.js';
 import type { RequestCounts } from './service-demand.js';
 
 /** Report without the values that are read when it is sent. */
@@ -14,11 +16,13 @@
   /** Keys of the servers whose limit has changed. */
   limitedKeys: string[];
   demand: RequestCounts;
+  /** Latest starts of answers, by server. */
+  starts: [serverKey: string, start: ObservedStart][];
 }
 
 /** Changes of one link. */
 export interface PendingReport {
-  add(report: RouterReport): void;
+  add(report: RouterReport, nowMs: number): void;
   /** Adds a server whose running requests have changed. */
   addServer(serverKey: string): void;
   addCrashNews(news: CrashNews): void;
@@ -48,6 +52,8 @@
   const storeKinds = new Set<string>();
   const limitedKeys = new Set<string>();
   const demand = new Map<string, number>();
+  const starts = new Map<string, ObservedStart>();
+  const lists = [loads, accounts, leaving, storeKinds, limitedKeys, demand, starts];
   let crashNews = createCrashNews();
 
   function addCrashNews(news: CrashNews): void {
@@ -79,7 +85,7 @@
   }
 
   return {
-    add(report) {
+    add(report, nowMs) {
       report.loads.forEach(({ serverKey, sentTokens, sentRequests, promptParts }) => {
         const load = getLoad(serverKey);
         load.sentTokens += sentTokens;
@@ -93,6 +99,7 @@
       report.demand.forEach(([service, requests]) =>
         demand.set(service, (demand.get(service) ?? 0) + requests),
       );
+      report.starts.forEach((start) => keepLatestStart(starts, start, nowMs));
     },
     addServer: (serverKey) => {
       getLoad(serverKey);
@@ -104,9 +111,7 @@
     addStoreKind: (kind) => {
       storeKinds.add(kind);
     },
-    isEmpty: () =>
-      [loads, accounts, leaving, storeKinds, limitedKeys, demand].every(({ size }) => size === 0) &&
-      !hasCrashNews(crashNews),
+    isEmpty: () => lists.every(({ size }) => size === 0) && !hasCrashNews(crashNews),
     take(maxLoads) {
       const changes: PendingChanges = {
         loads: takeLoads(maxLoads),
@@ -116,8 +121,9 @@
         crashNews,
         limitedKeys: [...limitedKeys],
         demand: [...demand],
+        starts: [...starts],
       };
-      [accounts, leaving, storeKinds, limitedKeys, demand].forEach((pending) => pending.clear());
+      lists.forEach((pending) => pending !== loads && pending.clear());
       crashNews = createCrashNews();
       return changes;
     },
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -2,6 +2,7 @@
  * Sums of the load reports that pass a router. A report from one link changes the sums for the links to which it may be passed on;
  * what changed is sent with the next report of each link, so several changes of one server cost one entry.
  */
+import { describeStart } from './answer-starts.js';
 import type { CrashBlocks } from './crashes/blocked-traits.js';
 import { createCrashNews } from './crashes/crash-news.js';
 import type { RouterReport } from './events.js';
@@ -128,7 +129,7 @@
     report.loads.forEach(({ serverKey, running }) => setRunning(link, serverKey, running));
     const laterKinds = recordReportedNews(storeNews, report.storeNews, key, nowMs);
     recipientsOf(key, link.kind).forEach(({ pending }) => {
-      pending.add(report);
+      pending.add(report, nowMs);
       laterKinds.forEach(pending.addStoreKind);
     });
   }
@@ -136,11 +137,13 @@
   function compose(key: string, nowMs: number): RouterReport | undefined {
     const link = links.get(key);
     if (link === undefined || link.pending.isEmpty()) return undefined;
-    const { loads, storeKinds, limitedKeys, ...changes } = link.pending.take(MAX_LOADS_PER_REPORT);
+    const { loads, starts, storeKinds, limitedKeys, ...changes } =
+      link.pending.take(MAX_LOADS_PER_REPORT);
     return {
       ...changes,
       router,
       loads: loads.map((load) => ({ ...load, running: runningFor(link, load.serverKey) })),
+      starts: starts.map(([serverKey, start]) => describeStart(serverKey, start, nowMs)),
       storeNews: storeKinds.flatMap((kind) => describeNews(storeNews, kind, nowMs)),
       limits: serverLimits.describe(limitedKeys, nowMs),
     };
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -1,9 +1,22 @@
 /** Creates the load reports that a router sends to its peers and applies those that it receives. */
+import { describeStart, readStart } from './answer-starts.js';
 import { createCrashNews, hasCrashNews } from './crashes/crash-news.js';
-import type { ReportedServerLoad, RouterReport } from './events.js';
+import type { ReportedServerLoad, ReportedStart, RouterReport } from './events.js';
 import { getServerState } from './state.js';
 import type { DirectState, ServerState } from './state.js';
 
+/** Requests that were sent earlier say nothing about the present wait. */
+const MAX_START_AGE_MS = 10_000;
+
+/** Ignores a start that can't be right, and one of a server that isn't registered. */
+function applyStart(state: DirectState, start: ReportedStart, nowMs: number): void {
+  const { serverKey, sentAgeMs, begunAgeMs } = start;
+  const server = state.registry.get(serverKey);
+  const isPossible = begunAgeMs >= 0 && begunAgeMs <= sentAgeMs && sentAgeMs <= MAX_START_AGE_MS;
+  if (server === undefined || !isPossible) return;
+  getServerState(state, server).load.recordPeerStart(readStart(start, nowMs));
+}
+
 /**
  * Applies a peer's report. Unregistered servers are skipped; later reports repeat their running requests. Returns the keys of the
  * servers that are now known to leave.
@@ -18,6 +31,8 @@
     serverState.load.recordPeerReport(report.router, load.running, load.sentTokens, nowMs);
     serverState.load.prefixCache.record(load.promptParts.map(([id, tokens]) => ({ id, tokens })));
   });
+  // After the loads, whose tokens may have been sent before the request that has been answered.
+  report.starts.forEach((start) => applyStart(state, start, nowMs));
   report.accounts.forEach(([account, requested, served]) => {
     state.accountUsage.recordPeerTokens(account, { requested, served }, nowMs);
   });
@@ -40,6 +55,7 @@
     crashNews: createCrashNews(),
     limits: [],
     demand: [],
+    starts: [],
   };
 }
 
@@ -81,6 +97,17 @@
     return { serverKey, running: 0, sentTokens: 0, sentRequests: 0, promptParts: [] };
   }
 
+  function takeStarts(
+    state: DirectState,
+    serverKeys: Iterable<string>,
+    nowMs: number,
+  ): ReportedStart[] {
+    return [...serverKeys].flatMap((serverKey) => {
+      const start = state.servers.get(serverKey)?.load.takeObservedStart();
+      return start === undefined ? [] : describeStart(serverKey, start, nowMs);
+    });
+  }
+
   function takeAccounts(state: DirectState): RouterReport['accounts'] {
     return [...state.accountUsage.takeOwnTokens()].map(
       ([account, { requested, served }]): [string, number, number] => [
@@ -102,16 +129,19 @@
         state.endedServerKeys.clear();
       }
       const loads = [...changedKeys].map((key) => reportChange(state, key));
+      const starts = takeStarts(state, state.begunServerKeys, nowMs);
+      state.begunServerKeys.clear();
       const accounts = isFull ? takeAccounts(state) : [];
       const demand = isFull ? state.serviceDemand.takeOwn() : [];
       const leaving = state.leavingNews.splice(0);
       const limits = state.serverLimits.describe(state.serverLimits.takeNews(), nowMs);
       const { news: crashNews } = state.crashEvidence;
       state.crashEvidence.news = createCrashNews();
-      const changes = [loads, accounts, demand, leaving, limits];
+      const changes = [loads, starts, accounts, demand, leaving, limits];
       const hasNews = changes.some(({ length }) => length > 0) || hasCrashNews(crashNews);
+      const report = createEmptyReport(router);
       return hasNews
-        ? { ...createEmptyReport(router), loads, accounts, demand, leaving, crashNews, limits }
+        ? { ...report, loads, starts, accounts, demand, leaving, crashNews, limits }
         : undefined;
     },
   };
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -71,6 +71,7 @@
   }
   recordHeard(attempt, serverState, nowMs);
   serverState.load.recordFirstEvent(attempt.prediction, nowMs);
+  state.begunServerKeys.add(attempt.serverKey);
   serverState.health.recordResponse();
   return [];
 }
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -15,7 +15,8 @@
 import { createServerHealth } from './servers/server-health.js';
 import type { ServerHealth } from './servers/server-health.js';
 import { createServerLoad } from './servers/server-load.js';
-import type { RequestPrediction, ServerLoad } from './servers/server-load.js';
+import type { RequestPrediction } from './servers/backlog.js';
+import type { ServerLoad } from './servers/server-load.js';
 import type { RegisteredServer } from './servers/server-index.js';
 import { createWarmUpLimits } from './servers/limits/warm-up-limits.js';
 import type { WarmUpLimits } from './servers/limits/warm-up-limits.js';
@@ -138,6 +139,8 @@
   /** Keys of the servers to which prompts were sent since the last report, and of those at which requests ended. */
   sentServerKeys: Set<string>;
   endedServerKeys: Set<string>;
+  /** Keys of the servers at which answers have begun since the last report. */
+  begunServerKeys: Set<string>;
   requests: Map<string, OpenRequest>;
   attempts: Map<string, OpenAttempt>;
   accountUsage: AccountUsage;
@@ -195,6 +198,7 @@
     servers: new Map(),
     sentServerKeys: new Set(),
     endedServerKeys: new Set(),
+    begunServerKeys: new Set(),
     requests: new Map(),
     attempts: new Map(),
     accountUsage: createAccountUsage(options.shareWindowMs),
--- a/packages/edge/src/peers/exchange-listener.ts
+++ b/packages/edge/src/peers/exchange-listener.ts
@@ -36,7 +36,16 @@
     ...aged,
     ageMs: aged.ageMs + delayMs,
   });
-  return { ...report, storeNews: report.storeNews.map(age), limits: report.limits.map(age) };
+  return {
+    ...report,
+    storeNews: report.storeNews.map(age),
+    limits: report.limits.map(age),
+    starts: report.starts.map((start) => ({
+      ...start,
+      sentAgeMs: start.sentAgeMs + delayMs,
+      begunAgeMs: start.begunAgeMs + delayMs,
+    })),
+  };
 }
 
 /** @param isRecipient whether reports are also sent on links of this kind */
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -4,6 +4,7 @@
   CrashNews,
   ReportedServerLimit,
   ReportedServerLoad,
+  ReportedStart,
   RouterReport,
 } from '@kingcupsill/core/direct';
 import { Packr } from 'msgpackr';
@@ -11,7 +12,7 @@
 
 /** Maximum number of entries of a list; reports of this build have at most 128 servers. */
 const MAX_ENTRIES = 8192;
-/** Maximum number of elements; reports of this build have nine. */
+/** Maximum number of elements; reports of this build have ten. */
 const MAX_LISTS = 64;
 
 /** List that is read up to its first invalid entry, since a million of them would have a million errors. */
@@ -42,6 +43,9 @@
 /** Kind, era, revision and age in milliseconds. */
 const storeNewsSchema = z.tuple([z.string(), z.number().nullable(), z.number(), z.number()]);
 
+/** Server, and ages in milliseconds of the request and of the start of its answer. */
+const startSchema = z.tuple([z.string(), z.number(), z.number()]);
+
 /** Reports of earlier builds lack the last elements, those of later ones may have more. */
 const reportSchema = z
   .tuple([
@@ -53,7 +57,8 @@
     crashNewsSchema.nullable().optional(),
     listOf(limitSchema).optional(),
     listOf(count).optional(),
-    z.number().optional(),
+    z.number().nullable().optional(),
+    listOf(startSchema).optional(),
   ])
   .rest(z.unknown());
 
@@ -63,6 +68,7 @@
 type WireLoad = z.infer<typeof loadSchema>;
 type WireLimit = z.infer<typeof limitSchema>;
 type WireCrashNews = z.infer<typeof crashNewsSchema>;
+type WireStart = z.infer<typeof startSchema>;
 type WireStoreNews = z.infer<typeof storeNewsSchema>;
 
 /** Decoded report, or the reason why the bytes aren't one. `sentAtMs` is by the sender's clock; reports of earlier builds lack it. */
@@ -92,6 +98,15 @@
   return { serverKey, requestsPerSecond: requestsPerSecond ?? undefined, ageMs };
 }
 
+function startToWire({ serverKey, ...start }: ReportedStart): WireStart {
+  const { sentAgeMs, begunAgeMs } = start;
+  return [serverKey, Math.round(sentAgeMs), Math.round(begunAgeMs)];
+}
+
+function startFromWire([serverKey, sentAgeMs, begunAgeMs]: WireStart): ReportedStart {
+  return { serverKey, sentAgeMs, begunAgeMs };
+}
+
 function crashNewsToWire(news: CrashNews): WireCrashNews | null {
   if (!hasCrashNews(news)) return null;
   const blocked = news.blocked.map(({ traits, remainingMs }): [string[], number] => [
@@ -120,6 +135,8 @@
   crashes = null,
   limits = [],
   demand = [],
+  _sentAtMs,
+  starts = [],
 ]: WireReport): RouterReport {
   return {
     router,
@@ -135,6 +152,7 @@
     crashNews: crashNewsFromWire(crashes),
     limits: limits.map(limitFromWire),
     demand,
+    starts: starts.map(startFromWire),
   };
 }
 
@@ -159,8 +177,9 @@
         crashNewsToWire(crashNews),
         limits.map(limitToWire),
         demand,
+        sentAtMs ?? null,
+        report.starts.map(startToWire),
       ];
-      if (sentAtMs !== undefined) wire.push(sentAtMs);
       return packr.pack(wire);
     },
     decode(bytes) {
@@ -171,7 +190,9 @@
         const parsed = reportSchema.parse(wire);
         const value = readReport(parsed);
         const sentAtMs = parsed[SENT_AT_INDEX];
-        return sentAtMs === undefined ? { ok: true, value } : { ok: true, value, sentAtMs };
+        return sentAtMs === undefined || sentAtMs === null
+          ? { ok: true, value }
+          : { ok: true, value, sentAtMs };
       } catch (err) {
         return { ok: false, message: (err as Error).message };
       }
