--- a/packages/core/src/direct/answer-starts.ts
+++ b/packages/core/src/direct/answer-starts.ts
@@ -1,4 +1,4 @@
-/** Conversion between the start of an answer, in times of the own clock, and its report, in ages. */
+/** Starts of answers on their way between routers: each has them in times of its own clock, their reports in ages. */
 import type { ReportedStart } from './events.js';
 import type { ObservedStart } from './servers/backlog.js';
 
@@ -11,19 +11,40 @@
   return { serverKey, sentAgeMs: nowMs - sentAtMs, begunAgeMs: nowMs - begunAtMs };
 }
 
-/** Keeps a start, unless an answer at the same server is known to have begun later. */
-export function keepLatestStart(
-  starts: Map<string, ObservedStart>,
-  reported: ReportedStart,
-  nowMs: number,
-): void {
-  const start = readStart(reported, nowMs);
-  const known = starts.get(reported.serverKey);
-  if (known === undefined || start.begunAtMs >= known.begunAtMs)
-    starts.set(reported.serverKey, start);
-}
-
 /** Returns a start that is reported now. */
 export function readStart({ sentAgeMs, begunAgeMs }: ReportedStart, nowMs: number): ObservedStart {
   return { sentAtMs: nowMs - sentAgeMs, begunAtMs: nowMs - begunAgeMs };
 }
+
+/** Starts of answers that wait to be passed on, one of each server. */
+export interface LatestStarts {
+  /** Adds a start, unless an answer at the same server is known to have begun later. */
+  add(reported: ReportedStart, nowMs: number): void;
+  /** Removes and returns all starts; none if some were taken shortly before. */
+  take(nowMs: number): ReportedStart[];
+}
+
+/** Each start corrects a wait only by a part of its error, and more of them cost more bytes than they correct. */
+const PERIOD_MS = 150;
+
+/** Creates an empty collection. */
+export function createLatestStarts(): LatestStarts {
+  const starts = new Map<string, ObservedStart>();
+  let takenAtMs = Number.NEGATIVE_INFINITY;
+
+  return {
+    add(reported, nowMs) {
+      const start = readStart(reported, nowMs);
+      const known = starts.get(reported.serverKey);
+      if (known === undefined || start.begunAtMs >= known.begunAtMs)
+        starts.set(reported.serverKey, start);
+    },
+    take(nowMs) {
+      if (starts.size === 0 || nowMs - takenAtMs < PERIOD_MS) return [];
+      takenAtMs = nowMs;
+      const taken = [...starts].map(([key, start]) => describeStart(key, start, nowMs));
+      starts.clear();
+      return taken;
+    },
+  };
+}
--- a/packages/core/src/direct/describe-state.ts
+++ b/packages/core/src/direct/describe-state.ts
@@ -59,6 +59,7 @@
       draining: entry?.draining,
       running: load.running(),
       waitMs: Math.round(load.waitMs(nowMs)),
+      fixedLatencyMs: Math.round(load.fixedLatencyMs()),
       tokensPerMs: roundToHundredths(1 / load.msPerToken()),
       keptTokens: load.prefixCache.cachedTokens(),
       failureShare: roundToHundredths(health.failureRate(nowMs)),
--- a/packages/core/src/direct/pending-report.ts
+++ b/packages/core/src/direct/pending-report.ts
@@ -1,9 +1,8 @@
 /** Changes that wait for the next report on one link; several changes of one server or account cost one entry. */
-import { keepLatestStart } from './answer-starts.js';
+import { createLatestStarts } from './answer-starts.js';
 import { createCrashNews, hasCrashNews, mergeCrashNews } from './crashes/crash-news.js';
 import type { CrashNews } from './crashes/crash-news.js';
-import type { ReportedServerLoad, RouterReport } from './events.js';
-import type { ObservedStart } from './servers/backlog.js';
+import type { ReportedServerLoad, ReportedStart, RouterReport } from './events.js';
 import type { RequestCounts } from './service-demand.js';
 
 /** Report without the values that are read when it is sent. */
@@ -17,7 +16,7 @@
   limitedKeys: string[];
   demand: RequestCounts;
   /** Latest starts of answers, by server. */
-  starts: [serverKey: string, start: ObservedStart][];
+  starts: ReportedStart[];
 }
 
 /** Changes of one link. */
@@ -30,9 +29,10 @@
   addLimit(serverKey: string): void;
   /** Adds a kind of stored objects of which there is news. */
   addStoreKind(kind: string): void;
+  /** Returns whether there is nothing to send. Starts of answers alone are sent with later changes. */
   isEmpty(): boolean;
-  /** Removes and returns the changes, those of at most `maxLoads` servers. */
-  take(maxLoads: number): PendingChanges;
+  /** Removes and returns the changes, the loads of at most `maxLoads` servers. */
+  take(maxLoads: number, nowMs: number): PendingChanges;
 }
 
 interface PendingLoad {
@@ -52,8 +52,8 @@
   const storeKinds = new Set<string>();
   const limitedKeys = new Set<string>();
   const demand = new Map<string, number>();
-  const starts = new Map<string, ObservedStart>();
-  const lists = [loads, accounts, leaving, storeKinds, limitedKeys, demand, starts];
+  const starts = createLatestStarts();
+  const lists = [loads, accounts, leaving, storeKinds, limitedKeys, demand];
   let crashNews = createCrashNews();
 
   function addCrashNews(news: CrashNews): void {
@@ -99,7 +99,7 @@
       report.demand.forEach(([service, requests]) =>
         demand.set(service, (demand.get(service) ?? 0) + requests),
       );
-      report.starts.forEach((start) => keepLatestStart(starts, start, nowMs));
+      report.starts.forEach((start) => starts.add(start, nowMs));
     },
     addServer: (serverKey) => {
       getLoad(serverKey);
@@ -112,7 +112,7 @@
       storeKinds.add(kind);
     },
     isEmpty: () => lists.every(({ size }) => size === 0) && !hasCrashNews(crashNews),
-    take(maxLoads) {
+    take(maxLoads, nowMs) {
       const changes: PendingChanges = {
         loads: takeLoads(maxLoads),
         accounts: listAccounts(),
@@ -121,7 +121,7 @@
         crashNews,
         limitedKeys: [...limitedKeys],
         demand: [...demand],
-        starts: [...starts],
+        starts: starts.take(nowMs),
       };
       lists.forEach((pending) => pending !== loads && pending.clear());
       crashNews = createCrashNews();
--- a/packages/core/src/direct/report-exchange.ts
+++ b/packages/core/src/direct/report-exchange.ts
@@ -2,7 +2,6 @@
  * Sums of the load reports that pass a router. A report from one link changes the sums for the links to which it may be passed on;
  * what changed is sent with the next report of each link, so several changes of one server cost one entry.
  */
-import { describeStart } from './answer-starts.js';
 import type { CrashBlocks } from './crashes/blocked-traits.js';
 import { createCrashNews } from './crashes/crash-news.js';
 import type { RouterReport } from './events.js';
@@ -137,13 +136,12 @@
   function compose(key: string, nowMs: number): RouterReport | undefined {
     const link = links.get(key);
     if (link === undefined || link.pending.isEmpty()) return undefined;
-    const { loads, starts, storeKinds, limitedKeys, ...changes } =
-      link.pending.take(MAX_LOADS_PER_REPORT);
+    const taken = link.pending.take(MAX_LOADS_PER_REPORT, nowMs);
+    const { loads, storeKinds, limitedKeys, ...changes } = taken;
     return {
       ...changes,
       router,
       loads: loads.map((load) => ({ ...load, running: runningFor(link, load.serverKey) })),
-      starts: starts.map(([serverKey, start]) => describeStart(serverKey, start, nowMs)),
       storeNews: storeKinds.flatMap((kind) => describeNews(storeNews, kind, nowMs)),
       limits: serverLimits.describe(limitedKeys, nowMs),
     };
--- a/packages/core/src/direct/reports.ts
+++ b/packages/core/src/direct/reports.ts
@@ -14,6 +14,7 @@
   const server = state.registry.get(serverKey);
   const isPossible = begunAgeMs >= 0 && begunAgeMs <= sentAgeMs && sentAgeMs <= MAX_START_AGE_MS;
   if (server === undefined || !isPossible) return;
+  state.totals.peerStarts += 1;
   getServerState(state, server).load.recordPeerStart(readStart(start, nowMs));
 }
 
@@ -66,7 +67,7 @@
 }
 
 /**
- * Period of full reports, which also cover ended requests and accounts' tokens. Sent prompts are reported immediately, because
+ * Period of full reports, which also cover ended requests, starts of answers and accounts' tokens. Sent prompts are reported immediately, because
  * otherwise all routers would send their next prompts to the same engine.
  */
 const FULL_REPORT_PERIOD_MS = 150;
@@ -97,12 +98,10 @@
     return { serverKey, running: 0, sentTokens: 0, sentRequests: 0, promptParts: [] };
   }
 
-  function takeStarts(
-    state: DirectState,
-    serverKeys: Iterable<string>,
-    nowMs: number,
-  ): ReportedStart[] {
-    return [...serverKeys].flatMap((serverKey) => {
+  function takeStarts(state: DirectState, nowMs: number): ReportedStart[] {
+    const serverKeys = [...state.begunServerKeys];
+    state.begunServerKeys.clear();
+    return serverKeys.flatMap((serverKey) => {
       const start = state.servers.get(serverKey)?.load.takeObservedStart();
       return start === undefined ? [] : describeStart(serverKey, start, nowMs);
     });
@@ -129,8 +128,7 @@
         state.endedServerKeys.clear();
       }
       const loads = [...changedKeys].map((key) => reportChange(state, key));
-      const starts = takeStarts(state, state.begunServerKeys, nowMs);
-      state.begunServerKeys.clear();
+      const starts = isFull ? takeStarts(state, nowMs) : [];
       const accounts = isFull ? takeAccounts(state) : [];
       const demand = isFull ? state.serviceDemand.takeOwn() : [];
       const leaving = state.leavingNews.splice(0);
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -116,6 +116,8 @@
   predictedMs: number;
   seenMs: number;
   errorMs: number;
+  /** Starts of answers that peers have reported. */
+  peerStarts: number;
   /** Requests that resumed a stream and were sent on, and those refused because its version isn't certain. */
   resumed: number;
   resumptionsRefused: number;
@@ -185,6 +187,7 @@
       predictedMs: 0,
       seenMs: 0,
       errorMs: 0,
+      peerStarts: 0,
       resumed: 0,
       resumptionsRefused: 0,
     },
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -95,7 +95,7 @@
     const load = { serverKey: 's', running: 1, sentTokens: 10, sentRequests: 1, promptParts };
     pending.add({ ...createEmptyReport('r'), loads: [load] }, 0);
   });
-  const [load] = pending.take(1).loads;
+  const [load] = pending.take(1, 0).loads;
   assert.deepEqual(
     load!.promptParts.map(([id]) => id),
     ids.slice(-MAX_PENDING_PARTS),
--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -62,6 +62,8 @@
   predictedMs: 'Sum of predicted times to the first event, in milliseconds.',
   seenMs: 'Sum of observed times to the first event, in milliseconds.',
   errorMs: 'Sum of absolute prediction errors, in milliseconds.',
+  peerStarts:
+    'Starts of answers that peers have reported, by which the estimated waits are corrected.',
   resumed: 'Requests that resumed a stream at the version that began it.',
   resumptionsRefused: 'Requests to resume a stream refused because its version is not certain.',
 };
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -43,8 +43,8 @@
 /** Kind, era, revision and age in milliseconds. */
 const storeNewsSchema = z.tuple([z.string(), z.number().nullable(), z.number(), z.number()]);
 
-/** Server, and ages in milliseconds of the request and of the start of its answer. */
-const startSchema = z.tuple([z.string(), z.number(), z.number()]);
+/** Server, or its index in the loads, and ages in milliseconds of the request and of the start of its answer. */
+const startSchema = z.tuple([z.union([z.string(), z.number()]), z.number(), z.number()]);
 
 /** Reports of earlier builds lack the last elements, those of later ones may have more. */
 const reportSchema = z
@@ -98,13 +98,21 @@
   return { serverKey, requestsPerSecond: requestsPerSecond ?? undefined, ageMs };
 }
 
-function startToWire({ serverKey, ...start }: ReportedStart): WireStart {
-  const { sentAgeMs, begunAgeMs } = start;
-  return [serverKey, Math.round(sentAgeMs), Math.round(begunAgeMs)];
+function startsToWire({ loads, starts }: RouterReport): WireStart[] {
+  const indexes = new Map(loads.map(({ serverKey }, index) => [serverKey, index]));
+  return starts.map(({ serverKey, sentAgeMs, begunAgeMs }) => [
+    indexes.get(serverKey) ?? serverKey,
+    Math.round(sentAgeMs),
+    Math.round(begunAgeMs),
+  ]);
 }
 
-function startFromWire([serverKey, sentAgeMs, begunAgeMs]: WireStart): ReportedStart {
-  return { serverKey, sentAgeMs, begunAgeMs };
+/** Leaves out those of servers that the report doesn't have. */
+function startsFromWire(starts: WireStart[], loads: WireLoad[]): ReportedStart[] {
+  return starts.flatMap(([server, sentAgeMs, begunAgeMs]) => {
+    const serverKey = typeof server === 'string' ? server : loads[server]?.[0];
+    return serverKey === undefined ? [] : { serverKey, sentAgeMs, begunAgeMs };
+  });
 }
 
 function crashNewsToWire(news: CrashNews): WireCrashNews | null {
@@ -152,7 +160,7 @@
     crashNews: crashNewsFromWire(crashes),
     limits: limits.map(limitFromWire),
     demand,
-    starts: starts.map(startFromWire),
+    starts: startsFromWire(starts, loads),
   };
 }
 
@@ -178,7 +186,7 @@
         limits.map(limitToWire),
         demand,
         sentAtMs ?? null,
-        report.starts.map(startToWire),
+        startsToWire(report),
       ];
       return packr.pack(wire);
     },
--- a/packages/edge/test/peers/reports.test.ts
+++ b/packages/edge/test/peers/reports.test.ts
@@ -66,7 +66,11 @@
     { serverKey: 'e1@1', requestsPerSecond: 5.2, ageMs: 40 },
     { serverKey: 'e2@1', requestsPerSecond: undefined, ageMs: 9 },
   ];
-  const starts = [{ serverKey: 'e1@1', sentAgeMs: 300, begunAgeMs: 20 }];
+  const starts = ['e1@1', 'e3@1'].map((serverKey) => ({
+    serverKey,
+    sentAgeMs: 300,
+    begunAgeMs: 20,
+  }));
   const value = { ...report, limits, starts };
   assert.deepEqual(codec.decode(codec.encode(value)), { ok: true, value });
   assert.equal(codec.decode(Buffer.from([0xc1])).ok, false);
