--- a/packages/core/src/direct/servers/sent-tokens.ts
+++ b/packages/core/src/direct/servers/sent-tokens.ts
@@ -35,7 +35,8 @@
     },
     total: () => total,
     since(atMs) {
-      const first = entries.find((entry) => entry.atMs >= atMs);
+      // From the end, since most starts are of requests that were sent just before.
+      const first = entries[entries.findLastIndex((entry) => entry.atMs < atMs) + 1];
       return first === undefined ? 0 : total - first.totalBefore;
     },
   };
