--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -13,6 +13,7 @@
 import { createPendingReport, MAX_PENDING_PARTS } from '../../src/direct/pending-report.js';
 import { MAX_CACHED_PARTS } from '../../src/direct/servers/prefix-cache-estimate.js';
 import { createEmptyReport } from '../../src/direct/reports.js';
+import { createSentTokens } from '../../src/direct/servers/sent-tokens.js';
 import { createThroughput } from '../../src/direct/servers/throughput.js';
 import { sampleConfig, sampleRoute } from './sample.js';
 
@@ -63,6 +64,27 @@
   fc.assert(property, { seed: 20261207 });
 });
 
+test('the tokens sent since a time leave out only those of its first 20 ms, if any', () => {
+  const sends = fc.array(fc.tuple(fc.nat(60), fc.nat(5000)), { maxLength: 200 });
+  const property = fc.property(sends, fc.nat(4000), (additions, atMs) => {
+    const sent = createSentTokens();
+    let nowMs = 0;
+    const recorded = additions.map(([gapMs, tokens]) => {
+      nowMs += gapMs;
+      sent.add(nowMs, tokens);
+      return { nowMs, tokens };
+    });
+    const exactSum = (fromMs: number) =>
+      recorded
+        .filter((entry) => entry.nowMs >= fromMs)
+        .reduce((total, { tokens }) => total + tokens, 0);
+    assert.ok(sent.since(atMs) <= exactSum(atMs));
+    assert.ok(sent.since(atMs) >= exactSum(atMs + 20));
+    assert.equal(sent.total(), exactSum(0));
+  });
+  fc.assert(property, { seed: 20261207 });
+});
+
 test('a prompt part counts as cached only after cached parts, and the least recently used parts are evicted', () => {
   const cache = createPrefixCacheEstimate(100);
   const part = (id: string, tokens: number) => ({ id, tokens });
