--- a/packages/core/src/direct/servers/backlog.ts
+++ b/packages/core/src/direct/servers/backlog.ts
@@ -65,8 +65,8 @@
   /** Apart, since a peer's starts are known later than the own. */
   const ownSpans = createBusySpans();
   const peerSpans = createBusySpans();
-  let endMs = 0;
   const throughput = createThroughput(initialMsPerToken);
+  let endMs = 0;
   let fixedLatencyMs = INITIAL_FIXED_LATENCY_MS;
 
   function waitMs(nowMs: number): number {
--- a/packages/core/src/direct/servers/busy-spans.ts
+++ b/packages/core/src/direct/servers/busy-spans.ts
@@ -24,6 +24,11 @@
 const MIN_SPAN_MS = 200;
 const FULL_SPAN_MS = 500;
 
+/** Returns whether the report of a start has come after that of a later one. */
+function isOvertaken(start: PlacedStart, last: PlacedStart): boolean {
+  return start.begunAtMs <= last.begunAtMs || start.position <= last.position;
+}
+
 /** Creates the spans of an engine that has answered nothing. */
 export function createBusySpans(): BusySpans {
   let first: PlacedStart | undefined;
@@ -36,23 +41,16 @@
 
   return {
     record(start) {
-      if (last !== undefined) {
-        // Reports overtake each other.
-        if (start.begunAtMs <= last.begunAtMs || start.position <= last.position) return undefined;
-        // An engine processes prompts in order, so it is busy between two starts if the later request came before the first of them.
-        if (start.sentAtMs > last.begunAtMs) {
-          const span = measure();
-          first = start;
-          last = start;
-          return span.ms >= MIN_SPAN_MS ? span : undefined;
-        }
-      }
-      first ??= start;
-      last = start;
+      const previous = last;
+      if (previous !== undefined && isOvertaken(start, previous)) return undefined;
+      // An engine processes prompts in order, so it is busy between two starts if the later request came before the first of them.
+      const wasBusy = previous !== undefined && start.sentAtMs <= previous.begunAtMs;
+      if (wasBusy) last = start;
       const span = measure();
-      if (span.ms < FULL_SPAN_MS) return undefined;
+      if (wasBusy && span.ms < FULL_SPAN_MS) return undefined;
       first = start;
-      return span;
+      last = start;
+      return span.ms < MIN_SPAN_MS ? undefined : span;
     },
   };
 }
