--- a/packages/core/src/direct/answer-starts.ts
+++ b/packages/core/src/direct/answer-starts.ts
@@ -24,7 +24,7 @@
   take(nowMs: number): ReportedStart[];
 }
 
-/** Each start corrects a wait only by a part of its error, and more of them cost more bytes than they correct. */
+/** Shortest time between the starts on one link, which bounds their bytes. */
 const PERIOD_MS = 150;
 
 /** Creates an empty collection. */
--- a/packages/edge/src/peers/report-codec.ts
+++ b/packages/edge/src/peers/report-codec.ts
@@ -197,10 +197,8 @@
           return { ok: false, message: `${wire.length} lists` };
         const parsed = reportSchema.parse(wire);
         const value = readReport(parsed);
-        const sentAtMs = parsed[SENT_AT_INDEX];
-        return sentAtMs === undefined || sentAtMs === null
-          ? { ok: true, value }
-          : { ok: true, value, sentAtMs };
+        const sentAtMs = parsed[SENT_AT_INDEX] ?? undefined;
+        return sentAtMs === undefined ? { ok: true, value } : { ok: true, value, sentAtMs };
       } catch (err) {
         return { ok: false, message: (err as Error).message };
       }
