review: final forms of cases 11 to 13 and their stand-ins

Cause: the linter's rules for scripts, and processes that outlived a script that was ended by a signal.

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions, no-restricted-syntax, no-await-in-loop -- a plain script that runs without a build */
 /** Fault: a router keeps the head of the last request of each open connection, and ends when its heap is used up by them. */
 import { countOutcomes, hasTrouble, runCase, waitForRouters } from '../lib-3/case.mjs';
 import { createConfig, HOST_NAME, KEY } from '../lib-3/config.mjs';
@@ -31,6 +32,10 @@
 const WATCH_MS = 82_000;
 const RESTART_DELAY_MS = 1000;
 
+function deadlineOf({ tokens }) {
+  return tokens === undefined ? 1200 : 12_000;
+}
+
 /** Returns the bytes of a request whose head is as large as `HEAD_BYTES`: its caller passes on many short values. */
 function createRequest({ path, method = 'POST', bodyBytes, tokens, events }, number, attemptId) {
   const prompt = [
@@ -52,10 +57,6 @@
   return `${head}\r\n${'x'.repeat(bodyBytes)}`;
 }
 
-function deadlineOf({ tokens }) {
-  return tokens === undefined ? 1200 : 12_000;
-}
-
 function pickKind(number) {
   let rest = ((number * 0.618) % 1) - KINDS[0].share;
   let index = 0;
@@ -138,7 +139,7 @@
   async function sendAll() {
     const startedAtMs = Date.now();
     for (let number = 0; isOpen; number += 1) {
-      void sendOne(number);
+      sendOne(number);
       await delay(Math.max(0, startedAtMs + (number + 1) * REQUEST_PERIOD_MS - Date.now()));
     }
   }
--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable n/no-process-exit -- a plain script that runs without a build */
 /** Frame of a case: its record, its time limit, the end of what it started, and its exit code. */
 import { writeFile } from 'node:fs/promises';
 import { dirname, join } from 'node:path';
--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions, import-x/prefer-default-export -- a plain script that runs without a build */
 /** Clients of routers: one request on a connection of its own, and its answer as the client sees it. */
 import { request } from 'node:http';
 import { split } from './net.mjs';
--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions, import-x/prefer-default-export -- a plain script that runs without a build */
 /** Stand-in of an engine: an application server or a model engine that sends events. It keeps to the page on engines. */
 import { createServer } from 'node:http';
 import { delay, listen } from './net.mjs';
@@ -15,13 +16,6 @@
   let isGone = false;
   let sequence = 0;
   const born = Date.now();
-  const run =
-    options.run ??
-    (async (req, res) => {
-      await delay(workMs);
-      answer(req, res, 'done');
-    });
-
   function signature(req) {
     return { 'Attempt-Id': req.headers['attempt-id'] ?? 'none', 'Response-Signature': `sig-${id}` };
   }
@@ -34,6 +28,13 @@
     res.end(text);
   }
 
+  const run =
+    options.run ??
+    (async (req, res) => {
+      await delay(workMs);
+      answer(req, res, 'done');
+    });
+
   const server = createServer(
     { keepAliveTimeout: 30_000, maxHeaderSize: 64 * 1024 },
     (req, res) => {
@@ -57,7 +58,7 @@
           return;
         }
         onRun({ id, atMs: Date.now(), attemptId: req.headers['attempt-id'], state });
-        void run(req, res, { answer, signature, body: Buffer.concat(chunks) });
+        run(req, res, { answer, signature, body: Buffer.concat(chunks) });
       });
     },
   );
--- a/review/lib-3/kept.mjs
+++ b/review/lib-3/kept.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions, import-x/prefer-default-export -- a plain script that runs without a build */
 /** Clients that keep their connections: the requests are written as prepared bytes, since their heads may be large. */
 import { connect } from 'node:net';
 import { split } from './net.mjs';
--- a/review/lib-3/router.mjs
+++ b/review/lib-3/router.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions, import-x/prefer-default-export, no-await-in-loop, n/no-process-exit -- a plain script that runs without a build */
 /** Routers as separate processes, with the command of the deploy file and settings rendered from its template. */
 import { spawn } from 'node:child_process';
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
@@ -37,6 +38,15 @@
   return { run: field('run').split(' '), template: join(ROOT, field('template')) };
 }
 
+/** Processes that run; none outlives the script, however it ends. */
+const running = new Set();
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => {
+  process.once(signal, () => {
+    process.exit(2);
+  });
+});
+
 function lookUp(fields, path) {
   return path.split('.').reduce((value, key) => value?.[key], fields);
 }
@@ -81,10 +91,12 @@
       env: { PATH: process.env.PATH, HOME: dir, KINGCUPSILL_NODE_FILE: settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    running.add(started);
     started.stdout.on('data', keep);
     started.stderr.on('data', keep);
     started.ended = new Promise((resolve) => {
       started.once('exit', (code, signal) => {
+        running.delete(started);
         exits.push({ atMs: Date.now(), code, signal });
         resolve();
       });
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions, no-restricted-syntax, no-use-before-define -- a plain script that runs without a build */
 /** Stand-in of the platform's store: objects by kind with one revision counter, paged listings, watches and conditional writes. */
 import { createServer } from 'node:http';
 import { listen } from './net.mjs';
@@ -124,9 +125,9 @@
     const [, , kind, encoded] = url.pathname.split('/');
     const name = encoded === undefined ? undefined : decodeURIComponent(encoded);
     const query = url.searchParams;
-    if (req.method !== 'GET') void write(req, res, kind, name, query);
+    if (req.method !== 'GET') write(req, res, kind, name, query);
     else if (query.has('watch'))
-      void watch(req, res, kind, Number(query.get('watch')), Number(query.get('waitMs') ?? 0));
+      watch(req, res, kind, Number(query.get('watch')), Number(query.get('waitMs') ?? 0));
     else if (name === undefined) list(res, kind, query.get('afterRevision') ?? '');
     else {
       const object = objectsOf(kind).get(name);
