Release objects of other writers with the page of the listing that has them

Cause: listObjects kept the parsed objects of all pages until the last one had come; 12.5 MB of such text take more than the heap of 128 MB. Now each object is read as soon as its page has come, and only what the router needs of it is kept.

--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -6,6 +6,7 @@
   StoreKind,
 } from '@kingcupsill/prepared-platform';
 import type { StoreObject } from '@kingcupsill/prepared-platform';
+import type { BackendServerEntry, EvacuationEntry, FleetConfig } from '@kingcupsill/core/direct';
 import type { Closable } from '../closable.js';
 import type { PeerLinks } from '../peers/peer-links.js';
 import { changeBoundMs } from '../settings.js';
@@ -15,17 +16,17 @@
 import { planChangeTiming } from './change-timing.js';
 import { createKnownRouters } from './known-routers.js';
 import { createObjectFeed } from './object-feed.js';
-import type { FeedTiming, ObjectFeedOptions } from './object-feed.js';
-import { ownRouterEntry } from './router-registration.js';
+import type { FeedTiming, ObjectFeed, ObjectFeedOptions } from './object-feed.js';
+import { ownRouterEntry, readRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 
 type FeedParts = Pick<
   EdgeParts,
   'loop' | 'state' | 'store' | 'storeEra' | 'followedNews' | 'metrics' | 'registration'
 >;
-type FeedHandlers = Pick<
-  ObjectFeedOptions,
-  'kind' | 'timing' | 'allowsStale' | 'onListed' | 'onChanged'
+type FeedHandlers<TValue> = Pick<
+  ObjectFeedOptions<TValue>,
+  'kind' | 'timing' | 'allowsStale' | 'read' | 'onListed' | 'onChanged'
 >;
 
 /** No time limit applies to changes of the set of routers, and links detect lost routers on their own. */
@@ -39,41 +40,47 @@
 };
 
 /** Timing of what must be in force in time, and be current. */
-function urgent(ctx: EdgeContext): Pick<ObjectFeedOptions, 'timing' | 'allowsStale'> {
+function urgent(ctx: EdgeContext): Pick<ObjectFeedOptions<unknown>, 'timing' | 'allowsStale'> {
   return { timing: planChangeTiming(changeBoundMs(ctx.settings())), allowsStale: false };
 }
 
 function configurationHandlers(
   ctx: EdgeContext,
   { loop, followedNews, metrics }: FeedParts,
-): FeedHandlers {
-  function applyConfiguration({ name, revision, spec }: StoreObject): void {
-    if (name !== CONFIGURATION_NAME) return;
+): FeedHandlers<FleetConfig> {
+  function readConfiguration({ name, revision, spec }: StoreObject): FleetConfig | undefined {
+    if (name !== CONFIGURATION_NAME) return undefined;
     const decoded = decodeConfiguration(spec);
     const basis = followedNews.describe(StoreKind.Configuration);
     if (decoded.ok) {
       const { version } = decoded.value;
       ctx.logger.info('configuration-received', { version, revision, ...basis });
-      loop.dispatch({ kind: 'configured', config: decoded.value, nowMs: ctx.clock() });
-    } else {
-      metrics.countUnreadableConfiguration();
-      const { message } = decoded;
-      ctx.logger.warn('configuration-unreadable', { revision, message, ...basis });
+      return decoded.value;
     }
+    metrics.countUnreadableConfiguration();
+    const { message } = decoded;
+    ctx.logger.warn('configuration-unreadable', { revision, message, ...basis });
+    return undefined;
+  }
+
+  function applyConfiguration(config: FleetConfig): void {
+    loop.dispatch({ kind: 'configured', config, nowMs: ctx.clock() });
   }
 
   return {
     kind: StoreKind.Configuration,
     ...urgent(ctx),
-    onListed: (objects) => objects.forEach(applyConfiguration),
+    read: readConfiguration,
+    onListed: (configs) => configs.forEach(applyConfiguration),
     onChanged({ object, removed }) {
-      if (!removed) applyConfiguration(object);
+      const config = removed ? undefined : readConfiguration(object);
+      if (config !== undefined) applyConfiguration(config);
     },
   };
 }
 
-function serverHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers {
-  function decodeEntry(object: StoreObject) {
+function serverHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers<BackendServerEntry> {
+  function readEntry(object: StoreObject): BackendServerEntry | undefined {
     const decoded = decodeServer(object.name, object.spec);
     if (decoded.ok) return decoded.value;
     const { name, revision } = object;
@@ -84,12 +91,10 @@
   return {
     kind: StoreKind.Servers,
     ...urgent(ctx),
-    onListed(objects) {
-      const entries = objects.flatMap((object) => decodeEntry(object) ?? []);
-      loop.dispatch({ kind: 'servers-listed', entries, nowMs: ctx.clock() });
-    },
+    read: readEntry,
+    onListed: (entries) => loop.dispatch({ kind: 'servers-listed', entries, nowMs: ctx.clock() }),
     onChanged({ object, removed }) {
-      const entry = removed ? undefined : decodeEntry(object);
+      const entry = removed ? undefined : readEntry(object);
       const nowMs = ctx.clock();
       if (entry !== undefined) loop.dispatch({ kind: 'server-changed', entry, nowMs });
       else loop.dispatch({ kind: 'server-removed', id: object.name, nowMs });
@@ -97,18 +102,15 @@
   };
 }
 
-function evacuationHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers {
+function evacuationHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers<EvacuationEntry> {
   // The entry's name is all that counts, so one with unreadable content holds as well.
-  const toEntry = ({ name, revision }: StoreObject) => ({ zone: name, revision });
+  const toEntry = ({ name, revision }: StoreObject): EvacuationEntry => ({ zone: name, revision });
   return {
     kind: StoreKind.Evacuations,
     ...urgent(ctx),
-    onListed: (objects) =>
-      loop.dispatch({
-        kind: 'evacuations-listed',
-        evacuations: objects.map(toEntry),
-        nowMs: ctx.clock(),
-      }),
+    read: toEntry,
+    onListed: (evacuations) =>
+      loop.dispatch({ kind: 'evacuations-listed', evacuations, nowMs: ctx.clock() }),
     onChanged: ({ object, removed }) =>
       loop.dispatch(
         removed
@@ -122,13 +124,16 @@
   ctx: EdgeContext,
   { loop, registration }: FeedParts,
   peers: PeerLinks,
-): FeedHandlers {
+): FeedHandlers<StoreObject> {
   const { id } = ctx.settings().process;
   const routers = createKnownRouters(() => ({ name: id, ...ownRouterEntry(ctx) }));
 
-  function add(object: StoreObject): void {
-    if (!routers.add(object))
-      ctx.logger.warn('router-unreadable', { router: object.name, revision: object.revision });
+  /** Returns the object with nothing but what a registration has. */
+  function readRegistration(object: StoreObject): StoreObject | undefined {
+    const entry = readRouterEntry(object);
+    if (entry !== undefined) return { ...object, spec: entry };
+    ctx.logger.warn('router-unreadable', { router: object.name, revision: object.revision });
+    return undefined;
   }
 
   function updateLinks(): void {
@@ -145,16 +150,18 @@
     kind: StoreKind.Routers,
     timing: ROUTERS_TIMING,
     allowsStale: true,
-    onListed(objects) {
+    read: readRegistration,
+    onListed(registrations) {
       routers.clear();
-      objects.forEach(add);
+      registrations.forEach(routers.add);
       updateLinks();
-      registration.verify(objects.find(({ name }) => name === id));
+      registration.verify(registrations.find(({ name }) => name === id));
     },
     onChanged({ object, removed }) {
       if (object.name === id) registration.verify(removed ? undefined : object);
+      const changed = removed ? undefined : readRegistration(object);
       if (removed) routers.remove(object.name);
-      else add(object);
+      else if (changed !== undefined) routers.add(changed);
       updateLinks();
     },
   };
@@ -163,12 +170,7 @@
 /** Starts the feeds. */
 export function createFeeds(ctx: EdgeContext, parts: FeedParts, peers: PeerLinks): Closable {
   const availability = createStoreAvailability();
-  const feeds = [
-    configurationHandlers(ctx, parts),
-    serverHandlers(ctx, parts),
-    ...(parts.state.options.followsEvacuations ? [evacuationHandlers(ctx, parts)] : []),
-    routerHandlers(ctx, parts, peers),
-  ].map((handlers) =>
+  const start = <TValue>(handlers: FeedHandlers<TValue>): ObjectFeed =>
     createObjectFeed({
       ...handlers,
       client: parts.store,
@@ -180,8 +182,13 @@
       random: ctx.random,
       onCallEnded: parts.metrics.countStoreCall,
       onResponse: () => parts.loop.dispatch({ kind: 'store-answered', nowMs: ctx.clock() }),
-    }),
-  );
+    });
+  const feeds = [
+    start(configurationHandlers(ctx, parts)),
+    start(serverHandlers(ctx, parts)),
+    ...(parts.state.options.followsEvacuations ? [start(evacuationHandlers(ctx, parts))] : []),
+    start(routerHandlers(ctx, parts, peers)),
+  ];
   return {
     close() {
       feeds.forEach((feed) => feed.close());
--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -11,9 +11,12 @@
 import type { CallResults } from './call-results.js';
 import type { StoreEra } from './store-era.js';
 
-/** Objects of a kind, and the position from which their changes can be watched. */
-export interface Listing {
-  objects: StoreObject[];
+/** Reads what is needed of an object; returns undefined if it holds nothing for this router. */
+export type ReadObject<TValue> = (object: StoreObject) => TValue | undefined;
+
+/** What is needed of the objects of a kind, and the position from which their changes can be watched. */
+export interface Listing<TValue> {
+  values: TValue[];
   /** Reasons why further objects are left out. */
   unreadable: string[];
   position: StorePosition;
@@ -35,17 +38,25 @@
   messages.forEach((message) => logger.warn('object-unreadable', { kind, message }));
 }
 
+/** Kind to be listed. */
+export interface ListOptions<TValue> {
+  client: StoreClient;
+  kind: StoreKind;
+  era: StoreEra;
+  read: ReadObject<TValue>;
+}
+
 /**
- * Lists all pages. Returns undefined if a call fails, the pages don't end, the store is restored meanwhile, or the listing isn't wanted
+ * Lists all pages; objects of other writers are released with their page. Returns undefined if a call fails, the pages don't end, the store is restored meanwhile, or the listing isn't wanted
  * any more.
  */
-export async function listObjects(
-  { client, kind, era }: { client: StoreClient; kind: StoreKind; era: StoreEra },
+export async function listObjects<TValue>(
+  { client, kind, era, read }: ListOptions<TValue>,
   results: Pick<CallResults, 'record' | 'responseTimeoutMs'>,
   mode: ReadMode,
   isClosed: () => boolean,
-): Promise<Listing | undefined> {
-  const objects: StoreObject[] = [];
+): Promise<Listing<TValue> | undefined> {
+  const values: TValue[] = [];
   const unreadable: string[] = [];
   let size = 0;
   let cursor: string | undefined;
@@ -62,9 +73,12 @@
       results.record({ ok: false, failure: StoreFailure.TooLarge, detail });
       return undefined;
     }
-    objects.push(...page.value.objects);
+    page.value.objects.forEach((object) => {
+      const value = read(object);
+      if (value !== undefined) values.push(value);
+    });
     unreadable.push(...page.value.unreadable);
     cursor = page.value.nextCursor;
   } while (cursor !== undefined);
-  return { objects, unreadable, position };
+  return { values, unreadable, position };
 }
--- a/packages/edge/src/store/object-feed.ts
+++ b/packages/edge/src/store/object-feed.ts
@@ -5,7 +5,6 @@
   StoreChange,
   StoreClient,
   StoreChangeBatch,
-  StoreObject,
   StorePosition,
   StoreResult,
 } from '@kingcupsill/prepared-platform';
@@ -14,6 +13,7 @@
 import { createChangeRequests } from './change-requests.js';
 import type { CallResultsOptions } from './call-results.js';
 import { inCurrentEra, listObjects, logUnreadable } from './list-objects.js';
+import type { ReadObject } from './list-objects.js';
 import { NewsState } from './followed-news.js';
 import type { FollowedNews } from './followed-news.js';
 import type { ChangeTiming } from './change-timing.js';
@@ -22,7 +22,7 @@
 export type FeedTiming = Omit<ChangeTiming, 'targetMs' | 'maxNewsAgeMs'>;
 
 /** Options of a feed. */
-export interface ObjectFeedOptions extends Omit<CallResultsOptions, keyof FeedTiming> {
+export interface ObjectFeedOptions<TValue> extends Omit<CallResultsOptions, keyof FeedTiming> {
   client: StoreClient;
   clock: Clock;
   timing: FeedTiming;
@@ -30,7 +30,9 @@
   allowsStale: boolean;
   /** News of other routers to follow; undefined for kinds that each router watches itself. */
   news: FollowedNews | undefined;
-  onListed: (objects: StoreObject[]) => void;
+  /** Reads what is needed of a listed object; called page by page, so it must not change any state. */
+  read: ReadObject<TValue>;
+  onListed: (values: TValue[]) => void;
   onChanged: (change: StoreChange) => void;
 }
 
@@ -51,7 +53,10 @@
 const RELIST_DELAYS = { initialMs: 50, maxMs: 400 };
 
 /** Mode and pace of the listings; they are delayed while the store has no history of their positions. */
-function createListingPace({ availability, allowsStale }: ObjectFeedOptions) {
+function createListingPace({
+  availability,
+  allowsStale,
+}: Pick<ObjectFeedOptions<unknown>, 'availability' | 'allowsStale'>) {
   const readMode = allowsStale ? ReadMode.Stale : ReadMode.Current;
   /** Listings in a row whose position was older than the history. */
   let outdated = 0;
@@ -82,7 +87,7 @@
 }
 
 /** Starts a feed. */
-export function createObjectFeed(options: ObjectFeedOptions): ObjectFeed {
+export function createObjectFeed<TValue>(options: ObjectFeedOptions<TValue>): ObjectFeed {
   const { availability, kind, logger, timing } = options;
   const results = createCallResults({ ...options, ...timing });
   const listings = createListingPace(options);
@@ -96,9 +101,9 @@
     const recordAnswer = options.news?.startCall(kind);
     const listed = await listObjects(options, results, listMode, () => closed);
     if (listed === undefined) return undefined;
-    logger.info('store-listed', { kind, objects: listed.objects.length, ...listed.position });
+    logger.info('store-listed', { kind, objects: listed.values.length, ...listed.position });
     logUnreadable(options, listed.unreadable);
-    options.onListed(listed.objects);
+    options.onListed(listed.values);
     recordAnswer?.({ position: listed.position, mayHaveChanged: true, heldMs: 0 });
     return listed.position;
   }
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -11,6 +11,7 @@
 import type { Logger } from '@kingcupsill/runtime';
 import { z } from 'zod';
 import { listObjects, logUnreadable } from './list-objects.js';
+import type { ReadObject } from './list-objects.js';
 import type { StoreEra } from './store-era.js';
 import { createStreamSweep, nameRun } from './stream-sweep.js';
 
@@ -66,17 +67,34 @@
   return parsed.success ? parsed.data : UNREADABLE;
 }
 
-/** Decodes the records of all routers; objects of other writers are passed over. */
+/** What one object records. */
+interface StoredRecord {
+  ofService: { service: string; versions: string[] } | undefined;
+  ofRouter: StreamsByVersion | undefined;
+}
+
+/** Reads the record of an object; objects of other writers have none. */
+function readStoredRecord({ spec }: StoreObject): StoredRecord | undefined {
+  const ofService = versionsSchema.safeParse(spec).data;
+  const ofRouter = streamsSchema.safeParse(spec).data?.streams;
+  return ofService === undefined && ofRouter === undefined ? undefined : { ofService, ofRouter };
+}
+
+/** Combines the records of all routers; of several records of a service, the last one holds. */
+function combineRecords(records: readonly StoredRecord[]): StreamRecords {
+  return {
+    versions: new Map(
+      records.flatMap(({ ofService }) =>
+        ofService ? [[ofService.service, ofService.versions] as const] : [],
+      ),
+    ),
+    streams: records.flatMap(({ ofRouter }) => (ofRouter ? [ofRouter] : [])),
+  };
+}
+
+/** Decodes the records of all routers. */
 export function decodeRecords(objects: readonly StoreObject[]): StreamRecords {
-  const versions = new Map<string, string[]>();
-  const streams: StreamsByVersion[] = [];
-  objects.forEach(({ spec }) => {
-    const ofService = versionsSchema.safeParse(spec);
-    if (ofService.success) versions.set(ofService.data.service, ofService.data.versions);
-    const ofRouter = streamsSchema.safeParse(spec);
-    if (ofRouter.success) streams.push(ofRouter.data.streams);
-  });
-  return { versions, streams };
+  return combineRecords(objects.flatMap((object) => readStoredRecord(object) ?? []));
 }
 
 /** Returns what the store has, as a result shows it; undefined if it shows nothing. */
@@ -145,15 +163,19 @@
     return false;
   }
 
-  async function listAll(kind: StoreKind): Promise<StoreObject[] | undefined> {
+  async function listAll<TValue>(
+    kind: StoreKind,
+    read: ReadObject<TValue>,
+  ): Promise<TValue[] | undefined> {
     const results = {
       record: (result: StoreResult<unknown>) => check(result) !== undefined,
       responseTimeoutMs: () => READ_TIMEOUT_MS,
     };
     const isClosed = (): boolean => false;
-    const listing = await listObjects({ client, kind, era }, results, ReadMode.Current, isClosed);
+    const kindOptions = { client, kind, era, read };
+    const listing = await listObjects(kindOptions, results, ReadMode.Current, isClosed);
     logUnreadable({ kind, logger }, listing?.unreadable ?? []);
-    return listing?.objects;
+    return listing?.values;
   }
 
   const sweep = createStreamSweep({
@@ -168,8 +190,8 @@
     changeVersions,
     storeStreams,
     async readStreams() {
-      const objects = await listAll(StoreKind.Streams);
-      return objects && decodeRecords(objects);
+      const records = await listAll(StoreKind.Streams, readStoredRecord);
+      return records && combineRecords(records);
     },
     close: () => sweep.close(),
   };
--- a/packages/edge/src/store/stream-sweep.ts
+++ b/packages/edge/src/store/stream-sweep.ts
@@ -1,16 +1,16 @@
 /** Removal of the stored streams of router runs that have ended. */
 import { StoreKind } from '@kingcupsill/prepared-platform';
-import type { StoreObject } from '@kingcupsill/prepared-platform';
 import { repeatEvery } from '@kingcupsill/runtime';
 import type { Closable } from '../closable.js';
+import type { ReadObject } from './list-objects.js';
 import { readRouterEntry } from './router-registration.js';
 
 /** Dependencies of the sweep. */
 export interface StreamSweepOptions {
   /** Name of the object with this run's streams. */
   ownName: string;
-  /** Lists the objects of a kind; undefined if that fails. */
-  listAll: (kind: StoreKind) => Promise<StoreObject[] | undefined>;
+  /** Lists what is read of the objects of a kind; undefined if that fails. */
+  listAll: <TValue>(kind: StoreKind, read: ReadObject<TValue>) => Promise<TValue[] | undefined>;
   /** Removes stored streams. */
   remove: (name: string) => Promise<void>;
   /** @default 120,000 ms; no caller resumes a stream of a run that has ended for so long */
@@ -34,17 +34,14 @@
   let sweeps = 0;
 
   async function listEndedRuns(): Promise<string[]> {
-    const [objects, routers] = await Promise.all([
-      listAll(StoreKind.Streams),
-      listAll(StoreKind.Routers),
+    const [stored, running] = await Promise.all([
+      listAll(StoreKind.Streams, ({ name }) => (name.startsWith(NAME_PREFIX) ? name : undefined)),
+      listAll(StoreKind.Routers, (object) =>
+        nameRun(object.name, readRouterEntry(object)?.incarnation),
+      ),
     ]);
-    if (objects === undefined || routers === undefined) return [];
-    const running = new Set(
-      routers.map((object) => nameRun(object.name, readRouterEntry(object)?.incarnation)),
-    );
-    return objects.flatMap(({ name }) =>
-      name.startsWith(NAME_PREFIX) && name !== ownName && !running.has(name) ? name : [],
-    );
+    if (stored === undefined || running === undefined) return [];
+    return stored.filter((name) => name !== ownName && !running.includes(name));
   }
 
   const timer = repeatEvery(options.periodMs ?? PERIOD_MS, async () => {
--- a/packages/edge/test/standins/feed-options.ts
+++ b/packages/edge/test/standins/feed-options.ts
@@ -1,6 +1,6 @@
 /** Options of a feed whose results don't matter to the test, except for those that it overrides. */
 import { StoreKind } from '@kingcupsill/prepared-platform';
-import type { StoreClient } from '@kingcupsill/prepared-platform';
+import type { StoreClient, StoreObject } from '@kingcupsill/prepared-platform';
 import { planChangeTiming } from '../../src/store/change-timing.js';
 import type { ObjectFeedOptions } from '../../src/store/object-feed.js';
 import { createStoreAvailability } from '../../src/store/store-availability.js';
@@ -10,14 +10,16 @@
 /** Timing of a deployment with a bound of four seconds, without delays after changes of the own watch. */
 const TIMING = { ...planChangeTiming(4000), watchWaitMs: 1500, batchDelayMs: 0 };
 
-type FeedOverrides = Partial<Omit<ObjectFeedOptions, 'timing'>> & {
-  timing?: Partial<ObjectFeedOptions['timing']>;
+type FeedOptions = ObjectFeedOptions<StoreObject>;
+
+type FeedOverrides = Partial<Omit<FeedOptions, 'timing'>> & {
+  timing?: Partial<FeedOptions['timing']>;
 };
 
 export function createFeedOptions(
   client: Partial<StoreClient>,
   { timing, ...overrides }: FeedOverrides = {},
-): ObjectFeedOptions {
+): FeedOptions {
   return {
     client: client as StoreClient,
     availability: createStoreAvailability(),
@@ -31,6 +33,7 @@
     random: () => 0,
     onCallEnded: () => undefined,
     onResponse: () => undefined,
+    read: (object) => object,
     onListed: () => undefined,
     onChanged: () => undefined,
     ...overrides,
--- a/packages/edge/test/store/stream-store.test.ts
+++ b/packages/edge/test/store/stream-store.test.ts
@@ -110,12 +110,14 @@
   const sweep = createStreamSweep({
     ownName: 'streams.r0.i1',
     periodMs: 5,
-    async listAll(kind) {
+    async listAll(kind, read) {
       listings += 1;
       const spec = { address: '127.0.0.1:1', incarnation: 'new' };
-      return kind === StoreKind.Routers
-        ? [{ name: 'r1', revision: 1, spec }]
-        : [...names].map((name) => ({ name, revision: 1, spec: {} }));
+      const objects =
+        kind === StoreKind.Routers
+          ? [{ name: 'r1', revision: 1, spec }]
+          : [...names].map((name) => ({ name, revision: 1, spec: {} }));
+      return objects.flatMap((object) => read(object) ?? []);
     },
     async remove(name) {
       // Two listings for each of the two sweeps.
