Count in a listing's limit what is kept of its objects

Cause: a listing was given up as endless when its text exceeded 24 MB, and begun again for ever. The text of other writers' entries counted, though nothing of them is kept. The limit counts what is kept now, and pages without end are told by their number.

'a listing whose pages do not end fails' keeps its bound of 100 pages of 1 MB; its objects have that size now, since the size of the text no longer counts.

--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -22,8 +22,10 @@
   position: StorePosition;
 }
 
-/** Several times the text of all objects of a kind in the largest deployments. */
-const MAX_LISTING_SIZE = 24 * 1024 * 1024;
+/** Several times what is kept of all objects of a kind in the largest deployments, in characters of JSON. */
+const MAX_KEPT_SIZE = 24 * 1024 * 1024;
+/** Many times the pages of the largest deployments; a listing that has more is taken to have no end. */
+const MAX_PAGES = 1024;
 
 /** Returns the position; an answer that states no era is taken to be of the current one. */
 export function inCurrentEra({ era, revision }: StorePosition, current: StoreEra): StorePosition {
@@ -38,6 +40,11 @@
   messages.forEach((message) => logger.warn('object-unreadable', { kind, message }));
 }
 
+/** Size of what is kept of a page. */
+function measure(kept: readonly unknown[]): number {
+  return kept.length === 0 ? 0 : JSON.stringify(kept).length;
+}
+
 /** Kind to be listed. */
 export interface ListOptions<TValue> {
   client: StoreClient;
@@ -47,8 +54,8 @@
 }
 
 /**
- * Lists all pages; objects of other writers are released with their page. Returns undefined if a call fails, the pages don't end, the store is restored meanwhile, or the listing isn't wanted
- * any more.
+ * Lists all pages; objects of other writers are released with their page and count in no limit. Returns undefined if a call fails, the
+ * pages don't end, too much is needed of them, the store is restored meanwhile, or the listing isn't wanted any more.
  */
 export async function listObjects<TValue>(
   { client, kind, era, read }: ListOptions<TValue>,
@@ -58,7 +65,8 @@
 ): Promise<Listing<TValue> | undefined> {
   const values: TValue[] = [];
   const unreadable: string[] = [];
-  let size = 0;
+  let keptSize = 0;
+  let pages = 0;
   let cursor: string | undefined;
   let position: StorePosition | undefined;
   do {
@@ -67,16 +75,15 @@
     // The watch starts at the first page's position, so it returns the changes made during the listing.
     position ??= inCurrentEra(page.value.position, era);
     if (position.era !== era.current()) return undefined;
-    size += page.value.size;
-    if (size > MAX_LISTING_SIZE) {
-      const detail = `listing of more than ${MAX_LISTING_SIZE} characters`;
+    const kept = page.value.objects.flatMap((object) => read(object) ?? []);
+    pages += 1;
+    keptSize += measure(kept);
+    if (keptSize > MAX_KEPT_SIZE || pages > MAX_PAGES) {
+      const detail = `listing of ${pages} pages, of which ${keptSize} characters are needed`;
       results.record({ ok: false, failure: StoreFailure.TooLarge, detail });
       return undefined;
     }
-    page.value.objects.forEach((object) => {
-      const value = read(object);
-      if (value !== undefined) values.push(value);
-    });
+    values.push(...kept);
     unreadable.push(...page.value.unreadable);
     cursor = page.value.nextCursor;
   } while (cursor !== undefined);
--- a/packages/edge/test/store/era.test.ts
+++ b/packages/edge/test/store/era.test.ts
@@ -40,7 +40,7 @@
       const position = { era: listEra(), revision: 5 };
       return {
         ok: true,
-        value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position },
+        value: { objects: [], unreadable: [], nextCursor: undefined, position },
         era: listEra(),
       };
     },
--- a/packages/edge/test/store/followed-news.test.ts
+++ b/packages/edge/test/store/followed-news.test.ts
@@ -53,7 +53,7 @@
       const position = { era: stored.era, revision: stored.revision };
       return {
         ok: true,
-        value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position },
+        value: { objects: [], unreadable: [], nextCursor: undefined, position },
         era: stored.era,
       };
     },
--- a/packages/edge/test/store/list-objects.test.ts
+++ b/packages/edge/test/store/list-objects.test.ts
@@ -3,14 +3,16 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
-import { ReadMode, StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
+import { decodeServer, ReadMode, StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreResult } from '@kingcupsill/prepared-platform';
 import { listObjects } from '../../src/store/list-objects.js';
 import { createStoreEra } from '../../src/store/store-era.js';
 
+/** Largest object that the store takes. */
 const SIZE = 1024 * 1024;
 const MAX_PAGES = 100;
 const FOREIGN_PAGES = 8;
+const ENDLESS_PAGES = 2000;
 
 const era = createStoreEra(() => undefined);
 const position = { era: undefined, revision: 5 };
@@ -22,8 +24,8 @@
     async listPage() {
       const name = `n-${results.length}`;
       const nextCursor = results.length < MAX_PAGES ? name : undefined;
-      const objects = [{ name, revision: 1, spec: 'x' }];
-      return { ok: true, value: { objects, unreadable: [], nextCursor, position, size: SIZE } };
+      const objects = [{ name, revision: 1, spec: 'x'.repeat(SIZE) }];
+      return { ok: true, value: { objects, unreadable: [], nextCursor, position } };
     },
   };
   const listing = await listObjects(
@@ -59,7 +61,7 @@
       specs.push(new WeakRef(spec));
       const nextCursor = specs.length < FOREIGN_PAGES ? name : undefined;
       const objects = [{ name, revision: 1, spec }];
-      return { ok: true, value: { objects, unreadable: [], nextCursor, position, size: 100 } };
+      return { ok: true, value: { objects, unreadable: [], nextCursor, position } };
     },
   };
   const listing = await listObjects(
@@ -72,3 +74,51 @@
   // The last page may still be on the stack.
   assert.ok(Math.max(...alive) <= 1, `entries alive at each page: ${alive}`);
 });
+
+const LARGE_TEXT = 'x'.repeat(SIZE);
+/** One that states no server, and one that does but for the length of a field. */
+const FOREIGN_SPECS = [
+  { service: 'inventory', text: LARGE_TEXT },
+  { service: 's1', address: '127.0.0.1:1', state: 'ready', zone: LARGE_TEXT },
+];
+
+/** Lists pages of one entry of another writer each. */
+async function listForeignPages(
+  pages: number,
+  spec: unknown,
+): Promise<{ wasListed: boolean; calls: number }> {
+  let calls = 0;
+  const client: Pick<StoreClient, 'listPage'> = {
+    async listPage() {
+      calls += 1;
+      const name = `foreign-${calls}`;
+      const nextCursor = calls < pages ? name : undefined;
+      const objects = [{ name, revision: 1, spec }];
+      return { ok: true, value: { objects, unreadable: [], nextCursor, position } };
+    },
+  };
+  const listing = await listObjects(
+    {
+      client: client as StoreClient,
+      kind: StoreKind.Servers,
+      era,
+      read: ({ name, spec: content }) => {
+        const decoded = decodeServer(name, content);
+        return decoded.ok ? decoded.value : undefined;
+      },
+    },
+    { record: () => true, responseTimeoutMs: () => 1000 },
+    ReadMode.Current,
+    () => false,
+  );
+  return { wasListed: listing !== undefined, calls };
+}
+
+// Guards against entries of other writers that keep each router from getting ready after its start (review/14).
+test('any number of large entries of other writers is listed, but not pages without end', async () => {
+  for (const spec of FOREIGN_SPECS)
+    assert.deepEqual(await listForeignPages(64, spec), { wasListed: true, calls: 64 });
+  const endless = await listForeignPages(ENDLESS_PAGES, FOREIGN_SPECS[0]);
+  assert.equal(endless.wasListed, false);
+  assert.ok(endless.calls < ENDLESS_PAGES);
+});
--- a/packages/edge/test/store/object-feed.test.ts
+++ b/packages/edge/test/store/object-feed.test.ts
@@ -30,7 +30,7 @@
         const position = { era: undefined, revision: 5 };
         return {
           ok: true,
-          value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position },
+          value: { objects: [], unreadable: [], nextCursor: undefined, position },
         };
       },
       async watch(_kind, _revision, waitMs, answerTimeoutMs) {
@@ -89,7 +89,7 @@
         modes.push(mode!);
         return {
           ok: true,
-          value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position },
+          value: { objects: [], unreadable: [], nextCursor: undefined, position },
         };
       },
       watch: async () => GONE,
@@ -132,7 +132,7 @@
   const client: Pick<StoreClient, 'listPage' | 'watch'> = {
     listPage: async () => ({
       ok: true,
-      value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position },
+      value: { objects: [], unreadable: [], nextCursor: undefined, position },
     }),
     async watch() {
       watches += 1;
--- a/packages/edge/test/store/silent-fleet.ts
+++ b/packages/edge/test/store/silent-fleet.ts
@@ -130,7 +130,7 @@
       call(0, timeoutMs, () => {
         const position = { era: undefined, revision: store.revision };
         const objects = [{ name: 'x', revision: store.revision, spec: {} }];
-        const value = { objects, unreadable: [], nextCursor: undefined, size: 2, position };
+        const value = { objects, unreadable: [], nextCursor: undefined, position };
         return { ok: true, value };
       }),
     watch: (kind, { revision: from }, waitMs, timeoutMs, _mode, signal) =>
--- a/packages/edge/test/store/store-calls.test.ts
+++ b/packages/edge/test/store/store-calls.test.ts
@@ -16,7 +16,7 @@
     async listPage() {
       return {
         ok: true,
-        value: { objects: [], unreadable: [], nextCursor: undefined, size: 2, position: POSITION },
+        value: { objects: [], unreadable: [], nextCursor: undefined, position: POSITION },
       };
     },
     watch,
