Read large answers of the store in turns with the requests

Cause: each answer took 50 to 60 ms of the event loop in one go, half of a core at 8 a second; the lag is part of a request's expected time, so requests with short objectives were refused. Characters of three bytes take Node 15 ms a megabyte to decode. Answers are now decoded and read in steps, 3 ms a turn and at most 30% of a core while requests can be served. A watch may have 8 MB in place of 4, since the listing that follows a larger one takes longer to read than the changes did.

--- a/packages/edge/src/edge.ts
+++ b/packages/edge/src/edge.ts
@@ -39,6 +39,7 @@
 import { createRequestErrors } from './request-errors.js';
 import { createServerConnections } from './relay/server-connections.js';
 import { changeBoundMs, parseAddress, parseZoneRegions } from './settings.js';
+import { createAnswerReading } from './store/answer-reading.js';
 import { planChangeTiming } from './store/change-timing.js';
 import { createFeeds } from './store/feeds.js';
 import { createFollowedNews } from './store/followed-news.js';
@@ -88,7 +89,13 @@
     requestErrors: { create: (parts) => createRequestErrors(ctx, parts) },
     loop: loopPart(ctx),
     transport: transportPart(ctx),
-    store: { create: ({ transport }) => createStoreClient(transport.send) },
+    store: {
+      create: ({ transport, state }) =>
+        createStoreClient(
+          transport.send,
+          createAnswerReading(ctx.clock, () => isReadyToRoute(state)),
+        ),
+    },
     storeEra: {
       create: ({ loop }) =>
         createStoreEra((era) => {
--- a/packages/edge/src/http-call.ts
+++ b/packages/edge/src/http-call.ts
@@ -22,7 +22,7 @@
 
 /** Response, or the reason why there is none. */
 export type HttpCallResult =
-  | { ok: true; status: number; headers: IncomingHttpHeaders; body: string }
+  | { ok: true; status: number; headers: IncomingHttpHeaders; body: Buffer }
   | { ok: false; detail: string; isTooLarge?: boolean };
 
 /** No store or engine sends any; each costs processor time, and they come before any limit of the response. */
@@ -85,8 +85,8 @@
       res.on('close', () => fail('response ended early'));
       res.on('end', () => {
         if (!res.complete) return;
-        const bodyText = Buffer.concat(collector.chunks()).toString('utf8');
-        settle({ ok: true, status: res.statusCode!, headers: res.headers, body: bodyText });
+        const received = Buffer.concat(collector.chunks());
+        settle({ ok: true, status: res.statusCode!, headers: res.headers, body: received });
       });
     });
     req.on('error', (err) => fail(err.message));
--- a/packages/edge/src/relay/list-cached-parts.ts
+++ b/packages/edge/src/relay/list-cached-parts.ts
@@ -41,5 +41,5 @@
   const announcement = parseAnnouncement(response.status, response.headers);
   if (response.status !== 200)
     return { ok: false, message: `status ${response.status}`, announcement };
-  return { ...decodeCachedParts(response.body), announcement };
+  return { ...decodeCachedParts(response.body.toString('utf8')), announcement };
 }
--- a/packages/edge/src/store/store-transport.ts
+++ b/packages/edge/src/store/store-transport.ts
@@ -12,8 +12,8 @@
 
 /** One for each watch, and one for other calls. */
 const MAX_IDLE_CONNECTIONS = 4;
-/** Several times the largest page. A larger batch of changes is replaced by a listing. */
-const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+/** Several times the largest page. A larger batch of changes is replaced by a listing, which may take longer to read. */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
 /** Creates the transport. `address` is evaluated for each call, since the settings may change. */
 export function createStoreTransport(
