Release a caller's request when it has been received and answered

Cause: the table of connections and the pacing of input kept the latest request of each connection, whose listeners lead to its exchange, body, buffered answer and head, for up to 15 s of rest. Both keep a request only while it is being received now, and an empty rest of what was read no longer keeps the whole.

--- a/packages/edge/src/callers/connection-input.ts
+++ b/packages/edge/src/callers/connection-input.ts
@@ -29,26 +29,30 @@
 ): ConnectionInput {
   let waiting: Buffer = NO_BYTES;
   let overlap = '';
-  let latest: IncomingMessage | undefined;
-  /** Rest of the body of the latest request, if its length is stated. */
+  /** Request of which the rest of the body has not been read; a complete one isn't kept while the connection is idle. */
+  let receiving: IncomingMessage | undefined;
+  let requests = 0;
+  /** Rest of the body of that request, if its length is stated. */
   let bodyLeftBytes = 0;
 
-  const isReceivingBody = (): boolean => latest !== undefined && !latest.complete;
+  const isReceivingBody = (): boolean => receiving !== undefined;
 
   function readPart(endOffset: number): void {
     const part = waiting.subarray(0, endOffset);
-    waiting = waiting.subarray(endOffset);
+    // An empty part would keep the memory of the whole.
+    waiting = endOffset < waiting.length ? waiting.subarray(endOffset) : NO_BYTES;
     overlap = takeOverlap(part);
     parse.call(socket, part);
+    if (receiving?.complete === true) receiving = undefined;
   }
 
   function readHead(): void {
     const headEnd = findHeadEnd(overlap, waiting);
-    const before = latest;
+    const requestsBefore = requests;
     readPart(headEnd ?? waiting.length);
     // Elsewhere the parser has found the end of a head that isn't one, so that the beginning of its body isn't known.
-    const isAtBody = headEnd !== undefined && latest !== before;
-    bodyLeftBytes = isAtBody ? Number(latest!.headers['content-length'] ?? 0) : 0;
+    const isAtBody = headEnd !== undefined && requests > requestsBefore;
+    bodyLeftBytes = isAtBody ? Number(receiving?.headers['content-length'] ?? 0) : 0;
   }
 
   function readBody(): void {
@@ -74,7 +78,8 @@
       else readHead();
     },
     startRequest(req) {
-      latest = req;
+      receiving = req;
+      requests += 1;
     },
     drop() {
       const dropped = waiting;
--- a/packages/edge/src/callers/connection-table.ts
+++ b/packages/edge/src/callers/connection-table.ts
@@ -51,9 +51,9 @@
 
 interface Connection {
   idleSinceMs: number;
-  /** Latest request, and the time of its head. */
-  latest: IncomingMessage | undefined;
-  latestAtMs: number;
+  /** Latest request until it has been received, and the time of its head. */
+  receiving: IncomingMessage | undefined;
+  receivingSinceMs: number;
   endedAtMs: number | undefined;
   requests: number;
   used: boolean;
@@ -74,8 +74,8 @@
     used: false,
     answered: false,
     excess: false,
-    latest: undefined,
-    latestAtMs: 0,
+    receiving: undefined,
+    receivingSinceMs: 0,
     endedAtMs: undefined,
   };
 }
@@ -94,16 +94,23 @@
 }
 
 function isStalled(
-  { latest, latestAtMs, endedAtMs = Number.POSITIVE_INFINITY }: Connection,
+  { receiving, receivingSinceMs, endedAtMs = Number.POSITIVE_INFINITY }: Connection,
   receiveMs: number,
   currentMs: number,
 ): boolean {
-  const isReceiving = latest !== undefined && !latest.complete;
+  const isReceiving = receiving !== undefined;
   return (
-    (isReceiving && currentMs - latestAtMs > receiveMs) || currentMs - endedAtMs > MAX_ENDED_MS
+    (isReceiving && currentMs - receivingSinceMs > receiveMs) ||
+    currentMs - endedAtMs > MAX_ENDED_MS
   );
 }
 
+/** Releases a request that has been received, since an idle connection must not keep its body, head and answer. */
+function releaseReceived(connection: Connection): Connection {
+  if (connection.receiving?.complete === true) connection.receiving = undefined;
+  return connection;
+}
+
 /** Returns the served connection that has been idle for longest, at least since `maxIdleSinceMs`. */
 function findLongestIdle(
   connections: ReadonlyMap<Socket, Connection>,
@@ -176,8 +183,8 @@
       const connection = connections.get(socket);
       if (connection === undefined) return;
       connection.used = true;
-      connection.latest = req;
-      connection.latestAtMs = nowMs();
+      connection.receiving = req;
+      connection.receivingSinceMs = nowMs();
       connection.requests += 1;
     },
     requestEnded(socket, isAnswered) {
@@ -186,7 +193,7 @@
       if (connection === undefined) return;
       connection.answered ||= isAnswered;
       connection.requests -= 1;
-      connection.idleSinceMs = nowMs();
+      releaseReceived(connection).idleSinceMs = nowMs();
     },
     isIdle: (socket) => connections.get(socket)?.requests === 0,
     end,
@@ -196,7 +203,8 @@
     },
     closeIdle: (idleMs) => closeWhere((connection) => isIdleFor(connection, idleMs, nowMs())),
     closeUsed: () => closeWhere(isKept),
-    closeStalled: (ms) => closeWhere((connection) => isStalled(connection, ms, nowMs())),
+    closeStalled: (ms) =>
+      closeWhere((connection) => isStalled(releaseReceived(connection), ms, nowMs())),
     keptCount: () => [...connections.values()].filter(isKept).length,
     unusedCount: () => [...connections.values()].filter(({ used }) => !used).length,
     openRequestCount: () => openRequests,
