--- a/packages/core/src/direct/route-table.ts
+++ b/packages/core/src/direct/route-table.ts
@@ -1,4 +1,5 @@
 /** Looks up the route, the client account and the service of a request in one version of the configuration. */
+import { groupBy } from '../collections/index.js';
 import type { AccountSpec, FleetConfig, Route, ServiceSpec } from './types.js';
 
 /** Lookups in one version of the configuration. */
@@ -18,21 +19,32 @@
   return colon > lower.lastIndexOf(']') ? lower.slice(0, colon) : lower;
 }
 
-function indexRoutes(routes: Route[]): Map<string, Map<string, Route>> {
-  const routesByHost = new Map<string, Map<string, Route>>();
-  routes.forEach((route) => {
-    const routesByPrefix = routesByHost.get(route.host) ?? new Map<string, Route>();
-    routesByPrefix.set(route.pathPrefix, route);
-    routesByHost.set(route.host, routesByPrefix);
-  });
-  return routesByHost;
+/** Routes of one host. */
+interface HostRoutes {
+  byPrefix: Map<string, Route>;
+  /** Distinct lengths of the prefixes, longest first. */
+  prefixLengths: number[];
+}
+
+function indexRoutes(routes: Route[]): Map<string, HostRoutes> {
+  const routesByHost = groupBy(routes, ({ host }) => host);
+  return new Map(
+    [...routesByHost].map(([host, ofHost]) => {
+      const byPrefix = new Map(ofHost.map((route) => [route.pathPrefix, route]));
+      const lengths = new Set(ofHost.map(({ pathPrefix }) => pathPrefix.length));
+      return [host, { byPrefix, prefixLengths: [...lengths].sort((a, b) => b - a) }];
+    }),
+  );
 }
 
 function indexAccounts(accounts: AccountSpec[]): Map<string, AccountSpec> {
   return new Map(accounts.flatMap((account) => account.apiKeys.map((key) => [key, account])));
 }
 
-/** Creates the lookups. A path lookup tries one prefix per slash, longest first, independently of the number of routes. */
+/**
+ * Creates the lookups. A path lookup tries one prefix for each length of a prefix, longest first, independently of the number of routes
+ * and of what the path contains.
+ */
 export function createRouteTable(config: FleetConfig): RouteTable {
   const routesByHost = indexRoutes(config.routes);
   const accountByKey = indexAccounts(config.accounts ?? []);
@@ -40,16 +52,15 @@
   const serviceByName = new Map(config.services.map((service) => [service.name, service]));
 
   function findRoute(host: string, path: string): Route | undefined {
-    const routesByPrefix = routesByHost.get(normaliseHost(host));
-    if (routesByPrefix === undefined) return undefined;
+    const routes = routesByHost.get(normaliseHost(host));
+    if (routes === undefined) return undefined;
     const queryIndex = path.indexOf('?');
     const pathEnd = queryIndex < 0 ? path.length : queryIndex;
-    for (let slash = path.lastIndexOf('/', pathEnd - 1); slash >= 0;) {
-      const route = routesByPrefix.get(path.slice(0, slash + 1));
-      if (route !== undefined) return route;
-      slash = slash === 0 ? -1 : path.lastIndexOf('/', slash - 1);
-    }
-    return undefined;
+    const { byPrefix, prefixLengths } = routes;
+    const length = prefixLengths.find(
+      (candidate) => candidate <= pathEnd && byPrefix.has(path.slice(0, candidate)),
+    );
+    return length === undefined ? undefined : byPrefix.get(path.slice(0, length));
   }
 
   return {
--- a/packages/core/test/direct/estimates.test.ts
+++ b/packages/core/test/direct/estimates.test.ts
@@ -192,6 +192,37 @@
   assert.equal(table.findRoute('c.example', '/a/'), undefined);
 });
 
+// Guards against paths that keep a router busy: each of 16,000 slashes took a lookup of the path up to there.
+test('a path takes as many lookups as there are lengths of prefixes, and finds the same route as a search of all', (t) => {
+  const prefix = fc
+    .array(fc.constantFrom('a', 'bb', ''))
+    .map((parts) => `/${parts.map((part) => `${part}/`).join('')}`);
+  const lookups = [t.mock.method(Map.prototype, 'has'), t.mock.method(Map.prototype, 'get')];
+  const countLookups = (): number => lookups.reduce((sum, { mock }) => sum + mock.callCount(), 0);
+  fc.assert(
+    fc.property(
+      fc.array(prefix),
+      prefix,
+      fc.constantFrom('', 'c', '?/a/'),
+      (prefixes, start, end) => {
+        const routes = prefixes.map((pathPrefix) => sampleRoute({ pathPrefix }));
+        const path = `${start}${end}`;
+        const [pathname] = path.split('?');
+        const expected = routes
+          .filter(({ pathPrefix }) => pathname!.startsWith(pathPrefix))
+          .sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)[0]?.pathPrefix;
+        const table = createRouteTable(sampleConfig(1, routes));
+        assert.equal(table.findRoute('a.example', path)?.pathPrefix, expected);
+        lookups.forEach(({ mock }) => mock.resetCalls());
+        table.findRoute('a.example', `/${'/'.repeat(16_000)}`);
+        // Besides the prefixes, the host and the route itself.
+        assert.ok(countLookups() <= prefixes.length + 2);
+      },
+    ),
+    { seed: 71_003 },
+  );
+});
+
 test('services are picked in proportion to their weights, never one of weight 0', () => {
   const services = [
     { service: 'none', weight: 0 },
