Ignore tokens that are stated to a service without model engines

Where no engine's capacity bounds what is stated, nothing processes tokens either, so they count for nothing.

Test: 'tokens that are stated to a service without model engines count for nothing' failed before (refused as overloaded at the second request).

--- a/packages/core/src/direct/arrivals.ts
+++ b/packages/core/src/direct/arrivals.ts
@@ -12,7 +12,7 @@
   refuse,
   refuseWithoutServer,
 } from './request-end.js';
-import { exceedsCapacity, requestTokens } from './request-tokens.js';
+import { exceedsCapacity, requestTokens, withProcessedTokens } from './request-tokens.js';
 import type { DirectState, OpenRequest } from './state.js';
 import { RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
@@ -147,10 +147,12 @@
 export function onRequest(
   state: DirectState,
   requestId: string,
-  attributes: RequestAttributes,
+  statedAttributes: RequestAttributes,
   draw: number,
   nowMs: number,
 ): DirectEffect[] {
+  const service = state.routeTable?.findService(statedAttributes.service);
+  const attributes = withProcessedTokens(statedAttributes, service?.engine !== undefined);
   const request: OpenRequest = {
     id: requestId,
     attributes,
--- a/packages/core/src/direct/request-tokens.ts
+++ b/packages/core/src/direct/request-tokens.ts
@@ -12,6 +12,18 @@
   return attributes.promptTokens + OUTPUT_WEIGHT * OUTPUT_FRACTION * attributes.maxOutputTokens;
 }
 
+/**
+ * Returns the attributes of a request as its service sees them: only model engines process tokens. Otherwise a caller could have other
+ * servers taken for busy.
+ */
+export function withProcessedTokens(
+  attributes: RequestAttributes,
+  hasEngines: boolean,
+): RequestAttributes {
+  if (hasEngines) return attributes;
+  return { ...attributes, promptParts: [], promptTokens: 0, maxOutputTokens: 0 };
+}
+
 /**
  * Returns whether the prompt is larger than the memory of the service's engines, so that none of them will ever run the request.
  * @param kvCapacityTokens capacity of one engine; undefined if it isn't known
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -363,6 +363,18 @@
   expectSend(router.request('1', atCapacity));
 });
 
+// Guards against the same by a caller of a service whose servers don't process tokens, so that no capacity bounds what it states.
+test('tokens that are stated to a service without model engines count for nothing', () => {
+  const router = createSampleRouter(
+    [sampleEntry('o1', { service: 'orders' })],
+    sampleConfig(1, [neverRetried]),
+  );
+  const promptParts = [{ id: 'own', tokens: 999_999_999_999 }];
+  const stated = { promptTokens: 999_999_999_999, maxOutputTokens: 999_999_999_999, promptParts };
+  for (let index = 0; index < 9; index += 1)
+    expectSend(router.request(`${index}`, { service: 'orders', route: neverRetried, ...stated }));
+});
+
 // Guards against an account's own excess that its callers can't tell from a lack of capacity.
 test('a request beyond the fair share of its account is refused with status 429, one without capacity with 503', () => {
   const router = createSampleRouter([sampleEntry('e1')]);
