Count an attempt only in the state of its server in which it began

The ends of the earlier attempts were counted in the server's new state, whose number of unanswered attempts, and that of running ones, fell below zero; a server whose connections have failed gets a probe only while it is exactly zero. An attempt refers to the state in which it is counted now, so that the counts can't go below zero.

Test: the property over all orders of events draws entries that go and come back, and starts of answers; it failed before.

--- a/packages/core/src/direct/dispatch.ts
+++ b/packages/core/src/direct/dispatch.ts
@@ -40,6 +40,7 @@
     id: `${request.id}.${state.attemptCount}`,
     requestId: request.id,
     serverKey: server.key,
+    countedIn: serverState,
     prediction: serverState.load.recordSend(nowMs, prefillTokens),
     predictedMs,
     begunAtMs: undefined,
--- a/packages/core/src/direct/requests.ts
+++ b/packages/core/src/direct/requests.ts
@@ -16,6 +16,7 @@
   NO_SERVER_RETRY_MS,
   refuse,
 } from './request-end.js';
+import { findServerState } from './state.js';
 import type { DirectState, OpenAttempt, OpenRequest, ServerState } from './state.js';
 import { AttemptOutcome, RefusalCode, RetryPolicy } from './types.js';
 import type { RequestAttributes } from './types.js';
@@ -57,7 +58,7 @@
   nowMs: number,
 ): DirectEffect[] {
   const attempt = state.attempts.get(attemptId);
-  const serverState = attempt && state.servers.get(attempt.serverKey);
+  const serverState = attempt && findServerState(state, attempt);
   if (attempt === undefined || serverState === undefined) return [];
   if (!attempt.prediction.hasBegun) {
     attempt.begunAtMs = nowMs;
@@ -88,7 +89,7 @@
   request.answerStarted = true;
   request.lastEventId = lastEventId ?? request.lastEventId;
   const { currentAttempt } = request;
-  const serverState = currentAttempt && state.servers.get(currentAttempt.serverKey);
+  const serverState = currentAttempt && findServerState(state, currentAttempt);
   if (currentAttempt === undefined || serverState === undefined) return [];
   const { heardAtMs } = currentAttempt;
   if (heardAtMs !== undefined)
@@ -111,7 +112,7 @@
   const { sentAtMs } = prediction;
   const ended = { serverKey, outcome, traits, sentAtMs, begunAtMs };
   const effects = recordAttemptEnd(state.crashEvidence, ended, nowMs);
-  const serverState = state.servers.get(attempt.serverKey);
+  const serverState = findServerState(state, attempt);
   if (serverState === undefined) return effects;
   if (!attempt.prediction.hasBegun) serverState.unansweredAttempts -= 1;
   state.endedServerKeys.add(attempt.serverKey);
--- a/packages/core/src/direct/silent-attempts.ts
+++ b/packages/core/src/direct/silent-attempts.ts
@@ -1,5 +1,6 @@
 /** Attempts whose connections may have gone silent: they get nothing, while their servers answer others. */
 import type { DirectEffect } from './events.js';
+import { findServerState } from './state.js';
 import type { DirectState, OpenAttempt, ServerState } from './state.js';
 
 /** Minimum time without an answer or an event; several round trips between regions. */
@@ -41,7 +42,7 @@
 
 function mayBeSilent(state: DirectState, attempt: OpenAttempt, nowMs: number): boolean {
   if (attempt.isSilent || nowMs - attempt.examinedAtMs < EXAMINATION_PERIOD_MS) return false;
-  const server = state.servers.get(attempt.serverKey);
+  const server = findServerState(state, attempt);
   if (server === undefined) return false;
   const { sinceMs, expectedMs, isAnsweringOthers } = describeQuiet(state, attempt, server);
   if (!isAnsweringOthers || expectedMs === undefined) return false;
--- a/packages/core/src/direct/state.ts
+++ b/packages/core/src/direct/state.ts
@@ -53,6 +53,8 @@
   id: string;
   requestId: string;
   serverKey: string;
+  /** State of the server in which the attempt is counted; see `findServerState`. */
+  countedIn: ServerState;
   prediction: RequestPrediction;
   /** Predicted time to the first event or the answer. */
   predictedMs: number;
@@ -266,6 +268,17 @@
   return serverState;
 }
 
+/**
+ * Returns the state in which an attempt is counted, or undefined if the server has been removed since. One that has come back has a
+ * state of its own, which knows nothing of earlier attempts.
+ */
+export function findServerState(
+  { servers }: DirectState,
+  { serverKey, countedIn }: OpenAttempt,
+): ServerState | undefined {
+  return servers.get(serverKey) === countedIn ? countedIn : undefined;
+}
+
 /** Returns whether the router knows enough to send requests: a configuration, the servers and the zones that may be used. */
 export function isReadyToRoute({ routeTable, hasServerList, evacuations }: DirectState): boolean {
   return routeTable !== undefined && hasServerList && evacuations.isKnown();
--- a/packages/core/test/direct/requests.test.ts
+++ b/packages/core/test/direct/requests.test.ts
@@ -274,6 +274,10 @@
     weight: 1,
     arbitrary: fc.record({ action: fc.constant('silence' as const), index: fc.nat(9) }),
   },
+  // An entry that goes and comes back while requests wait at its server.
+  { weight: 2, arbitrary: fc.record({ action: fc.constant('remove' as const), index: fc.nat(2) }) },
+  { weight: 2, arbitrary: fc.record({ action: fc.constant('list' as const), index: fc.nat(2) }) },
+  { weight: 2, arbitrary: fc.record({ action: fc.constant('begin' as const), index: fc.nat(9) }) },
 );
 
 test('in any order of events, each request ends exactly once, and one that must not be retried runs at most once', () => {
@@ -315,11 +319,24 @@
         } else if (next.action === 'drain') {
           const entry = sampleEntry(`e${next.index + 1}`, { draining: true });
           recordEffects(router.dispatch({ kind: 'server-changed', entry }), observed);
+        } else if (next.action === 'remove') {
+          const id = `e${next.index + 1}`;
+          recordEffects(router.dispatch({ kind: 'server-removed', id }), observed);
+        } else if (next.action === 'list') {
+          const entry = sampleEntry(`e${next.index + 1}`);
+          recordEffects(router.dispatch({ kind: 'server-changed', entry }), observed);
+        } else if (next.action === 'begin') {
+          const attempt = [...observed.openAttempts.keys()][next.index];
+          if (attempt !== undefined) router.dispatch({ kind: 'attempt-begun', attempt });
         } else {
           router.advance(next.ms);
           recordEffects(router.dispatch({ kind: 'tick' }), observed);
         }
       });
+      router.state.servers.forEach(({ load, unansweredAttempts }) => {
+        assert.ok(load.ownRunning() >= unansweredAttempts);
+        assert.ok(unansweredAttempts >= 0);
+      });
       router.advance(20_000);
       recordEffects(router.dispatch({ kind: 'tick' }), observed);
       assert.equal(router.state.requests.size, 0);
