--- a/packages/edge/src/metrics.ts
+++ b/packages/edge/src/metrics.ts
@@ -38,6 +38,8 @@
   countStoreCall(kind: string, outcome: string): void;
   /** Counts a version of the configuration that couldn't be read, so that an earlier one stays in force. */
   countUnreadableConfiguration(): void;
+  /** Counts an object of the store that couldn't be used, each time that it is read. */
+  countUnreadableObject(kind: string): void;
   /** Counts a connection to a server that had gone silent under a request. */
   countSilentConnection(): void;
   /** Counts idle connections that were closed because another one to their server may have gone silent. */
@@ -163,7 +165,12 @@
 /** Metrics of control traffic. */
 function createControlMetrics(
   counter: CreateCounter,
-): Pick<EdgeMetrics, 'countStoreCall' | 'countReport' | 'controlTotals'> {
+): Pick<EdgeMetrics, 'countStoreCall' | 'countReport' | 'controlTotals' | 'countUnreadableObject'> {
+  const unreadable = counter(
+    'kingcupsill_objects_unreadable_total',
+    'Objects of the store that could not be used, each time that they were read.',
+    'kind',
+  );
   const calls = counter('kingcupsill_store_calls_total', 'Calls to the store.', 'kind', 'outcome');
   const reportBytes = counter(
     'kingcupsill_report_bytes_total',
@@ -182,6 +189,7 @@
       totals.reportBytes += bytes;
     },
     controlTotals: () => totals,
+    countUnreadableObject: (kind) => unreadable.inc({ kind }),
   };
 }
 
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -19,6 +19,8 @@
 import type { FeedTiming, ObjectFeed, ObjectFeedOptions } from './object-feed.js';
 import { ownRouterEntry, readRouterEntry } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
+import { createUnreadableObjects } from './unreadable-objects.js';
+import type { UnreadableObjects } from './unreadable-objects.js';
 
 type FeedParts = Pick<
   EdgeParts,
@@ -79,12 +81,15 @@
   };
 }
 
-function serverHandlers(ctx: EdgeContext, { loop }: FeedParts): FeedHandlers<BackendServerEntry> {
+function serverHandlers(
+  ctx: EdgeContext,
+  { loop }: FeedParts,
+  unreadable: UnreadableObjects,
+): FeedHandlers<BackendServerEntry> {
   function readEntry(object: StoreObject): BackendServerEntry | undefined {
     const decoded = decodeServer(object.name, object.spec);
     if (decoded.ok) return decoded.value;
-    const { name, revision } = object;
-    ctx.logger.warn('server-unreadable', { server: name, revision, message: decoded.message });
+    unreadable.report(StoreKind.Servers, object, decoded.message);
     return undefined;
   }
 
@@ -124,6 +129,7 @@
   ctx: EdgeContext,
   { loop, registration }: FeedParts,
   peers: PeerLinks,
+  unreadable: UnreadableObjects,
 ): FeedHandlers<StoreObject> {
   const { id } = ctx.settings().process;
   const routers = createKnownRouters(() => ({ name: id, ...ownRouterEntry(ctx) }));
@@ -132,7 +138,7 @@
   function readRegistration(object: StoreObject): StoreObject | undefined {
     const entry = readRouterEntry(object);
     if (entry !== undefined) return { ...object, spec: entry };
-    ctx.logger.warn('router-unreadable', { router: object.name, revision: object.revision });
+    unreadable.report(StoreKind.Routers, object, 'no address or incarnation');
     return undefined;
   }
 
@@ -183,11 +189,15 @@
       onCallEnded: parts.metrics.countStoreCall,
       onResponse: () => parts.loop.dispatch({ kind: 'store-answered', nowMs: ctx.clock() }),
     });
+  const unreadable = createUnreadableObjects({
+    logger: ctx.logger,
+    onRead: parts.metrics.countUnreadableObject,
+  });
   const feeds = [
     start(configurationHandlers(ctx, parts)),
-    start(serverHandlers(ctx, parts)),
+    start(serverHandlers(ctx, parts, unreadable)),
     ...(parts.state.options.followsEvacuations ? [start(evacuationHandlers(ctx, parts))] : []),
-    start(routerHandlers(ctx, parts, peers)),
+    start(routerHandlers(ctx, parts, peers, unreadable)),
   ];
   return {
     close() {
