Let no two departures of one server overlap in the soak

A server that has departed doesn't depart again now; the check and its bound are unchanged.

Test: 'departures of one server do not overlap' failed before (2 departures).

--- a/packages/edge/test/soak/faults.ts
+++ b/packages/edge/test/soak/faults.ts
@@ -149,6 +149,11 @@
   endDisruption();
 }
 
+function hasDeparted({ departures }: FaultTargets, { id }: Backend): boolean {
+  return departures.some(({ server, untilMs }) => server === id && untilMs > performance.now());
+}
+
+/** A server that has departed doesn't depart again: it would come back at the end of the first departure, within the second one. */
 function withDeparture(
   depart: (backend: Backend) => void,
   comeBack: (targets: FaultTargets, backend: Backend) => void,
@@ -156,6 +161,7 @@
   return async (targets, fault) => {
     const { backends, departures } = targets;
     const backend = selectTarget(backends, fault);
+    if (hasDeparted(targets, backend)) return;
     const endDeparture = openSpan(departures, { server: backend.id });
     depart(backend);
     await delay(MIN_DEPARTURE_MS + fault.durationMs);
@@ -251,10 +257,7 @@
   'resumption-gap': withResumption(Resumption.Gap),
   'server-restarted': async (targets, fault) => {
     const backend = selectTarget(targets.backends, fault);
-    const hasDeparted = targets.departures.some(
-      ({ server, untilMs }) => server === backend.id && untilMs > performance.now(),
-    );
-    if (!hasDeparted) restart(targets, backend);
+    if (!hasDeparted(targets, backend)) restart(targets, backend);
   },
   // A server that has announced its end exits; one that comes back has started anew.
   'server-drains': withDeparture((backend) => backend.register('draining'), restart),
--- a/packages/edge/test/soak/soak.test.ts
+++ b/packages/edge/test/soak/soak.test.ts
@@ -6,7 +6,9 @@
 import { test } from 'node:test';
 import { createRandom } from '@kingcupsill/bench';
 import { Behaviour } from './backends.js';
-import { createFaultSchedule, FAULT_KINDS } from './faults.js';
+import type { Backend } from './backends.js';
+import { createFaultSchedule, FAULT_KINDS, injectFault } from './faults.js';
+import type { FaultTargets } from './faults.js';
 import { findBreaches, findWorkAfterDeparture } from './find-breaches.js';
 import type { Observations } from './find-breaches.js';
 import { findCutAnswers, findCutsInStops, findProcessBreaches } from './find-process-breaches.js';
@@ -296,3 +298,12 @@
   const detail = 'router-0#1, version 2';
   assert.deepEqual(operator.breaches, [{ promise: 'configurations never revert', detail }]);
 });
+
+// Guards against work that is taken for that of a departed server, which has come back after an earlier departure (seed 880301).
+test('departures of one server do not overlap', () => {
+  const backend = { id: 'i-0', register() {}, deregister() {}, restart() {} } as unknown as Backend;
+  const targets = { backends: [backend], departures: [] } as unknown as FaultTargets;
+  for (const kind of ['server-leaves', 'server-drains'] as const)
+    void injectFault(targets, { kind, atMs: 0, durationMs: 0, selector: 0 });
+  assert.equal(targets.departures.length, 1);
+});
