Read answers in the turns that callers' input has, and smaller findings of a second read

The reading of the store's answers had its own turns beside createTurns; that one takes a share of the time now, and is called by both. A step that adds its source again no longer schedules a turn while one runs, which would skip the rest.

The test of errors draws a later step, too; no bound changed.

--- a/packages/edge/src/callers/paced-input.ts
+++ b/packages/edge/src/callers/paced-input.ts
@@ -7,10 +7,10 @@
 import type { Socket } from 'node:net';
 import type { Clock, Logger } from '@kingcupsill/runtime';
 import { resumeReading, stopReading } from '../pause-reading.js';
+import { createTurns } from '../turns.js';
 import { createConnectionInput } from './connection-input.js';
 import type { ConnectionInput } from './connection-input.js';
 import { createQueuedResponses } from './queued-responses.js';
-import { createTurns } from './turns.js';
 import { createWaitingMemory } from './waiting-memory.js';
 
 /** Input of all connections of a server. */
--- a/packages/edge/src/store/stream-sweep.ts
+++ b/packages/edge/src/store/stream-sweep.ts
@@ -34,14 +34,15 @@
   let sweeps = 0;
 
   async function listEndedRuns(): Promise<string[]> {
-    const [stored, running] = await Promise.all([
+    const [stored, routers] = await Promise.all([
       listAll(StoreKind.Streams, ({ name }) => (name.startsWith(NAME_PREFIX) ? name : undefined)),
       listAll(StoreKind.Routers, (object) =>
         nameRun(object.name, readRouterEntry(object)?.incarnation),
       ),
     ]);
-    if (stored === undefined || running === undefined) return [];
-    return stored.filter((name) => name !== ownName && !running.includes(name));
+    if (stored === undefined || routers === undefined) return [];
+    const running = new Set(routers);
+    return stored.filter((name) => name !== ownName && !running.has(name));
   }
 
   const timer = repeatEvery(options.periodMs ?? PERIOD_MS, async () => {
--- a/packages/edge/src/callers/turns.ts
+++ b/packages/edge/src/turns.ts
@@ -10,28 +10,37 @@
 /** Time after which a turn begins no further work. */
 const TURN_MS = 3;
 
-/** @param work does a small part of a source's work, and adds the source again if there is more */
+/**
+ * @param work does a small part of a source's work, and adds the source again if there is more
+ * @param share returns the share of the time that the work may take, above 0; all of it by default
+ */
 export function createTurns<TSource>(
   clock: Clock,
   work: (source: TSource) => void,
+  share: () => number = () => 1,
 ): Turns<TSource> {
   const waiting = new Set<TSource>();
   let isScheduled = false;
+  let restUntilMs = Number.NEGATIVE_INFINITY;
 
   function schedule(): void {
     if (isScheduled || waiting.size === 0) return;
     isScheduled = true;
-    setImmediate(run);
+    const restMs = restUntilMs - clock();
+    if (restMs > 0) setTimeout(run, restMs);
+    else setImmediate(run);
   }
 
   function run(): void {
-    isScheduled = false;
-    const endsAtMs = clock() + TURN_MS;
+    const startedAtMs = clock();
     for (const source of waiting) {
       waiting.delete(source);
       work(source);
-      if (clock() >= endsAtMs) break;
+      if (clock() >= startedAtMs + TURN_MS) break;
     }
+    const endedAtMs = clock();
+    restUntilMs = endedAtMs + (endedAtMs - startedAtMs) * (1 / share() - 1);
+    isScheduled = false;
     schedule();
   }
 
--- a/packages/edge/test/store/answer-reading.test.ts
+++ b/packages/edge/test/store/answer-reading.test.ts
@@ -54,9 +54,10 @@
     () => 0,
     () => true,
   );
-  // eslint-disable-next-line require-yield -- it fails in its first step
-  function* fail(): Steps<string> {
+  function* failAfter(steps: number): Steps<string> {
+    for (let step = 0; step < steps; step += 1) yield;
     throw new Error('broken');
   }
-  await assert.rejects(readInTurns(fail()), { message: 'broken' });
+  for (const steps of [0, 2])
+    await assert.rejects(readInTurns(failAfter(steps)), { message: 'broken' });
 });
