Decode registrations once; no copy of attributes that state no tokens; one garbage collector in tests

Findings of a second read: a listed registration was decoded in the feed and again in the table of routers, and the router's own a third time.

--- a/packages/core/src/direct/request-tokens.ts
+++ b/packages/core/src/direct/request-tokens.ts
@@ -20,7 +20,8 @@
   attributes: RequestAttributes,
   hasEngines: boolean,
 ): RequestAttributes {
-  if (hasEngines) return attributes;
+  const statesNone = attributes.promptParts.length === 0 && requestTokens(attributes) === 0;
+  if (hasEngines || statesNone) return attributes;
   return { ...attributes, promptParts: [], promptTokens: 0, maxOutputTokens: 0 };
 }
 
--- a/packages/edge/src/store/feeds.ts
+++ b/packages/edge/src/store/feeds.ts
@@ -18,6 +18,7 @@
 import { createObjectFeed } from './object-feed.js';
 import type { FeedTiming, ObjectFeed, ObjectFeedOptions } from './object-feed.js';
 import { ownRouterEntry, readRouterEntry } from './router-registration.js';
+import type { RegisteredRouter } from './router-registration.js';
 import { createStoreAvailability } from './store-availability.js';
 import { createUnreadableObjects } from './unreadable-objects.js';
 import type { UnreadableObjects } from './unreadable-objects.js';
@@ -130,14 +131,14 @@
   { loop, registration }: FeedParts,
   peers: PeerLinks,
   unreadable: UnreadableObjects,
-): FeedHandlers<StoreObject> {
+): FeedHandlers<RegisteredRouter> {
   const { id } = ctx.settings().process;
   const routers = createKnownRouters(() => ({ name: id, ...ownRouterEntry(ctx) }));
 
-  /** Returns the object with nothing but what a registration has. */
-  function readRegistration(object: StoreObject): StoreObject | undefined {
+  function readRegistration(object: StoreObject): RegisteredRouter | undefined {
     const entry = readRouterEntry(object);
-    if (entry !== undefined) return { ...object, spec: entry };
+    const { name, revision } = object;
+    if (entry !== undefined) return { name, revision, entry };
     unreadable.report(StoreKind.Routers, object, 'no address or incarnation');
     return undefined;
   }
@@ -164,8 +165,8 @@
       registration.verify(registrations.find(({ name }) => name === id));
     },
     onChanged({ object, removed }) {
-      if (object.name === id) registration.verify(removed ? undefined : object);
       const changed = removed ? undefined : readRegistration(object);
+      if (object.name === id) registration.verify(changed);
       if (removed) routers.remove(object.name);
       else if (changed !== undefined) routers.add(changed);
       updateLinks();
--- a/packages/edge/src/store/known-routers.ts
+++ b/packages/edge/src/store/known-routers.ts
@@ -1,12 +1,11 @@
 /** Routers that are registered in the store. Entries of routers that ended without deregistering stay there. */
 import type { RouterInfo } from '@kingcupsill/core/direct';
-import type { StoreObject } from '@kingcupsill/prepared-platform';
-import { readRouterEntry } from './router-registration.js';
+import type { RegisteredRouter } from './router-registration.js';
 
 /** Registered routers. */
 export interface KnownRouters {
-  /** Adds a router or replaces its entry. Returns false if the entry can't be read. */
-  add(object: StoreObject): boolean;
+  /** Adds a router or replaces its entry. */
+  add(router: RegisteredRouter): void;
   remove(name: string): void;
   clear(): void;
   /**
@@ -35,12 +34,8 @@
   }
 
   return {
-    add(object) {
-      const entry = readRouterEntry(object);
-      if (entry === undefined) return false;
-      const { name, revision } = object;
+    add({ name, revision, entry }) {
       routers.set(name, { info: { name, ...entry }, revision });
-      return true;
     },
     remove: (name) => {
       routers.delete(name);
--- a/packages/edge/src/store/router-registration.ts
+++ b/packages/edge/src/store/router-registration.ts
@@ -12,10 +12,17 @@
   incarnation: string;
 }
 
+/** Registration of a router as the store has it. */
+export interface RegisteredRouter {
+  name: string;
+  revision: number;
+  entry: RouterEntry;
+}
+
 /** Registration of one router. */
 export interface RouterRegistration {
   /** Registers again if the store's entry of this router is missing or differs. */
-  verify(stored: StoreObject | undefined): void;
+  verify(stored: RegisteredRouter | undefined): void;
   /** Removes the address from the store; called at the end of the process. */
   remove(): Promise<void>;
   close(): void;
@@ -81,15 +88,15 @@
   }
 
   /** A read that is older than the registration says nothing about it. */
-  function isOutdated({ revision }: StoreObject): boolean {
+  function isOutdated({ revision }: RegisteredRouter): boolean {
     return (
       registered !== undefined && registered.era === era.current() && revision < registered.revision
     );
   }
 
-  function verify(stored: StoreObject | undefined): void {
+  function verify(stored: RegisteredRouter | undefined): void {
     if (stored !== undefined && isOutdated(stored)) return;
-    const found = stored && readRouterEntry(stored);
+    const found = stored?.entry;
     const isCurrent =
       found?.address === ownEntry.address && found.incarnation === ownEntry.incarnation;
     if (isCurrent || registering || closed) return;
--- a/packages/edge/test/callers/idle-connections.test.ts
+++ b/packages/edge/test/callers/idle-connections.test.ts
@@ -2,8 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
+import { createGarbageCollector } from '../standins/collect-garbage.js';
 import { waitUntil, withDeployment } from '../standins/deployment.js';
 import { createRawCaller, requestHead } from '../standins/raw-caller.js';
 import { sendAnswer } from '../standins/server-standin.js';
@@ -15,8 +14,7 @@
 const HEADERS = Array.from({ length: 900 }, (_none, index) => `X-${index}: ${index}`);
 
 async function measureUsedBytes(): Promise<number> {
-  setFlagsFromString('--expose-gc');
-  const collectGarbage = runInNewContext('gc') as () => void;
+  const collectGarbage = createGarbageCollector();
   // What is still referenced by timers and callbacks of ended requests is released meanwhile.
   await delay(700);
   for (let times = 0; times < 3; times += 1) {
--- a/packages/edge/test/store/known-routers.test.ts
+++ b/packages/edge/test/store/known-routers.test.ts
@@ -2,19 +2,19 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { test } from 'node:test';
-import type { StoreObject } from '@kingcupsill/prepared-platform';
 import { WebSocketServer } from 'ws';
 import { createKnownRouters } from '../../src/store/known-routers.js';
+import type { RegisteredRouter } from '../../src/store/router-registration.js';
 import { withDeployment } from '../standins/deployment.js';
 import { findFreePort } from '../standins/free-port.js';
 
 const own = { name: 'router-own', address: '10.0.0.9:8785', zone: 'z1', cores: 1 };
 
-function createEntry(name: string, address: string, revision: number): StoreObject {
-  return { name, revision, spec: { address, incarnation: 'i', zone: 'z1', cores: 1 } };
+function createEntry(name: string, address: string, revision: number): RegisteredRouter {
+  return { name, revision, entry: { address, incarnation: 'i', zone: 'z1', cores: 1 } };
 }
 
-function namesOf(entries: readonly StoreObject[]): string[] {
+function namesOf(entries: readonly RegisteredRouter[]): string[] {
   const routers = createKnownRouters(() => own);
   entries.forEach((entry) => routers.add(entry));
   return routers.list().map(({ name }) => name);
--- a/packages/edge/test/store/list-objects.test.ts
+++ b/packages/edge/test/store/list-objects.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 import { decodeServer, ReadMode, StoreFailure, StoreKind } from '@kingcupsill/prepared-platform';
 import type { StoreClient, StoreResult } from '@kingcupsill/prepared-platform';
 import { listObjects } from '../../src/store/list-objects.js';
 import { createStoreEra } from '../../src/store/store-era.js';
+import { createGarbageCollector } from '../standins/collect-garbage.js';
 
 /** Largest object that the store takes. */
 const SIZE = 1024 * 1024;
@@ -46,8 +45,7 @@
 
 // Guards against entries of other writers that use up the heap of each router which lists the servers (review/13).
 test('objects that hold nothing for the router are released with their page', async () => {
-  setFlagsFromString('--expose-gc');
-  const collectGarbage = runInNewContext('gc') as () => void;
+  const collectGarbage = createGarbageCollector();
   const specs: WeakRef<object>[] = [];
   const alive: number[] = [];
   const client: Pick<StoreClient, 'listPage'> = {
