--- a/packages/edge/src/store/list-objects.ts
+++ b/packages/edge/src/store/list-objects.ts
@@ -54,7 +54,7 @@
 }
 
 /**
- * Lists all pages; objects of other writers are released with their page and count in no limit. Returns undefined if a call fails, the
+ * Lists all pages; foreign objects are released with their page and count in no limit. Returns undefined if a call fails, the
  * pages don't end, too much is needed of them, the store is restored meanwhile, or the listing isn't wanted any more.
  */
 export async function listObjects<TValue>(
--- a/packages/edge/src/store/stream-store.ts
+++ b/packages/edge/src/store/stream-store.ts
@@ -73,7 +73,7 @@
   ofRouter: StreamsByVersion | undefined;
 }
 
-/** Reads the record of an object; objects of other writers have none. */
+/** Reads the record of an object; foreign objects have none. */
 function readStoredRecord({ spec }: StoreObject): StoredRecord | undefined {
   const ofService = versionsSchema.safeParse(spec).data;
   const ofRouter = streamsSchema.safeParse(spec).data?.streams;
--- a/packages/edge/test/store/answer-reading.test.ts
+++ b/packages/edge/test/store/answer-reading.test.ts
@@ -1,4 +1,4 @@
-/** Guards against requests that are refused while a router reads large entries of other writers. */
+/** Guards against requests that are refused while a router reads large foreign entries. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Steps } from '@kingcupsill/prepared-platform';
--- a/packages/edge/test/store/large-entries.test.ts
+++ b/packages/edge/test/store/large-entries.test.ts
@@ -1,4 +1,4 @@
-/** Guards against large entries of other writers, which hid all others from running routers and from those that start (review/12). */
+/** Guards against large foreign entries, which hid all others from running routers and from those that start (review/12). */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { StoreKind } from '@kingcupsill/prepared-platform';
@@ -26,7 +26,7 @@
   'wide characters': () => '\u20ac'.repeat(340_000),
 };
 
-test('follows the store beside large entries of other writers, also after a start', async () => {
+test('follows the store beside large foreign entries, also after a start', async () => {
   await withDeployment([(arrival) => sendAnswer(arrival)], async (deployment) => {
     const { store, call, logLines } = deployment;
     Object.entries(CONTENTS).forEach(([name, createContent]) => {
--- a/packages/edge/test/store/list-objects.test.ts
+++ b/packages/edge/test/store/list-objects.test.ts
@@ -43,7 +43,7 @@
   assert.equal(last.ok || last.failure, StoreFailure.TooLarge);
 });
 
-// Guards against entries of other writers that use up the heap of each router which lists the servers (review/13).
+// Guards against foreign entries that use up the heap of each router which lists the servers (review/13).
 test('objects that hold nothing for the router are released with their page', async () => {
   const collectGarbage = createGarbageCollector();
   const specs: WeakRef<object>[] = [];
@@ -80,7 +80,7 @@
   { service: 's1', address: '127.0.0.1:1', state: 'ready', zone: LARGE_TEXT },
 ];
 
-/** Lists pages of one entry of another writer each. */
+/** Lists pages of one foreign entry each. */
 async function listForeignPages(
   pages: number,
   spec: unknown,
@@ -112,8 +112,8 @@
   return { wasListed: listing !== undefined, calls };
 }
 
-// Guards against entries of other writers that keep each router from getting ready after its start (review/14).
-test('any number of large entries of other writers is listed, but not pages without end', async () => {
+// Guards against foreign entries that keep each router from getting ready after its start (review/14).
+test('any number of large foreign entries is listed, but not pages without end', async () => {
   for (const spec of FOREIGN_SPECS)
     assert.deepEqual(await listForeignPages(64, spec), { wasListed: true, calls: 64 });
   const endless = await listForeignPages(ENDLESS_PAGES, FOREIGN_SPECS[0]);
--- a/packages/edge/test/store/unreadable-objects.test.ts
+++ b/packages/edge/test/store/unreadable-objects.test.ts
@@ -1,4 +1,4 @@
-/** Guards against log lines for each listing of the same entries of other writers. */
+/** Guards against log lines for each listing of the same foreign entries. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { StoreKind } from '@kingcupsill/prepared-platform';
